--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Targets for developers. PYTHON may name another Python 3.11 or later.
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+PACKAGES = core daemon ui standins bench
+SOURCES = packages tests
+
+.PHONY: setup test check format demo fuzz clean
+
+setup: $(VENV)/ready
+
+$(VENV)/ready: constraints.txt requirements-dev.txt packages/*/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt \
+	    --requirement requirements-dev.txt setuptools wheel
+	$(BIN)/pip install --quiet --constraint constraints.txt \
+	    --no-build-isolation $(foreach p,$(PACKAGES),--editable packages/$(p))
+	touch $@
+
+check: setup
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p)) tests
+
+test: check
+	$(BIN)/python -m pytest
+
+format: setup
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
+
+demo: setup
+	$(BIN)/python -m standins.demo
+
+clean:
+	rm -rf $(VENV) .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- /dev/null
+++ b/packages/bench/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator and experiments."""
--- /dev/null
+++ b/packages/core/bulrushdeal/__init__.py
@@ -0,0 +1,1 @@
+"""Kernel, settings, codec and shared types of bulrushdeal."""
--- /dev/null
+++ b/packages/core/bulrushdeal/httpd.py
@@ -0,0 +1,151 @@
+"""A small HTTP server over `cheroot`, and the types of its handlers."""
+
+from collections.abc import Callable, Iterable, Iterator, Mapping
+import http
+import json
+import threading
+from typing import Any, cast, NamedTuple, Protocol
+
+import cheroot.wsgi
+
+_CHUNK_BYTES = 64 * 1024
+# Threads wait on upstreams, so there are many more than processors.
+DEFAULT_THREADS = 200
+_BACKLOG = 1024
+_SOCKET_TIMEOUT_S = 60
+
+
+class BodyReader(Protocol):
+    """Reads a request's body as it arrives."""
+
+    def read(self, size_bytes: int = -1) -> bytes:
+        """Returns up to `size_bytes` bytes, fewer only at the end."""
+
+
+class Request(NamedTuple):
+    """A request as the handlers see it.
+
+    Attributes:
+        method: In capitals.
+        path: Without the query, percent-decoded.
+        query: What follows the question mark, as it came.
+        headers: With names in lower case.
+        body: Reads the body.
+        length_bytes: The body's length if it was given, else -1.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: Mapping[str, str]
+    body: BodyReader
+    length_bytes: int
+
+
+class Response(NamedTuple):
+    """An answer; `body` is sent as it is made, and closed at the end."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: Iterable[bytes]
+
+
+Handler = Callable[[Request], Response]
+
+
+def json_response(
+    status: int, value: Any, headers: tuple[tuple[str, str], ...] = ()
+) -> Response:
+    """Returns an answer with a JSON body."""
+    body = json.dumps(value).encode()
+    return Response(
+        status,
+        (
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            *headers,
+        ),
+        (body,),
+    )
+
+
+def read_chunks(body: BodyReader) -> Iterator[bytes]:
+    """Yields a body piece by piece."""
+    while chunk := body.read(_CHUNK_BYTES):
+        yield chunk
+
+
+def _request(environ: dict[str, Any]) -> Request:
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    length = environ.get("CONTENT_LENGTH") or "-1"
+    return Request(
+        environ["REQUEST_METHOD"],
+        environ["PATH_INFO"],
+        environ.get("QUERY_STRING", ""),
+        headers,
+        environ["wsgi.input"],
+        int(length),
+    )
+
+
+class Server:
+    """Serves one handler on one address, each connection on its thread.
+
+    The number of accepted connections that wait for a thread is bounded,
+    since those that wait age unseen.
+    """
+
+    def __init__(
+        self, address: str, handler: Handler, threads: int = DEFAULT_THREADS
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._handler = handler
+        self._server = cheroot.wsgi.Server(
+            (host, int(port)),
+            self._serve,
+            numthreads=threads,
+            request_queue_size=_BACKLOG,
+            accepted_queue_size=_BACKLOG,
+            accepted_queue_timeout=1,
+            timeout=_SOCKET_TIMEOUT_S,
+        )
+        # The caller's body is relayed as it comes, so it may be long.
+        self._server.max_request_body_size = 0
+        self._thread: threading.Thread | None = None
+
+    @property
+    def port(self) -> int:
+        """The port it listens on, known after `start`."""
+        return cast(int, self._server.bind_addr[1])
+
+    def start(self) -> None:
+        """Binds the address and serves on threads of its own."""
+        self._server.prepare()
+        self._thread = threading.Thread(
+            target=self._server.serve, name="httpd", daemon=True
+        )
+        self._thread.start()
+
+    def stop(self, grace_s: float) -> None:
+        """Stops accepting and gives open requests `grace_s` seconds."""
+        self._server.shutdown_timeout = grace_s
+        self._server.stop()
+        if self._thread is not None:
+            self._thread.join(grace_s)
+
+    def _serve(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        response = self._handler(_request(environ))
+        try:
+            phrase = http.HTTPStatus(response.status).phrase
+        except ValueError:
+            phrase = "Unknown"
+        start_response(f"{response.status} {phrase}", list(response.headers))
+        return response.body
--- /dev/null
+++ b/packages/core/bulrushdeal/settings.py
@@ -0,0 +1,130 @@
+"""One table of settings that makes flags, variables, checks and docs."""
+
+from collections.abc import Mapping, Sequence
+import re
+from typing import Literal, NamedTuple
+
+from bulrushdeal import errors
+
+Kind = Literal["text", "address", "addresses", "integer", "number", "choice"]
+Value = str | int | float
+
+_ADDRESS = re.compile(r"^[0-9a-zA-Z_.\-]+:[0-9]{1,5}$")
+
+
+class Setting(NamedTuple):
+    """One row of the table.
+
+    Attributes:
+        name: The field's name, with its unit; `drain_s` is the flag
+            `--drain-s` and the variable `BULRUSHDEAL_DRAIN_S`.
+        kind: How the text is read.
+        default: The value when nothing is given; `None` makes it required.
+        help_text: One sentence for `--help` and the docs.
+        low: The least number allowed.
+        high: The greatest number allowed.
+        choices: The words allowed, for the kind `choice`.
+    """
+
+    name: str
+    kind: Kind
+    default: Value | None
+    help_text: str
+    low: float = 0.0
+    high: float = float("inf")
+    choices: tuple[str, ...] = ()
+
+    @property
+    def flag(self) -> str:
+        """The flag without its leading dashes."""
+        return self.name.replace("_", "-")
+
+    @property
+    def variable(self) -> str:
+        """The environment variable."""
+        return "BULRUSHDEAL_" + self.name.upper()
+
+    @property
+    def allowed(self) -> str:
+        """What a value has to look like, in words."""
+        if self.kind == "choice":
+            return "one of " + ", ".join(self.choices)
+        if self.kind in ("integer", "number"):
+            return f"{self.kind} from {self.low:g} to {self.high:g}"
+        if self.kind == "address":
+            return "HOST:PORT"
+        if self.kind == "addresses":
+            return "HOST:PORT[,HOST:PORT...]"
+        return "text"
+
+
+class SettingError(errors.UserError):
+    """A setting is unknown, missing, out of range or contradicts another."""
+
+
+def read(
+    table: Sequence[Setting],
+    flags: Mapping[str, str],
+    environment: Mapping[str, str],
+) -> dict[str, Value]:
+    """Returns each setting's checked value; a flag beats a variable.
+
+    Raises:
+        SettingError: Names the setting, the value and what is allowed.
+    """
+    known = {setting.variable for setting in table}
+    for variable in environment:
+        if variable.startswith("BULRUSHDEAL_") and variable not in known:
+            raise SettingError(
+                f"{variable}: unknown setting; see --help for those allowed"
+            )
+    values: dict[str, Value] = {}
+    for setting in table:
+        text = flags.get(setting.flag, environment.get(setting.variable))
+        if text is not None:
+            values[setting.name] = _parse(setting, text)
+        elif setting.default is not None:
+            values[setting.name] = setting.default
+        else:
+            raise SettingError(
+                f"--{setting.flag}: missing; allowed: {setting.allowed}"
+            )
+    return values
+
+
+def _parse(setting: Setting, text: str) -> Value:
+    problem = SettingError(
+        f"--{setting.flag}: {text!r} is not allowed; allowed: {setting.allowed}"
+    )
+    if setting.kind in ("integer", "number"):
+        try:
+            number = int(text) if setting.kind == "integer" else float(text)
+        except ValueError:
+            raise problem from None
+        if not setting.low <= number <= setting.high:
+            raise problem
+        return number
+    if setting.kind == "choice" and text not in setting.choices:
+        raise problem
+    if setting.kind == "address" and text and not _ADDRESS.match(text):
+        raise problem
+    if setting.kind == "addresses" and text:
+        for part in text.split(","):
+            if not _ADDRESS.match(part):
+                raise problem
+    return text
+
+
+def describe(table: Sequence[Setting]) -> str:
+    """Returns the table as Markdown, for the operators' docs."""
+    lines = [
+        "| flag | variable | default | allowed | meaning |",
+        "|---|---|---|---|---|",
+    ]
+    for setting in table:
+        default = "required" if setting.default is None else setting.default
+        lines.append(
+            f"| `--{setting.flag}` | `{setting.variable}` | `{default}` |"
+            f" {setting.allowed} | {setting.help_text} |"
+        )
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/packages/daemon/bulrushdeald/__init__.py
@@ -0,0 +1,1 @@
+"""The serving daemon that runs on every entry VM."""
--- /dev/null
+++ b/packages/daemon/bulrushdeald/main.py
@@ -0,0 +1,115 @@
+"""The program `bulrushdeald`: reads settings, runs the services, stops."""
+
+import faulthandler
+import json
+import os
+import signal
+import sys
+import threading
+from typing import Any, ClassVar
+
+from cleo import application
+from cleo.commands import command
+from cleo.helpers import option
+from cleo.io.inputs import option as option_lib
+
+from bulrushdeal import codec
+from bulrushdeal import errors
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeal import logs
+from bulrushdeal import settings as settings_lib
+from bulrushdeald import assembly
+from bulrushdeald import defaults
+
+_log = logs.Log("daemon")
+
+
+class ServeCommand(command.Command):
+    """Runs the services until a signal asks the process to stop."""
+
+    name = "serve"
+    description = "Serve callers, operators and peers on this VM."
+    options: ClassVar[list[option_lib.Option]] = [
+        option(row.flag, description=row.help_text, flag=False)
+        for row in defaults.TABLE
+    ]
+
+    def handle(self) -> int:
+        """Runs until SIGTERM or SIGINT; SIGUSR1 logs a state dump."""
+        flags = {
+            row.flag: self.option(row.flag)
+            for row in defaults.TABLE
+            if self.option(row.flag) is not None
+        }
+        try:
+            settings = defaults.read(flags, os.environ)
+        except errors.UserError as error:
+            self.line_error(str(error))
+            return 2
+        logs.configure(settings.log_level)
+        return _serve(settings)
+
+
+class SettingsCommand(command.Command):
+    """Prints the table of settings, as the operators' docs have it."""
+
+    name = "settings"
+    description = "Print all settings as a Markdown table."
+
+    def handle(self) -> int:
+        """Prints the table."""
+        self.line(settings_lib.describe(defaults.TABLE).rstrip("\n"))
+        return 0
+
+
+def _serve(settings: defaults.Settings) -> int:
+    faulthandler.enable()
+    kernel = assembly.assemble(settings)
+    stopping = threading.Event()
+    signals: list[int] = []
+
+    def on_stop(number: int, frame: Any) -> None:
+        del frame
+        signals.append(number)
+        if len(signals) > 1:
+            # A second signal means somebody is waiting: say what for.
+            _log_dump(kernel, "Still open")
+        stopping.set()
+
+    def on_dump(number: int, frame: Any) -> None:
+        del number, frame
+        _log_dump(kernel, "State")
+
+    signal.signal(signal.SIGTERM, on_stop)
+    signal.signal(signal.SIGINT, on_stop)
+    signal.signal(signal.SIGUSR1, on_dump)
+    try:
+        kernel.start()
+    except (OSError, errors.UserError) as error:
+        _log.error("Cannot start: %s", error)
+        return 1
+    stopping.wait()
+    _log.info("Stopping gracefully within %g s.", settings.drain_s)
+    kernel.stop(settings.drain_s)
+    _log.info("Stopped.")
+    return 0
+
+
+def _log_dump(kernel: kernel_lib.Kernel, title: str) -> None:
+    # From a thread: a service's lock may be held by the code that the
+    # signal interrupted, and would never be released to the handler.
+    def write() -> None:
+        state = codec.to_object(kernel.dump())
+        _log.info("%s: %s", title, json.dumps(state, default=str))
+
+    threading.Thread(target=write, name="dump", daemon=True).start()
+
+
+def main() -> None:
+    """Runs the program; the command is `serve` unless another is named."""
+    app = application.Application("bulrushdeald", "0.1.0")
+    app.add(ServeCommand())
+    app.add(SettingsCommand())
+    if len(sys.argv) < 2 or sys.argv[1].startswith("--vm"):  # noqa: PLR2004
+        sys.argv.insert(1, "serve")
+    sys.exit(app.run())
--- /dev/null
+++ b/packages/standins/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the upstreams, and the demo."""
--- /dev/null
+++ b/packages/ui/bulrushdealui/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the operators."""
--- /dev/null
+++ b/tests/core/test_codec.py
@@ -0,0 +1,57 @@
+"""Tests of the codec: what is packed comes back, and bad input is named."""
+
+from typing import NamedTuple
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from bulrushdeal import codec
+
+
+class Inner(NamedTuple):
+    name: str
+    size_bytes: int | None = None
+
+
+class Outer(NamedTuple):
+    inners: tuple[Inner, ...]
+    shares: dict[str, float]
+    data: bytes = b""
+
+
+inners = st.builds(Inner, st.text(), st.none() | st.integers(0, 2**60))
+outers = st.builds(
+    Outer,
+    st.lists(inners).map(tuple),
+    st.dictionaries(st.text(), st.floats(allow_nan=False)),
+    st.binary(),
+)
+
+
+@given(outers)
+def test_pack_then_unpack_is_identity(message: Outer) -> None:
+    registry = codec.Registry()
+    registry.add(Outer)
+    assert registry.unpack(codec.pack(message)) == message
+
+
+@given(st.binary())
+def test_any_bytes_give_a_message_or_a_codec_error(data: bytes) -> None:
+    registry = codec.Registry()
+    registry.add(Outer)
+    try:
+        registry.unpack(data)
+    except codec.CodecError:
+        return
+
+
+def test_wrong_field_is_named() -> None:
+    with pytest.raises(codec.CodecError, match=r"Outer.inners\[0\].name"):
+        codec.from_plain(Outer, {"inners": [{"name": 3}], "shares": {}})
+
+
+def test_missing_field_is_named_and_default_is_taken() -> None:
+    assert codec.from_plain(Inner, ["a"]) == Inner("a")
+    with pytest.raises(codec.CodecError, match=r"Inner\.name: missing"):
+        codec.from_plain(Inner, [])
