--- /dev/null
+++ b/packages/daemon/bulrushdeald/completions.py
@@ -0,0 +1,110 @@
+"""Reads the calls that a model engine serves, online or from a batch."""
+
+import hashlib
+import json
+from typing import Any, NamedTuple
+
+import result
+
+from bulrushdeal import records
+from bulrushdeald import refusals
+from bulrushdeald import services
+
+CHAT_PATH = "/v1/chat/completions"
+TEXT_PATH = "/v1/completions"
+PATHS = (CHAT_PATH, TEXT_PATH)
+# Engines cache whole blocks of a prompt; the beginning tells most.
+PREFIX_BYTES = 512
+# A usual English text has about four bytes for each token.
+_BYTES_PER_TOKEN = 4
+_DEFAULT_MAX_TOKENS = 256
+
+
+class Call(NamedTuple):
+    """A checked call of a model.
+
+    Attributes:
+        path: One of `PATHS`.
+        body: The JSON as the caller sent it, to be passed on unchanged.
+        model: The model asked for.
+        is_stream: Whether the caller wants server-sent events.
+        prompt_prefix: The beginning of the prompt.
+        expected_tokens: A guess of prompt and answer together.
+    """
+
+    path: str
+    body: bytes
+    model: str
+    is_stream: bool
+    prompt_prefix: bytes
+    expected_tokens: int
+
+
+def read(path: str, body: bytes) -> result.Result[Call, services.Refusal]:
+    """Checks what this system needs to know; the engine checks the rest."""
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return result.Err(refusals.bad_input(f"The body is not JSON: {error}"))
+    if not isinstance(value, dict):
+        return result.Err(refusals.bad_input("The body is not an object."))
+    model = value.get("model")
+    if not isinstance(model, str) or not model:
+        return result.Err(refusals.bad_input("A model is required.", "model"))
+    stream = value.get("stream", False)
+    if not isinstance(stream, bool):
+        return result.Err(refusals.bad_input("Not a boolean.", "stream"))
+    field = "messages" if path == CHAT_PATH else "prompt"
+    prompt = value.get(field)
+    if not prompt or not isinstance(prompt, list | str):
+        return result.Err(refusals.bad_input(f"{field} is required.", field))
+    max_tokens = value.get("max_tokens", _DEFAULT_MAX_TOKENS)
+    if type(max_tokens) is not int or max_tokens < 1:
+        return result.Err(
+            refusals.bad_input("Not a positive integer.", "max_tokens")
+        )
+    text = _prompt_bytes(prompt)
+    return result.Ok(
+        Call(
+            path,
+            body,
+            model,
+            stream,
+            text[:PREFIX_BYTES],
+            len(text) // _BYTES_PER_TOKEN + max_tokens,
+        )
+    )
+
+
+def _prompt_bytes(prompt: Any) -> bytes:
+    if isinstance(prompt, str):
+        return prompt.encode(errors="replace")
+    return json.dumps(prompt).encode()
+
+
+def work(
+    call: Call,
+    customer: str,
+    work_class: records.WorkClass,
+    deadline_s: float,
+) -> services.Work:
+    """Returns what the router needs to know of a call."""
+    return services.Work(
+        customer,
+        work_class,
+        call.model,
+        "",
+        call.prompt_prefix,
+        call.expected_tokens,
+        fingerprint(customer, call.path, call.body),
+        deadline_s,
+    )
+
+
+def fingerprint(customer: str, path: str, body: bytes) -> str:
+    """Returns the name that a request keeps however often it is sent."""
+    digest = hashlib.sha256()
+    for part in (customer.encode(), path.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/daemon/bulrushdeald/refusals.py
@@ -0,0 +1,45 @@
+"""Turns a refusal into the answer that a caller's client understands."""
+
+import math
+
+from bulrushdeal import httpd
+from bulrushdeald import services
+
+_TYPES = {
+    400: "invalid_request_error",
+    401: "authentication_error",
+    403: "permission_error",
+    404: "not_found_error",
+    413: "invalid_request_error",
+    429: "rate_limit_error",
+}
+
+
+def response(refusal: services.Refusal) -> httpd.Response:
+    """Returns the whole answer, with `Retry-After` where it helps."""
+    headers: tuple[tuple[str, str], ...] = ()
+    if refusal.retry_after_s > 0:
+        # The header takes whole seconds; rounding down would invite a
+        # request that must be refused again.
+        seconds = math.ceil(refusal.retry_after_s)
+        headers = (("Retry-After", str(seconds)),)
+    body = {
+        "error": {
+            "message": refusal.message,
+            "type": _TYPES.get(refusal.status, "server_error"),
+            "code": refusal.code,
+            "param": refusal.field or None,
+            "ran": refusal.ran,
+        }
+    }
+    return httpd.json_response(refusal.status, body, headers)
+
+
+def bad_input(message: str, field: str = "") -> services.Refusal:
+    """Returns the refusal of a request that is wrong in itself."""
+    return services.Refusal(400, "invalid_request", message, field=field)
+
+
+def not_found(message: str) -> services.Refusal:
+    """Returns the refusal of a request for something that is not there."""
+    return services.Refusal(404, "not_found", message)
--- a/packages/daemon/bulrushdeald/services.py
+++ b/packages/daemon/bulrushdeald/services.py
@@ -10,6 +10,7 @@
 
 import result
 
+from bulrushdeal import httpd
 from bulrushdeal import records
 
 KEYVALUE = "keyvalue"
@@ -22,6 +23,9 @@
 STORE = "store"
 JOBS = "jobs"
 USAGE = "usage"
+INTENTS = "intents"
+CALLERS = "callers"
+OPERATORS = "operators"
 
 Ran = Literal["not_run", "ran", "unknown"]
 
@@ -378,3 +382,34 @@
 
     kind: Literal["unavailable", "missing", "fenced", "full"]
     message: str
+
+
+CallerHandler = Callable[[httpd.Request, Principal], httpd.Response]
+
+
+class CallerRoutes(Protocol):
+    """The callers' HTTP server, to which services add their paths.
+
+    A service adds its routes in its own `start`; the server itself is
+    registered in the kernel before but listens only when all have started.
+    """
+
+    def route(
+        self, method: str, path: str, handler: CallerHandler, bulk: bool
+    ) -> None:
+        """Serves a path, after the caller's key was checked.
+
+        Args:
+            method: In capitals, or `*` for any.
+            path: The exact path, or a prefix if it ends in `/`.
+            handler: Called on the connection's thread.
+            bulk: Whether it may be slow; bulk requests get only a bounded
+                share of the threads, so online callers never wait for them.
+        """
+
+
+class OperatorRoutes(Protocol):
+    """The operators' HTTP server, to which services add their paths."""
+
+    def route(self, method: str, path: str, handler: httpd.Handler) -> None:
+        """Serves a path, after the operator's credential was checked."""
