Route requests: online before batch, fair between customers, crashes bounded

Cause: engines admit what arrives and know no priorities, so work has to be held back on the entry VMs. Ruled out: a fixed partition (idle slots), every VM placing batch on every upstream (two VMs race for the same slot).

--- a/packages/daemon/bulrushdeald/defaults.py
+++ b/packages/daemon/bulrushdeald/defaults.py
@@ -93,6 +93,28 @@
         low=2,
         high=5000,
     ),
+    settings.Setting(
+        "batch_reserve_fraction",
+        "number",
+        0.06,
+        "Part of an upstream's slots that batch work leaves free.",
+        low=0,
+        high=1,
+    ),
+    settings.Setting(
+        "batch_yields",
+        "choice",
+        "yes",
+        "Whether batch items yield to online requests; `no` to compare.",
+        choices=("yes", "no"),
+    ),
+    settings.Setting(
+        "upstream_policy",
+        "choice",
+        "affinity",
+        "How an upstream is chosen among those with room.",
+        choices=("affinity", "least_load", "random"),
+    ),
 )
 
 
@@ -115,6 +137,9 @@
     vm_list_poll_s: float
     max_body_bytes: int
     online_threads: int
+    batch_reserve_fraction: float
+    batch_yields: str
+    upstream_policy: str
 
 
 def read(flags: Mapping[str, str], environment: Mapping[str, str]) -> Settings:
--- /dev/null
+++ b/packages/daemon/bulrushdeald/inflight.py
@@ -0,0 +1,176 @@
+"""How many requests each upstream runs, over all VMs.
+
+For each upstream one entry VM, its owner, sums what the VMs report. A VM
+reports its own counts to the owners of the upstreams that it uses, when they
+change, and gets the sums back. An owner alone places batch work on an
+upstream, so two VMs never race for the slots that online work leaves.
+Ownership is soft: it follows from the list of VMs, and a wrong belief costs
+only efficiency, never correctness.
+"""
+
+from typing import NamedTuple
+
+from bulrushdeal import clock as clock_lib
+
+# A VM that has been silent this long has crashed or is cut off; what it ran
+# shows in the upstream's own load report.
+REPORT_EXPIRES_S = 5.0
+
+
+class Count(NamedTuple):
+    """How many requests run on an upstream.
+
+    Attributes:
+        upstream: Its name.
+        online: Online requests.
+        batch: Batch items.
+    """
+
+    upstream: str
+    online: int
+    batch: int = 0
+
+
+class CountsReport(NamedTuple):
+    """What one VM runs, for the owner of these upstreams.
+
+    Attributes:
+        counts: All upstreams of the owner on which the VM runs anything.
+    """
+
+    counts: tuple[Count, ...]
+
+
+class CountsTotals(NamedTuple):
+    """The owner's answer to a report.
+
+    Attributes:
+        totals: The sums over all VMs, the caller's included, for each
+            upstream that runs anything.
+    """
+
+    totals: tuple[Count, ...]
+
+
+class _Report(NamedTuple):
+    at_s: float
+    online: dict[str, int]
+
+
+class _Others(NamedTuple):
+    at_s: float
+    counts: dict[str, Count]
+
+
+class Inflight:
+    """Own counts, others' reports and totals; not thread-safe by itself."""
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        self._clock = clock
+        self._online: dict[str, int] = {}
+        self._batch: dict[str, int] = {}
+        self._reports: dict[str, _Report] = {}
+        self._others: dict[str, _Others] = {}
+        self._external: dict[str, int] = {}
+
+    def add_online(self, upstream: str, count: int) -> None:
+        """Changes how many online requests this VM runs there."""
+        self._online[upstream] = self._online.get(upstream, 0) + count
+
+    def add_batch(self, upstream: str, count: int) -> None:
+        """Changes how many batch items this VM runs there."""
+        self._batch[upstream] = self._batch.get(upstream, 0) + count
+
+    def own_online(self, upstream: str) -> int:
+        """Returns how many online requests this VM runs there."""
+        return self._online.get(upstream, 0)
+
+    def own_batch(self, upstream: str) -> int:
+        """Returns how many batch items this VM runs there."""
+        return self._batch.get(upstream, 0)
+
+    def own_report(self, upstreams: frozenset[str]) -> CountsReport:
+        """Returns what this VM tells the owner of `upstreams`."""
+        return CountsReport(
+            tuple(
+                Count(name, count)
+                for name, count in self._online.items()
+                if count and name in upstreams
+            )
+        )
+
+    def take_report(self, vm: str, report: CountsReport) -> None:
+        """Notes, as owner, what a VM runs; replaces its last report."""
+        online = {count.upstream: count.online for count in report.counts}
+        self._reports[vm] = _Report(self._clock.monotonic_s(), online)
+
+    def forget(self, vm: str) -> None:
+        """Drops the report of a VM that is gone."""
+        self._reports.pop(vm, None)
+
+    def set_external(self, upstream: str, count: int) -> None:
+        """Notes, as owner, what runs beyond all reports.
+
+        The upstream's own load report shows requests of VMs that cannot
+        reach this one.
+        """
+        self._external[upstream] = count
+
+    def total_online(self, upstream: str) -> int:
+        """Returns, as owner, the sum over this VM and those reporting."""
+        oldest_s = self._clock.monotonic_s() - REPORT_EXPIRES_S
+        others = sum(
+            report.online.get(upstream, 0)
+            for report in self._reports.values()
+            if report.at_s >= oldest_s
+        )
+        return (
+            self.own_online(upstream) + others + self._external.get(upstream, 0)
+        )
+
+    def totals(self, upstreams: frozenset[str]) -> CountsTotals:
+        """Returns, as owner, the answer to a report."""
+        return CountsTotals(
+            tuple(
+                Count(name, self.total_online(name), self.own_batch(name))
+                for name in sorted(upstreams)
+            )
+        )
+
+    def take_totals(
+        self, owner: str, sent: CountsReport, answer: CountsTotals
+    ) -> None:
+        """Notes an owner's sums, without the part that this VM reported.
+
+        What this VM sent since is added when an estimate is asked for, so a
+        stale answer does not hide it.
+        """
+        own = {count.upstream: count.online for count in sent.counts}
+        others = {
+            total.upstream: Count(
+                total.upstream,
+                max(0, total.online - own.get(total.upstream, 0)),
+                total.batch,
+            )
+            for total in answer.totals
+        }
+        self._others[owner] = _Others(self._clock.monotonic_s(), others)
+
+    def estimate(self, upstream: str, owner: str, own_vm: str) -> Count:
+        """Returns what is believed to run on an upstream now."""
+        if owner == own_vm:
+            return Count(
+                upstream, self.total_online(upstream), self.own_batch(upstream)
+            )
+        others = self._others.get(owner)
+        if others is None or self._is_old(others.at_s):
+            return Count(
+                upstream, self.own_online(upstream), self.own_batch(upstream)
+            )
+        other = others.counts.get(upstream, Count(upstream, 0))
+        return Count(
+            upstream, other.online + self.own_online(upstream), other.batch
+        )
+
+    def _is_old(self, at_s: float) -> bool:
+        return at_s < self._clock.monotonic_s() - REPORT_EXPIRES_S
--- a/packages/daemon/bulrushdeald/services.py
+++ b/packages/daemon/bulrushdeald/services.py
@@ -288,6 +288,13 @@
         work waits for a slot that online work leaves, at most the deadline.
         """
 
+    def batch_slots(self, model: str) -> int:
+        """Returns how many batch items of a model could start here now.
+
+        Only a few VMs may place batch work on an upstream, so a VM on which
+        this is 0 should not ask for work of the model.
+        """
+
 
 class UpstreamError(NamedTuple):
     """An upstream brought no whole answer.
--- /dev/null
+++ b/tests/daemon/test_router.py
@@ -0,0 +1,206 @@
+"""Tests of the router: online before batch, crashes, leaving upstreams."""
+
+import threading
+from typing import Any
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+import result
+
+from bulrushdeal import records
+from bulrushdeald import router as router_lib
+from bulrushdeald import services
+from support import fakes
+
+SLOTS = 4
+RESERVE = 1
+VM_A = records.Vm("vm-a", "d1", "entry")
+VM_B = records.Vm("vm-b", "d1", "entry")
+
+
+def engine(name: str, **fields: Any) -> records.Upstream:
+    return records.Upstream(
+        name, "engine", "127.0.0.1:1", f"host-{name}", "d1", ("m",)
+    )._replace(slots=SLOTS, **fields)
+
+
+def work(
+    work_class: records.WorkClass, fingerprint: str = "", customer: str = "c"
+) -> services.Work:
+    return services.Work(
+        customer, work_class, "m", "", b"", 10, fingerprint, 0.0
+    )
+
+
+class Fleet:
+    """Two VMs' routers over two engines, and what runs where."""
+
+    def __init__(self) -> None:
+        self.network = fakes.Network()
+        self.leaving: set[str] = set()
+        self.config = fakes.Config((engine("e1"), engine("e2")))
+        self.routers: dict[str, router_lib.UpstreamRouter] = {}
+        for vm in (VM_A, VM_B):
+            membership = fakes.Membership(vm, (VM_A, VM_B))
+            membership.leaving = self.leaving
+            kernel = fakes.kernel(
+                membership, fakes.Peers(self.network, vm.vm), self.config
+            )
+            router = router_lib.UpstreamRouter(
+                kernel,
+                fakes.settings(vm=vm.vm, batch_reserve_fraction="0.25"),
+            )
+            router.start()
+            self.routers[vm.vm] = router
+
+    def report(self) -> None:
+        for router in self.routers.values():
+            router.send_reports()
+
+    def stop(self) -> None:
+        for router in self.routers.values():
+            router.stop(0)
+
+
+def take(
+    router: router_lib.UpstreamRouter, wanted: services.Work
+) -> services.Slot | None:
+    answer = router.acquire(wanted)
+    return answer.unwrap() if isinstance(answer, result.Ok) else None
+
+
+class OnlineBeforeBatch(stateful.RuleBasedStateMachine):
+    """Online and batch requests on two VMs against a count by hand.
+
+    Story: engines are full of batch items when a burst of online requests
+    comes. Without yielding, or with batch counted as room taken, the burst
+    would wait for items to end.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = Fleet()
+        self.online: list[services.Slot] = []
+        self.batch: list[router_lib.Slot] = []
+        self.yielding: dict[int, threading.Event] = {}
+
+    def running(self, upstream: str) -> int:
+        return sum(s.upstream.upstream == upstream for s in self.online)
+
+    @stateful.rule(vm=st.sampled_from(["vm-a", "vm-b"]))
+    def start_online(self, vm: str) -> None:
+        total = len(self.online)
+        slot = take(self.fleet.routers[vm], work("online"))
+        self.fleet.report()
+        # Batch never keeps an online request out.
+        assert (slot is not None) == (total < 2 * SLOTS)
+        if slot is not None:
+            self.online.append(slot)
+
+    @stateful.rule(vm=st.sampled_from(["vm-a", "vm-b"]))
+    def start_batch(self, vm: str) -> None:
+        slot = take(self.fleet.routers[vm], work("batch"))
+        if not isinstance(slot, router_lib.Slot):
+            return
+        event = threading.Event()
+        slot.on_yield(event.set)
+        self.batch.append(slot)
+        self.yielding[id(slot)] = event
+
+    @stateful.precondition(lambda self: self.online)
+    @stateful.rule(data=st.data())
+    def end_online(self, data: st.DataObject) -> None:
+        index = data.draw(st.integers(0, len(self.online) - 1))
+        self.online.pop(index).release("ok")
+        self.fleet.report()
+
+    @stateful.precondition(lambda self: self.batch)
+    @stateful.rule(data=st.data())
+    def end_batch(self, data: st.DataObject) -> None:
+        index = data.draw(st.integers(0, len(self.batch) - 1))
+        self.batch.pop(index).release("ok")
+
+    @stateful.invariant()
+    def batch_leaves_room(self) -> None:
+        for name in ("e1", "e2"):
+            mine = [s for s in self.batch if s.upstream.upstream == name]
+            allowed = max(0, SLOTS - RESERVE - self.running(name))
+            told = [s for s in mine if s.running and s.running.is_yielding]
+            assert all(self.yielding[id(s)].wait(5.0) for s in told)
+            assert len(mine) - len(told) <= allowed
+
+    def teardown(self) -> None:
+        self.fleet.stop()
+
+
+TestOnlineBeforeBatch = OnlineBeforeBatch.TestCase
+
+
+def test_crashing_request_is_bounded_over_vms() -> None:
+    # A caller's request crashes each engine that runs it, and the caller
+    # sends it again through the other VM each time. Without notices between
+    # VMs each VM would let it crash two engines; here two are lost in all,
+    # and the final answer comes at once on both.
+    fleet = Fleet()
+    lost = 0
+    for attempt in range(6):
+        vm = ("vm-a", "vm-b")[attempt % 2]
+        slot = take(fleet.routers[vm], work("online", "poison"))
+        if slot is not None:
+            slot.release("crashed")
+            lost += 1
+    answers = [
+        r.acquire(work("online", "poison")) for r in fleet.routers.values()
+    ]
+    fleet.stop()
+    assert lost == 2
+    for answer in answers:
+        refusal = answer.unwrap_err()
+        assert (refusal.code, refusal.ran) == ("quarantined", "ran")
+
+
+def test_bystander_of_a_crash_still_runs() -> None:
+    # Two requests run on an engine when one of them crashes it. Both are
+    # suspects; each is then kept apart from the other, so the innocent one
+    # does not crash a second time and gets its answer.
+    fleet = Fleet()
+    router = fleet.routers["vm-a"]
+    slots = [take(router, work("online", name)) for name in ("bad", "good")]
+    for slot in slots:
+        assert slot is not None
+        slot.release("crashed")
+    fleet.config.all_upstreams = (engine("e3"), engine("e4"))
+    bad = take(router, work("online", "bad"))
+    good = take(router, work("online", "good"))
+    assert bad is not None
+    assert good is not None
+    assert bad.upstream.upstream != good.upstream.upstream
+    bad.release("crashed")
+    good.release("ok")
+    assert router.acquire(work("online", "bad")).is_err()
+    assert router.acquire(work("online", "good")).is_ok()
+    fleet.stop()
+
+
+def test_leaving_upstream_gets_nothing_new() -> None:
+    fleet = Fleet()
+    router = fleet.routers["vm-a"]
+    fleet.leaving.add("host-e1")
+    for _ in range(SLOTS):
+        slot = take(router, work("online"))
+        assert slot is not None
+        assert slot.upstream.upstream == "e2"
+    fleet.stop()
+
+
+def test_unknown_model_is_not_found_and_full_engines_say_when() -> None:
+    fleet = Fleet()
+    router = fleet.routers["vm-a"]
+    unknown = router.acquire(work("online")._replace(model="x")).unwrap_err()
+    assert (unknown.status, unknown.ran) == (404, "not_run")
+    for _ in range(2 * SLOTS):
+        assert take(router, work("online")) is not None
+    full = router.acquire(work("online")).unwrap_err()
+    assert (full.status, full.ran) == (503, "not_run")
+    assert full.retry_after_s > 0
+    fleet.stop()
