Add the stand-in platform, its clients, peers, configuration and operators' routes

Cause: nothing spoke to the platform or between VMs yet. Change: a stand-in of the platform with fault switches; the key-value client settles a put whose answer was lost by nonces in an envelope; the list of VMs is kept over outages; typed calls over websockets; pages of configuration with two watchers a failure domain and comparisons between peers; the operators' edits by compare-and-swap.

--- /dev/null
+++ b/packages/daemon/bulrushdeald/configroutes.py
@@ -0,0 +1,292 @@
+"""The operators' routes to customers, keys, upstreams and the table."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import result
+
+from bulrushdeal import codec
+from bulrushdeal import httpd
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeal import records
+from bulrushdeald import config as config_lib
+from bulrushdeald import configstatus
+from bulrushdeald import edits
+from bulrushdeald import pages
+from bulrushdeald import replies
+from bulrushdeald import services
+from bulrushdeald import table
+
+_CUSTOMERS = "/v1/customers"
+_TABLE = "/v1/table.csv"
+_KEYS = "/v1/keys"
+_UPSTREAMS = "/v1/upstreams"
+_MIN_PREFIX_CHARACTERS = 8
+_MAX_LABEL_CHARACTERS = 200
+
+
+class ConfigRoutes:
+    """Serves the configuration to operators; see docs/operators."""
+
+    def __init__(
+        self, keyvalue: services.KeyValue, config: config_lib.ConfigService
+    ) -> None:
+        self._keyvalue = keyvalue
+        self._config = config
+        self._editor = edits.Editor(keyvalue, config)
+
+    def list_customers(self, request: httpd.Request) -> httpd.Response:
+        """Answers all rows, each with its page's revision."""
+        del request
+        rows = [
+            {**row._asdict(), "revision": self._page_revision(row.customer)}
+            for row in self._config.customers()
+        ]
+        body = {"customers": rows, "revision": self._config.revision()}
+        return httpd.json_response(200, body)
+
+    def _page_revision(self, customer: str) -> int:
+        held = self._config.page(pages.customer_key(customer))
+        return held.revision if held else 0
+
+    def put_customer(self, request: httpd.Request) -> httpd.Response:
+        """Adds a row or replaces it whole."""
+        body = replies.body_object(request)
+        expected = body.pop("expected_revision", None)
+        name = _name(request, _CUSTOMERS)
+        if body.setdefault("customer", name) != name:
+            raise replies.BadRequestError(
+                "The path names another customer.", "customer"
+            )
+        checked = table.check_row(body)
+        if checked.is_err():
+            return replies.table_errors((checked.unwrap_err(),))
+        row = checked.unwrap()
+        edited = self._editor.put_customer(
+            row, replies.revision(expected, "expected_revision")
+        )
+        return _answer(edited, row._asdict())
+
+    def patch_customer(self, request: httpd.Request) -> httpd.Response:
+        """Changes one cell if it still is as the operator saw it."""
+        body = replies.body_object(request)
+        column = body.get("column", "")
+        checked = table.check_cell(column, body.get("value"))
+        if checked.is_err():
+            return replies.table_errors((checked.unwrap_err(),))
+        expected_value = body.get("expected_value")
+        expected_revision = replies.revision(
+            body.get("expected_revision"), "expected_revision"
+        )
+        if expected_value is None and expected_revision is None:
+            raise replies.BadRequestError(
+                "Say which value or revision you saw.", "expected_value"
+            )
+        if expected_value is not None:
+            seen = table.check_cell(column, expected_value)
+            if seen.is_err():
+                return replies.table_errors((seen.unwrap_err(),))
+            expected_value = seen.unwrap()
+        change = edits.CellEdit(
+            _name(request, _CUSTOMERS),
+            column,
+            checked.unwrap(),
+            expected_value,
+            expected_revision,
+        )
+        edited = self._editor.set_cell(change)
+        return _answer(
+            edited, {"customer": change.customer, column: change.value}
+        )
+
+    def delete_customer(self, request: httpd.Request) -> httpd.Response:
+        """Removes a row and withdraws its keys."""
+        name = _name(request, _CUSTOMERS)
+        return _answer(self._editor.delete_customer(name), {"customer": name})
+
+    def post_customer(self, request: httpd.Request) -> httpd.Response:
+        """Makes a key, which is shown only in this answer."""
+        name = _name(request, _CUSTOMERS)
+        if not name.endswith("/keys"):
+            return replies.error(404, "not_found", "Nothing is here.")
+        label = replies.body_object(request).get("label", "")
+        is_text = isinstance(label, str) and label.isprintable()
+        if not is_text or len(label) > _MAX_LABEL_CHARACTERS:
+            raise replies.BadRequestError("A label is a short text.", "label")
+        made = self._editor.add_key(name.removesuffix("/keys"), label)
+        if made.is_err():
+            return replies.edit_error(made.unwrap_err())
+        key = made.unwrap()
+        body = {"key": key.secret, **key.row._asdict()}
+        return httpd.json_response(200, body)
+
+    def list_keys(self, request: httpd.Request) -> httpd.Response:
+        """Answers all keys, or one customer's, without their secrets."""
+        customer = replies.query(request).get("customer")
+        rows = [
+            row._asdict()
+            for row in self._config.customer_keys()
+            if customer in (None, row.customer)
+        ]
+        return httpd.json_response(200, {"keys": rows})
+
+    def withdraw_key(self, request: httpd.Request) -> httpd.Response:
+        """Withdraws the one key whose hash begins as the path says."""
+        prefix = _name(request, _KEYS).lower()
+        if len(prefix) < _MIN_PREFIX_CHARACTERS:
+            raise replies.BadRequestError(
+                f"Give {_MIN_PREFIX_CHARACTERS} characters or more."
+            )
+        # Another VM may have made the key a moment ago.
+        found = self._find_keys(prefix)
+        if not found and self._config.read_all():
+            found = self._find_keys(prefix)
+        if not found:
+            return replies.error(404, "missing", "There is no such key.")
+        if len(found) > 1:
+            message = f"{len(found)} keys begin so; give more characters."
+            return replies.error(409, "ambiguous", message)
+        row = found[0]._replace(withdrawn=True)
+        return _answer(self._editor.withdraw_key(row), row._asdict())
+
+    def _find_keys(self, prefix: str) -> list[records.Key]:
+        return [
+            row
+            for row in self._config.customer_keys()
+            if row.key_hash.startswith(prefix)
+        ]
+
+    def export_table(self, request: httpd.Request) -> httpd.Response:
+        """Answers the table as CSV, with the revision it stands at."""
+        del request
+        revision = self._config.revision()
+        data = table.write_csv(self._config.customers()).encode()
+        headers = (
+            ("Content-Type", "text/csv; charset=utf-8"),
+            ("Content-Length", str(len(data))),
+            ("X-Revision", str(revision)),
+        )
+        return httpd.Response(200, headers, (data,))
+
+    def import_table(self, request: httpd.Request) -> httpd.Response:
+        """Adds and replaces rows; rows the file does not name stay.
+
+        With `dry_run=1` only says what would change. Each page is changed
+        as a whole or not at all.
+        """
+        query = replies.query(request)
+        try:
+            text = replies.body_bytes(request).decode("utf-8")
+        except UnicodeDecodeError as error:
+            raise replies.BadRequestError(f"Not UTF-8: {error}") from None
+        read = table.read_csv(text)
+        if read.is_err():
+            return replies.table_errors(read.unwrap_err())
+        changed = [
+            row
+            for row in read.unwrap()
+            if self._config.customer(row.customer) != row
+        ]
+        body: dict[str, Any] = {
+            "rows": len(read.unwrap()),
+            "changed": [self._describe(row) for row in changed],
+        }
+        if query.get("dry_run", "0") not in ("", "0"):
+            return httpd.json_response(200, {**body, "dry_run": True})
+        expected = replies.revision(
+            query.get("expected_revision"), "expected_revision"
+        )
+        problems = self._import_pages(changed, expected)
+        if not problems:
+            return httpd.json_response(200, body)
+        return replies.error(
+            409,
+            "partial",
+            "Some pages were not changed; import the file again.",
+            pages=problems,
+        )
+
+    def _describe(self, row: records.Customer) -> dict[str, Any]:
+        held = self._config.customer(row.customer)
+        before = None if held is None else held._asdict()
+        return {"customer": row.customer, "old": before, "new": row._asdict()}
+
+    def _import_pages(
+        self, rows: list[records.Customer], expected: int | None
+    ) -> list[dict[str, Any]]:
+        by_page: dict[str, list[records.Customer]] = {}
+        for row in rows:
+            by_page.setdefault(pages.customer_key(row.customer), []).append(row)
+        problems: list[dict[str, Any]] = []
+        for key, page_rows in sorted(by_page.items()):
+            edited = self._editor.put_rows(key, tuple(page_rows), expected)
+            if edited.is_err():
+                error = edited.unwrap_err()
+                problems.append(
+                    {
+                        "page": key,
+                        "code": error.kind,
+                        "message": error.message,
+                        "customers": [row.customer for row in page_rows],
+                    }
+                )
+        return problems
+
+    def list_upstreams(self, request: httpd.Request) -> httpd.Response:
+        """Answers all upstreams."""
+        del request
+        rows = [codec.to_object(row) for row in self._config.upstreams()]
+        return httpd.json_response(200, {"upstreams": rows})
+
+    def put_upstream(self, request: httpd.Request) -> httpd.Response:
+        """Adds an upstream or replaces it whole."""
+        name = _name(request, _UPSTREAMS)
+        row = replies.body_message(request, records.Upstream, upstream=name)
+        return _answer(self._editor.put_upstream(row), codec.to_object(row))
+
+    def delete_upstream(self, request: httpd.Request) -> httpd.Response:
+        """Removes an upstream."""
+        name = _name(request, _UPSTREAMS)
+        return _answer(self._editor.delete_upstream(name), {"upstream": name})
+
+
+def _name(request: httpd.Request, parent: str) -> str:
+    return request.path.removeprefix(parent + "/")
+
+
+def _answer(
+    edited: result.Result[edits.Stored, edits.EditError],
+    body: Mapping[str, Any],
+) -> httpd.Response:
+    if edited.is_err():
+        return replies.edit_error(edited.unwrap_err())
+    return httpd.json_response(
+        200, {**body, "revision": edited.unwrap().revision}
+    )
+
+
+def add(kernel: kernel_lib.Kernel, server: services.OperatorRoutes) -> None:
+    """Adds the routes to the operators' server."""
+    keyvalue = kernel.find(services.KEYVALUE, services.KeyValue)
+    config = kernel.find(services.CONFIG, config_lib.ConfigService)
+    routes = ConfigRoutes(keyvalue, config)
+    server.route("GET", _CUSTOMERS, routes.list_customers)
+    server.route("PUT", _CUSTOMERS + "/", routes.put_customer)
+    server.route("PATCH", _CUSTOMERS + "/", routes.patch_customer)
+    server.route("DELETE", _CUSTOMERS + "/", routes.delete_customer)
+    server.route("POST", _CUSTOMERS + "/", routes.post_customer)
+    server.route("GET", _TABLE, routes.export_table)
+    server.route("POST", _TABLE, routes.import_table)
+    server.route("GET", _KEYS, routes.list_keys)
+    server.route("DELETE", _KEYS + "/", routes.withdraw_key)
+    server.route("GET", _UPSTREAMS, routes.list_upstreams)
+    server.route("PUT", _UPSTREAMS + "/", routes.put_upstream)
+    server.route("DELETE", _UPSTREAMS + "/", routes.delete_upstream)
+    status = configstatus.ConfigStatus(
+        keyvalue,
+        config,
+        kernel.find(services.MEMBERSHIP, services.Membership),
+        kernel.find(services.PEERS, services.Peers),
+    )
+    server.route("GET", "/v1/vms", status.list_vms)
+    server.route("GET", "/v1/config/status", status.read)
--- /dev/null
+++ b/packages/daemon/bulrushdeald/configsync.py
@@ -0,0 +1,66 @@
+"""The messages by which VMs pass the configuration on to each other."""
+
+from typing import NamedTuple
+
+from bulrushdeald import pages
+from bulrushdeald import pageset
+
+
+class PushChanges(NamedTuple):
+    """A watcher tells the VMs of its failure domain what changed."""
+
+    changes: tuple[pages.Change, ...]
+
+
+class PushAnswer(NamedTuple):
+    """Says whether all changes were applied or known."""
+
+    is_up_to_date: bool
+
+
+class CompareRevisions(NamedTuple):
+    """Asks whether the peer holds anything later."""
+
+    digest: bytes
+
+
+class PeerRevisions(NamedTuple):
+    """The answer to a comparison.
+
+    Attributes:
+        is_ready: Whether the peer holds every page.
+        is_same: Whether the digests are the same.
+        revisions: In the order of `pages.all_keys`; empty if the same.
+    """
+
+    is_ready: bool
+    is_same: bool
+    revisions: tuple[int, ...]
+
+
+class FetchPages(NamedTuple):
+    """Asks for pages by key."""
+
+    keys: tuple[str, ...]
+
+
+class FetchedPages(NamedTuple):
+    """Some of the pages asked for, as many as one answer may hold."""
+
+    pages: tuple[pageset.PageAt, ...]
+
+
+class ReadStatus(NamedTuple):
+    """Asks what is in force on a VM."""
+
+
+class PeerStatus(NamedTuple):
+    """What is in force on a VM.
+
+    Attributes:
+        is_ready: Whether it has a configuration.
+        revisions: In the order of `pages.all_keys`.
+    """
+
+    is_ready: bool
+    revisions: tuple[int, ...]
--- /dev/null
+++ b/packages/daemon/bulrushdeald/pageset.py
@@ -0,0 +1,109 @@
+"""The pages in force on one VM, and what is looked up in them."""
+
+import threading
+from typing import NamedTuple
+
+import cbor2
+
+from bulrushdeal import records
+from bulrushdeald import pages
+
+
+class PageAt(NamedTuple):
+    """A page as of a revision; 0 if nothing was ever stored."""
+
+    key: str
+    revision: int
+    page: pages.Page
+
+
+class PageSet:
+    """All pages with an index; a page only ever moves to a later revision.
+
+    Lookups take no lock: each reads one dictionary once.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._order = pages.all_keys()
+        self._pages = {key: PageAt(key, 0, pages.Page()) for key in self._order}
+        self.customers: dict[str, records.Customer] = {}
+        self.keys: dict[str, records.Key] = {}
+        self.upstreams: dict[str, records.Upstream] = {}
+
+    def offer(self, key: str, revision: int, page: pages.Page) -> PageAt | None:
+        """Puts a page in force if it is later than the one held.
+
+        The failure: a change comes late, twice or out of order, or a slow
+        peer offers what it held before; an accepted change, such as a
+        withdrawn key, would be undone here. The platform gives each stored
+        page a higher revision than the one before, so what is not higher
+        than what is held is never newer.
+
+        Returns:
+            What was held before, `None` if the offer is no later.
+        """
+        with self._lock:
+            held = self._pages.get(key)
+            if held is None or revision <= held.revision:
+                return None
+            self._pages[key] = PageAt(key, revision, page)
+            self._index(held.page, page)
+            return held
+
+    def _index(self, old: pages.Page, new: pages.Page) -> None:
+        # New rows first: a reader in between never misses a row that stays.
+        self.customers.update({row.customer: row for row in new.customers})
+        self.keys.update({row.key_hash: row for row in new.keys})
+        self.upstreams.update({row.upstream: row for row in new.upstreams})
+        kept_customers = {row.customer for row in new.customers}
+        for customer in old.customers:
+            if customer.customer not in kept_customers:
+                self.customers.pop(customer.customer, None)
+        kept_keys = {row.key_hash for row in new.keys}
+        for key in old.keys:
+            if key.key_hash not in kept_keys:
+                self.keys.pop(key.key_hash, None)
+        kept_upstreams = {row.upstream for row in new.upstreams}
+        for upstream in old.upstreams:
+            if upstream.upstream not in kept_upstreams:
+                self.upstreams.pop(upstream.upstream, None)
+
+    def change(self, change: pages.Change) -> PageAt | None:
+        """Applies a change if it is later and fits what is held.
+
+        Returns:
+            What was held before, `None` if nothing was applied.
+        """
+        held = self._pages.get(change.key)
+        if held is None or held.revision != change.base_revision:
+            return None
+        page = pages.apply(held.page, change)
+        # A change that was made wrongly would leave two VMs with the same
+        # revision and other rows, which no comparison would ever find.
+        if pages.digest(pages.encode(page)) != change.digest:
+            return None
+        return self.offer(change.key, change.revision, page)
+
+    def at(self, key: str) -> PageAt | None:
+        """Returns the page held under a key, `None` for no page's key."""
+        return self._pages.get(key)
+
+    def revisions(self) -> tuple[int, ...]:
+        """Returns each page's revision, in the order of `all_keys`."""
+        return tuple(self._pages[key].revision for key in self._order)
+
+    def digest(self) -> bytes:
+        """Returns a short name of all revisions held."""
+        return pages.digest(cbor2.dumps(list(self.revisions())))
+
+    def older_than(self, revisions: tuple[int, ...]) -> tuple[str, ...]:
+        """Returns the keys of pages that are older here than elsewhere."""
+        own = self.revisions()
+        return tuple(
+            key
+            for key, here, there in zip(
+                self._order, own, revisions, strict=False
+            )
+            if here < there
+        )
--- /dev/null
+++ b/packages/daemon/bulrushdeald/peers.py
@@ -0,0 +1,294 @@
+"""Typed calls between entry VMs, over `websockets` with CBOR."""
+
+from collections.abc import Callable
+from concurrent import futures
+import random
+import threading
+import time
+from typing import Any, NamedTuple
+
+import result
+from websockets import exceptions
+from websockets.sync import server
+
+from bulrushdeal import codec
+from bulrushdeal import errors
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeal import logs
+from bulrushdeald import defaults
+from bulrushdeald import links
+from bulrushdeald import services
+from bulrushdeald import wire
+
+_log = logs.Log("peers")
+# Enough that one slow handler does not hold up the connection's others.
+_THREADS_PER_CONNECTION = 4
+_MAX_LINKS = 128
+_IDLE_S = 60.0
+_SWEEP_S = 5.0
+_FIRST_BACKOFF_S = 0.1
+_MAX_BACKOFF_S = 2.0
+
+Handler = Callable[[str, Any], Any]
+
+
+class PeerAddressError(errors.UserError):
+    """The peers' address cannot be listened on."""
+
+
+class _Backoff(NamedTuple):
+    """When a VM may be connected to again after failures."""
+
+    failures: int
+    until_s: float
+
+
+class WebsocketPeers:
+    """See `services.Peers`.
+
+    Each process listens on its peers' address and opens a connection to a
+    peer when it first calls it, so a pair that calls both ways has two.
+    """
+
+    def __init__(
+        self, kernel: kernel_lib.Kernel, settings: defaults.Settings
+    ) -> None:
+        self._kernel = kernel
+        self._address = settings.peers_address
+        self._handlers: dict[str, Handler] = {}
+        self._kinds = wire.Kinds()
+        self._kinds.add(wire.Hello, wire.Refused)
+        self._traffic = links.Traffic()
+        self._lock = threading.Lock()
+        self._links: dict[str, links.Link] = {}
+        self._backoffs: dict[str, _Backoff] = {}
+        self._accepted: set[server.ServerConnection] = set()
+        self._stopping = threading.Event()
+        self._threads: list[threading.Thread] = []
+
+    def start(self) -> None:
+        """Listens; fails if any process holds the address.
+
+        A process of the same VM that was replaced but still runs would act
+        for the VM besides this one. It holds the address until it ends, and
+        without `reuse_port` the address is held by one process only.
+
+        Raises:
+            PeerAddressError: The address is held, or cannot be bound.
+        """
+        self._membership = self._kernel.find(
+            services.MEMBERSHIP, services.Membership
+        )
+        own = self._membership.own()
+        self._hello = wire.Hello(
+            own.vm, self._membership.incarnation(), own.failure_domain
+        )
+        host, _, port = self._address.rpartition(":")
+        try:
+            self._server = server.serve(
+                self._accept,
+                host,
+                int(port),
+                compression=None,
+                open_timeout=links.OPEN_TIMEOUT_S,
+                ping_interval=None,
+                close_timeout=1.0,
+                max_size=wire.MAX_FRAME_BYTES,
+            )
+        except OSError as error:
+            raise PeerAddressError(
+                f"--peers-address {self._address}: {error.strerror}"
+            ) from error
+        for target in (self._server.serve_forever, self._sweep):
+            thread = threading.Thread(target=target, name="peers", daemon=True)
+            thread.start()
+            self._threads.append(thread)
+
+    @property
+    def port(self) -> int:
+        """The port it listens on, known after `start`."""
+        port: int = self._server.socket.getsockname()[1]
+        return port
+
+    def stop(self, grace_s: float) -> None:
+        """Closes all connections and the address."""
+        self._stopping.set()
+        self._server.shutdown()
+        with self._lock:
+            open_links = tuple(self._links.values())
+            accepted = tuple(self._accepted)
+        for link in open_links:
+            link.close()
+        for connection in accepted:
+            connection.close()
+        for thread in self._threads:
+            thread.join(grace_s)
+
+    def dump(self) -> Any:
+        """Returns connections and traffic."""
+        with self._lock:
+            return {
+                "links": sorted(self._links),
+                "accepted": len(self._accepted),
+                "backing_off": sorted(self._backoffs),
+                **self._traffic.dump(),
+            }
+
+    def handle(self, kind: type[Any], handler: Handler) -> None:
+        """See `services.Peers`."""
+        self._kinds.add(kind)
+        self._handlers[kind.__name__] = handler
+
+    def understand(self, *kinds: type[Any]) -> None:
+        """See `services.Peers`."""
+        self._kinds.add(*kinds)
+
+    def call(
+        self, vm: str, message: Any, timeout_s: float
+    ) -> result.Result[Any, services.PeerError]:
+        """See `services.Peers`."""
+        if vm == self._hello.vm:
+            return self._open(self._answer(vm, _copy(message)))
+        link = self._link(vm)
+        if link is None:
+            return result.Err(
+                services.PeerError("unreachable", f"{vm}: not now")
+            )
+        answer = link.call(message, timeout_s)
+        if answer.is_err():
+            return result.Err(answer.unwrap_err())
+        try:
+            return self._open(self._kinds.message(answer.unwrap()))
+        except codec.CodecError as error:
+            return result.Err(services.PeerError("refused", f"{vm}: {error}"))
+
+    def _open(self, message: Any) -> result.Result[Any, services.PeerError]:
+        if isinstance(message, wire.Refused):
+            return result.Err(services.PeerError("refused", message.message))
+        return result.Ok(message)
+
+    def _link(self, vm: str) -> links.Link | None:
+        address = self._peer_address(vm)
+        now_s = time.monotonic()
+        with self._lock:
+            link = self._links.get(vm)
+            if link is not None:
+                return link
+            backoff = self._backoffs.get(vm)
+            is_backing_off = backoff is not None and now_s < backoff.until_s
+            if not address or is_backing_off or self._stopping.is_set():
+                return None
+            if len(self._links) >= _MAX_LINKS and not self._drop_idle(0.0):
+                return None
+            link = links.Link(
+                links.Target(vm, address),
+                self._hello,
+                self._traffic,
+                self._on_link_end,
+            )
+            self._links[vm] = link
+        link.start()
+        return link
+
+    def _peer_address(self, vm: str) -> str:
+        for row in self._membership.entry_vms():
+            if row.vm == vm:
+                return row.peer_address
+        return ""
+
+    def _on_link_end(self, link: links.Link) -> None:
+        vm = link.target.vm
+        with self._lock:
+            if self._links.get(vm) is link:
+                del self._links[vm]
+            failures = 0
+            if not link.was_open and vm in self._backoffs:
+                failures = self._backoffs[vm].failures
+            # Spread, so that peers do not all come back at one moment.
+            wait_s = min(_FIRST_BACKOFF_S * 2**failures, _MAX_BACKOFF_S)
+            wait_s *= random.uniform(0.5, 1.0)
+            self._backoffs[vm] = _Backoff(
+                min(failures + 1, 10), time.monotonic() + wait_s
+            )
+        if not link.was_open:
+            _log.debug("No connection to %s: %s", vm, link.problem)
+
+    def _drop_idle(self, for_s: float) -> bool:
+        """Closes idle links, the one unused longest if `for_s` is 0."""
+        idle = [link for link in self._links.values() if link.is_idle(for_s)]
+        idle.sort(key=lambda link: link.used_s)
+        if for_s == 0.0:
+            idle = idle[:1]
+        for link in idle:
+            del self._links[link.target.vm]
+            threading.Thread(target=link.close, daemon=True).start()
+        return bool(idle)
+
+    def _sweep(self) -> None:
+        while not self._stopping.wait(_SWEEP_S):
+            now_s = time.monotonic()
+            with self._lock:
+                self._drop_idle(_IDLE_S)
+                self._backoffs = {
+                    vm: backoff
+                    for vm, backoff in self._backoffs.items()
+                    if now_s < backoff.until_s + _IDLE_S
+                }
+
+    def _accept(self, connection: server.ServerConnection) -> None:
+        links.limit_send_time(connection.socket)
+        with self._lock:
+            self._accepted.add(connection)
+        try:
+            self._serve(connection)
+        except (
+            OSError,
+            exceptions.WebSocketException,
+            codec.CodecError,
+        ) as error:
+            _log.debug("A peer's connection ended: %r", error)
+        finally:
+            with self._lock:
+                self._accepted.discard(connection)
+
+    def _serve(self, connection: server.ServerConnection) -> None:
+        frame = wire.unpack(connection.recv(links.OPEN_TIMEOUT_S))
+        hello = codec.from_plain(wire.Hello, frame.fields)
+        connection.send(wire.pack(-frame.request_id, self._hello))
+        with futures.ThreadPoolExecutor(
+            _THREADS_PER_CONNECTION, f"answers {hello.vm}"
+        ) as pool:
+            for data in connection:
+                self._traffic.received(len(data))
+                request = wire.unpack(data)
+                pool.submit(self._reply, connection, hello.vm, request)
+
+    def _reply(
+        self, connection: server.ServerConnection, vm: str, frame: wire.Frame
+    ) -> None:
+        try:
+            answer = self._answer(vm, self._kinds.message(frame))
+        except codec.CodecError as error:
+            answer = wire.Refused(str(error))
+        data = wire.pack(-frame.request_id, answer)
+        self._traffic.sent(len(data))
+        try:
+            connection.send(data)
+        except (OSError, exceptions.WebSocketException) as error:
+            _log.debug("An answer to %s was lost: %r", vm, error)
+
+    def _answer(self, vm: str, message: Any) -> Any:
+        name = type(message).__name__
+        handler = self._handlers.get(name)
+        if handler is None:
+            return wire.Refused(f"nobody handles {name}")
+        try:
+            return handler(vm, message)
+        except Exception as error:  # noqa: BLE001 - the caller gets an answer.
+            _log.exception("The handler of %s failed.", name)
+            return wire.Refused(repr(error))
+
+
+def _copy(message: Any) -> Any:
+    frame = wire.unpack(wire.pack(1, message))
+    return codec.from_plain(type(message), frame.fields)
--- /dev/null
+++ b/packages/daemon/bulrushdeald/platformclient.py
@@ -0,0 +1,125 @@
+"""HTTP towards the platform: each call is sent once and has a timeout."""
+
+import collections
+import http
+import json
+import threading
+from typing import Any, Literal, NamedTuple
+from urllib import parse
+
+import result
+import urllib3
+
+_POOL_CONNECTIONS = 8
+_SERVER_ERROR = 500
+
+
+class Answer(NamedTuple):
+    """An answer of the platform.
+
+    Attributes:
+        status: The HTTP status, less than 500.
+        body: The JSON object of the body.
+    """
+
+    status: int
+    body: dict[str, Any]
+
+
+class CallError(NamedTuple):
+    """A call that brought no answer to act on.
+
+    Attributes:
+        kind: `not_sent`: surely without effect. `lost`: it may have taken
+            effect, or still may.
+        message: For the log.
+    """
+
+    kind: Literal["not_sent", "lost"]
+    message: str
+
+
+class PlatformClient:
+    """Calls the platform and counts the calls by kind."""
+
+    def __init__(self, address: str, timeout_s: float) -> None:
+        host, _, port = address.rpartition(":")
+        self._timeout_s = timeout_s
+        # Without `retries=False` the pool would send a write again whose
+        # answer was lost.
+        self._pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=_POOL_CONNECTIONS, retries=False
+        )
+        self._lock = threading.Lock()
+        self._calls: collections.Counter[str] = collections.Counter()
+        self._errors: collections.Counter[str] = collections.Counter()
+
+    def call(
+        self,
+        kind: str,
+        method: str,
+        path: str,
+        fields: dict[str, str] | None = None,
+        body: bytes | None = None,
+        wait_s: float = 0.0,
+    ) -> result.Result[Answer, CallError]:
+        """Sends one call.
+
+        Args:
+            kind: The name it is counted under.
+            method: The HTTP method.
+            path: The path, percent-encoded.
+            fields: The query.
+            body: The request's body.
+            wait_s: How long the platform may keep the call waiting, on top
+                of the timeout.
+        """
+        with self._lock:
+            self._calls[kind] += 1
+        if fields:
+            path += "?" + parse.urlencode(fields)
+        try:
+            response = self._pool.request(
+                method,
+                path,
+                body=body,
+                timeout=urllib3.Timeout(
+                    connect=self._timeout_s, read=self._timeout_s + wait_s
+                ),
+            )
+            return self._read(response)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            return self._fail("not_sent", repr(error))
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            return self._fail("lost", repr(error))
+
+    def _read(
+        self, response: urllib3.BaseHTTPResponse
+    ) -> result.Result[Answer, CallError]:
+        if response.status == http.HTTPStatus.TOO_MANY_REQUESTS:
+            return self._fail("not_sent", "The platform is rate-limiting.")
+        if response.status >= _SERVER_ERROR:
+            return self._fail("lost", f"The platform says {response.status}.")
+        body = json.loads(response.data or b"{}")
+        if not isinstance(body, dict):
+            return self._fail("lost", "The body is not an object.")
+        return result.Ok(Answer(response.status, body))
+
+    def _fail(
+        self, kind: Literal["not_sent", "lost"], message: str
+    ) -> result.Result[Answer, CallError]:
+        with self._lock:
+            self._errors[kind] += 1
+        return result.Err(CallError(kind, message))
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._pool.close()
+
+    def dump(self) -> dict[str, dict[str, int]]:
+        """Returns the counts of calls and of errors."""
+        with self._lock:
+            return {"calls": dict(self._calls), "errors": dict(self._errors)}
--- /dev/null
+++ b/tests/support/controlplane.py
@@ -0,0 +1,133 @@
+"""Real control services of a VM, in this process, on free ports."""
+
+from collections.abc import Callable
+import json
+import socket
+import time
+from typing import Any, NamedTuple
+
+import urllib3
+
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeal import records
+from bulrushdeald import config
+from bulrushdeald import defaults
+from bulrushdeald import keyvalue
+from bulrushdeald import membership
+from bulrushdeald import operators
+from bulrushdeald import peers
+from bulrushdeald import services
+from standins import platform
+
+TOKEN = "operator-token"
+_WAIT_S = 30.0
+
+
+def free_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def settings(platform_address: str, **given: Any) -> defaults.Settings:
+    flags = {
+        "vm": "vm-1",
+        "failure-domain": "domain-1",
+        "callers-address": "127.0.0.1:0",
+        "operators-address": "127.0.0.1:0",
+        "peers-address": free_address(),
+        "platform-address": platform_address,
+        "operator-token": TOKEN,
+        "platform-timeout-s": "0.5",
+        "vm-list-poll-s": "0.1",
+    }
+    flags.update({name.replace("_", "-"): str(v) for name, v in given.items()})
+    return defaults.read(flags, {})
+
+
+def wait_until(condition: Callable[[], object]) -> None:
+    """Waits for what has to come; a test fails only if it never does."""
+    end_s = time.monotonic() + _WAIT_S
+    while not condition():
+        assert time.monotonic() < end_s, "it never came"
+        time.sleep(0.01)
+
+
+class Answer(NamedTuple):
+    status: int
+    headers: Any
+    text: str
+
+    @property
+    def body(self) -> Any:
+        return json.loads(self.text)
+
+
+class ControlVm:
+    """One VM's key-value client, membership, peers, config, operators."""
+
+    def __init__(self, given: defaults.Settings) -> None:
+        self.settings = given
+        self.kernel = kernel_lib.Kernel()
+        self.keyvalue = keyvalue.HttpKeyValue(self.kernel, given)
+        self.membership = membership.PlatformMembership(self.kernel, given)
+        self.peers = peers.WebsocketPeers(self.kernel, given)
+        self.config = config.ConfigService(self.kernel, given)
+        self.operators = operators.OperatorsServer(self.kernel, given)
+        self.kernel.register(services.KEYVALUE, self.keyvalue)
+        self.kernel.register(services.MEMBERSHIP, self.membership)
+        self.kernel.register(services.PEERS, self.peers)
+        self.kernel.register(services.CONFIG, self.config)
+        self.kernel.register(services.OPERATORS, self.operators)
+        self._http = urllib3.PoolManager(retries=False)
+
+    def start(self) -> "ControlVm":
+        self.kernel.start()
+        return self
+
+    def stop(self) -> None:
+        self.kernel.stop(1.0)
+
+    def operate(
+        self, method: str, path: str, body: Any = None, token: str = TOKEN
+    ) -> Answer:
+        data = body if isinstance(body, str | None) else json.dumps(body)
+        answer = self._http.request(
+            method,
+            f"http://127.0.0.1:{self.operators.port}{path}",
+            body=data,
+            headers={"Authorization": f"Bearer {token}"},
+            timeout=20.0,
+        )
+        return Answer(answer.status, answer.headers, answer.data.decode())
+
+
+class Fleet:
+    """The stand-in platform and some VMs, listed there."""
+
+    def __init__(self) -> None:
+        self.platform = platform.Platform()
+        self.platform.start()
+        self.vms: list[ControlVm] = []
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        for vm in self.vms:
+            vm.stop()
+        self.platform.stop(0.2)
+
+    def add(self, vm: str, failure_domain: str, **given: Any) -> ControlVm:
+        made = ControlVm(
+            settings(
+                self.platform.address,
+                vm=vm,
+                failure_domain=failure_domain,
+                **given,
+            )
+        )
+        self.platform.set_vm(
+            records.Vm(vm, failure_domain, "entry", made.settings.peers_address)
+        )
+        self.vms.append(made)
+        return made.start()
