Add limits: each row's tokens lent out by owners, moved by giving up first

Cause: nothing kept a customer within its rate and burst over all VMs. Change: per page a record of parts and owners (shares), the arithmetic of a part (bucket), what holders have in hand (credit, holder), asking (asker), the owner's side (owner), collecting from other failure domains (collector), claims, takeovers and clearing (ownership), the service (limits). Fakes in bench.limitfakes join real services in one process. Not yet: random faults against an oracle, figures, moves of fractions.

--- /dev/null
+++ b/packages/bench/bench/limitfakes.py
@@ -0,0 +1,394 @@
+"""Small fakes at the interfaces of the limits: platform, peers, clocks.
+
+Tests and `limitcost` join real `EscrowLimits` objects with them. A fake has
+the faults of the real thing as switches; nothing here decides anything.
+"""
+
+from collections.abc import Callable
+import random
+from typing import Any, NamedTuple
+
+import result
+
+from bulrushdeal import codec
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeal import records
+from bulrushdeald import defaults
+from bulrushdeald import limits
+from bulrushdeald import services
+
+
+class World:
+    """The true time and what happens while a VM sleeps."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+        self.on_sleep: Callable[[], None] = lambda: None
+
+
+class VmClock:
+    """One VM's clock, which drifts."""
+
+    def __init__(self, world: World, drift: float = 0.0) -> None:
+        self._world = world
+        self._rate = 1.0 + drift
+
+    def monotonic_s(self) -> float:
+        """See `clock.Clock`."""
+        return self._world.now_s * self._rate
+
+    def wall_s(self) -> float:
+        """See `clock.Clock`."""
+        return self._world.now_s
+
+    def sleep_s(self, duration_s: float) -> None:
+        """Lets the other VMs do what is due; see `clock.Clock`."""
+        del duration_s
+        self._world.on_sleep()
+
+
+class MemoryKeyValue:
+    """The platform's key-value service in memory."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, services.Entry] = {}
+        self.revision = 0
+        self.is_out = False
+        # A caller that is cut off; set around its calls.
+        self.is_cut: Callable[[], bool] = lambda: False
+        self.lose_next_answers = 0
+        self.reads = 0
+        self.writes = 0
+
+    def _unavailable(self) -> result.Err[services.KeyValueError]:
+        return result.Err(services.KeyValueError("unavailable", "out"))
+
+    def get(
+        self, key: str
+    ) -> result.Result[services.Entry | None, services.KeyValueError]:
+        """See `services.KeyValue`."""
+        self.reads += 1
+        if self.is_out:
+            return self._unavailable()
+        return result.Ok(self.entries.get(key))
+
+    def list(
+        self, prefix: str
+    ) -> result.Result[tuple[services.Entry, ...], services.KeyValueError]:
+        """See `services.KeyValue`."""
+        self.reads += 1
+        if self.is_out:
+            return self._unavailable()
+        names = sorted(k for k in self.entries if k.startswith(prefix))
+        return result.Ok(tuple(self.entries[name] for name in names))
+
+    def put(
+        self, key: str, value: bytes, expected_revision: int
+    ) -> result.Result[int, services.KeyValueError]:
+        """See `services.KeyValue`."""
+        self.writes += 1
+        if self.is_out:
+            return self._unavailable()
+        current = self.entries.get(key)
+        if (current.revision if current else 0) != expected_revision:
+            return result.Err(
+                services.KeyValueError("conflict", "other revision", current)
+            )
+        self.revision += 1
+        self.entries[key] = services.Entry(key, value, self.revision)
+        if self.lose_next_answers > 0:
+            self.lose_next_answers -= 1
+            return result.Err(services.KeyValueError("unknown", "lost"))
+        return result.Ok(self.revision)
+
+    def delete(
+        self, key: str, expected_revision: int
+    ) -> result.Result[None, services.KeyValueError]:
+        """Nobody deletes records of limits."""
+        raise NotImplementedError
+
+    def watch(
+        self, prefix: str, after_revision: int, timeout_s: float
+    ) -> result.Result[tuple[services.Entry, ...], services.KeyValueError]:
+        """Returns at once what changed."""
+        del timeout_s
+        listed = self.list(prefix)
+        if isinstance(listed, result.Err):
+            return listed
+        return result.Ok(
+            tuple(e for e in listed.ok_value if e.revision > after_revision)
+        )
+
+
+class CutKeyValue:
+    """The platform as one VM reaches it."""
+
+    def __init__(self, shared: MemoryKeyValue) -> None:
+        self._shared = shared
+        self.is_cut = False
+
+    def __getattr__(self, name: str) -> Any:
+        method = getattr(self._shared, name)
+        if not self.is_cut:
+            return method
+        error = services.KeyValueError("unavailable", "cut off")
+        return lambda *args: result.Err(error)
+
+
+class Queued(NamedTuple):
+    """A message to a VM that is paused; handled late, answer dropped."""
+
+    sender: str
+    message: Any
+
+
+class Net:
+    """Carries messages between VMs; the faults are its public fields."""
+
+    def __init__(self, seed: int = 0) -> None:
+        self.handlers: dict[str, dict[type, Callable[[str, Any], Any]]] = {}
+        self.is_cut: Callable[[str, str], bool] = lambda a, b: False
+        self.paused: set[str] = set()
+        self.queued: dict[str, list[Queued]] = {}
+        self.random = random.Random(seed)
+        # Calls whose answer, or message, is lost or comes late.
+        self.lose_next_answers = 0
+        self.lose_next_messages = 0
+        self.delay_next_messages = 0
+        self.delayed: list[tuple[str, Queued]] = []
+        self.counts_bytes = False
+        self.messages = 0
+        self.size_bytes = 0
+        self.pairs: set[tuple[str, str]] = set()
+
+    def call(
+        self, sender: str, vm: str, message: Any
+    ) -> result.Result[Any, services.PeerError]:
+        """Carries one call."""
+        if sender != vm:
+            self.pairs.add((sender, vm))
+        if vm not in self.handlers or self.is_cut(sender, vm):
+            return result.Err(services.PeerError("unreachable", "cut"))
+        if vm in self.paused:
+            queue = self.queued.setdefault(vm, [])
+            queue.append(Queued(sender, message))
+            return result.Err(services.PeerError("timeout", "paused"))
+        if sender != vm and self.lose_next_messages > 0:
+            self.lose_next_messages -= 1
+            return result.Err(services.PeerError("timeout", "lost"))
+        if sender != vm and self.delay_next_messages > 0:
+            self.delay_next_messages -= 1
+            self.delayed.append((vm, Queued(sender, message)))
+            return result.Err(services.PeerError("timeout", "late"))
+        answer = self.handle(sender, vm, message)
+        if sender != vm and self.lose_next_answers > 0:
+            self.lose_next_answers -= 1
+            return result.Err(services.PeerError("timeout", "answer lost"))
+        return result.Ok(answer)
+
+    def handle(self, sender: str, vm: str, message: Any) -> Any:
+        """Hands a message to its handler and counts it."""
+        answer = self.handlers[vm][type(message)](sender, message)
+        if sender != vm:
+            self.messages += 2
+            if self.counts_bytes:
+                self.size_bytes += len(codec.pack(message))
+                self.size_bytes += len(codec.pack(answer))
+        return answer
+
+    def deliver_late(self) -> None:
+        """Hands over the delayed messages; the answers reach nobody."""
+        late, self.delayed = self.delayed, []
+        for vm, queued in late:
+            if vm in self.handlers and vm not in self.paused:
+                self.handle(queued.sender, vm, queued.message)
+
+    def resume(self, vm: str) -> None:
+        """Lets a paused VM run, and work through what came meanwhile."""
+        self.paused.discard(vm)
+        for queued in self.queued.pop(vm, []):
+            self.handle(queued.sender, vm, queued.message)
+
+
+class NetPeers:
+    """One VM's `services.Peers` on the net."""
+
+    def __init__(self, net: Net, vm: str) -> None:
+        self._net = net
+        self._vm = vm
+        net.handlers[vm] = {}
+
+    def handle(
+        self, kind: type[Any], handler: Callable[[str, Any], Any]
+    ) -> None:
+        """See `services.Peers`."""
+        self._net.handlers[self._vm][kind] = handler
+
+    def understand(self, *kinds: type[Any]) -> None:
+        """See `services.Peers`."""
+
+    def call(
+        self, vm: str, message: Any, timeout_s: float
+    ) -> result.Result[Any, services.PeerError]:
+        """See `services.Peers`."""
+        del timeout_s
+        return self._net.call(self._vm, vm, message)
+
+
+class ListedMembership:
+    """The platform's list, shared by all, and one VM's own row."""
+
+    def __init__(
+        self, listed: dict[str, records.Vm], own: records.Vm, incarnation: str
+    ) -> None:
+        self._listed = listed
+        self._own = own
+        self._incarnation = incarnation
+
+    def own(self) -> records.Vm:
+        """See `services.Membership`."""
+        return self._own
+
+    def incarnation(self) -> str:
+        """See `services.Membership`."""
+        return self._incarnation
+
+    def entry_vms(self) -> tuple[records.Vm, ...]:
+        """See `services.Membership`."""
+        rows = {**self._listed, self._own.vm: self._own}
+        return tuple(rows[name] for name in sorted(rows))
+
+    def is_listed(self, vm: str) -> bool:
+        """See `services.Membership`."""
+        return vm in self._listed
+
+    def is_leaving(self, vm: str) -> bool:
+        """See `services.Membership`."""
+        row = self._listed.get(vm)
+        return row is not None and row.state == "leaving"
+
+
+class RowsConfig:
+    """The rows in force on one VM."""
+
+    def __init__(self, rows: dict[str, records.Customer]) -> None:
+        self.rows = dict(rows)
+        self._callbacks: list[Callable[[], None]] = []
+
+    def customer(self, customer: str) -> records.Customer | None:
+        """See `services.Config`."""
+        return self.rows.get(customer)
+
+    def customers(self) -> tuple[records.Customer, ...]:
+        """See `services.Config`."""
+        return tuple(self.rows[name] for name in sorted(self.rows))
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """See `services.Config`."""
+        self._callbacks.append(callback)
+
+    def apply(self, row: records.Customer) -> None:
+        """Puts a row in force."""
+        self.rows[row.customer] = row
+        for callback in self._callbacks:
+            callback()
+
+
+class Node(NamedTuple):
+    """One VM with its real limits and its fakes."""
+
+    vm: records.Vm
+    limits: limits.EscrowLimits
+    config: RowsConfig
+    keyvalue: CutKeyValue
+
+
+class Fleet:
+    """VMs joined by the fakes; time moves by hand."""
+
+    def __init__(self, rows: tuple[records.Customer, ...]) -> None:
+        self.world = World()
+        self.world.on_sleep = self.work
+        self.keyvalue = MemoryKeyValue()
+        self.net = Net()
+        self.listed: dict[str, records.Vm] = {}
+        self.rows = {row.customer: row for row in rows}
+        self.nodes: dict[str, Node] = {}
+        self._runs = 0
+
+    def add(self, name: str, domain: str, drift: float = 0.0) -> Node:
+        """Starts a VM, or the VM's next process, and lists it."""
+        self._runs += 1
+        vm = records.Vm(name, domain, "entry", f"{name}:1")
+        self.listed[name] = vm
+        kernel = kernel_lib.Kernel()
+        keyvalue = CutKeyValue(self.keyvalue)
+        config = RowsConfig(self.rows)
+        members = ListedMembership(self.listed, vm, f"run{self._runs}")
+        parts: dict[str, Any] = {
+            services.KEYVALUE: keyvalue,
+            services.MEMBERSHIP: members,
+            services.PEERS: NetPeers(self.net, name),
+            services.CONFIG: config,
+        }
+        for part, service in parts.items():
+            kernel.register(part, service)
+        clock = VmClock(self.world, drift)
+        service = limits.EscrowLimits(kernel, _settings(name, domain), clock)
+        service.attach()
+        node = Node(vm, service, config, keyvalue)
+        self.nodes[name] = node
+        return node
+
+    def kill(self, name: str) -> None:
+        """Ends a VM without warning; the platform lists it for now."""
+        self.nodes.pop(name)
+        self.net.handlers.pop(name)
+        self.net.paused.discard(name)
+        self.net.queued.pop(name, None)
+
+    def running(self) -> list[Node]:
+        """Returns the VMs that are neither dead nor paused."""
+        return [
+            node
+            for name, node in self.nodes.items()
+            if name not in self.net.paused
+        ]
+
+    def tend(self) -> None:
+        """Lets each VM read the records and do its regular duties."""
+        for node in self.running():
+            node.limits.refresh()
+            node.limits.tend()
+
+    def work(self) -> None:
+        """Lets each VM do what is due at once."""
+        for node in self.running():
+            node.limits.work()
+
+    def settle(self, seconds: int) -> None:
+        """Lets some seconds pass."""
+        for _ in range(seconds):
+            self.world.now_s += 1.0
+            self.tend()
+
+
+def _settings(vm: str, domain: str) -> defaults.Settings:
+    return defaults.Settings(
+        vm=vm,
+        failure_domain=domain,
+        callers_address="",
+        operators_address="",
+        peers_address="",
+        platform_address="",
+        operator_token="",
+        data_folder="",
+        bulk_address="",
+        statsd_address="",
+        log_level="error",
+        drain_s=1.0,
+        platform_timeout_s=1.0,
+        vm_list_poll_s=1.0,
+        max_body_bytes=1000,
+        online_threads=2,
+    )
--- /dev/null
+++ b/packages/daemon/bulrushdeald/collector.py
@@ -0,0 +1,90 @@
+"""Collects tokens from a page's other owners when an owned part is short."""
+
+from bulrushdeald import asker
+from bulrushdeald import credit
+from bulrushdeald import owner
+from bulrushdeald import sharebook
+
+_EPSILON = 1e-9
+
+
+class Collector:
+    """Borrows for owned parts; the borrowed tokens still count there.
+
+    Each part has one collection at a time, so messages from it to another
+    owner never overtake each other.
+    """
+
+    def __init__(self, book: sharebook.ShareBook, sender: asker.Sender) -> None:
+        self._book = book
+        self._sender = sender
+
+    def collect(self, owned: owner.OwnedPart) -> None:
+        """Meets the shortages of a part as far as the others can."""
+        with owned.exchange:
+            self._collect(owned)
+
+    def _collect(self, owned: owner.OwnedPart) -> None:
+        missing = {s.customer: s for s in owned.shortages()}
+        for source, vm in self._lenders(owned):
+            if not missing:
+                return
+            wants = tuple(
+                credit.Want(
+                    name,
+                    owned.owed(source, name),
+                    want=shortage.want,
+                )
+                for name, shortage in missing.items()
+            )
+            drops = owned.drops
+            asked = self._sender.send(
+                vm, owned.page, source, wants, owned.source
+            )
+            for name, grant in asked.grants.items():
+                count = owned.borrow(source, name, grant, drops)
+                left = missing[name].missing - count
+                if left <= _EPSILON:
+                    owned.collected(name)
+                    del missing[name]
+                    continue
+                missing[name] = missing[name]._replace(
+                    missing=left, want=missing[name].want - count
+                )
+
+    def settle(self, owned: owner.OwnedPart) -> None:
+        """Lowers debts, and gives back what is idle."""
+        with owned.exchange:
+            self._settle(owned)
+
+    def _settle(self, owned: owner.OwnedPart) -> None:
+        for source, names in owned.debts().items():
+            part = self._book.part(owned.page, source.failure_domain)
+            if part is None or part.epoch != source.epoch:
+                owned.void(source.failure_domain, source.epoch + 1)
+                continue
+            wants = []
+            for name in names:
+                returned = owned.give_back(source, name)
+                held = owned.owed(source, name)
+                wants.append(credit.Want(name, held, returned=returned))
+            self._sender.send(
+                part.vm, owned.page, source, tuple(wants), owned.source
+            )
+
+    def _lenders(
+        self, owned: owner.OwnedPart
+    ) -> list[tuple[credit.Source, str]]:
+        stored = self._book.get(owned.page)
+        if stored is None:
+            return []
+        own = owned.part.failure_domain
+        parts = [p for p in stored.page.parts if p.vm]
+        # Each part begins with its neighbour, so that they do not all ask
+        # the same one first.
+        after = [p for p in parts if p.failure_domain > own]
+        before = [p for p in parts if p.failure_domain < own]
+        return [
+            (credit.Source(p.failure_domain, p.epoch), p.vm)
+            for p in after + before
+        ]
--- /dev/null
+++ b/packages/daemon/bulrushdeald/limits.py
@@ -0,0 +1,321 @@
+"""Each customer's rate and burst over all VMs together, by escrow.
+
+The tokens of a row are split between failure domains, and within one lent
+to the VMs that ask. Tokens move only by their donor giving them up first,
+and nothing lapses: a cut, a pause or a lost answer can only leave tokens
+unused. See docs/design/limits.md.
+"""
+
+from collections.abc import Callable
+import functools
+import threading
+from typing import Any, NamedTuple
+
+import result
+
+from bulrushdeal import clock as clock_lib
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeal import logs
+from bulrushdeal import records
+from bulrushdeald import asker
+from bulrushdeald import collector
+from bulrushdeald import credit
+from bulrushdeald import defaults
+from bulrushdeald import holder
+from bulrushdeald import ownership
+from bulrushdeald import services
+from bulrushdeald import sharebook
+from bulrushdeald import shares
+
+_log = logs.Log("limits")
+
+TEND_S = 1.0
+REPORT_S = 0.1
+_WATCH_S = 20.0
+_RETRY_S = 1.0
+# Each round brings a message or two; a request is not worth more.
+_MAX_ROUNDS = 8
+# Other failure domains asked directly while the own one has no owner.
+_MAX_DIRECT = 3
+# A refused customer is refused here without asking for at most this long.
+_MAX_PAUSE_S = 0.1
+
+
+class DumpedPart(NamedTuple):
+    """A part that this VM owns, for the dump.
+
+    Attributes:
+        page: The page.
+        part: As the record says.
+        customers: Level, lent and borrowed tokens by customer.
+    """
+
+    page: int
+    part: shares.Part
+    customers: dict[str, tuple[float, float, float]]
+
+
+class Dump(NamedTuple):
+    """The state of the limits on one VM.
+
+    Attributes:
+        owned: The parts that this VM owns.
+        in_hand: Tokens in hand by customer.
+        pages: Pages whose record is known.
+    """
+
+    owned: tuple[DumpedPart, ...]
+    in_hand: dict[str, float]
+    pages: int
+
+
+class EscrowLimits:
+    """The service `limits`; needs keyvalue, membership, peers and config."""
+
+    def __init__(
+        self,
+        kernel: kernel_lib.Kernel,
+        settings: defaults.Settings,
+        clock: clock_lib.Clock | None = None,
+    ) -> None:
+        self._kernel = kernel
+        self._domain = settings.failure_domain
+        self._clock = clock or clock_lib.SystemClock()
+        self._threads: list[threading.Thread] = []
+        self._stopping = threading.Event()
+        self._short = threading.Event()
+        self._paused_until_s: dict[str, float] = {}
+
+    def attach(self) -> None:
+        """Finds the other services; `start` runs the threads as well."""
+        kernel = self._kernel
+        keyvalue = kernel.find(services.KEYVALUE, services.KeyValue)
+        members = kernel.find(services.MEMBERSHIP, services.Membership)
+        peers = kernel.find(services.PEERS, services.Peers)
+        self._config = kernel.find(services.CONFIG, services.Config)
+        clock = self._clock
+        self._book = sharebook.ShareBook(keyvalue)
+        sender = asker.Sender(peers, clock, members.incarnation())
+        self._holder = holder.Holder(
+            self._book, sender, clock, self._config.customer
+        )
+        self._collector = collector.Collector(self._book, sender)
+        self._ownership = ownership.Ownership(self._book, members, peers, clock)
+        peers.understand(credit.CreditGrants, credit.CreditDropped)
+        peers.handle(credit.CreditAsk, self._on_ask)
+        peers.handle(credit.CreditDrop, self._on_drop)
+        self._config.on_change(self._on_rows)
+
+    def start(self) -> None:
+        """Begins to follow the records and to own parts."""
+        self.attach()
+        self._run("limits-watch", self._watch)
+        self._run("limits-tend", self._tend_loop)
+        self._run("limits-report", self._report_loop)
+        self._run("limits-collect", self._collect_loop)
+
+    def _run(self, name: str, target: Callable[[], None]) -> None:
+        thread = threading.Thread(target=target, name=name, daemon=True)
+        thread.start()
+        self._threads.append(thread)
+
+    def stop(self, grace_s: float) -> None:
+        """Gives back all credit and hands over what this VM owns."""
+        del grace_s
+        self._stopping.set()
+        self._short.set()
+        self._holder.close()
+        self._ownership.close()
+
+    def dump(self) -> Any:
+        """Returns what this VM owns and has in hand."""
+        owned = tuple(
+            DumpedPart(part.page, part.part, dict(part.totals()))
+            for part in self._ownership.owned()
+        )
+        pages = sum(
+            self._book.get(number) is not None for number in range(shares.PAGES)
+        )
+        return Dump(owned, self._holder.dump(), pages)
+
+    def take(
+        self, customer: str, count: float = 1.0
+    ) -> result.Result[None, services.Refusal]:
+        """See `services.Limits`."""
+        row = self._config.customer(customer)
+        if row is None:
+            return result.Err(
+                services.Refusal(403, "unknown_customer", "No such customer.")
+            )
+        if count > row.burst:
+            return result.Err(
+                services.Refusal(
+                    429,
+                    "rate_limited",
+                    f"The request counts {count:g}, more than the customer's"
+                    f" burst of {row.burst:g}.",
+                )
+            )
+        self._holder.note_demand(customer, count)
+        if self._holder.spend(customer, count):
+            return result.Ok(None)
+        pause_s = self._pause_s(customer)
+        if pause_s > 0:
+            return result.Err(_refusal(pause_s))
+        wait_s = self._collect_for(customer, count)
+        if wait_s is None:
+            return result.Ok(None)
+        self._pause(customer, wait_s)
+        return result.Err(_refusal(wait_s))
+
+    def _pause_s(self, customer: str) -> float:
+        until_s = self._paused_until_s.get(customer, 0.0)
+        return until_s - self._clock.monotonic_s()
+
+    def _pause(self, customer: str, wait_s: float) -> None:
+        pause_s = min(wait_s, _MAX_PAUSE_S)
+        self._paused_until_s[customer] = self._clock.monotonic_s() + pause_s
+
+    def _collect_for(self, customer: str, count: float) -> float | None:
+        """Asks owners for credit and spends it.
+
+        Returns:
+            `None` if the tokens were spent, or when they may be there.
+        """
+        wait_s = _RETRY_S
+        for _ in range(_MAX_ROUNDS):
+            need = max(0.0, count - self._holder.in_hand(customer))
+            answer = self._holder.ask(self._domain, customer, need, ahead=True)
+            if self._holder.spend(customer, count):
+                return None
+            if not answer.is_answered:
+                return self._ask_directly(customer, count)
+            if answer.grant is None:
+                continue
+            wait_s = answer.grant.wait_s or wait_s
+            if answer.grant.again_s > 0:
+                self._await_collection(customer, answer.grant.again_s)
+            elif answer.grant.granted <= 0:
+                break
+        return wait_s
+
+    def _await_collection(self, customer: str, again_s: float) -> None:
+        owned = self._ownership.find(shares.page_of(customer), self._domain)
+        if owned is not None:
+            self._collector.collect(owned)
+            return
+        self._clock.sleep_s(again_s)
+
+    def _ask_directly(self, customer: str, count: float) -> float | None:
+        stored = self._book.get(shares.page_of(customer))
+        if stored is None:
+            return _RETRY_S
+        others = [
+            part.failure_domain
+            for part in stored.page.parts
+            if part.failure_domain != self._domain and part.vm
+        ]
+        others = shares.rank(f"{self._domain}/{customer}", others)
+        wait_s = _RETRY_S
+        for failure_domain in others[:_MAX_DIRECT]:
+            need = max(0.0, count - self._holder.in_hand(customer))
+            answer = self._holder.ask(
+                failure_domain, customer, need, ahead=False
+            )
+            if self._holder.spend(customer, count):
+                return None
+            if answer.grant is not None:
+                wait_s = answer.grant.wait_s or wait_s
+        return wait_s
+
+    def _on_ask(self, vm: str, ask: credit.CreditAsk) -> credit.CreditGrants:
+        owned = self._ownership.find(ask.page, ask.failure_domain)
+        if owned is None:
+            return credit.CreditGrants(False)
+        grants = owned.answer(vm, ask)
+        if any(grant.again_s > 0 for grant in grants.grants):
+            self._short.set()
+        return grants
+
+    def _on_drop(
+        self, vm: str, drop: credit.CreditDrop
+    ) -> credit.CreditDropped:
+        del vm
+        self._holder.drop_page(drop.page)
+        is_clean = True
+        for owned in self._ownership.of_page(drop.page):
+            if not owned.void(drop.failure_domain, drop.epoch):
+                is_clean = False
+        return credit.CreditDropped(is_clean)
+
+    def _on_rows(self) -> None:
+        self._holder.rows_changed()
+        rows = self._rows_by_page()
+        for owned in self._ownership.owned():
+            owned.set_rows(rows.get(owned.page, {}))
+
+    def _rows_by_page(self) -> dict[int, dict[str, records.Customer]]:
+        rows: dict[int, dict[str, records.Customer]] = {}
+        for row in self._config.customers():
+            page = rows.setdefault(shares.page_of(row.customer), {})
+            page[row.customer] = row
+        return rows
+
+    def refresh(self) -> None:
+        """Reads the records now."""
+        self._book.refresh()
+        self._ownership.adopt(self._rows_by_page())
+
+    def tend(self) -> None:
+        """Does what is due about once a second."""
+        rows = self._rows_by_page()
+        self._ownership.adopt(rows)
+        self._ownership.claim()
+        self._ownership.adopt(rows)
+        self._ownership.sweep()
+        for owned in self._ownership.owned():
+            self._collector.settle(owned)
+        self._holder.report(only_tight=False)
+        self._ownership.clear()
+        self._ownership.adopt(rows)
+
+    def work(self) -> None:
+        """Does what is due at once: collections and urgent reports."""
+        for owned in self._ownership.owned():
+            self._collector.collect(owned)
+        self._holder.report(only_tight=True)
+
+    def _watch(self) -> None:
+        while not self._stopping.is_set():
+            if not self._book.follow(_WATCH_S):
+                self._stopping.wait(_RETRY_S)
+
+    def _tend_loop(self) -> None:
+        while not self._stopping.wait(TEND_S):
+            self._guarded(self.tend)
+
+    def _report_loop(self) -> None:
+        while not self._stopping.wait(REPORT_S):
+            self._guarded(lambda: self._holder.report(only_tight=True))
+
+    def _collect_loop(self) -> None:
+        while not self._stopping.is_set():
+            self._short.wait()
+            self._short.clear()
+            for owned in self._ownership.owned():
+                self._guarded(functools.partial(self._collector.collect, owned))
+
+    def _guarded(self, step: Callable[[], None]) -> None:
+        try:
+            step()
+        except Exception:  # noqa: BLE001 - the thread has to go on.
+            _log.exception("A step failed; it is tried again.")
+
+
+def _refusal(wait_s: float) -> services.Refusal:
+    return services.Refusal(
+        429,
+        "rate_limited",
+        "The customer's rate and burst are used up.",
+        retry_after_s=max(wait_s, 0.001),
+    )
--- /dev/null
+++ b/packages/daemon/bulrushdeald/owner.py
@@ -0,0 +1,342 @@
+"""The part of a page that this VM owns: it grants credit to holders.
+
+Where its tokens are short it collects from the owners of the page's other
+parts, and lends that on. Its own lock guards all of it; no call to a peer
+is made under the lock.
+"""
+
+from collections.abc import Mapping
+import threading
+from typing import NamedTuple
+
+from bulrushdeal import clock as clock_lib
+from bulrushdeal import records
+from bulrushdeald import bucket
+from bulrushdeald import credit
+from bulrushdeald import shares
+
+# When a holder is to ask again while this part collects from others.
+COLLECT_S = 0.004
+# After a collection that brought too little, the next one waits, so that a
+# customer over its rate does not cost a round of messages for each request.
+COLLECT_PAUSE_S = 0.1
+# Credit ahead of need covers the demand of this long.
+AHEAD_S = 0.2
+# Above this fraction of a part's capacity in holders' hands the owner wants
+# to hear soon what was spent, since its bucket cannot fill meanwhile.
+_TIGHT_FRACTION = 0.1
+_EPSILON = 1e-9
+
+
+class HolderName(NamedTuple):
+    """Who holds credit: a VM, or the owner of another part that lends on.
+
+    Attributes:
+        vm: The VM.
+        for_domain: The part that it lends on for, or empty.
+        for_epoch: That part's epoch.
+    """
+
+    vm: str
+    for_domain: str = ""
+    for_epoch: int = 0
+
+
+class Holder:
+    """What an owner knows of one holder."""
+
+    def __init__(self, incarnation: str) -> None:
+        self.incarnation = incarnation
+        self.seq = 0
+        self.replaced: set[str] = set()
+        self.was_listed = False
+
+
+class Shortage(NamedTuple):
+    """What a part lacks of one customer.
+
+    Attributes:
+        customer: The customer.
+        missing: Tokens that a waiting request lacks.
+        want: Tokens to collect, with some for the demand to come.
+    """
+
+    customer: str
+    missing: float
+    want: float
+
+
+class OwnedPart:
+    """The ledgers of one page in one failure domain."""
+
+    def __init__(
+        self, page: int, part: shares.Part, clock: clock_lib.Clock
+    ) -> None:
+        self.page = page
+        self.part = part
+        self.is_closed = False
+        # A donor lowers itself before the record says so.
+        self.fraction_cap = part.fraction
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._rows: Mapping[str, records.Customer] = {}
+        self._ledgers: dict[str, bucket.Ledger] = {}
+        self._demands: dict[str, bucket.Demand] = {}
+        self._holders: dict[HolderName, Holder] = {}
+        self._missing: dict[str, float] = {}
+        self._paused_until_s: dict[str, float] = {}
+        # Counts drops asked of this VM; an answer to what was asked before
+        # one may bring credit of an owner that is gone, and is void.
+        self.drops = 0
+        # One exchange of this part with the other owners at a time.
+        self.exchange = threading.Lock()
+
+    @property
+    def source(self) -> credit.Source:
+        """Names this part's credit."""
+        return credit.Source(self.part.failure_domain, self.part.epoch)
+
+    def set_part(self, part: shares.Part) -> None:
+        """Puts a newer record of the same epoch in force."""
+        with self._lock:
+            self.part = part
+            self.fraction_cap = part.fraction
+            self._set_terms()
+
+    def lower_fraction(self, fraction: float) -> None:
+        """Gives up a part of the fraction before the record says so."""
+        with self._lock:
+            self.fraction_cap = min(self.fraction_cap, fraction)
+            self._set_terms()
+
+    def set_rows(self, rows: Mapping[str, records.Customer]) -> None:
+        """Puts the page's rows in force."""
+        with self._lock:
+            for name, row in rows.items():
+                before = self._rows.get(name)
+                if before is not None and row.burst < before.burst:
+                    factor = row.burst / before.burst
+                    self._ledgers[name].scale_debts(factor)
+            self._rows = dict(rows)
+            self._set_terms()
+
+    def _set_terms(self) -> None:
+        now_s = self._clock.monotonic_s()
+        # The ledger of a deleted row stays: a row of the same name, made
+        # again at once, must not find a fresh bucket.
+        for name in {**self._rows, **self._ledgers}:
+            terms = self._terms(self._rows.get(name))
+            ledger = self._ledgers.get(name)
+            if ledger is None:
+                self._ledgers[name] = bucket.Ledger(terms, now_s)
+            elif ledger.terms != terms:
+                ledger.change(terms, now_s)
+
+    def _terms(self, row: records.Customer | None) -> bucket.Terms:
+        if row is None:
+            return bucket.Terms(0.0, 0.0)
+        fraction = self.fraction_cap
+        return bucket.Terms(
+            fraction * row.rate_per_s,
+            fraction * row.burst,
+            self.part.takeovers,
+        )
+
+    def answer(self, vm: str, ask: credit.CreditAsk) -> credit.CreditGrants:
+        """Answers a holder; never waits."""
+        with self._lock:
+            if self.is_closed or ask.epoch != self.part.epoch:
+                return credit.CreditGrants(False)
+            name = HolderName(vm, ask.for_domain, ask.for_epoch)
+            if not self._accept(name, ask):
+                return credit.CreditGrants(False)
+            grants = [self._grant(name, want) for want in ask.wants]
+            return credit.CreditGrants(True, tuple(grants))
+
+    def _accept(self, name: HolderName, ask: credit.CreditAsk) -> bool:
+        holder = self._holders.get(name)
+        if holder is None:
+            holder = self._holders[name] = Holder(ask.incarnation)
+        if ask.incarnation in holder.replaced:
+            return False
+        if ask.incarnation != holder.incarnation:
+            # The new process has the VM's peer port, so the old one and
+            # the credit in its memory are gone.
+            self._forget_credit(name)
+            holder.replaced.add(holder.incarnation)
+            holder.incarnation = ask.incarnation
+            holder.seq = 0
+        if ask.seq <= holder.seq:
+            # A message that was overtaken: what it says is held is not
+            # true any more, and its answer will be dropped.
+            return False
+        holder.seq = ask.seq
+        return True
+
+    def _grant(self, name: HolderName, want: credit.Want) -> credit.Grant:
+        row = self._rows.get(want.customer)
+        ledger = self._ledgers.get(want.customer)
+        if row is None or ledger is None:
+            return credit.Grant(0.0, 0.0)
+        now_s = self._clock.monotonic_s()
+        ledger.accrue(now_s)
+        ledger.report(name, want.held, want.returned)
+        if want.want <= 0:
+            return credit.Grant(0.0, row.burst, ledger.grantable())
+        is_lent_on = bool(name.for_domain)
+        if not is_lent_on:
+            demand = self._demands.setdefault(want.customer, bucket.Demand())
+            demand.note(want.need, now_s)
+        # Half of what is left may go out ahead of need; the rest stays for
+        # the other holders.
+        spare = max(0.0, ledger.grantable() - want.need) / 2
+        most = want.want if is_lent_on else min(want.want, want.need + spare)
+        granted = ledger.grant(name, want.need, max(most, want.need))
+        left = ledger.grantable()
+        again_s = 0.0
+        wait_s = 0.0
+        if granted <= 0 and not is_lent_on:
+            wait_s = (want.need - left) / (row.rate_per_s or _EPSILON)
+            again_s = self._plan(want, want.need - left, now_s)
+        tight = ledger.lent > _TIGHT_FRACTION * ledger.capacity
+        return credit.Grant(granted, row.burst, left, again_s, wait_s, tight)
+
+    def _plan(self, want: credit.Want, missing: float, now_s: float) -> float:
+        if now_s < self._paused_until_s.get(want.customer, 0.0):
+            return 0.0
+        before = self._missing.get(want.customer, 0.0)
+        self._missing[want.customer] = max(before, missing)
+        return COLLECT_S
+
+    def shortages(self) -> tuple[Shortage, ...]:
+        """Returns what waiting requests lack, and pauses the next round."""
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            found = []
+            for name, missing in self._missing.items():
+                self._paused_until_s[name] = now_s + COLLECT_PAUSE_S
+                ahead = self._demands[name].rate_per_s(now_s) * AHEAD_S
+                want = missing + (ahead if ahead >= 1 else 0.0)
+                found.append(Shortage(name, missing, want))
+            self._missing.clear()
+            return tuple(found)
+
+    def collected(self, customer: str) -> None:
+        """Notes that a shortage was met, so the next is met at once too."""
+        with self._lock:
+            self._paused_until_s.pop(customer, None)
+
+    def borrow(
+        self,
+        source: credit.Source,
+        customer: str,
+        grant: credit.Grant,
+        drops: int,
+    ) -> float:
+        """Adds what another part granted, unless it is void.
+
+        Args:
+            source: The other part.
+            customer: The customer.
+            grant: What its owner answered.
+            drops: The count of drops when the owner was asked.
+
+        Returns:
+            How many tokens that is under the row known here.
+        """
+        with self._lock:
+            row = self._rows.get(customer)
+            if row is None or grant.granted <= 0 or drops != self.drops:
+                return 0.0
+            count = grant.granted * min(1.0, row.burst / grant.burst)
+            self._ledgers[customer].borrow(source, count)
+            return count
+
+    def owed(self, source: credit.Source, customer: str) -> float:
+        """Lowers a debt as far as it goes; returns what is left."""
+        with self._lock:
+            ledger = self._ledgers.get(customer)
+            return 0.0 if ledger is None else ledger.repay(source)
+
+    def debts(self) -> dict[credit.Source, list[str]]:
+        """Returns the customers borrowed for, by source."""
+        found: dict[credit.Source, list[str]] = {}
+        with self._lock:
+            for name, ledger in self._ledgers.items():
+                for source in ledger.debts:
+                    assert isinstance(source, credit.Source)
+                    found.setdefault(source, []).append(name)
+        return found
+
+    def give_back(self, source: credit.Source, customer: str) -> float:
+        """Takes off what is unspent of a debt, if demand has gone."""
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            demand = self._demands.get(customer)
+            if demand is not None and demand.rate_per_s(now_s) >= 1:
+                return 0.0
+            return self._ledgers[customer].give_back(source)
+
+    def void(self, failure_domain: str, epoch: int) -> bool:
+        """Gives up credit of a part's epochs before `epoch`.
+
+        Returns:
+            Whether nothing of it is left, here or with holders.
+        """
+        with self._lock:
+            self.drops += 1
+            left = 0.0
+            for ledger in self._ledgers.values():
+                for source in list(ledger.debts):
+                    assert isinstance(source, credit.Source)
+                    if source.failure_domain != failure_domain:
+                        continue
+                    if source.epoch < epoch:
+                        left += ledger.void(source)
+            return left <= _EPSILON
+
+    def sweep(self, listed: frozenset[str], page: shares.Page) -> None:
+        """Takes back what holders had that are gone for certain."""
+        with self._lock:
+            for name, holder in list(self._holders.items()):
+                if name.for_domain:
+                    if _is_settled(name, page):
+                        self._forget_credit(name)
+                        del self._holders[name]
+                elif name.vm in listed:
+                    holder.was_listed = True
+                elif holder.was_listed:
+                    # Listed once and not any more: it does not run. A VM
+                    # too new for the lagging list was never seen there.
+                    self._forget_credit(name)
+                    del self._holders[name]
+
+    def _forget_credit(self, name: HolderName) -> None:
+        for ledger in self._ledgers.values():
+            ledger.outstanding.pop(name, None)
+
+    def close(self) -> bool:
+        """Ends granting for good; tells whether holders have nothing."""
+        with self._lock:
+            self.is_closed = True
+            return all(
+                ledger.lent <= _EPSILON for ledger in self._ledgers.values()
+            )
+
+    def totals(self) -> Mapping[str, tuple[float, float, float]]:
+        """Returns each customer's level, lent and borrowed tokens."""
+        with self._lock:
+            return {
+                name: (ledger.level, ledger.lent, ledger.borrowed)
+                for name, ledger in self._ledgers.items()
+            }
+
+
+def _is_settled(name: HolderName, page: shares.Page) -> bool:
+    # What an owner lent on may outlive it in its holders' hands, and no
+    # bound of its own part covers that; it is gone only when a later owner
+    # has heard so from every listed VM.
+    part = page.part(name.for_domain)
+    if part is None:
+        return False
+    return part.epoch > name.for_epoch and part.takeovers == 0
--- /dev/null
+++ b/tests/daemon/test_limits.py
@@ -0,0 +1,47 @@
+"""Tests of the limits over several VMs joined by small fakes."""
+
+import pytest
+import result
+
+from bench import limitfakes
+from bulrushdeal import records
+
+
+def _fleet(domains: int, vms: int, *rows: records.Customer) -> limitfakes.Fleet:
+    fleet = limitfakes.Fleet(rows)
+    for domain in range(domains):
+        for vm in range(vms):
+            fleet.add(f"d{domain}v{vm}", f"d{domain}")
+    fleet.settle(40)
+    return fleet
+
+
+def _take(fleet: limitfakes.Fleet, vm: str, customer: str = "acme") -> bool:
+    taken = fleet.nodes[vm].limits.take(customer)
+    return isinstance(taken, result.Ok)
+
+
+def test_burst_at_one_vm_is_the_whole_row() -> None:
+    fleet = _fleet(3, 3, records.Customer("acme", rate_per_s=2, burst=12))
+    admitted = sum(_take(fleet, "d1v2") for _ in range(40))
+    assert admitted == 12
+
+
+@pytest.mark.parametrize("burst", [1.0, 2.0, 5.0, 20.0])
+def test_small_burst_over_many_domains_can_be_used_anywhere(
+    burst: float,
+) -> None:
+    fleet = _fleet(8, 1, records.Customer("acme", rate_per_s=2, burst=burst))
+    assert sum(_take(fleet, "d3v0") for _ in range(40)) == burst
+
+
+def test_refusal_says_when_to_come_back() -> None:
+    fleet = _fleet(2, 2, records.Customer("acme", rate_per_s=4, burst=4))
+    while _take(fleet, "d0v0"):
+        pass
+    taken = fleet.nodes["d0v0"].limits.take("acme")
+    assert isinstance(taken, result.Err)
+    refusal = taken.err_value
+    assert refusal.code == "rate_limited"
+    assert refusal.ran == "not_run"
+    assert 0 < refusal.retry_after_s <= 0.25
