Close connections whose body was refused unread; drop headers with _

Cause: cheroot reads what is left of a refused body into memory at once, takes what is left of a chunked one for the next request, keeps 10 idle connections at most, and WSGI folds Content_Length and Content-Length into one name. Ruled out: the library's own reader that drops such headers; it fails on bytes (TypeError for each request, seen in the first test run). Change: own reader and gateway; a request also carries its target as it came and the caller's socket.

--- a/packages/core/bulrushdeal/httpd.py
+++ b/packages/core/bulrushdeal/httpd.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 import http
 import json
+import socket
 import threading
 from typing import Any, cast, NamedTuple, Protocol
 
+import cheroot.server
 import cheroot.wsgi
 
 _CHUNK_BYTES = 64 * 1024
@@ -13,6 +15,8 @@
 DEFAULT_THREADS = 200
 _BACKLOG = 1024
 _SOCKET_TIMEOUT_S = 60
+_SOCKET = "bulrushdeal.socket"
+_MAX_UNREAD_BYTES = 64 * 1024
 
 
 class BodyReader(Protocol):
@@ -32,6 +36,8 @@
         headers: With names in lower case.
         body: Reads the body.
         length_bytes: The body's length if it was given, else -1.
+        target: The path and query as they came on the wire.
+        connection: The caller's socket, to notice that the caller left.
     """
 
     method: str
@@ -40,6 +46,8 @@
     headers: Mapping[str, str]
     body: BodyReader
     length_bytes: int
+    target: str = ""
+    connection: socket.socket | None = None
 
 
 class Response(NamedTuple):
@@ -69,6 +77,13 @@
     )
 
 
+def close(body: Iterable[bytes]) -> None:
+    """Closes an answer's body if it can be closed."""
+    closer = getattr(body, "close", None)
+    if closer is not None:
+        closer()
+
+
 def read_chunks(body: BodyReader) -> Iterator[bytes]:
     """Yields a body piece by piece."""
     while chunk := body.read(_CHUNK_BYTES):
@@ -83,7 +98,9 @@
     }
     if environ.get("CONTENT_TYPE"):
         headers["content-type"] = environ["CONTENT_TYPE"]
-    length = environ.get("CONTENT_LENGTH") or "-1"
+    # A chunked body has no length, whatever another header says.
+    is_chunked = environ.get("wsgi.input_terminated", False)
+    length = "-1" if is_chunked else environ.get("CONTENT_LENGTH") or "-1"
     return Request(
         environ["REQUEST_METHOD"],
         environ["PATH_INFO"],
@@ -91,9 +108,50 @@
         headers,
         environ["wsgi.input"],
         int(length),
+        environ.get("REQUEST_URI", ""),
+        environ.get(_SOCKET),
     )
 
 
+class _HeaderReader(cheroot.server.HeaderReader):
+    # `Content_Length` and `Content-Length` would become one name, and the
+    # body's length would be what another than the server's reader says.
+    # The library's own reader for this fails on bytes.
+    def _allow_header(self, key_name: bytes) -> bool:
+        return b"_" not in key_name
+
+
+class _HttpRequest(cheroot.server.HTTPRequest):
+    header_reader = _HeaderReader()
+
+
+class _Connection(cheroot.server.HTTPConnection):
+    RequestHandlerClass = _HttpRequest
+
+
+class _Gateway(cheroot.wsgi.Gateway_10):
+    def get_environ(self) -> Any:
+        environ = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[_SOCKET] = self.req.conn.socket
+        return environ
+
+    def start_response(
+        self, status: str, headers: Any, exc_info: Any = None
+    ) -> Any:
+        if _has_unread_body(self.req.rfile):
+            self.req.close_connection = True
+        return super().start_response(status, headers, exc_info)
+
+
+def _has_unread_body(body: Any) -> bool:
+    # The library reads the rest of a body with a length into memory at once,
+    # and takes the rest of a chunked one for the next request. Neither may
+    # happen when a request was refused without reading it.
+    if isinstance(body, cheroot.server.ChunkedRFile):
+        return not body.closed
+    return bool(getattr(body, "remaining", 0) > _MAX_UNREAD_BYTES)
+
+
 class Server:
     """Serves one handler on one address, each connection on its thread.
 
@@ -115,6 +173,10 @@
             accepted_queue_timeout=1,
             timeout=_SOCKET_TIMEOUT_S,
         )
+        self._server.gateway = _Gateway
+        self._server.ConnectionClass = _Connection
+        # The library's limit of 10 would close nearly every connection.
+        self._server.keep_alive_conn_limit = None  # type: ignore[assignment]
         # The caller's body is relayed as it comes, so it may be long.
         self._server.max_request_body_size = 0
         self._thread: threading.Thread | None = None
@@ -147,5 +209,13 @@
             phrase = http.HTTPStatus(response.status).phrase
         except ValueError:
             phrase = "Unknown"
-        start_response(f"{response.status} {phrase}", list(response.headers))
+        try:
+            start_response(
+                f"{response.status} {phrase}", list(response.headers)
+            )
+        except Exception:
+            # A header that cannot be written: nobody would iterate the body
+            # and close it, and what it holds would be held for ever.
+            close(response.body)
+            raise
         return response.body
