--- a/packages/daemon/bulrushdeald/defaults.py
+++ b/packages/daemon/bulrushdeald/defaults.py
@@ -93,6 +93,46 @@
         low=2,
         high=5000,
     ),
+    settings.Setting(
+        "unready_s",
+        "number",
+        1.0,
+        "How long a stopping VM still accepts, so the balancer can notice.",
+        low=0,
+        high=600,
+    ),
+    settings.Setting(
+        "online_deadline_s",
+        "number",
+        30.0,
+        "How long an online request may wait for an upstream.",
+        low=0.1,
+        high=3600,
+    ),
+    settings.Setting(
+        "upstream_connect_timeout_s",
+        "number",
+        1.0,
+        "How long connecting to an upstream may take.",
+        low=0.01,
+        high=60,
+    ),
+    settings.Setting(
+        "upstream_silence_s",
+        "number",
+        60.0,
+        "How long an upstream may send nothing before it counts as failed.",
+        low=0.05,
+        high=3600,
+    ),
+    settings.Setting(
+        "intent_age_s",
+        "number",
+        86400.0,
+        "How long an idempotency key is remembered.",
+        low=60,
+        high=2_600_000,
+    ),
 )
 
 
@@ -115,6 +155,11 @@
     vm_list_poll_s: float
     max_body_bytes: int
     online_threads: int
+    unready_s: float
+    online_deadline_s: float
+    upstream_connect_timeout_s: float
+    upstream_silence_s: float
+    intent_age_s: float
 
 
 def read(flags: Mapping[str, str], environment: Mapping[str, str]) -> Settings:
--- /dev/null
+++ b/packages/daemon/bulrushdeald/plainservices.py
@@ -0,0 +1,202 @@
+"""Passes requests through to plain services, each at most once."""
+
+from collections.abc import Iterator
+import time
+from typing import NamedTuple
+import urllib.parse
+
+import result
+
+from bulrushdeal import httpd
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeal import records
+from bulrushdeald import bodies
+from bulrushdeald import calls
+from bulrushdeald import completions
+from bulrushdeald import defaults
+from bulrushdeald import dispatch
+from bulrushdeald import headers as headers_lib
+from bulrushdeald import refusals
+from bulrushdeald import services
+
+PREFIX = "/services/"
+# Bodies up to this are read before the request is placed, so that the same
+# request is known again; longer ones are relayed as they come.
+_SMALL_BODY_BYTES = 64 * 1024
+_SERVER_ERROR = 500
+
+
+class _Request(NamedTuple):
+    """A checked request to a plain service."""
+
+    service: str
+    sending: dispatch.Sending
+    fingerprint: str
+
+
+class PlainServices:
+    """Serves `/services/NAME/...`."""
+
+    def __init__(
+        self,
+        kernel: kernel_lib.Kernel,
+        settings: defaults.Settings,
+        dispatcher: dispatch.Dispatcher,
+    ) -> None:
+        self._config = kernel.find(services.CONFIG, services.Config)
+        self._limits = kernel.find(services.LIMITS, services.Limits)
+        self._usage = kernel.find(services.USAGE, services.Usage)
+        self._dispatcher = dispatcher
+        self._deadline_s = settings.online_deadline_s
+
+    def serve(self, request: httpd.Request, call: calls.Call) -> httpd.Response:
+        """Passes one request through."""
+        checked = self._check(request, call)
+        if isinstance(checked, result.Err):
+            return refusals.response(checked.err_value)
+        plain = checked.ok_value
+        taken = self._limits.take(call.customer)
+        if isinstance(taken, result.Err):
+            self.record(plain, call, taken.err_value.code)
+            return refusals.response(taken.err_value)
+        started = self._dispatcher.run(
+            self._work(plain, call), plain.sending, call
+        )
+        if isinstance(started, result.Err):
+            refusal = started.err_value.refusal
+            self.record(plain, call, refusal.code)
+            return refusals.response(refusal)
+        relay = _Relay(self, plain, started.ok_value, call)
+        return relay.response()
+
+    def _check(
+        self, request: httpd.Request, call: calls.Call
+    ) -> result.Result[_Request, services.Refusal]:
+        path, mark, query = request.target.partition("?")
+        segment, _, rest = path.removeprefix(PREFIX).partition("/")
+        service = urllib.parse.unquote(segment)
+        if not path.startswith(PREFIX) or service not in self._services():
+            return result.Err(
+                refusals.not_found(f"There is no service {service!r}.")
+            )
+        key = headers_lib.bearer(request.headers)
+        if headers_lib.holds(request.target, key=key):
+            return result.Err(
+                refusals.bad_input("The path holds the key.", "path")
+            )
+        if not request.target.isascii():
+            return result.Err(
+                refusals.bad_input("The path is not ASCII.", "path")
+            )
+        target = f"/{rest}{mark}{query}"
+        headers = headers_lib.for_upstream(request.headers, key)
+        body = _body(request, key)
+        if isinstance(body, result.Err):
+            return body
+        if request.length_bytes >= 0:
+            headers["content-length"] = str(request.length_bytes)
+        known = body.ok_value if isinstance(body.ok_value, bytes) else b""
+        sending = dispatch.Sending(
+            request.method, target, headers, body.ok_value, is_idempotent=False
+        )
+        name = f"{request.method} {request.target}"
+        return result.Ok(
+            _Request(
+                service,
+                sending,
+                completions.fingerprint(call.customer, name, known),
+            )
+        )
+
+    def _services(self) -> set[str]:
+        return {
+            upstream.service
+            for upstream in self._config.upstreams()
+            if upstream.service
+        }
+
+    def _work(self, plain: _Request, call: calls.Call) -> services.Work:
+        work_class: records.WorkClass = "online"
+        return services.Work(
+            call.customer,
+            work_class,
+            "",
+            plain.service,
+            b"",
+            1,
+            plain.fingerprint,
+            self._deadline_s,
+        )
+
+    def record(self, plain: _Request, call: calls.Call, outcome: str) -> None:
+        """Tells the usage service how a request ended."""
+        self._usage.record(
+            services.UsageEvent(
+                time.time(),
+                call.customer,
+                "online",
+                call.upstream,
+                plain.service,
+                outcome,
+            )
+        )
+
+
+def _body(
+    request: httpd.Request, key: str
+) -> result.Result[bytes | Iterator[bytes], services.Refusal]:
+    is_chunked = "transfer-encoding" in request.headers
+    if is_chunked or request.length_bytes > _SMALL_BODY_BYTES:
+        return result.Ok(bodies.without_key(bodies.read_exactly(request), key))
+    body = bodies.read_whole(request, _SMALL_BODY_BYTES)
+    if isinstance(body, result.Ok) and key.encode() in body.ok_value:
+        return result.Err(refusals.bad_input("The body holds the key.", "body"))
+    return body
+
+
+class _Relay:
+    """Relays one upstream's answer; gives the slot back exactly once."""
+
+    def __init__(
+        self,
+        owner: PlainServices,
+        plain: _Request,
+        started: dispatch.Started,
+        call: calls.Call,
+    ) -> None:
+        self._owner = owner
+        self._plain = plain
+        self._slot = started.slot
+        self._answer = started.answer
+        self._call = call
+        # What holds if the caller's side ends first.
+        self._outcome: services.Outcome = "cancelled"
+        self._code = "caller_left"
+
+    def response(self) -> httpd.Response:
+        """Returns the answer, relayed as it comes."""
+        return httpd.Response(
+            self._answer.status,
+            self._answer.headers,
+            calls.Body(self._chunks(), self._close),
+        )
+
+    def _chunks(self) -> Iterator[bytes]:
+        for item in self._answer.chunks():
+            if isinstance(item, result.Err):
+                error = item.err_value
+                refusal = dispatch.refusal_of(error, self._call)
+                self._outcome = dispatch.outcome_of(error)
+                self._code = refusal.code
+                # The head is out, so only a broken connection can tell the
+                # caller that this is not the whole answer.
+                raise calls.BrokenAnswerError(error.message)
+            yield item.ok_value
+        is_refused = self._answer.status >= _SERVER_ERROR
+        self._outcome = "refused" if is_refused else "ok"
+        self._code = "ok"
+
+    def _close(self) -> None:
+        self._answer.close()
+        self._slot.release(self._outcome)
+        self._owner.record(self._plain, self._call, self._code)
--- a/packages/daemon/bulrushdeald/refusals.py
+++ b/packages/daemon/bulrushdeald/refusals.py
@@ -23,7 +23,12 @@
         # request that must be refused again.
         seconds = math.ceil(refusal.retry_after_s)
         headers = (("Retry-After", str(seconds)),)
-    body = {
+    return httpd.json_response(refusal.status, body(refusal), headers)
+
+
+def body(refusal: services.Refusal) -> dict[str, dict[str, str | None]]:
+    """Returns the JSON that tells a refusal."""
+    return {
         "error": {
             "message": refusal.message,
             "type": _TYPES.get(refusal.status, "server_error"),
@@ -32,7 +37,6 @@
             "ran": refusal.ran,
         }
     }
-    return httpd.json_response(refusal.status, body, headers)
 
 
 def bad_input(message: str, field: str = "") -> services.Refusal:
