--- a/packages/daemon/bulrushdeald/defaults.py
+++ b/packages/daemon/bulrushdeald/defaults.py
@@ -114,6 +114,8 @@
         "affinity",
         "How an upstream is chosen among those with room.",
         choices=("affinity", "least_load", "random"),
+    ),
+    settings.Setting(
         "unready_s",
         "number",
         1.0,
@@ -153,6 +155,38 @@
         low=60,
         high=2_600_000,
     ),
+    settings.Setting(
+        "batch_threads",
+        "integer",
+        64,
+        "Batch items that this VM runs at once; 0 runs none.",
+        low=0,
+        high=2000,
+    ),
+    settings.Setting(
+        "batch_chunks",
+        "integer",
+        4,
+        "Chunks of batch items that this VM claims ahead.",
+        low=1,
+        high=100,
+    ),
+    settings.Setting(
+        "batch_item_timeout_s",
+        "number",
+        600.0,
+        "The longest silence of an upstream that runs a batch item.",
+        low=1,
+        high=86400,
+    ),
+    settings.Setting(
+        "batch_retention_s",
+        "number",
+        604800.0,
+        "How long files and results of batch jobs are kept.",
+        low=60,
+        high=31536000,
+    ),
 )
 
 
@@ -183,6 +217,10 @@
     upstream_connect_timeout_s: float
     upstream_silence_s: float
     intent_age_s: float
+    batch_threads: int
+    batch_chunks: int
+    batch_item_timeout_s: float
+    batch_retention_s: float
 
 
 def read(flags: Mapping[str, str], environment: Mapping[str, str]) -> Settings:
--- a/packages/daemon/bulrushdeald/rendezvous.py
+++ b/packages/daemon/bulrushdeald/rendezvous.py
@@ -18,6 +18,6 @@
     return max(members, key=lambda member: score(key, member), default="")
 
 
-def ranked(key: str, members: Iterable[str]) -> list[str]:
+def rank(key: str, members: Iterable[str]) -> list[str]:
     """Returns the members for a key, the first choice first."""
     return sorted(members, key=lambda member: score(key, member), reverse=True)
