Add the operators' command line with its client and tables

Cause: operators and callers have no way in but raw HTTP. Ruled out: trying the next server after any failure, since a change whose answer was lost may be in force; the next is tried only when no connection was made, and a lost answer to a change is reported as unknown. Change: the program bulrushdeal, one module for each kind of thing, a client over urllib3 without its retries, and plain tables, JSON and CSV.

--- /dev/null
+++ b/packages/ui/bulrushdealui/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module for each kind of thing they act on."""
--- /dev/null
+++ b/packages/ui/bulrushdealui/commands/job.py
@@ -0,0 +1,187 @@
+"""`job list`, `show` and `cancel` for operators; `submit` and `results`."""
+
+from collections.abc import Iterator
+import pathlib
+import secrets
+import sys
+import time
+from typing import Any
+
+from cleo.helpers import argument
+from cleo.helpers import option
+
+from bulrushdeal import errors
+from bulrushdealui.commands import base
+
+_FINISHED = ("completed", "failed", "cancelled", "expired")
+_POLL_S = 1.0
+_CHUNK_BYTES = 256 * 1024
+_ID = argument("id", description="The job's id.")
+
+
+class ListCommand(base.OperatorCommand):
+    """Lists all jobs."""
+
+    name = "job list"
+    description = "List the batch jobs."
+
+    def run_command(self) -> None:
+        """See `base.Command`."""
+        self.show_rows(self.client().read_value("/v1/jobs"), "jobs")
+
+
+class ShowCommand(base.OperatorCommand):
+    """Shows one job."""
+
+    name = "job show"
+    description = "Show one job and how far it has come."
+    arguments = [_ID]
+    options = [option("follow", description="Show it until it has finished.")]
+
+    def run_command(self) -> None:
+        """See `base.Command`."""
+        client = self.client()
+        path = f"/v1/jobs/{base.quote(self.argument('id'))}"
+        value = client.read_value(path)
+        self.show_fields(value)
+        while self.option("follow") and not _has_finished(value):
+            time.sleep(_POLL_S)
+            value = client.read_value(path)
+            self.show_fields(value)
+
+
+class CancelCommand(base.OperatorCommand):
+    """Cancels a job."""
+
+    name = "job cancel"
+    description = "Cancel a job; finished items keep their results."
+    arguments = [_ID]
+
+    def run_command(self) -> None:
+        """See `base.Command`."""
+        path = f"/v1/jobs/{base.quote(self.argument('id'))}/cancel"
+        self.show_fields(self.client().change("POST", path))
+
+
+class SubmitCommand(base.Command):
+    """Submits a file as a customer does."""
+
+    name = "job submit"
+    description = "Submit a JSONL file of items, with a customer's key."
+    arguments = [argument("file", description="The file.")]
+    options = [
+        *base.CALLER_OPTIONS,
+        option(
+            "endpoint",
+            description="The path that each item calls.",
+            flag=False,
+            default="/v1/chat/completions",
+        ),
+        option(
+            "idempotency-key",
+            description="Sent again with the same key, the job is made once.",
+            flag=False,
+        ),
+        base.JSON,
+    ]
+
+    def run_command(self) -> None:
+        """See `base.Command`."""
+        client = self.caller_client()
+        path = pathlib.Path(self.argument("file"))
+        boundary = secrets.token_hex(16)
+        head, tail = _multipart(boundary, path.name)
+        size_bytes = len(head) + path.stat().st_size + len(tail)
+        idempotency_key = self.option("idempotency-key") or secrets.token_hex(
+            16
+        )
+        # Before anything is sent: who has to repeat it needs the key.
+        self.complain(f"Idempotency key: {idempotency_key}")
+        stored = client.send(
+            "/v1/files",
+            _pieces(head, path, tail),
+            {
+                "Content-Type": f"multipart/form-data; boundary={boundary}",
+                "Content-Length": str(size_bytes),
+                "Idempotency-Key": f"{idempotency_key}-file",
+            },
+        )
+        job = client.change(
+            "POST",
+            "/v1/batches",
+            {
+                "input_file_id": stored["id"],
+                "endpoint": self.option("endpoint"),
+                "completion_window": "24h",
+            },
+            {"Idempotency-Key": idempotency_key},
+        )
+        self.show_fields(job)
+
+
+class ResultsCommand(base.Command):
+    """Reads a job's results as a customer does."""
+
+    name = "job results"
+    description = "Write a finished job's results as JSONL."
+    arguments = [_ID]
+    options = [
+        *base.CALLER_OPTIONS,
+        option("output", description="A file for them.", flag=False),
+        option("wait", description="Wait until the job has finished."),
+        option("errors", description="Those items that failed, instead."),
+        base.JSON,
+    ]
+
+    def run_command(self) -> None:
+        """See `base.Command`."""
+        client = self.caller_client()
+        path = f"/v1/batches/{base.quote(self.argument('id'))}"
+        job = client.read_value(path)
+        while self.option("wait") and not _has_finished(job):
+            time.sleep(_POLL_S)
+            job = client.read_value(path)
+        field = "error_file_id" if self.option("errors") else "output_file_id"
+        file_id = job.get(field)
+        if not file_id:
+            raise errors.UserError(
+                f"The job is {job.get('status')} and has no such results."
+            )
+        pieces = client.stream("GET", f"/v1/files/{file_id}/content")
+        self._write(pieces)
+
+    def _write(self, pieces: Iterator[bytes]) -> None:
+        if not self.option("output"):
+            for piece in pieces:
+                sys.stdout.buffer.write(piece)
+            sys.stdout.buffer.flush()
+            return
+        with pathlib.Path(self.option("output")).open("wb") as file:
+            for piece in pieces:
+                file.write(piece)
+
+
+def _has_finished(job: Any) -> bool:
+    if not isinstance(job, dict):
+        return True
+    return job.get("status", job.get("state")) in _FINISHED
+
+
+def _multipart(boundary: str, name: str) -> tuple[bytes, bytes]:
+    name = name.replace('"', "_")
+    head = (
+        f"--{boundary}\r\n"
+        'Content-Disposition: form-data; name="purpose"\r\n\r\nbatch\r\n'
+        f"--{boundary}\r\n"
+        f'Content-Disposition: form-data; name="file"; filename="{name}"\r\n'
+        "Content-Type: application/jsonl\r\n\r\n"
+    )
+    return head.encode(), f"\r\n--{boundary}--\r\n".encode()
+
+
+def _pieces(head: bytes, path: pathlib.Path, tail: bytes) -> Iterator[bytes]:
+    yield head
+    with path.open("rb") as file:
+        while piece := file.read(_CHUNK_BYTES):
+            yield piece
+    yield tail
--- /dev/null
+++ b/packages/ui/bulrushdealui/main.py
@@ -0,0 +1,69 @@
+"""The program `bulrushdeal`: finds the command and runs it."""
+
+import sys
+
+from cleo import application
+from cleo import exceptions
+
+from bulrushdealui.commands import base
+from bulrushdealui.commands import chat
+from bulrushdealui.commands import config
+from bulrushdealui.commands import customer
+from bulrushdealui.commands import dump
+from bulrushdealui.commands import job
+from bulrushdealui.commands import key
+from bulrushdealui.commands import table
+from bulrushdealui.commands import upstream
+from bulrushdealui.commands import usage
+from bulrushdealui.commands import vm
+
+COMMANDS: tuple[type[base.Command], ...] = (
+    customer.ListCommand,
+    customer.CreateCommand,
+    customer.DeleteCommand,
+    key.CreateCommand,
+    key.ListCommand,
+    key.WithdrawCommand,
+    table.ShowCommand,
+    table.SetCommand,
+    table.ExportCommand,
+    table.ImportCommand,
+    upstream.ListCommand,
+    upstream.AddCommand,
+    upstream.RemoveCommand,
+    vm.ListCommand,
+    job.ListCommand,
+    job.ShowCommand,
+    job.CancelCommand,
+    job.SubmitCommand,
+    job.ResultsCommand,
+    config.StatusCommand,
+    usage.UsageCommand,
+    dump.DumpCommand,
+    chat.ChatCommand,
+)
+
+
+def build() -> application.Application:
+    """Returns the application with all its commands."""
+    app = application.Application("bulrushdeal", "0.1.0")
+    for kind in COMMANDS:
+        app.add(kind())
+    app.auto_exits(False)
+    app.catch_exceptions(False)
+    return app
+
+
+def main() -> None:
+    """Runs the command named in the arguments."""
+    sys.exit(run())
+
+
+def run() -> int:
+    """Runs the command and returns the exit code."""
+    try:
+        return build().run()
+    except exceptions.CleoError as error:
+        text = " ".join(str(error).split())
+        print(text, file=sys.stderr)
+        return base.MISTAKE_EXIT
