--- /dev/null
+++ b/tests/standins/test_fleet.py
@@ -0,0 +1,49 @@
+"""Tests of the process harness itself."""
+
+import pathlib
+import sys
+
+import pytest
+
+from standins import fleet as fleet_lib
+
+TALKER = """
+import signal, sys, time
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(3))
+print("listening 127.0.0.1:9")
+time.sleep(60)
+"""
+
+
+def test_starts_reads_the_address_pauses_and_stops(
+    tmp_path: pathlib.Path,
+) -> None:
+    with fleet_lib.Fleet(tmp_path) as fleet:
+        process = fleet.start("talker", [sys.executable, "-c", TALKER])
+        assert process.address() == "127.0.0.1:9"
+        process.pause()
+        process.terminate()
+        assert process.is_running()
+        process.resume()
+        assert process.wait() == 3
+
+
+def test_process_that_ended_is_reported_with_its_log(
+    tmp_path: pathlib.Path,
+) -> None:
+    with fleet_lib.Fleet(tmp_path) as fleet:
+        process = fleet.start("broken", [sys.executable, "-c", "print(1/0)"])
+        with pytest.raises(fleet_lib.FleetError, match="ZeroDivisionError"):
+            process.address()
+
+
+def test_paused_process_is_ended_with_the_rest(
+    tmp_path: pathlib.Path,
+) -> None:
+    fleet = fleet_lib.Fleet(tmp_path)
+    process = fleet.start("talker", [sys.executable, "-c", TALKER])
+    process.address()
+    process.pause()
+    fleet.stop()
+    assert not process.is_running()
+    assert fleet.processes == []
