--- a/packages/daemon/bulrushdeald/defaults.py
+++ b/packages/daemon/bulrushdeald/defaults.py
@@ -187,6 +187,21 @@
         low=60,
         high=31536000,
     ),
+        "usage_flush_s",
+        "number",
+        5.0,
+        "How often usage is handed over; a lost VM loses as much.",
+        low=0.1,
+        high=300,
+    ),
+    settings.Setting(
+        "usage_bucket_s",
+        "integer",
+        3600,
+        "How finely usage is kept by time; should divide an hour.",
+        low=60,
+        high=3600,
+    ),
 )
 
 
@@ -221,6 +236,8 @@
     batch_chunks: int
     batch_item_timeout_s: float
     batch_retention_s: float
+    usage_flush_s: float
+    usage_bucket_s: int
 
 
 def read(flags: Mapping[str, str], environment: Mapping[str, str]) -> Settings:
