--- a/packages/daemon/bulrushdeald/batchrecords.py
+++ b/packages/daemon/bulrushdeald/batchrecords.py
@@ -202,9 +202,14 @@
     return f"jobs/{job}"
 
 
+def chunk_prefix(job: str) -> str:
+    """Returns what the keys of a job's chunks begin with."""
+    return f"chunks/{job}/"
+
+
 def chunk_key(job: str, chunk: int) -> str:
     """Returns the key of a chunk's record; they sort by number."""
-    return f"chunks/{job}/{chunk:05d}"
+    return f"{chunk_prefix(job)}{chunk:05d}"
 
 
 def chunk_of(key: str) -> int:
--- a/packages/daemon/bulrushdeald/finishing.py
+++ b/packages/daemon/bulrushdeald/finishing.py
@@ -93,7 +93,7 @@
     def _read_chunks(
         self, job: str
     ) -> dict[int, batchrecords.ChunkRecord] | None:
-        entries = self._keyvalue.list(f"chunks/{job}/")
+        entries = self._keyvalue.list(batchrecords.chunk_prefix(job))
         if isinstance(entries, result.Err):
             return None
         try:
@@ -110,7 +110,7 @@
     def _clean_up(self, entry: batchrecords.QueueEntry) -> Outcome:
         # The queue entry goes last: while it is there another coordinator
         # finds the job and cleans up what a lost one left.
-        chunks = self._keyvalue.list(f"chunks/{entry.job}/")
+        chunks = self._keyvalue.list(batchrecords.chunk_prefix(entry.job))
         if isinstance(chunks, result.Err):
             return "later"
         for chunk in chunks.ok_value:
--- /dev/null
+++ b/packages/daemon/bulrushdeald/orders.py
@@ -0,0 +1,89 @@
+"""Reads requests for batch jobs and names the jobs."""
+
+from collections.abc import Mapping
+import hashlib
+import json
+import re
+import secrets
+from typing import Any, NamedTuple
+
+import result
+
+from bulrushdeald import batchrecords
+from bulrushdeald import refusals
+from bulrushdeald import services
+
+MAX_BODY_BYTES = 64 * 1024
+_MAX_METADATA = 16
+_WINDOW = re.compile(r"^([1-9][0-9]{0,3})([hm])$")
+_UNIT_S = {"h": 3600.0, "m": 60.0}
+
+
+class Order(NamedTuple):
+    """A checked request for a job."""
+
+    input_file: str
+    path: str
+    window: str
+    window_s: float
+    metadata: Mapping[str, str]
+
+
+def job_id(customer: str, key: str) -> str:
+    """Returns the ID of a new job: the same for the same key."""
+    tag = batchrecords.customer_tag(customer)
+    if not key:
+        return f"batch_{tag}{secrets.token_hex(12)}"
+    digest = hashlib.sha256(f"{customer}\0{key}".encode()).hexdigest()
+    return f"batch_{tag}{digest[:24]}"
+
+
+def digest(order: Order, file: batchrecords.FileRecord) -> str:
+    """Returns what tells a resent request from another one."""
+    # The file's content counts, not its ID: a client that lost both answers
+    # sends the file again, gets another ID and still means the same job.
+    asked = [file.digest, order.path, order.window, dict(order.metadata)]
+    text = json.dumps(asked, sort_keys=True)
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def read(body: bytes) -> result.Result[Order, services.Refusal]:
+    """Checks the body of a request for a job."""
+    if len(body) > MAX_BODY_BYTES:
+        return result.Err(
+            services.Refusal(413, "too_large", "The request is too large.")
+        )
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return result.Err(refusals.bad_input(f"The body is not JSON: {error}"))
+    if not isinstance(value, dict):
+        return result.Err(refusals.bad_input("The body is not an object."))
+    for field in ("input_file_id", "endpoint"):
+        if not isinstance(value.get(field), str) or not value[field]:
+            message = f"{field} is required."
+            return result.Err(refusals.bad_input(message, field))
+    window = _WINDOW.match(str(value.get("completion_window")))
+    if window is None:
+        message = "A time such as 24h or 90m is required."
+        return result.Err(refusals.bad_input(message, "completion_window"))
+    metadata = value.get("metadata") or {}
+    if not _is_metadata(metadata):
+        message = f"At most {_MAX_METADATA} pairs of strings are allowed."
+        return result.Err(refusals.bad_input(message, "metadata"))
+    window_s = int(window.group(1)) * _UNIT_S[window.group(2)]
+    return result.Ok(
+        Order(
+            value["input_file_id"],
+            value["endpoint"],
+            window.group(0),
+            window_s,
+            metadata,
+        )
+    )
+
+
+def _is_metadata(metadata: Any) -> bool:
+    if not isinstance(metadata, dict) or len(metadata) > _MAX_METADATA:
+        return False
+    return all(isinstance(value, str) for value in metadata.values())
