Repair lost copies, keep jobs in a table, check claims after a pause

Cause: a lost store left objects with one copy; a coordinator kept each queued job's chunks in memory and sorted all jobs at each report; a worker that was frozen went on with chunks that were another's. Change: stores file objects by the VM of the other copy and copy them when it is gone; jobs are loaded when they are their customer's next; a worker without a coordinator's word for its chunk reads the chunk's record.

--- a/packages/daemon/bulrushdeald/batchmessages.py
+++ b/packages/daemon/bulrushdeald/batchmessages.py
@@ -73,11 +73,15 @@
         offers: Chunks to claim.
         stop: Jobs that were cancelled.
         weight: The batch weights of customers with chunks left, added up.
+        known: Jobs of the report that it coordinates.
+        lost: Chunks of the report that another VM has claimed since.
     """
 
     offers: tuple[Offer, ...]
     stop: tuple[str, ...]
     weight: float
+    known: tuple[str, ...] = ()
+    lost: tuple[Holding, ...] = ()
 
 
 class JobNotice(NamedTuple):
--- a/packages/daemon/bulrushdeald/chunkrun.py
+++ b/packages/daemon/bulrushdeald/chunkrun.py
@@ -59,6 +59,8 @@
         self.holding = holding
         self.items = items
         self.tries = [0] * len(items)
+        # When a coordinator last spoke of the chunk as running here.
+        self.confirmed_s = 0.0
         self._lines: dict[int, results.Line] = {}
         self._usage: list[services.UsageEvent] = []
         self._pending = list(range(len(items)))[::-1]
--- a/packages/daemon/bulrushdeald/claims.py
+++ b/packages/daemon/bulrushdeald/claims.py
@@ -1,6 +1,6 @@
 """Claims chunks of batch jobs and loads their items."""
 
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 import result
 
@@ -17,6 +17,7 @@
 _log = logs.Log("claims")
 
 _MAX_INDEXES = 64
+Verdict = Literal["held", "lost", "cancelled", "unsure"]
 
 
 class Lost(NamedTuple):
@@ -100,6 +101,21 @@
             self._restore(run, record.partial)
         return result.Ok(run)
 
+    def verify(self, holding: batchmessages.Holding) -> Verdict:
+        """Reads whether a chunk is still this VM's to run."""
+        key = batchrecords.chunk_key(holding.job, holding.chunk)
+        entry = self._keyvalue.get(key)
+        if isinstance(entry, result.Err):
+            return "unsure"
+        if entry.ok_value is None:
+            return "lost"
+        if entry.ok_value.revision != holding.revision:
+            return "lost"
+        job = self._job(holding.job)
+        if job is None:
+            return "unsure"
+        return "held" if job.state == "in_progress" else "cancelled"
+
     def _job(self, job: str) -> batchrecords.JobRecord | None:
         entry = self._keyvalue.get(batchrecords.job_key(job))
         if isinstance(entry, result.Err) or entry.ok_value is None:
@@ -122,8 +138,7 @@
         if isinstance(data, result.Err):
             _log.warning("Input of %s/%d: no copy.", job.job, chunk)
             return None
-        parsed = [splitter.parse(line) for line in data.ok_value.splitlines()]
-        return tuple(item.unwrap() for item in parsed)
+        return splitter.items_of(data.ok_value)
 
     def _index(
         self, job: batchrecords.JobRecord
--- a/packages/daemon/bulrushdeald/completions.py
+++ b/packages/daemon/bulrushdeald/completions.py
@@ -48,6 +48,19 @@
         return result.Err(refusals.bad_input(f"The body is not JSON: {error}"))
     if not isinstance(value, dict):
         return result.Err(refusals.bad_input("The body is not an object."))
+    return check(path, value, body)
+
+
+def check(
+    path: str, value: dict[str, Any], body: bytes
+) -> result.Result[Call, services.Refusal]:
+    """Checks a call whose body was parsed before.
+
+    Args:
+        path: One of `PATHS`.
+        value: The body's value.
+        body: The body.
+    """
     model = value.get("model")
     if not isinstance(model, str) or not model:
         return result.Err(refusals.bad_input("A model is required.", "model"))
--- a/packages/daemon/bulrushdeald/items.py
+++ b/packages/daemon/bulrushdeald/items.py
@@ -1,5 +1,6 @@
 """Runs one batch item at an upstream and judges how it ended."""
 
+from collections.abc import Callable
 import json
 from typing import Any, NamedTuple
 
@@ -10,7 +11,6 @@
 from bulrushdeald import completions
 from bulrushdeald import results
 from bulrushdeald import services
-from bulrushdeald import splitter
 
 # A crash costs an upstream, so an item gets few tries.
 MAX_TRIES = 3
@@ -78,13 +78,8 @@
     def _attempt(
         self, run: chunkrun.ChunkRun, number: int
     ) -> chunkrun.Answer | Again:
-        item = run.items[number]
-        call = completions.read(item.path, item.body)
-        if isinstance(call, result.Err):
-            return self._fail(run, number, call.err_value)
-        work = completions.work(
-            call.ok_value, run.job.customer, "batch", _ACQUIRE_S
-        )
+        call = run.items[number].call
+        work = completions.work(call, run.job.customer, "batch", _ACQUIRE_S)
         slot = self._router.acquire(work)
         if isinstance(slot, result.Err):
             return self._refused(run, number, slot.err_value)
@@ -105,12 +100,11 @@
     def _send(
         self, run: chunkrun.ChunkRun, number: int, slot: services.Slot
     ) -> chunkrun.Answer | Again:
-        item = run.items[number]
         outcome: services.Outcome = "crashed"
         try:
-            reply = self._exchange(run, number, slot, item)
+            reply = self._exchange(run, number, slot)
             if isinstance(reply, result.Err):
-                outcome = _outcome(reply.err_value)
+                outcome = _outcome(run, reply.err_value)
                 return _again(reply.err_value)
             status = reply.ok_value.status
             outcome = "refused" if status in _RETRIED else "ok"
@@ -123,9 +117,10 @@
         run: chunkrun.ChunkRun,
         number: int,
         slot: services.Slot,
-        item: splitter.Item,
     ) -> result.Result[_Reply, services.UpstreamError]:
-        def on_open(cancel: Any) -> None:
+        call = run.items[number].call
+
+        def on_open(cancel: Callable[[], None]) -> None:
             # Online work that needs the slot, or the end of the job, closes
             # the stream; the engine stops the run then.
             slot.on_yield(cancel)
@@ -134,9 +129,9 @@
         answer = self._upstreams.send(
             slot.upstream,
             "POST",
-            item.path,
+            call.path,
             _HEADERS,
-            item.body,
+            call.body,
             self._timeout_s,
             on_open=on_open,
         )
@@ -216,7 +211,7 @@
             run.job.customer,
             "batch",
             upstream,
-            str(json.loads(run.items[number].body).get("model", "")),
+            run.items[number].call.model,
             outcome,
             _count(counts, "prompt_tokens"),
             _count(counts, "completion_tokens"),
@@ -243,9 +238,11 @@
     return Again(_RETRY_S, error.kind != "unreachable", refusal)
 
 
-def _outcome(error: services.UpstreamError) -> services.Outcome:
+def _outcome(
+    run: chunkrun.ChunkRun, error: services.UpstreamError
+) -> services.Outcome:
     if error.kind == "cancelled":
-        return "yielded"
+        return "cancelled" if run.is_stopped else "yielded"
     return "refused" if error.kind == "unreachable" else "crashed"
 
 
--- a/packages/daemon/bulrushdeald/jobview.py
+++ b/packages/daemon/bulrushdeald/jobview.py
@@ -1,7 +1,8 @@
 """What a coordinator knows of one job's chunks."""
 
-from collections.abc import Iterable
-from typing import Literal, NamedTuple
+import collections
+from collections.abc import Mapping
+from typing import Any, Literal, NamedTuple
 
 from bulrushdeald import batchmessages
 from bulrushdeald import batchrecords
@@ -30,12 +31,16 @@
     since_s: float = 0.0
 
 
+_FREE = ChunkView()
+
+
 class JobView:
     """One job; not safe for threads by itself."""
 
     def __init__(self, entry: batchrecords.QueueEntry) -> None:
         self.entry = entry
-        self.chunks = [ChunkView() for _ in range(entry.chunk_count)]
+        # Made when the job is read: most jobs only wait in the queue.
+        self.chunks: list[ChunkView] = []
         self.has_to_reload = True
         self.record: batchrecords.JobRecord | None = None
         self.revision = 0
@@ -44,32 +49,48 @@
     @property
     def is_cancelled(self) -> bool:
         """Whether no chunk of it may be offered."""
-        return self.entry.is_cancelled or (
-            self.record is not None and self.record.state != "in_progress"
-        )
+        if self.record is None:
+            return self.entry.is_cancelled
+        return self.record.state != "in_progress"
 
     def update(
         self,
-        job: batchrecords.JobRecord,
-        records: dict[int, "KnownRecord"],
+        record: batchrecords.JobRecord,
+        revision: int,
+        known: Mapping[int, "KnownRecord"],
         now_s: float,
     ) -> None:
-        """Takes in all records that the platform holds."""
-        if len(self.chunks) != job.chunk_count:
+        """Takes in the job's record and all chunk records there are."""
+        self.record = record
+        self.revision = revision
+        if len(self.chunks) != record.chunk_count:
             # Two clients sent different jobs under one key at once: the
-            # queue entry of one stands beside the job of the other.
+            # queue entry of one may stand beside the job of the other.
             self.entry = self.entry._replace(
-                items=job.items, chunk_count=job.chunk_count
+                items=record.items, chunk_count=record.chunk_count
             )
-            self.chunks = [ChunkView() for _ in range(job.chunk_count)]
+            self.chunks = [_FREE] * record.chunk_count
         for number, view in enumerate(self.chunks):
-            known = records.get(number)
-            if known is None:
-                is_new = view.state == "offered"
-                self.chunks[number] = view if is_new else ChunkView()
-                continue
-            self.chunks[number] = _view(known, view, now_s)
+            chunk = known.get(number)
+            # A VM may have reported something newer than what was read, and
+            # a chunk taken back from its holder stays free.
+            if chunk is not None and chunk.revision > view.revision:
+                self.chunks[number] = _view(chunk, now_s)
         self.has_to_reload = False
+        if self.is_cancelled and self.cancelled_since_s is None:
+            self.cancelled_since_s = now_s
+
+    def reload(self) -> None:
+        """Asks for the records to be read again."""
+        self.has_to_reload = True
+
+    def dump(self) -> Any:
+        """Returns the states for people."""
+        return {
+            "customer": self.entry.customer,
+            "cancelled": self.is_cancelled,
+            "chunks": collections.Counter(view.state for view in self.chunks),
+        }
 
     def offer(self, now_s: float) -> batchmessages.Offer | None:
         """Returns the first chunk that may be claimed."""
@@ -92,6 +113,8 @@
 
     def has_ended(self) -> bool:
         """Tells whether each chunk is thought to have ended."""
+        if self.record is not None and self.record.has_ended:
+            return True
         if self.is_cancelled:
             return all(view.state != "running" for view in self.chunks)
         return all(view.state == "ended" for view in self.chunks)
@@ -102,13 +125,17 @@
         vm: str,
         incarnation: str,
         now_s: float,
-    ) -> None:
-        """Notes that a VM says it runs a chunk."""
+    ) -> bool:
+        """Notes that a VM says it runs a chunk.
+
+        Returns:
+            Whether it may: another VM's claim has a newer revision.
+        """
         view = self._known(holding.chunk)
-        if view is None or view.state == "ended":
-            return
-        if holding.epoch < view.epoch:
-            return
+        if view is None or holding.revision < view.revision:
+            return False
+        if view.state == "ended":
+            return True
         self.chunks[holding.chunk] = ChunkView(
             "running",
             holding.epoch,
@@ -117,15 +144,18 @@
             incarnation,
             now_s,
         )
+        return True
 
     def end(self, ended: batchmessages.Ended) -> None:
         """Notes that a VM no longer runs a chunk."""
         view = self._known(ended.chunk)
         if view is None:
             return
-        if ended.state == "unsure" or ended.epoch < view.epoch:
-            self.has_to_reload = True
+        if ended.revision <= view.revision:
+            self.has_to_reload |= ended.state == "unsure"
             return
+        # A chunk is void for its holder only if the job was cancelled.
+        self.has_to_reload |= ended.state == "void"
         state: Literal["free", "ended"] = (
             "free" if ended.state == "open" else "ended"
         )
@@ -143,7 +173,7 @@
                 self.chunks[number] = view._replace(state="free")
                 self.has_to_reload = True
 
-    def running(self) -> Iterable[tuple[int, ChunkView]]:
+    def running(self) -> list[tuple[int, ChunkView]]:
         """Returns the chunks that are thought to run."""
         return [
             (number, view)
@@ -169,23 +199,18 @@
     revision: int
 
 
-def _view(known: KnownRecord, view: ChunkView, now_s: float) -> ChunkView:
+def _view(known: KnownRecord, now_s: float) -> ChunkView:
     record = known.record
     if record.state in ("done", "void"):
         return ChunkView("ended", record.epoch, known.revision)
     if record.state == "open":
-        is_offered = view.state == "offered" and view.revision == known.revision
-        if is_offered:
-            return view
         return ChunkView("free", record.epoch, known.revision)
-    # A holder last heard of keeps the time of it, a new one gets the time
-    # of now: it has yet to report.
-    is_same = view.state == "running" and view.revision == known.revision
+    # The holder has yet to report.
     return ChunkView(
         "running",
         record.epoch,
         known.revision,
         record.vm,
         record.incarnation,
-        view.since_s if is_same else now_s,
+        now_s,
     )
--- a/packages/daemon/bulrushdeald/sealing.py
+++ b/packages/daemon/bulrushdeald/sealing.py
@@ -99,10 +99,14 @@
         _log.info(
             "Chunk %s/%d went to another holder.", holding.job, holding.chunk
         )
-        self._count(sealing.run, "discarded")
+        self.discard(sealing.run)
         self._replicas.delete(stored.ref)
         return batchmessages.Ended(holding.job, holding.chunk, "unsure")
 
+    def discard(self, run: chunkrun.ChunkRun) -> None:
+        """Counts the answers of a chunk that another VM answers."""
+        self._count(run, "discarded")
+
     def _count(self, run: chunkrun.ChunkRun, outcome: str) -> None:
         for event in run.usage():
             self._usage.record(
--- a/packages/daemon/bulrushdeald/splitter.py
+++ b/packages/daemon/bulrushdeald/splitter.py
@@ -21,17 +21,15 @@
 
     Attributes:
         custom_id: The caller's name for it, unique within the file.
-        path: The path that it asks for.
-        body: The JSON body to send.
+        call: What it asks a model for.
     """
 
     custom_id: str
-    path: str
-    body: bytes
+    call: completions.Call
 
 
 class Chunk(NamedTuple):
-    """Consecutive lines, each ended by a line feed."""
+    """Consecutive lines as they came, and how many hold an item."""
 
     data: bytes
     items: int
@@ -69,20 +67,22 @@
             SplitError: A line is wrong, or there are too many or none.
         """
         lines: list[bytes] = []
-        size = 0
+        size = items = 0
         for line in self._lines(body):
+            is_item = self._check(line)
             is_full = (
-                len(lines) == batchrecords.MAX_CHUNK_ITEMS
-                or size + len(line) + 1 > batchrecords.MAX_CHUNK_BYTES
+                items + is_item > batchrecords.MAX_CHUNK_ITEMS
+                or size + len(line) > batchrecords.MAX_CHUNK_BYTES
             )
-            if lines and is_full:
-                yield _join(lines)
-                lines, size = [], 0
+            if items and is_full:
+                yield Chunk(b"".join(lines), items)
+                lines, size, items = [], 0, 0
             lines.append(line)
-            size += len(line) + 1
+            size += len(line)
+            items += is_item
         if not self.items:
             raise SplitError(refusals.bad_input("The file has no items."))
-        yield _join(lines)
+        yield Chunk(b"".join(lines), items)
 
     def _lines(self, body: Iterable[bytes]) -> Iterator[bytes]:
         rest = b""
@@ -91,28 +91,28 @@
             self._digest.update(data)
             *whole, rest = (rest + data).split(b"\n")
             for line in whole:
-                yield from self._checked(line)
+                yield line + b"\n"
             if len(rest) > _MAX_LINE_BYTES:
                 raise self._error("The line is too long.", self._line + 1)
-        yield from self._checked(rest)
+        if rest:
+            yield rest
 
-    def _checked(self, line: bytes) -> Iterator[bytes]:
+    def _check(self, line: bytes) -> bool:
         self._line += 1
-        line = line.strip()
-        if not line:
-            return
-        if len(line) >= _MAX_LINE_BYTES:
+        if not line.strip():
+            return False
+        if len(line) > _MAX_LINE_BYTES:
             raise self._error("The line is too long.", self._line)
         item = parse(line)
         if isinstance(item, result.Err):
             raise self._error(item.err_value.message, self._line)
         self._check_new(item.ok_value.custom_id)
-        self.paths.add(item.ok_value.path)
+        self.paths.add(item.ok_value.call.path)
         self.items += 1
         if self.items > batchrecords.MAX_JOB_ITEMS:
             limit = batchrecords.MAX_JOB_ITEMS
             raise self._error(f"More than {limit} items.", self._line)
-        yield line
+        return True
 
     def _check_new(self, custom_id: str) -> None:
         name = hashlib.blake2b(
@@ -127,6 +127,12 @@
         return SplitError(refusal)
 
 
+def items_of(data: bytes) -> tuple[Item, ...]:
+    """Returns the items of a chunk that was checked before."""
+    lines = data.split(b"\n")
+    return tuple(parse(line).unwrap() for line in lines if line.strip())
+
+
 def parse(line: bytes) -> result.Result[Item, services.Refusal]:
     """Returns the item that a line holds."""
     try:
@@ -138,13 +144,18 @@
     problem = _problem(value)
     if problem:
         return result.Err(refusals.bad_input(problem))
-    body = json.dumps(value["body"], separators=(",", ":")).encode()
-    call = completions.read(value["url"], body)
+    try:
+        body = json.dumps(
+            value["body"], separators=(",", ":"), allow_nan=False
+        ).encode()
+    except ValueError:
+        return result.Err(refusals.bad_input("a number is not finite"))
+    call = completions.check(value["url"], value["body"], body)
     if isinstance(call, result.Err):
         return call
     if call.ok_value.is_stream:
         return result.Err(refusals.bad_input("A batch item cannot stream."))
-    return result.Ok(Item(value["custom_id"], value["url"], body))
+    return result.Ok(Item(value["custom_id"], call.ok_value))
 
 
 def _problem(value: dict[str, Any]) -> str:
@@ -160,7 +171,3 @@
     if not isinstance(value.get("body"), dict):
         return "body must be an object"
     return ""
-
-
-def _join(lines: list[bytes]) -> Chunk:
-    return Chunk(b"\n".join(lines) + b"\n", len(lines))
--- a/packages/daemon/bulrushdeald/store.py
+++ b/packages/daemon/bulrushdeald/store.py
@@ -48,6 +48,13 @@
     written_wall_s: float
 
 
+class Stored(NamedTuple):
+    """An object's content and when it was first written."""
+
+    data: bytes
+    written_wall_s: float
+
+
 class DiskStore:
     """Keeps immutable objects under the data folder."""
 
@@ -95,6 +102,46 @@
             "puts": self._puts,
         }
 
+    def partners(self) -> list[str]:
+        """Returns the VMs that hold other copies; empty stands for none."""
+        names = [path.name for path in self._partners()]
+        return ["" if name == _ALONE else name for name in names]
+
+    def names_with(self, partner: str) -> Iterator[str]:
+        """Yields the objects whose other copy is on a VM."""
+        folder = self._objects / (partner or _ALONE)
+        if folder.is_dir():
+            yield from _files(folder)
+
+    def read(self, name: str) -> Stored | None:
+        """Returns an object, unless it is missing or damaged."""
+        found = self._find(name)
+        if found is None:
+            return None
+        content = found.path.read_bytes()
+        data, digest = content[:-_DIGEST_BYTES], content[-_DIGEST_BYTES:]
+        if hashlib.sha256(data).digest() != digest:
+            _log.error("Object %s is damaged.", name)
+            return None
+        return Stored(data, found.written_wall_s)
+
+    def retag(self, name: str, partner: str) -> None:
+        """Notes that the other copy of an object is on another VM now."""
+        found = self._find(name)
+        if found is not None:
+            self._move(found, name, partner)
+
+    def expire(self, before_wall_s: float) -> int:
+        """Deletes objects written before a time; returns how many."""
+        count = 0
+        for partner in self._partners():
+            for path in _paths(partner):
+                with contextlib.suppress(FileNotFoundError):
+                    if path.stat().st_mtime < before_wall_s:
+                        path.unlink()
+                        count += 1
+        return count
+
     def _on_put(self, vm: str, put: objects.StorePut) -> objects.StoreReply:
         del vm
         if not objects.is_name(put.name) or not put.upload.isalnum():
@@ -212,10 +259,7 @@
         self, vm: str, retag: objects.StoreRetag
     ) -> objects.StoreReply:
         del vm
-        found = self._find(retag.name)
-        if found is None:
-            return objects.StoreReply("missing")
-        self._move(found, retag.name, retag.partner)
+        self.retag(retag.name, retag.partner)
         return objects.StoreReply("ok")
 
     def _on_delete(
@@ -271,9 +315,15 @@
 
 
 def _files(partner: pathlib.Path) -> Iterator[str]:
+    for path in _paths(partner):
+        yield path.name.replace("+", "/")
+
+
+def _paths(partner: pathlib.Path) -> Iterator[pathlib.Path]:
     for shard in os.scandir(partner):
-        for entry in os.scandir(shard.path):
-            yield entry.name.replace("+", "/")
+        # Read whole: files move while they are gone through.
+        for name in os.listdir(shard.path):
+            yield pathlib.Path(shard.path, name)
 
 
 def _read_checksum(found: _Found) -> str:
--- a/packages/daemon/bulrushdeald/worker.py
+++ b/packages/daemon/bulrushdeald/worker.py
@@ -11,6 +11,7 @@
 from bulrushdeald import batchmessages
 from bulrushdeald import chunkrun
 from bulrushdeald import claims
+from bulrushdeald import coordinator
 from bulrushdeald import coordinators
 from bulrushdeald import defaults
 from bulrushdeald import items
@@ -23,10 +24,9 @@
 
 NAME = "worker"
 _CALL_TIMEOUT_S = 2.0
-# VMs report in turn: the whole fleet sends about so many a second.
-_REPORTS_PER_S = 50.0
 _MIN_PERIOD_S = 1.0
 _RETRY_S = 1.0
+_UNCONFIRMED_S = 8.0
 _IDLE_S = 0.5
 # Chunks whose results wait for the platform; more work is not claimed then.
 _MAX_SEALING = 8
@@ -161,55 +161,105 @@
     def _claim_loop(self) -> None:
         while not self._is_stopping:
             try:
-                claimed = self.ask()
+                self.ask()
             except Exception:  # noqa: BLE001 - the loop has to live on.
                 _log.exception("Asking for work failed.")
-                claimed = 0
-            if claimed and self._wanted():
-                continue
             with self._wake:
                 self._wake.wait(self._period_s())
 
     def _period_s(self) -> float:
         vms = len(self._membership.entry_vms())
-        return max(_MIN_PERIOD_S, vms / _REPORTS_PER_S)
+        return max(_MIN_PERIOD_S, vms / coordinator.REPORTS_PER_S)
 
     def _wanted(self) -> int:
+        own = self._membership.own().vm
         with self._wake:
-            if self._is_stopping:
+            if self._is_stopping or self._membership.is_leaving(own):
                 return 0
             waiting = sum(run.waiting() for run in self._runs)
-            sealing_count = len(self._sealing) + len(self._in_step)
+            results = len(self._sealing) + len(self._in_step)
             room = self._settings.batch_chunks - len(self._runs)
         has_enough = waiting >= self._settings.batch_threads
-        if has_enough or sealing_count >= _MAX_SEALING:
+        if has_enough or results >= _MAX_SEALING or room <= 0:
             return 0
-        return min(max(room, 0), 1)
+        return 1
 
     def ask(self) -> int:
-        """Reports to the coordinators; returns how many chunks it claimed."""
+        """Reports to all coordinators; returns how many chunks it claimed.
+
+        Work is asked of one coordinator after the other, in proportion to
+        the weights of the customers that wait there; each divides its own
+        in the same way, so the shares hold over all coordinators together.
+        """
         with self._wake:
-            holding = tuple(self._held())
             ended, self._ended = tuple(self._ended), []
-        claimed = 0
         names = self._coordinators.all()
+        self._check_unconfirmed()
+        claimed = 0
         for vm in self._shares.order(names):
-            wanted = self._wanted()
-            report = batchmessages.WorkReport(
-                self._membership.incarnation(), holding, ended, wanted
-            )
-            answer = self._peers.call(vm, report, _CALL_TIMEOUT_S)
-            if isinstance(answer, result.Err):
-                self._coordinators.suspect(vm)
-                continue
-            offers = answer.ok_value
-            self._shares.set_weight(vm, offers.weight)
-            for job in offers.stop:
-                self._stop_job(job)
-            for offer in offers.offers:
-                claimed += self._claim(offer, vm)
+            claimed += self._ask_one(vm, ended, 0 if claimed else 1)
+        while claimed and self._wanted():
+            more = 0
+            for vm in self._shares.order(names):
+                more = self._ask_one(vm, (), 1)
+                if more:
+                    break
+            if not more:
+                break
+            claimed += more
         return claimed
 
+    def _ask_one(
+        self, vm: str, ended: tuple[batchmessages.Ended, ...], wanted: int
+    ) -> int:
+        with self._wake:
+            holding = tuple(self._held())
+        report = batchmessages.WorkReport(
+            self._membership.incarnation(),
+            holding,
+            ended,
+            min(wanted, self._wanted()),
+        )
+        answer = self._peers.call(vm, report, _CALL_TIMEOUT_S)
+        if isinstance(answer, result.Err):
+            self._coordinators.suspect(vm)
+            return 0
+        offers: batchmessages.WorkOffers = answer.ok_value
+        self._shares.set_weight(vm, offers.weight)
+        for job in offers.stop:
+            self._stop_job(job)
+        for lost in offers.lost:
+            self._drop(lost)
+        now_s = self._clock.monotonic_s()
+        with self._wake:
+            for run in self._runs:
+                if run.holding.job in offers.known:
+                    run.confirmed_s = now_s
+        return sum(self._claim(offer, vm) for offer in offers.offers)
+
+    def _check_unconfirmed(self) -> None:
+        # No coordinator spoke of the chunk for long: this VM was frozen or
+        # cut off, and the chunk may be another's or its job cancelled.
+        limit_s = self._clock.monotonic_s() - _UNCONFIRMED_S - self._period_s()
+        with self._wake:
+            runs = [run for run in self._runs if run.confirmed_s < limit_s]
+        for run in runs:
+            verdict = self._claims.verify(run.holding)
+            if verdict == "lost":
+                self._drop(run.holding)
+            elif verdict == "cancelled":
+                self._stop_job(run.holding.job)
+            if verdict != "unsure":
+                run.confirmed_s = self._clock.monotonic_s()
+
+    def _drop(self, holding: batchmessages.Holding) -> None:
+        with self._wake:
+            runs = [run for run in self._runs if run.holding == holding]
+        for run in runs:
+            self._leave(run)
+            run.stop(cancel_running=True)
+            self._sealer.discard(run)
+
     def _claim(self, offer: batchmessages.Offer, vm: str) -> int:
         run = self._claims.claim(offer)
         if isinstance(run, result.Err):
@@ -217,6 +267,7 @@
                 self._ended.append(run.err_value.ended)
             return 0
         self._shares.charge(vm, len(run.ok_value.items))
+        run.ok_value.confirmed_s = self._clock.monotonic_s()
         with self._wake:
             self._runs.append(run.ok_value)
             self._wake.notify_all()
--- a/tests/daemon/test_batch.py
+++ b/tests/daemon/test_batch.py
@@ -29,9 +29,7 @@
         "completed": 1200,
         "failed": 0,
     }
-    content = fleet.vms["vm0"].request(
-        "c", "GET", f"/v1/files/{shown['output_file_id']}/content"
-    )
+    content = fleet.vms["vm0"].content("c", shown["output_file_id"])
     found = batchfakes.read_lines(content)
     assert list(found) == list(prompts)
     for custom_id, prompt in prompts.items():
--- /dev/null
+++ b/tests/daemon/test_batchmachine.py
@@ -0,0 +1,268 @@
+"""Batch work under faults, against a dictionary of items.
+
+The machine resends and cancels jobs, loses, freezes and replaces VMs and
+their disks, takes the platform's service away and loses its answers. When
+all is well again each accepted job has to end, and each of its items to
+have exactly one answer, its own.
+"""
+
+import contextlib
+import pathlib
+import tempfile
+from typing import Any, NamedTuple
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from bulrushdeald import batchrecords
+from support import batchfakes
+
+KEYS = ("k1", "k2")
+VARIANTS = ("a", "b")
+ITEMS = 7
+VMS = st.integers(0, 3)
+DOMAINS = ("d0", "d1", "d2", "d0")
+
+
+def prompts(key: str, variant: str) -> dict[str, str]:
+    words = {f"i{n}": f"{key} {variant} {n}" for n in range(ITEMS)}
+    words["i3"] += " poison"
+    return words
+
+
+class Final(NamedTuple):
+    status: str
+    content: bytes
+    sent: int
+
+
+class Known:
+    """What a client knows of the job it sent under a key."""
+
+    def __init__(self) -> None:
+        self.tried: set[str] = set()
+        self.variant = ""
+        self.job = ""
+        self.was_cancelled = False
+        self.final: Final | None = None
+
+
+class BatchMachine(stateful.RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.stack = contextlib.ExitStack()
+        self.folder = pathlib.Path(
+            self.stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        patch = self.stack.enter_context(pytest.MonkeyPatch.context())
+        patch.setattr(batchrecords, "MAX_CHUNK_ITEMS", 3)
+        self.fleet = batchfakes.Fleet()
+        self.fleet.upstreams.fault = self.crash
+        self.names = [f"vm{n}" for n in range(4)]
+        for number in range(4):
+            self.add(number)
+        self.known = {key: Known() for key in KEYS}
+        self.needs_repair = False
+
+    def crash(self, prompt: str) -> Any:
+        return batchfakes.crashed() if "poison" in prompt else None
+
+    def add(self, number: int) -> None:
+        name = self.names[number]
+        folder = str(self.folder / name) if number < 3 else ""
+        self.fleet.add(name, DOMAINS[number], folder)
+
+    def awake(self, number: int) -> batchfakes.FakeVm | None:
+        name = self.names[number]
+        if name in self.fleet.network.silent:
+            return None
+        return self.fleet.vms[name]
+
+    # What clients do.
+
+    @stateful.rule(
+        number=VMS, key=st.sampled_from(KEYS), variant=st.sampled_from(VARIANTS)
+    )
+    def submit(self, number: int, key: str, variant: str) -> None:
+        vm = self.awake(number)
+        if vm is None:
+            return
+        uploaded = vm.upload("c", prompts(key, variant))
+        if uploaded.status != 200:
+            assert uploaded.status == 503
+            return
+        known = self.known[key]
+        reply = vm.submit("c", uploaded.json["id"], key)
+        if reply.status == 200:
+            assert known.variant in ("", variant)
+            assert known.job in ("", reply.json["id"])
+            known.variant, known.job = variant, reply.json["id"]
+        elif reply.status == 422:
+            assert known.tried - {variant}
+            assert known.variant != variant
+        else:
+            assert reply.status == 503
+            assert "Retry-After" in reply.headers
+        is_certain = reply.status != 200 and (
+            reply.json["error"]["ran"] == "not_run"
+        )
+        if not is_certain:
+            known.tried.add(variant)
+        elif not known.tried:
+            jobs = [k for k in self.fleet.keyvalue.entries if "jobs/" in k]
+            assert len(jobs) == sum(1 for k in self.known.values() if k.tried)
+
+    @stateful.rule(number=VMS, key=st.sampled_from(KEYS))
+    def cancel(self, number: int, key: str) -> None:
+        vm, known = self.awake(number), self.known[key]
+        if vm is None or not known.job:
+            return
+        reply = vm.cancel("c", known.job)
+        if reply.status == 200:
+            assert reply.json["status"] in (
+                "cancelling",
+                "cancelled",
+                "completed",
+            )
+            known.was_cancelled |= reply.json["status"] != "completed"
+
+    @stateful.rule(number=VMS, key=st.sampled_from(KEYS))
+    def look(self, number: int, key: str) -> None:
+        vm, known = self.awake(number), self.known[key]
+        if vm is None or not known.job:
+            return
+        shown = vm.show("c", known.job)
+        if shown.status != 200:
+            return
+        status = shown.json["status"]
+        if status not in ("completed", "cancelled"):
+            assert known.final is None
+            return
+        if self.needs_repair or self.fleet.network.silent:
+            return
+        output = vm.content("c", shown.json["output_file_id"])
+        errors = vm.content("c", shown.json["error_file_id"])
+        mark = f"{key} {known.variant} "
+        sent = sum(p.startswith(mark) for p in self.fleet.upstreams.prompts)
+        final = Final(status, output + errors, sent)
+        if known.final is not None:
+            # An ended job reads the same for ever and never runs again.
+            assert final == known.final
+        known.final = final
+
+    # What VMs do.
+
+    @stateful.rule(number=VMS, items=st.integers(0, 4))
+    def work(self, number: int, items: int) -> None:
+        vm = self.awake(number)
+        if vm is None:
+            return
+        vm.worker.ask()
+        vm.run_items(items)
+
+    @stateful.rule(number=VMS)
+    def seal(self, number: int) -> None:
+        vm = self.awake(number)
+        if vm is not None:
+            vm.worker.seal_one()
+
+    @stateful.rule(number=VMS)
+    def coordinate(self, number: int) -> None:
+        vm = self.awake(number)
+        if vm is not None:
+            vm.coordinator.tick()
+
+    @stateful.rule(duration_s=st.sampled_from((1.0, 5.0, 20.0)))
+    def wait(self, duration_s: float) -> None:
+        self.fleet.clock.now_s += duration_s
+
+    @stateful.rule(rounds=st.integers(1, 3))
+    def go_on(self, rounds: int) -> None:
+        self.fleet.run(rounds)
+
+    # What fails.
+
+    @stateful.rule(number=VMS)
+    def freeze(self, number: int) -> None:
+        self.fleet.network.silent.add(self.names[number])
+
+    @stateful.rule(number=VMS)
+    def thaw(self, number: int) -> None:
+        self.fleet.network.silent.discard(self.names[number])
+
+    @stateful.rule(number=VMS)
+    def lose(self, number: int) -> None:
+        """The VM and its disk are gone; another takes its place."""
+        name = self.names[number]
+        others = self.fleet.network.silent - {name}
+        if self.needs_repair or others:
+            return
+        self.fleet.lose(name)
+        self.fleet.network.silent.discard(name)
+        self.names[number] = name + "x"
+        self.add(number)
+        self.needs_repair = number < 3
+
+    @stateful.rule(number=VMS)
+    def leave(self, number: int) -> None:
+        """The process stops gracefully and starts again with its disk."""
+        vm = self.awake(number)
+        if vm is None or self.fleet.keyvalue.has_outage:
+            return
+        vm.worker.stop(1.0)
+        self.add(number)
+
+    @stateful.precondition(lambda self: not self.fleet.network.silent)
+    @stateful.rule()
+    def repair(self) -> None:
+        self.fleet.repair()
+        self.needs_repair = False
+
+    @stateful.rule(has_outage=st.booleans())
+    def outage(self, has_outage: bool) -> None:
+        self.fleet.keyvalue.has_outage = has_outage
+
+    @stateful.rule(count=st.integers(1, 2))
+    def lose_answers(self, count: int) -> None:
+        self.fleet.keyvalue.lose_answers = count
+
+    # In the end.
+
+    def teardown(self) -> None:
+        with self.stack:
+            self.fleet.keyvalue.has_outage = False
+            self.fleet.keyvalue.lose_answers = 0
+            self.fleet.network.silent.clear()
+            self.fleet.repair()
+            self.needs_repair = False
+            self.fleet.run(60)
+            for key in KEYS:
+                if self.known[key].job:
+                    self.look(0, key)
+                    self.check(key)
+
+    def check(self, key: str) -> None:
+        known = self.known[key]
+        assert known.final is not None, "an accepted job never ended"
+        expected = prompts(key, known.variant)
+        found = batchfakes.read_lines(known.final.content)
+        for custom_id, line in found.items():
+            prompt = expected[custom_id]
+            if "poison" in prompt:
+                assert line["error"]["code"] == "upstream_failed"
+                continue
+            assert line["response"]["body"] == batchfakes.answer(prompt)
+        if known.was_cancelled:
+            assert known.final.status == "cancelled"
+            assert set(found) <= set(expected)
+            return
+        assert known.final.status == "completed"
+        assert set(found) == set(expected)
+
+
+TestBatchMachine = BatchMachine.TestCase
+TestBatchMachine.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=40
+)
--- a/tests/support/batchfakes.py
+++ b/tests/support/batchfakes.py
@@ -16,6 +16,7 @@
 from bulrushdeald import defaults
 from bulrushdeald import files
 from bulrushdeald import jobs
+from bulrushdeald import repair
 from bulrushdeald import replicas
 from bulrushdeald import services
 from bulrushdeald import store
@@ -350,11 +351,16 @@
         register(services.UPSTREAMS, fleet.upstreams)
         values = settings(name, domain, folder)
         if folder:
-            self.store = store.DiskStore(kernel, values, fleet.clock)
-            self.store.start()
+            disk = store.DiskStore(kernel, values, fleet.clock)
+            disk.start()
+            register(services.STORE, disk)
         self.replicas = replicas.Replicas(kernel, values, fleet.clock)
         register(replicas.NAME, self.replicas)
         self.replicas.start()
+        self.repair = None
+        if folder:
+            self.repair = repair.Repair(kernel, values, fleet.clock)
+            self.repair.connect()
         self.files = files.Files(kernel, values, fleet.clock)
         self.files.start()
         self.worker = worker.Worker(kernel, values, fleet.clock)
@@ -413,6 +419,25 @@
             count += 1
         return count
 
+    def seal(self) -> None:
+        while self.worker.has_results() and self.worker.seal_one():
+            pass
+
+    def show(self, customer: str, job: str) -> Reply:
+        return self.request(customer, "GET", f"/v1/batches/{job}")
+
+    def content(self, customer: str, file: str | None) -> bytes:
+        """A file's content; nothing if there is no such file."""
+        if file is None:
+            return b""
+        path = f"/v1/files/{file}/content"
+        reply = self.request(customer, "GET", path)
+        assert reply.status == 200, reply.body
+        return reply.body
+
+    def cancel(self, customer: str, job: str) -> Reply:
+        return self.request(customer, "POST", f"/v1/batches/{job}/cancel")
+
 
 class Fleet:
     """Some VMs over one fake platform and one fake engine."""
@@ -440,20 +465,28 @@
         del self.network.vms[name]
         del self.network.handlers[name]
 
+    def awake(self) -> list[FakeVm]:
+        silent = self.network.silent
+        return [vm for name, vm in self.vms.items() if name not in silent]
+
     def round(self) -> None:
         """Lets each VM do what is due, then a second passes."""
-        for name, vm in list(self.vms.items()):
-            if name not in self.network.silent:
-                vm.coordinator.tick()
-        for name, vm in list(self.vms.items()):
-            if name in self.network.silent:
-                continue
+        for vm in self.awake():
+            vm.coordinator.tick()
+        for vm in self.awake():
             vm.worker.ask()
             vm.run_items()
-            while vm.worker.has_results() and vm.worker.seal_one():
-                pass
+            vm.seal()
         self.clock.now_s += 1.0
 
+    def repair(self) -> None:
+        """Lets the stores notice who is gone, and copy."""
+        for _ in range(2):
+            for vm in self.awake():
+                if vm.repair is not None:
+                    vm.repair.tick()
+            self.clock.now_s += 31.0
+
     def run(self, rounds: int = 30) -> None:
         for _ in range(rounds):
             self.round()
@@ -489,10 +522,10 @@
     return body, "multipart/form-data; boundary=XX"
 
 
-def read_lines(reply: Reply) -> dict[str, Any]:
-    """A result file's lines by custom ID; each may stand there once."""
+def read_lines(body: bytes) -> dict[str, Any]:
+    """Result files' lines by custom ID; each may stand there once."""
     found: dict[str, Any] = {}
-    for text in reply.body.splitlines():
+    for text in body.splitlines():
         line = json.loads(text)
         assert line["custom_id"] not in found
         found[line["custom_id"]] = line
