--- a/packages/daemon/bulrushdeald/coordinator.py
+++ b/packages/daemon/bulrushdeald/coordinator.py
@@ -68,10 +68,9 @@
         self.coordinators = coordinators.Coordinators(
             self._membership, self._clock
         )
+        self._replicas = find(replicas.NAME, replicas.Replicas)
         self._finisher = finishing.Finisher(
-            self._keyvalue,
-            find(replicas.NAME, replicas.Replicas),
-            self._clock,
+            self._keyvalue, self._replicas, self._clock
         )
         self._table = jobtable.JobTable(self._weight)
         self._peers.understand(*batchmessages.ANSWERS)
@@ -108,6 +107,9 @@
         now_s = self._clock.monotonic_s()
         if now_s - self._swept_s >= _SWEEP_S:
             self._swept_s = now_s
+            # Which failure domains there are has to be known before the
+            # first of them is lost.
+            self._replicas.stores()
             self._ping_others()
             self._buckets = self.coordinators.own_buckets()
             self._sweep()
