--- a/packages/core/bulrushdeal/kernel.py
+++ b/packages/core/bulrushdeal/kernel.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import threading
+import time
 from typing import Any, cast, Protocol, TypeVar
 
 from bulrushdeal import logs
@@ -79,13 +80,19 @@
         _log.info("Started %s.", ", ".join(self._started))
 
     def stop(self, grace_s: float) -> None:
-        """Stops each started service in reverse order."""
+        """Stops each started service in reverse order.
+
+        Args:
+            grace_s: For all services together; each gets what is left.
+        """
+        end_s = time.monotonic() + grace_s
         with self._lock:
             while self._started:
                 name = self._started.pop()
                 _log.info("Stopping %s.", name)
                 try:
-                    self._services[name].stop(grace_s)
+                    left_s = max(0.0, end_s - time.monotonic())
+                    self._services[name].stop(left_s)
                 except Exception:  # noqa: BLE001 - the others must stop too.
                     _log.exception("Service %s failed to stop.", name)
 
--- a/packages/daemon/bulrushdeald/assembly.py
+++ b/packages/daemon/bulrushdeald/assembly.py
@@ -1,15 +1,54 @@
 """Puts the services of a daemon together."""
 
 from bulrushdeal import kernel as kernel_lib
+from bulrushdeald import callers
+from bulrushdeald import config
+from bulrushdeald import coordinator
 from bulrushdeald import defaults
+from bulrushdeald import files
+from bulrushdeald import jobs
+from bulrushdeald import keyvalue
+from bulrushdeald import limits
+from bulrushdeald import membership
+from bulrushdeald import operators
+from bulrushdeald import peers
+from bulrushdeald import replicas
+from bulrushdeald import router
+from bulrushdeald import services
+from bulrushdeald import store
+from bulrushdeald import upstreams
+from bulrushdeald import usage
+from bulrushdeald import worker
+
+_CALLERS_LISTENER = "callers_listener"
 
 
 def assemble(settings: defaults.Settings) -> kernel_lib.Kernel:
     """Returns a kernel with the services that the settings ask for.
 
-    Services stand in the order of their dependencies: each is handed the
-    kernel and finds the others by name when it starts.
+    They stand in the order of their dependencies. The callers' server is
+    found by those that add routes to it, so it comes before them, and its
+    listener comes last: it opens when all have started and drains before
+    any other stops.
     """
     kernel = kernel_lib.Kernel()
-    del settings
+    add = kernel.register
+    add(services.KEYVALUE, keyvalue.HttpKeyValue(kernel, settings))
+    add(services.MEMBERSHIP, membership.PlatformMembership(kernel, settings))
+    add(services.PEERS, peers.WebsocketPeers(kernel, settings))
+    add(services.CONFIG, config.ConfigService(kernel, settings))
+    add(services.USAGE, usage.UsageService(kernel, settings))
+    add(services.LIMITS, limits.EscrowLimits(kernel, settings))
+    add(services.ROUTER, router.UpstreamRouter(kernel, settings))
+    add(services.UPSTREAMS, upstreams.HttpUpstreams(kernel, settings))
+    add(services.CALLERS, callers.CallersServer(kernel, settings))
+    if settings.data_folder:
+        add(services.STORE, store.DiskStore(kernel, settings))
+    add(replicas.NAME, replicas.Replicas(kernel, settings))
+    add(files.NAME, files.Files(kernel, settings))
+    add(services.JOBS, jobs.Jobs(kernel, settings))
+    add(coordinator.NAME, coordinator.Coordinator(kernel, settings))
+    add(worker.NAME, worker.Worker(kernel, settings))
+    add(services.OPERATORS, operators.OperatorsServer(kernel, settings))
+    add(_CALLERS_LISTENER, callers.Listener(kernel, settings))
     return kernel
--- a/packages/daemon/bulrushdeald/defaults.py
+++ b/packages/daemon/bulrushdeald/defaults.py
@@ -187,6 +187,7 @@
         low=60,
         high=31536000,
     ),
+    settings.Setting(
         "usage_flush_s",
         "number",
         5.0,
