--- a/packages/daemon/bulrushdeald/configroutes.py
+++ b/packages/daemon/bulrushdeald/configroutes.py
@@ -1,6 +1,7 @@
 """The operators' routes to customers, keys, upstreams and the table."""
 
 from collections.abc import Mapping
+import secrets
 from typing import Any
 
 import result
@@ -14,6 +15,7 @@
 from bulrushdeald import edits
 from bulrushdeald import pages
 from bulrushdeald import replies
+from bulrushdeald import rewrites
 from bulrushdeald import services
 from bulrushdeald import table
 
@@ -23,6 +25,7 @@
 _UPSTREAMS = "/v1/upstreams"
 _MIN_PREFIX_CHARACTERS = 8
 _MAX_LABEL_CHARACTERS = 200
+_KEY_BYTES = 32
 
 
 class ConfigRoutes:
@@ -62,8 +65,10 @@
         if checked.is_err():
             return replies.table_errors((checked.unwrap_err(),))
         row = checked.unwrap()
-        edited = self._editor.put_customer(
-            row, replies.revision(expected, "expected_revision")
+        revision = replies.revision(expected, "expected_revision")
+        edited = self._editor.edit(
+            pages.customer_key(row.customer),
+            rewrites.put_customer(row, revision),
         )
         return _answer(edited, row._asdict())
 
@@ -94,7 +99,9 @@
             expected_value,
             expected_revision,
         )
-        edited = self._editor.set_cell(change)
+        edited = self._editor.edit(
+            pages.customer_key(change.customer), rewrites.set_cell(change)
+        )
         return _answer(
             edited, {"customer": change.customer, column: change.value}
         )
@@ -102,7 +109,10 @@
     def delete_customer(self, request: httpd.Request) -> httpd.Response:
         """Removes a row and withdraws its keys."""
         name = _name(request, _CUSTOMERS)
-        return _answer(self._editor.delete_customer(name), {"customer": name})
+        edited = self._editor.edit(
+            pages.customer_key(name), rewrites.delete_customer(name)
+        )
+        return _answer(edited, {"customer": name})
 
     def post_customer(self, request: httpd.Request) -> httpd.Response:
         """Makes a key, which is shown only in this answer."""
@@ -113,12 +123,14 @@
         is_text = isinstance(label, str) and label.isprintable()
         if not is_text or len(label) > _MAX_LABEL_CHARACTERS:
             raise replies.BadRequestError("A label is a short text.", "label")
-        made = self._editor.add_key(name.removesuffix("/keys"), label)
-        if made.is_err():
-            return replies.edit_error(made.unwrap_err())
-        key = made.unwrap()
-        body = {"key": key.secret, **key.row._asdict()}
-        return httpd.json_response(200, body)
+        secret = "bd-" + secrets.token_urlsafe(_KEY_BYTES)
+        row = records.Key(
+            config_lib.hash_key(secret), name.removesuffix("/keys"), label
+        )
+        edited = self._editor.edit(
+            pages.customer_key(row.customer), rewrites.add_key(row)
+        )
+        return _answer(edited, {"key": secret, **row._asdict()})
 
     def list_keys(self, request: httpd.Request) -> httpd.Response:
         """Answers all keys, or one customer's, without their secrets."""
@@ -139,7 +151,7 @@
             )
         # Another VM may have made the key a moment ago.
         found = self._find_keys(prefix)
-        if not found and self._config.read_all():
+        if not found and self._config.feed.read_all():
             found = self._find_keys(prefix)
         if not found:
             return replies.error(404, "missing", "There is no such key.")
@@ -147,7 +159,11 @@
             message = f"{len(found)} keys begin so; give more characters."
             return replies.error(409, "ambiguous", message)
         row = found[0]._replace(withdrawn=True)
-        return _answer(self._editor.withdraw_key(row), row._asdict())
+        edited = self._editor.edit(
+            pages.customer_key(row.customer),
+            rewrites.withdraw_key(row.key_hash),
+        )
+        return _answer(edited, row._asdict())
 
     def _find_keys(self, prefix: str) -> list[records.Key]:
         return [
@@ -219,7 +235,9 @@
             by_page.setdefault(pages.customer_key(row.customer), []).append(row)
         problems: list[dict[str, Any]] = []
         for key, page_rows in sorted(by_page.items()):
-            edited = self._editor.put_rows(key, tuple(page_rows), expected)
+            edited = self._editor.edit(
+                key, rewrites.put_rows(tuple(page_rows), expected)
+            )
             if edited.is_err():
                 error = edited.unwrap_err()
                 problems.append(
@@ -242,12 +260,18 @@
         """Adds an upstream or replaces it whole."""
         name = _name(request, _UPSTREAMS)
         row = replies.body_message(request, records.Upstream, upstream=name)
-        return _answer(self._editor.put_upstream(row), codec.to_object(row))
+        edited = self._editor.edit(
+            pages.UPSTREAMS_KEY, rewrites.put_upstream(row)
+        )
+        return _answer(edited, codec.to_object(row))
 
     def delete_upstream(self, request: httpd.Request) -> httpd.Response:
         """Removes an upstream."""
         name = _name(request, _UPSTREAMS)
-        return _answer(self._editor.delete_upstream(name), {"upstream": name})
+        edited = self._editor.edit(
+            pages.UPSTREAMS_KEY, rewrites.delete_upstream(name)
+        )
+        return _answer(edited, {"upstream": name})
 
 
 def _name(request: httpd.Request, parent: str) -> str:
--- a/packages/daemon/bulrushdeald/configstatus.py
+++ b/packages/daemon/bulrushdeald/configstatus.py
@@ -79,7 +79,7 @@
             zip(pages.all_keys(), self._config.revisions(), strict=True)
         )
         # Only pages later than the oldest change this VM may lack come back.
-        since = self._config.watched_revision()
+        since = self._config.feed.watched_revision
         changed = self._keyvalue.watch(pages.PREFIX, since, 0.0)
         if changed.is_err():
             return tuple(here.values()), False
--- a/packages/daemon/bulrushdeald/configsync.py
+++ b/packages/daemon/bulrushdeald/configsync.py
@@ -7,15 +7,15 @@
 
 
 class PushChanges(NamedTuple):
-    """A watcher tells the VMs of its failure domain what changed."""
+    """Passes on what a VM has just learned."""
 
     changes: tuple[pages.Change, ...]
 
 
 class PushAnswer(NamedTuple):
-    """Says whether all changes were applied or known."""
+    """Says how many of the changes were new to the VM."""
 
-    is_up_to_date: bool
+    new_changes: int
 
 
 class CompareRevisions(NamedTuple):
--- a/packages/daemon/bulrushdeald/pageset.py
+++ b/packages/daemon/bulrushdeald/pageset.py
@@ -1,13 +1,17 @@
 """The pages in force on one VM, and what is looked up in them."""
 
+from collections.abc import Callable
 import threading
 from typing import NamedTuple
 
 import cbor2
 
+from bulrushdeal import logs
 from bulrushdeal import records
 from bulrushdeald import pages
 
+_log = logs.Log("config")
+
 
 class PageAt(NamedTuple):
     """A page as of a revision; 0 if nothing was ever stored."""
@@ -21,12 +25,20 @@
     """All pages with an index; a page only ever moves to a later revision.
 
     Lookups take no lock: each reads one dictionary once.
+
+    Attributes:
+        is_ready: Whether every page has come, so that this VM may serve.
+        customers: Rows by name.
+        keys: Keys by hash, withdrawn ones too.
+        upstreams: Rows by name.
     """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._order = pages.all_keys()
         self._pages = {key: PageAt(key, 0, pages.Page()) for key in self._order}
+        self._callbacks: list[Callable[[], None]] = []
+        self.is_ready = False
         self.customers: dict[str, records.Customer] = {}
         self.keys: dict[str, records.Key] = {}
         self.upstreams: dict[str, records.Upstream] = {}
@@ -85,6 +97,26 @@
             return None
         return self.offer(change.key, change.revision, page)
 
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Calls back at each `announce`."""
+        self._callbacks.append(callback)
+
+    def announce(self) -> None:
+        """Tells that pages changed; on the thread that changed them."""
+        for callback in self._callbacks:
+            try:
+                callback()
+            except Exception:  # noqa: BLE001 - the others must hear of it.
+                _log.exception("A callback failed.")
+
+    def become_ready(self, source: str) -> None:
+        """Tells that every page has come."""
+        if self.is_ready:
+            return
+        self.is_ready = True
+        _log.info("Every page has come from %s.", source)
+        self.announce()
+
     def at(self, key: str) -> PageAt | None:
         """Returns the page held under a key, `None` for no page's key."""
         return self._pages.get(key)
