Prove that configuration never reverts and that a put says what is true

Cause: the guards stood without a test. Each was taken out once: - a page's revision not compared: the test of pages fails with 'assert 1 >= 2' (whole page 2, then whole page 1 from a stale peer); - a change applied to any base, without its digest: revision 2 is held with the row of revision 1 that revision 2 no longer has; - a VM that starts in an outage asks one peer: it serves an older page than a peer it reaches (change_rate on a1, outage, restart of a2); - the watch's cursor taken from what peers sent: a1 never learns config/customers/03 at revision 1 since it holds another page at 2; - a put whose old revision is read back called without effect: 'own 0' is said unavailable and arrives late ('delayed', 'answered'); - a lost answer not settled: the same after 'lost'; - the nonces before the newest not looked at: 'own 2' is said to conflict while it was held ('lost', 'others write'); - a foreign nonce taken for a conflict: the same after a writer that carries no nonces. Found on the way: a VM that edited did not push its own edit, so with one watcher in a domain nobody did; it pushes now. The list of VMs was read by each VM itself, so calls grew with the fleet: two VMs a failure domain read it now and the others ask them. A VM missing from one read of the lagging list counted as gone at once; now it has to be missed over the whole lag. Ruled out: reading back alone (a write may still be on its way), one nonce alone (others write in between).

--- a/packages/daemon/bulrushdeald/config.py
+++ b/packages/daemon/bulrushdeald/config.py
@@ -1,6 +1,7 @@
 """The configuration in force on this VM, fed by the platform and by peers."""
 
 from collections.abc import Callable
+from concurrent import futures
 import hashlib
 import random
 import threading
@@ -17,11 +18,12 @@
 from bulrushdeald import pages
 from bulrushdeald import pageset
 from bulrushdeald import services
+from bulrushdeald import watchers
 
-_WATCHERS_PER_DOMAIN = 2
 _WATCH_S = 25.0
 _RETRY_S = 0.5
 _COMPARE_S = 1.0
+_PUSH_THREADS = 4
 # Alone for so long, a VM watches the platform itself.
 _ALONE_S = 5.0
 
@@ -41,11 +43,15 @@
         settings: defaults.Settings,
         clock: clock_lib.Clock | None = None,
         choice: random.Random | None = None,
+        pool: futures.Executor | None = None,
     ) -> None:
         del settings
         self._kernel = kernel
         self._clock = clock or clock_lib.SystemClock()
         self._random = choice or random.Random()
+        self._pool = pool or futures.ThreadPoolExecutor(
+            _PUSH_THREADS, "config push"
+        )
         self._held = pageset.PageSet()
         self._stopping = threading.Event()
         self._threads: list[threading.Thread] = []
@@ -63,6 +69,7 @@
             find(services.PEERS, services.Peers),
             self._clock,
             self._random,
+            self._pool,
         )
         self.gossip.attach()
 
@@ -160,21 +167,20 @@
 
     def adopt(self, key: str, revision: int, page: pages.Page) -> None:
         """Puts an edit in force that the platform accepted from here."""
-        if self._held.offer(key, revision, page) is not None:
-            self._held.announce()
+        before = self._held.offer(key, revision, page)
+        if before is None:
+            return
+        self._held.announce()
+        change = pages.diff(key, before.page, before.revision, page, revision)
+        self.gossip.push((change,))
 
     def is_watcher(self) -> bool:
         """Tells whether this VM is to watch the platform."""
         own = self._membership.own()
-        vms = [
-            row.vm
-            for row in self._membership.entry_vms()
-            if row.failure_domain == own.failure_domain
-            and row.state != "leaving"
-        ]
-        # Rendezvous hashing: when a VM comes or goes, the others stay.
-        vms.sort(key=lambda vm: hashlib.sha256(vm.encode()).digest())
-        is_chosen = own.vm in vms[:_WATCHERS_PER_DOMAIN]
+        chosen = watchers.choose(
+            self._membership.entry_vms(), own.failure_domain
+        )
+        is_chosen = own.vm in chosen
         return is_chosen or self.gossip.alone_s() > _ALONE_S
 
     def watch(self, timeout_s: float) -> bool:
--- a/packages/daemon/bulrushdeald/configgossip.py
+++ b/packages/daemon/bulrushdeald/configgossip.py
@@ -20,7 +20,6 @@
 _PARTNERS_S = 300.0
 # A VM that starts without the platform asks so many peers at most.
 _START_PEERS = 8
-_PUSH_THREADS = 4
 _MAX_ANSWER_BYTES = 1_000_000
 
 
@@ -40,6 +39,7 @@
         peers: services.Peers,
         clock: clock_lib.Clock,
         choice: random.Random,
+        pool: futures.Executor,
     ) -> None:
         self._held = held
         self._membership = membership
@@ -47,7 +47,7 @@
         self._clock = clock
         self._random = choice
         self._heard_s = clock.monotonic_s()
-        self._pool = futures.ThreadPoolExecutor(_PUSH_THREADS, "config push")
+        self._pool = pool
         self._is_stopped = False
 
     def attach(self) -> None:
--- a/packages/daemon/bulrushdeald/configroutes.py
+++ b/packages/daemon/bulrushdeald/configroutes.py
@@ -13,6 +13,7 @@
 from bulrushdeald import config as config_lib
 from bulrushdeald import configstatus
 from bulrushdeald import edits
+from bulrushdeald import membership as membership_lib
 from bulrushdeald import pages
 from bulrushdeald import replies
 from bulrushdeald import rewrites
@@ -309,7 +310,7 @@
     status = configstatus.ConfigStatus(
         keyvalue,
         config,
-        kernel.find(services.MEMBERSHIP, services.Membership),
+        kernel.find(services.MEMBERSHIP, membership_lib.PlatformMembership),
         kernel.find(services.PEERS, services.Peers),
     )
     server.route("GET", "/v1/vms", status.list_vms)
--- a/packages/daemon/bulrushdeald/configstatus.py
+++ b/packages/daemon/bulrushdeald/configstatus.py
@@ -7,6 +7,7 @@
 from bulrushdeal import records
 from bulrushdeald import config as config_lib
 from bulrushdeald import configsync
+from bulrushdeald import membership as membership_lib
 from bulrushdeald import pages
 from bulrushdeald import services
 
@@ -42,7 +43,7 @@
         self,
         keyvalue: services.KeyValue,
         config: config_lib.ConfigService,
-        membership: services.Membership,
+        membership: membership_lib.PlatformMembership,
         peers: services.Peers,
     ) -> None:
         self._keyvalue = keyvalue
@@ -51,10 +52,11 @@
         self._peers = peers
 
     def list_vms(self, request: httpd.Request) -> httpd.Response:
-        """Answers the entry VMs that the platform lists."""
+        """Answers the platform's list as it was read last."""
         del request
-        rows = [row._asdict() for row in self._membership.entry_vms()]
-        return httpd.json_response(200, {"vms": rows})
+        rows = [row._asdict() for row in self._membership.rows()]
+        body = {"vms": rows, "age_s": self._membership.age_s()}
+        return httpd.json_response(200, body)
 
     def read(self, request: httpd.Request) -> httpd.Response:
         """Answers the stored revision and each VM's."""
--- a/packages/daemon/bulrushdeald/defaults.py
+++ b/packages/daemon/bulrushdeald/defaults.py
@@ -77,6 +77,22 @@
         low=0.1,
         high=60,
     ),
+    settings.Setting(
+        "vm_list_lag_s",
+        "number",
+        10.0,
+        "How old the platform's list of VMs may be; a VM missing from it"
+        " for so long is taken for gone.",
+        low=0,
+        high=3600,
+    ),
+    settings.Setting(
+        "peer_seeds",
+        "addresses",
+        "",
+        "Peers' addresses to ask for the list of VMs when the platform does"
+        " not answer at the start.",
+    ),
     settings.Setting(
         "max_body_bytes",
         "integer",
@@ -113,6 +129,8 @@
     drain_s: float
     platform_timeout_s: float
     vm_list_poll_s: float
+    vm_list_lag_s: float
+    peer_seeds: str
     max_body_bytes: int
     online_threads: int
 
--- a/packages/daemon/bulrushdeald/keyvalue.py
+++ b/packages/daemon/bulrushdeald/keyvalue.py
@@ -62,11 +62,12 @@
         kernel: kernel_lib.Kernel,
         settings: defaults.Settings,
         clock: clock_lib.Clock | None = None,
+        client: platformclient.Caller | None = None,
     ) -> None:
         del kernel
         self._timeout_s = settings.platform_timeout_s
         self._clock = clock or clock_lib.SystemClock()
-        self._client = platformclient.PlatformClient(
+        self._client = client or platformclient.PlatformClient(
             settings.platform_address, settings.platform_timeout_s
         )
         # The nonces of entries read, by key, for the next write's envelope.
--- a/packages/daemon/bulrushdeald/membership.py
+++ b/packages/daemon/bulrushdeald/membership.py
@@ -4,6 +4,7 @@
 import threading
 from typing import Any
 
+from bulrushdeal import clock as clock_lib
 from bulrushdeal import codec
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import logs
@@ -12,18 +13,24 @@
 from bulrushdeald import platformclient
 
 _log = logs.Log("membership")
+_NOT_MODIFIED = 304
 
 
 class PlatformMembership:
-    """Reads the platform's list regularly; see `services.Membership`.
+    """Holds the list of VMs; see `services.Membership`.
 
-    An outage, a cut or a bad answer leaves the list as it was read last.
+    It reads the list once when it starts; `vmlist` keeps it up to date. An
+    outage, a cut or a bad answer leaves the list as it was.
     """
 
     def __init__(
-        self, kernel: kernel_lib.Kernel, settings: defaults.Settings
+        self,
+        kernel: kernel_lib.Kernel,
+        settings: defaults.Settings,
+        clock: clock_lib.Clock | None = None,
     ) -> None:
         del kernel
+        self._clock = clock or clock_lib.SystemClock()
         self._own = records.Vm(
             settings.vm,
             settings.failure_domain,
@@ -32,35 +39,36 @@
             "live",
             bool(settings.data_folder),
         )
-        self._poll_s = settings.vm_list_poll_s
+        self._lag_s = settings.vm_list_lag_s
         self._client = platformclient.PlatformClient(
             settings.platform_address, settings.platform_timeout_s
         )
         self._incarnation = secrets.token_hex(8)
-        self._listed: dict[str, records.Vm] | None = None
-        self._stopping = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name="membership", daemon=True
-        )
+        self._etag = ""
+        self._lock = threading.Lock()
+        self._listed: dict[str, records.Vm] = {}
+        self._entry_vms: tuple[records.Vm, ...] = (self._own,)
+        # When the platform was read last, here or by the peer that told.
+        self._read_s: float | None = None
+        self._missing_since_s: dict[str, float] = {}
 
     def start(self) -> None:
-        """Reads the list once, then goes on from a thread."""
+        """Reads the list once, if the platform answers."""
         self.poll()
-        self._thread.start()
 
     def stop(self, grace_s: float) -> None:
-        """Ends the thread."""
-        self._stopping.set()
-        if self._thread.is_alive():
-            self._thread.join(grace_s)
+        """Closes idle connections."""
+        del grace_s
         self._client.close()
 
     def dump(self) -> Any:
         """Returns the list and the calls made."""
+        age_s = self.age_s()
         return {
             "incarnation": self._incarnation,
-            "has_list": self._listed is not None,
-            "entry_vms": [row.vm for row in self.entry_vms()],
+            "age_s": None if age_s is None else round(age_s, 3),
+            "entry_vms": [row.vm for row in self._entry_vms],
+            "listed": len(self._listed),
             **self._client.dump(),
         }
 
@@ -74,28 +82,52 @@
 
     def entry_vms(self) -> tuple[records.Vm, ...]:
         """See `services.Membership`."""
-        listed = self._listed or {}
-        rows = {vm: row for vm, row in listed.items() if row.role == "entry"}
-        own = rows.get(self._own.vm, self._own)
-        rows[self._own.vm] = self._own._replace(state=own.state)
-        return tuple(rows[vm] for vm in sorted(rows))
+        return self._entry_vms
 
-    def is_listed(self, vm: str) -> bool:
-        """See `services.Membership`."""
+    def rows(self) -> tuple[records.Vm, ...]:
+        """Returns all rows listed last, upstreams' VMs too, by name."""
         listed = self._listed
-        return listed is None or vm == self._own.vm or vm in listed
+        return tuple(listed[vm] for vm in sorted(listed))
+
+    def age_s(self) -> float | None:
+        """Returns how long ago the platform was read; `None` if never."""
+        if self._read_s is None:
+            return None
+        return self._clock.monotonic_s() - self._read_s
+
+    def is_listed(self, vm: str) -> bool:
+        """See `services.Membership`.
+
+        The failure: the list lags, and two reads of it may come from other
+        times, so a VM that has just started is missing and would be taken
+        for gone while it runs. A VM counts as gone only when reads over
+        the whole lag allowed have missed it.
+        """
+        with self._lock:
+            if self._read_s is None or vm == self._own.vm:
+                return True
+            if vm in self._listed:
+                self._missing_since_s.pop(vm, None)
+                return True
+            since_s = self._missing_since_s.setdefault(
+                vm, self._clock.monotonic_s()
+            )
+            return self._read_s - since_s < self._lag_s
 
     def is_leaving(self, vm: str) -> bool:
         """See `services.Membership`."""
-        row = (self._listed or {}).get(vm)
+        row = self._listed.get(vm)
         return row is not None and row.state == "leaving"
 
     def poll(self) -> bool:
-        """Reads the list; false if it could not be read."""
-        answer = self._client.call("vms", "GET", "/v1/vms")
+        """Reads the list from the platform; false if it cannot be read."""
+        answer = self._client.call("vms", "GET", "/v1/vms", etag=self._etag)
         if answer.is_err():
             _log.debug("Kept the last list: %s", answer.unwrap_err().message)
             return False
+        if answer.unwrap().status == _NOT_MODIFIED:
+            self.confirm(0.0)
+            return True
         try:
             rows = tuple(
                 codec.from_plain(records.Vm, row)
@@ -104,9 +136,27 @@
         except (KeyError, TypeError, codec.CodecError) as error:
             _log.warning("Dropped a bad list of VMs: %r", error)
             return False
-        self._listed = {row.vm: row for row in rows}
+        self.learn(rows, 0.0)
+        self._etag = answer.unwrap().etag
         return True
 
-    def _run(self) -> None:
-        while not self._stopping.wait(self._poll_s):
-            self.poll()
+    def learn(self, rows: tuple[records.Vm, ...], age_s: float) -> None:
+        """Takes a list that the platform gave `age_s` seconds ago."""
+        listed = {row.vm: row for row in rows}
+        entry_vms = {row.vm: row for row in rows if row.role == "entry"}
+        own = entry_vms.get(self._own.vm, self._own)
+        entry_vms[self._own.vm] = self._own._replace(state=own.state)
+        with self._lock:
+            # A list from a peer is not the one that the platform named.
+            self._etag = ""
+            self._listed = listed
+            self._entry_vms = tuple(entry_vms[vm] for vm in sorted(entry_vms))
+            for vm in listed:
+                self._missing_since_s.pop(vm, None)
+        self.confirm(age_s)
+
+    def confirm(self, age_s: float) -> None:
+        """Notes that the list held was the platform's `age_s` seconds ago."""
+        read_s = self._clock.monotonic_s() - age_s
+        with self._lock:
+            self._read_s = max(read_s, self._read_s or read_s)
--- a/packages/daemon/bulrushdeald/peers.py
+++ b/packages/daemon/bulrushdeald/peers.py
@@ -149,10 +149,23 @@
         """See `services.Peers`."""
         if vm == self._hello.vm:
             return self._open(self._answer(vm, _copy(message)))
-        link = self._link(vm)
+        address = self._peer_address(vm)
+        return self._call(vm, links.Target(vm, address), message, timeout_s)
+
+    def call_address(
+        self, address: str, message: Any, timeout_s: float
+    ) -> result.Result[Any, services.PeerError]:
+        """Calls whichever VM listens on an address, known from settings."""
+        target = links.Target("", address)
+        return self._call(f"@{address}", target, message, timeout_s)
+
+    def _call(
+        self, name: str, target: links.Target, message: Any, timeout_s: float
+    ) -> result.Result[Any, services.PeerError]:
+        link = self._link(name, target)
         if link is None:
             return result.Err(
-                services.PeerError("unreachable", f"{vm}: not now")
+                services.PeerError("unreachable", f"{name}: not now")
             )
         answer = link.call(message, timeout_s)
         if answer.is_err():
@@ -160,67 +173,73 @@
         try:
             return self._open(self._kinds.message(answer.unwrap()))
         except codec.CodecError as error:
-            return result.Err(services.PeerError("refused", f"{vm}: {error}"))
+            return result.Err(services.PeerError("refused", f"{name}: {error}"))
 
     def _open(self, message: Any) -> result.Result[Any, services.PeerError]:
         if isinstance(message, wire.Refused):
             return result.Err(services.PeerError("refused", message.message))
         return result.Ok(message)
 
-    def _link(self, vm: str) -> links.Link | None:
-        address = self._peer_address(vm)
+    def _link(self, name: str, target: links.Target) -> links.Link | None:
         now_s = time.monotonic()
         with self._lock:
-            link = self._links.get(vm)
-            if link is not None:
+            link = self._links.get(name)
+            # A VM that was replaced under its name has another address.
+            if link is not None and link.target == target:
                 return link
-            backoff = self._backoffs.get(vm)
+            backoff = self._backoffs.get(name)
             is_backing_off = backoff is not None and now_s < backoff.until_s
-            if not address or is_backing_off or self._stopping.is_set():
+            if not target.address or is_backing_off or self._is_stopped():
                 return None
             if len(self._links) >= _MAX_LINKS and not self._drop_idle(0.0):
                 return None
             link = links.Link(
-                links.Target(vm, address),
+                target,
                 self._hello,
                 self._traffic,
-                self._on_link_end,
+                lambda link: self._on_link_end(name, link),
             )
-            self._links[vm] = link
+            self._links[name] = link
         link.start()
         return link
 
+    def _is_stopped(self) -> bool:
+        return self._stopping.is_set()
+
     def _peer_address(self, vm: str) -> str:
         for row in self._membership.entry_vms():
             if row.vm == vm:
                 return row.peer_address
         return ""
 
-    def _on_link_end(self, link: links.Link) -> None:
-        vm = link.target.vm
+    def _on_link_end(self, name: str, link: links.Link) -> None:
         with self._lock:
-            if self._links.get(vm) is link:
-                del self._links[vm]
+            if self._links.get(name) is link:
+                del self._links[name]
             failures = 0
-            if not link.was_open and vm in self._backoffs:
-                failures = self._backoffs[vm].failures
+            if not link.was_open and name in self._backoffs:
+                failures = self._backoffs[name].failures
             # Spread, so that peers do not all come back at one moment.
             wait_s = min(_FIRST_BACKOFF_S * 2**failures, _MAX_BACKOFF_S)
             wait_s *= random.uniform(0.5, 1.0)
-            self._backoffs[vm] = _Backoff(
+            self._backoffs[name] = _Backoff(
                 min(failures + 1, 10), time.monotonic() + wait_s
             )
         if not link.was_open:
-            _log.debug("No connection to %s: %s", vm, link.problem)
+            _log.debug("No connection to %s: %s", name, link.problem)
 
     def _drop_idle(self, for_s: float) -> bool:
         """Closes idle links, the one unused longest if `for_s` is 0."""
-        idle = [link for link in self._links.values() if link.is_idle(for_s)]
-        idle.sort(key=lambda link: link.used_s)
+        idle = [
+            (link.used_s, name)
+            for name, link in self._links.items()
+            if link.is_idle(for_s)
+        ]
+        idle.sort()
         if for_s == 0.0:
             idle = idle[:1]
-        for link in idle:
-            del self._links[link.target.vm]
+        for _, name in idle:
+            link = self._links.pop(name)
             threading.Thread(target=link.close, daemon=True).start()
         return bool(idle)
 
--- a/packages/daemon/bulrushdeald/platformclient.py
+++ b/packages/daemon/bulrushdeald/platformclient.py
@@ -4,7 +4,7 @@
 import http
 import json
 import threading
-from typing import Any, Literal, NamedTuple
+from typing import Any, Literal, NamedTuple, Protocol
 from urllib import parse
 
 import result
@@ -20,10 +20,12 @@
     Attributes:
         status: The HTTP status, less than 500.
         body: The JSON object of the body.
+        etag: Names this state of what was read; empty if it has no name.
     """
 
     status: int
     body: dict[str, Any]
+    etag: str = ""
 
 
 class CallError(NamedTuple):
@@ -39,6 +41,39 @@
     message: str
 
 
+class Caller(Protocol):
+    """Sends calls to the platform."""
+
+    def call(
+        self,
+        kind: str,
+        method: str,
+        path: str,
+        fields: dict[str, str] | None = None,
+        body: bytes | None = None,
+        wait_s: float = 0.0,
+        etag: str = "",
+    ) -> result.Result[Answer, CallError]:
+        """Sends one call.
+
+        Args:
+            kind: The name it is counted under.
+            method: The HTTP method.
+            path: The path, percent-encoded.
+            fields: The query.
+            body: The request's body.
+            wait_s: How long the platform may keep the call waiting, on top
+                of the timeout.
+            etag: The state known; if it still is so, the answer is 304.
+        """
+
+    def close(self) -> None:
+        """Closes idle connections."""
+
+    def dump(self) -> dict[str, dict[str, int]]:
+        """Returns the counts of calls and of errors."""
+
+
 class PlatformClient:
     """Calls the platform and counts the calls by kind."""
 
@@ -62,18 +97,9 @@
         fields: dict[str, str] | None = None,
         body: bytes | None = None,
         wait_s: float = 0.0,
+        etag: str = "",
     ) -> result.Result[Answer, CallError]:
-        """Sends one call.
-
-        Args:
-            kind: The name it is counted under.
-            method: The HTTP method.
-            path: The path, percent-encoded.
-            fields: The query.
-            body: The request's body.
-            wait_s: How long the platform may keep the call waiting, on top
-                of the timeout.
-        """
+        """See `Caller`."""
         with self._lock:
             self._calls[kind] += 1
         if fields:
@@ -83,6 +109,7 @@
                 method,
                 path,
                 body=body,
+                headers={"If-None-Match": etag} if etag else None,
                 timeout=urllib3.Timeout(
                     connect=self._timeout_s, read=self._timeout_s + wait_s
                 ),
@@ -106,7 +133,8 @@
         body = json.loads(response.data or b"{}")
         if not isinstance(body, dict):
             return self._fail("lost", "The body is not an object.")
-        return result.Ok(Answer(response.status, body))
+        etag = response.headers.get("ETag", "")
+        return result.Ok(Answer(response.status, body, etag))
 
     def _fail(
         self, kind: Literal["not_sent", "lost"], message: str
@@ -116,10 +144,10 @@
         return result.Err(CallError(kind, message))
 
     def close(self) -> None:
-        """Closes idle connections."""
+        """See `Caller`."""
         self._pool.close()
 
     def dump(self) -> dict[str, dict[str, int]]:
-        """Returns the counts of calls and of errors."""
+        """See `Caller`."""
         with self._lock:
             return {"calls": dict(self._calls), "errors": dict(self._errors)}
--- a/packages/standins/standins/platform.py
+++ b/packages/standins/standins/platform.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import Callable
 import errno
+import hashlib
 import json
 import math
 import signal
@@ -225,7 +226,10 @@
         elif request.method == "DELETE":
             self.remove_vm(vm)
         rows = [row._asdict() for row in self.vms()]
-        return httpd.json_response(200, {"vms": rows})
+        etag = hashlib.sha256(json.dumps(rows).encode()).hexdigest()[:16]
+        if request.headers.get("if-none-match") == etag:
+            return httpd.Response(304, (("ETag", etag),), ())
+        return httpd.json_response(200, {"vms": rows}, (("ETag", etag),))
 
     def _answer_weights(self) -> httpd.Response:
         with self._lock:
--- /dev/null
+++ b/tests/daemon/test_config_machine.py
@@ -0,0 +1,228 @@
+"""The configuration against a simple oracle, under cuts and lost answers.
+
+Story: an operator withdraws a key and changes a rate. A slow peer, a late
+or doubled message, a restart in an outage or a lost answer brings an older
+page to a VM. A user sees the key work again, or a rate jump back. Cause:
+an older page was put in force over a later one.
+"""
+
+import random
+from typing import Any
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from bulrushdeal import clock as clock_lib
+from bulrushdeal import records
+from bulrushdeald import config
+from bulrushdeald import configsync
+from bulrushdeald import edits
+from bulrushdeald import pages
+from bulrushdeald import rewrites
+from support import controlplane
+from support import platformfakes
+
+VMS = ("a1", "a2", "b1", "b2")
+# The first two share a page.
+CUSTOMERS = ("customer-15", "customer-20", "customer-0")
+PAGES = tuple(sorted({pages.customer_key(name) for name in CUSTOMERS}))
+vms = st.sampled_from(VMS)
+customers = st.sampled_from(CUSTOMERS)
+
+
+class ConfigMachine(stateful.RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.store = platformfakes.Store()
+        self.network = platformfakes.Network()
+        self.clock = clock_lib.FakeClock()
+        self.rows = [records.Vm(vm, vm[0], "entry", "x:1") for vm in VMS]
+        self.clients = {vm: platformfakes.StoreClient(self.store) for vm in VMS}
+        # The oracle: what the operators were told.
+        # A rate is None while there is no row; several if it is unknown.
+        self.rates: dict[str, set[float | None]] = {
+            name: {None} for name in CUSTOMERS
+        }
+        self.secrets: list[tuple[str, str]] = []
+        self.withdrawn: set[str] = set()
+        self.maybe_withdrawn: set[str] = set()
+        self.seen: dict[tuple[str, str], int] = {}
+        self.configs: dict[str, config.ConfigService] = {}
+        for vm in VMS:
+            self.boot(vm)
+            self.configs[vm].feed.read_all()
+
+    def boot(self, vm: str) -> None:
+        kernel = platformfakes.kernel(
+            keyvalue=self.clients[vm],
+            membership=platformfakes.FixedMembership(vm, self.rows),
+            peers=platformfakes.NetworkPeers(self.network, vm),
+        )
+        settings = controlplane.settings("x:1", vm=vm, failure_domain=vm[0])
+        made = config.ConfigService(
+            kernel,
+            settings,
+            self.clock,
+            random.Random(1),
+            platformfakes.InlineExecutor(),
+        )
+        made.attach()
+        self.configs[vm] = made
+        for key in PAGES:
+            self.seen.pop((vm, key), None)
+
+    def edit(self, vm: str, customer: str, rewrite: edits.Rewrite) -> Any:
+        editor = edits.Editor(self.clients[vm], self.configs[vm])
+        return editor.edit(pages.customer_key(customer), rewrite)
+
+    def kind(self, edited: Any) -> str:
+        return "ok" if edited.is_ok() else edited.unwrap_err().kind
+
+    @stateful.rule(vm=vms, customer=customers, rate=st.integers(1, 5))
+    def change_rate(self, vm: str, customer: str, rate: int) -> None:
+        row = records.Customer(customer, rate_per_s=float(rate))
+        kind = self.kind(
+            self.edit(vm, customer, rewrites.put_customer(row, None))
+        )
+        if kind == "ok":
+            self.rates[customer] = {row.rate_per_s}
+        elif kind == "unknown":
+            self.rates[customer] |= {row.rate_per_s}
+
+    @stateful.rule(vm=vms, customer=customers)
+    def add_key(self, vm: str, customer: str) -> None:
+        secret = f"secret-{len(self.secrets)}"
+        row = records.Key(config.hash_key(secret), customer, "")
+        if self.kind(self.edit(vm, customer, rewrites.add_key(row))) == "ok":
+            self.secrets.append((secret, customer))
+
+    @stateful.precondition(lambda self: self.secrets)
+    @stateful.rule(vm=vms, data=st.data())
+    def withdraw(self, vm: str, data: Any) -> None:
+        secret, customer = data.draw(st.sampled_from(self.secrets))
+        rewrite = rewrites.withdraw_key(config.hash_key(secret))
+        kind = self.kind(self.edit(vm, customer, rewrite))
+        if kind == "ok":
+            self.withdrawn.add(secret)
+        elif kind == "unknown":
+            self.maybe_withdrawn.add(secret)
+
+    @stateful.rule(vm=vms, has_effect=st.booleans())
+    def lose_next_answer(self, vm: str, has_effect: bool) -> None:
+        self.clients[vm].next_is_lost = has_effect
+
+    @stateful.rule(vm=vms, is_cut=st.booleans())
+    def cut_from_platform(self, vm: str, is_cut: bool) -> None:
+        self.clients[vm].is_cut = is_cut
+
+    @stateful.rule(is_down=st.booleans())
+    def outage(self, is_down: bool) -> None:
+        self.store.is_down = is_down
+
+    @stateful.rule(one=vms, other=vms)
+    def toggle_cut(self, one: str, other: str) -> None:
+        self.network.cuts ^= {frozenset((one, other))}
+
+    @stateful.rule()
+    def toggle_holding_of_pushes(self) -> None:
+        holds = self.network.holds
+        self.network.holds = () if holds else (configsync.PushChanges,)
+
+    @stateful.precondition(lambda self: self.network.held)
+    @stateful.rule(data=st.data(), again=st.booleans())
+    def deliver_late(self, data: Any, again: bool) -> None:
+        held = self.network.held
+        index = data.draw(st.integers(0, len(held) - 1))
+        self.network.deliver(held[index] if again else held.pop(index))
+
+    @stateful.rule(vm=vms)
+    def watch(self, vm: str) -> None:
+        self.configs[vm].watch(0.0)
+
+    @stateful.rule(vm=vms, other=vms)
+    def compare(self, vm: str, other: str) -> None:
+        self.configs[vm].gossip.compare(other)
+
+    @stateful.precondition(lambda self: self.store.history)
+    @stateful.rule(vm=vms, data=st.data())
+    def offer_an_old_page(self, vm: str, data: Any) -> None:
+        """A page that was fetched long ago arrives only now."""
+        key, revision = data.draw(st.sampled_from(sorted(self.store.history)))
+        page = pages.decode(self.store.history[key, revision])
+        self.configs[vm].adopt(key, revision, page)
+
+    @stateful.rule(vm=vms)
+    def restart(self, vm: str) -> None:
+        self.boot(vm)
+        made = self.configs[vm]
+        if made.feed.read_all() or not made.gossip.compare_with_many():
+            return
+        # Without the platform it is as new as the newest peer it reaches.
+        for other in VMS:
+            if self.network.is_cut(vm, other) or other == vm:
+                continue
+            there = self.configs[other].revisions()
+            assert all(
+                here >= held
+                for here, held in zip(made.revisions(), there, strict=True)
+            )
+
+    @stateful.invariant()
+    def pages_are_real_and_never_revert(self) -> None:
+        for vm, made in self.configs.items():
+            for key in PAGES:
+                held = made.page(key)
+                assert held is not None
+                assert held.revision >= self.seen.get((vm, key), 0)
+                self.seen[vm, key] = held.revision
+                if held.revision:
+                    stored = self.store.history[key, held.revision]
+                    assert held.page == pages.decode(stored)
+
+    @stateful.invariant()
+    def lookups_follow_the_pages(self) -> None:
+        for made in self.configs.values():
+            for secret, customer in self.secrets:
+                held = made.page(pages.customer_key(customer))
+                assert held is not None
+                live = {k.key_hash for k in held.page.keys if not k.withdrawn}
+                is_ok = made.authenticate(secret).is_ok()
+                is_live = config.hash_key(secret) in live
+                assert is_ok == (is_live and made.is_ready())
+
+    def teardown(self) -> None:
+        self.store.is_down = False
+        self.network.cuts.clear()
+        self.network.holds = ()
+        for vm in VMS:
+            self.clients[vm].is_cut = False
+        # One watcher hears of everything; the others only ask peers.
+        first = self.configs["a1"]
+        if first.feed.has_read_all:
+            assert first.watch(0.0)
+        else:
+            assert first.feed.read_all()
+        for vm in ("a2", "b1", "b2"):
+            assert self.configs[vm].gossip.compare("a1")
+        stored = self.store.revisions()
+        for vm, made in self.configs.items():
+            for key in PAGES:
+                held = made.page(key)
+                assert held is not None
+                assert held.revision == stored.get(key, 0), (vm, key)
+            for name, rates in self.rates.items():
+                row = made.customer(name)
+                assert (row.rate_per_s if row else None) in rates
+            for secret, _ in self.secrets:
+                is_ok = made.authenticate(secret).is_ok()
+                if secret in self.withdrawn:
+                    assert not is_ok
+                elif secret not in self.maybe_withdrawn and made.is_ready():
+                    assert is_ok
+
+
+ConfigMachineTest = ConfigMachine.TestCase
+ConfigMachineTest.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=30
+)
--- a/tests/support/controlplane.py
+++ b/tests/support/controlplane.py
@@ -17,6 +17,7 @@
 from bulrushdeald import operators
 from bulrushdeald import peers
 from bulrushdeald import services
+from bulrushdeald import vmlist
 from standins import platform
 
 TOKEN = "operator-token"
@@ -71,11 +72,13 @@
         self.keyvalue = keyvalue.HttpKeyValue(self.kernel, given)
         self.membership = membership.PlatformMembership(self.kernel, given)
         self.peers = peers.WebsocketPeers(self.kernel, given)
+        self.vmlist = vmlist.VmListFeed(self.kernel, given)
         self.config = config.ConfigService(self.kernel, given)
         self.operators = operators.OperatorsServer(self.kernel, given)
         self.kernel.register(services.KEYVALUE, self.keyvalue)
         self.kernel.register(services.MEMBERSHIP, self.membership)
         self.kernel.register(services.PEERS, self.peers)
+        self.kernel.register(vmlist.NAME, self.vmlist)
         self.kernel.register(services.CONFIG, self.config)
         self.kernel.register(services.OPERATORS, self.operators)
         self._http = urllib3.PoolManager(retries=False)
--- /dev/null
+++ b/tests/support/platformfakes.py
@@ -0,0 +1,180 @@
+"""Fakes of the platform's store and of peers, moved by hand."""
+
+from collections.abc import Callable
+from concurrent import futures
+from typing import Any, NamedTuple
+
+import result
+
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeal import records
+from bulrushdeald import services
+from standins import keyspace
+
+
+class InlineExecutor(futures.Executor):
+    """Runs what is submitted at once."""
+
+    def submit(self, fn: Any, /, *args: Any, **kwargs: Any) -> Any:
+        fn(*args, **kwargs)
+
+    def shutdown(self, wait: bool = True, **kwargs: Any) -> None:
+        return None
+
+
+class Store:
+    """One store for all VMs, which remembers each page ever held."""
+
+    def __init__(self) -> None:
+        self.keyspace = keyspace.Keyspace()
+        self.history: dict[tuple[str, int], bytes] = {}
+        self.is_down = False
+
+    def entry(self, held: keyspace.Held) -> services.Entry:
+        return services.Entry(held.key, held.value, held.revision)
+
+    def revisions(self) -> dict[str, int]:
+        held, _ = self.keyspace.list("")
+        return {entry.key: entry.revision for entry in held}
+
+
+class StoreClient:
+    """One VM's `services.KeyValue` on the store."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self.is_cut = False
+        # What the next write does: its answer is lost, with or without
+        # effect, and reading back does not settle it.
+        self.next_is_lost: bool | None = None
+        # Runs once between the next read and the write that follows.
+        self.before_put: Callable[[], None] | None = None
+
+    def _down(self) -> services.KeyValueError | None:
+        if self.is_cut or self._store.is_down:
+            return services.KeyValueError("unavailable", "down")
+        return None
+
+    def get(self, key: str) -> Any:
+        if error := self._down():
+            return result.Err(error)
+        held = self._store.keyspace.get(key)
+        return result.Ok(self._store.entry(held) if held else None)
+
+    def list(self, prefix: str) -> Any:
+        if error := self._down():
+            return result.Err(error)
+        held, _ = self._store.keyspace.list(prefix)
+        return result.Ok(tuple(map(self._store.entry, held)))
+
+    def put(self, key: str, value: bytes, expected_revision: int) -> Any:
+        if error := self._down():
+            return result.Err(error)
+        if self.before_put is not None:
+            before, self.before_put = self.before_put, None
+            before()
+        is_lost, self.next_is_lost = self.next_is_lost, None
+        unknown = services.KeyValueError("unknown", "lost")
+        if is_lost is False:
+            return result.Err(unknown)
+        revision, held = self._store.keyspace.put(key, value, expected_revision)
+        if not revision:
+            current = self._store.entry(held) if held else None
+            return result.Err(
+                services.KeyValueError("conflict", "other", current)
+            )
+        self._store.history[key, revision] = value
+        return result.Err(unknown) if is_lost else result.Ok(revision)
+
+    def delete(self, key: str, expected_revision: int) -> Any:
+        raise NotImplementedError
+
+    def watch(self, prefix: str, after_revision: int, timeout_s: float) -> Any:
+        if error := self._down():
+            return result.Err(error)
+        held, _ = self._store.keyspace.watch(prefix, after_revision, 0.0)
+        return result.Ok(tuple(map(self._store.entry, held)))
+
+
+class Held(NamedTuple):
+    """A message on its way."""
+
+    source: str
+    target: str
+    message: Any
+
+
+class Network:
+    """Calls between VMs; some cut, some pushes held back for later."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, dict[type, Any]] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.holds: tuple[type, ...] = ()
+        self.held: list[Held] = []
+
+    def is_cut(self, one: str, other: str) -> bool:
+        return frozenset((one, other)) in self.cuts
+
+    def deliver(self, message: Held) -> Any:
+        handler = self.handlers.get(message.target, {}).get(
+            type(message.message)
+        )
+        if handler is None:
+            return result.Err(services.PeerError("refused", "nobody"))
+        return result.Ok(handler(message.source, message.message))
+
+
+class NetworkPeers:
+    """One VM's `services.Peers` on the network."""
+
+    def __init__(self, network: Network, vm: str) -> None:
+        self._network = network
+        self._vm = vm
+        network.handlers[vm] = {}
+
+    def handle(self, kind: type[Any], handler: Any) -> None:
+        self._network.handlers[self._vm][kind] = handler
+
+    def understand(self, *kinds: type[Any]) -> None:
+        return None
+
+    def call(self, vm: str, message: Any, timeout_s: float) -> Any:
+        if self._network.is_cut(self._vm, vm):
+            return result.Err(services.PeerError("unreachable", "cut"))
+        sent = Held(self._vm, vm, message)
+        if isinstance(message, self._network.holds):
+            self._network.held.append(sent)
+            return result.Err(services.PeerError("timeout", "held"))
+        return self._network.deliver(sent)
+
+
+class FixedMembership:
+    """A `services.Membership` with a list set by the test."""
+
+    def __init__(self, vm: str, rows: list[records.Vm]) -> None:
+        self._vm = vm
+        self.listed = rows
+
+    def own(self) -> records.Vm:
+        return next(row for row in self.listed if row.vm == self._vm)
+
+    def incarnation(self) -> str:
+        return f"run of {self._vm}"
+
+    def entry_vms(self) -> tuple[records.Vm, ...]:
+        return tuple(self.listed)
+
+    def is_listed(self, vm: str) -> bool:
+        return any(row.vm == vm for row in self.listed)
+
+    def is_leaving(self, vm: str) -> bool:
+        return False
+
+
+def kernel(**found: Any) -> kernel_lib.Kernel:
+    """Returns a kernel with fakes under the services' names."""
+    made = kernel_lib.Kernel()
+    for name, service in found.items():
+        made.register(name, service)
+    return made
