Record an intent before a request with an idempotency key is sent

Cause: a caller that resends a booking must not book twice, whichever VM it meets and whether or not the first one still stands. Change: a compare-and-swap in the platform's service before the first byte; small answers are kept and given again; an intent whose holder is gone turns 'unknown' for good. Ruled out: answering 'not run' from the holder's absence alone.

--- a/packages/daemon/bulrushdeald/calls.py
+++ b/packages/daemon/bulrushdeald/calls.py
@@ -61,6 +61,7 @@
         self._lock = threading.Lock()
         self._reason: EndReason = ""
         self._cancel: Callable[[], None] | None = None
+        self._outlives_caller = False
 
     @property
     def reason(self) -> EndReason:
@@ -70,13 +71,19 @@
     def end(self, reason: EndReason) -> None:
         """Ends the request and what it waits for at an upstream."""
         with self._lock:
-            if self._reason:
+            is_kept = reason == "caller_left" and self._outlives_caller
+            if self._reason or is_kept:
                 return
             self._reason = reason
             cancel = self._cancel
         if cancel is not None:
             cancel()
 
+    def outlive_caller(self) -> None:
+        """Lets the request run to its end even if the caller leaves."""
+        with self._lock:
+            self._outlives_caller = True
+
     def on_end(self, cancel: Callable[[], None]) -> None:
         """Calls `cancel` when the request is ended, at once if it was.
 
--- a/packages/daemon/bulrushdeald/dispatch.py
+++ b/packages/daemon/bulrushdeald/dispatch.py
@@ -1,6 +1,6 @@
 """Places a caller's request at an upstream, again only where that is safe."""
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
 import result
@@ -9,6 +9,7 @@
 from bulrushdeal import logs
 from bulrushdeald import calls
 from bulrushdeald import defaults
+from bulrushdeald import idempotency
 from bulrushdeald import retries
 from bulrushdeald import services
 
@@ -110,7 +111,7 @@
         work: services.Work,
         sending: Sending,
         call: calls.Call,
-        before_send: Callable[[], services.Refusal | None] | None = None,
+        guard: idempotency.Guard,
     ) -> result.Result[Started, Failure]:
         """Sends until an upstream answers or no further try is allowed.
 
@@ -118,17 +119,17 @@
             work: For the router.
             sending: What to send.
             call: The open request, which may be ended meanwhile.
-            before_send: Called once, with a slot in hand, before any byte
-                leaves; a refusal from it is final.
+            guard: Is asked, with a slot in hand, before any byte leaves; a
+                refusal from it is final.
         """
         for number in range(1, _MAX_TRIES + 1):
-            tried = self._try(work, sending, call, before_send)
+            tried = self._try(work, sending, call, guard)
             if isinstance(tried, result.Ok):
                 return tried
-            before_send = None
             failure = tried.err_value
             is_last = number == _MAX_TRIES
             if is_last or not self.may_retry(failure, sending, call):
+                guard.failed(failure.refusal.ran)
                 return tried
             _log.info("Retrying request %d.", call.number)
         raise AssertionError("the last try returns")
@@ -154,15 +155,15 @@
         work: services.Work,
         sending: Sending,
         call: calls.Call,
-        before_send: Callable[[], services.Refusal | None] | None,
+        guard: idempotency.Guard,
     ) -> result.Result[Started, Failure]:
         acquired = self._router.acquire(work)
         if isinstance(acquired, result.Err):
             return result.Err(Failure(acquired.err_value))
         slot = acquired.ok_value
         refusal = calls.REFUSALS[call.reason] if call.reason else None
-        if refusal is None and before_send is not None:
-            refusal = before_send()
+        if refusal is None:
+            refusal = guard.before_send()
         if refusal is not None:
             slot.release("cancelled")
             return result.Err(Failure(refusal))
--- a/packages/daemon/bulrushdeald/modelcalls.py
+++ b/packages/daemon/bulrushdeald/modelcalls.py
@@ -1,6 +1,6 @@
 """Serves the calls of models: whole answers and streams of events."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 import json
 import time
 from typing import Any
@@ -15,13 +15,15 @@
 from bulrushdeald import defaults
 from bulrushdeald import dispatch
 from bulrushdeald import headers as headers_lib
+from bulrushdeald import idempotency
+from bulrushdeald import intents
 from bulrushdeald import refusals
+from bulrushdeald import relays
 from bulrushdeald import services
 from bulrushdeald import streams
 
 MODELS_PATH = "/v1/models"
 _OK = 200
-_SERVER_ERROR = 500
 _MAX_TRIES = 2
 _MAX_ANSWER_BYTES = 64_000_000
 
@@ -37,6 +39,7 @@
     ) -> None:
         self._config = kernel.find(services.CONFIG, services.Config)
         self._limits = kernel.find(services.LIMITS, services.Limits)
+        self._intents = kernel.find(services.INTENTS, intents.Intents)
         self._usage = kernel.find(services.USAGE, services.Usage)
         self._dispatcher = dispatcher
         self._max_body_bytes = settings.max_body_bytes
@@ -65,7 +68,12 @@
         if isinstance(taken, result.Err):
             self._record(model_call, call, taken.err_value.code)
             return refusals.response(taken.err_value)
-        answered = self._answer(request, model_call, call)
+        guarded = idempotency.look_up(
+            self._intents, request, call, _fingerprint(model_call, call)
+        )
+        if isinstance(guarded, result.Err):
+            return guarded.err_value
+        answered = self._answer(request, model_call, call, guarded.ok_value)
         if isinstance(answered, result.Err):
             self._record(model_call, call, answered.err_value.code)
             return refusals.response(answered.err_value)
@@ -108,6 +116,7 @@
         request: httpd.Request,
         model_call: completions.Call,
         call: calls.Call,
+        guard: idempotency.Guard,
     ) -> result.Result[httpd.Response, services.Refusal]:
         work = completions.work(
             model_call, call.customer, "online", self._deadline_s
@@ -118,16 +127,14 @@
             model_call.path,
             headers_lib.for_upstream(request.headers, key),
             model_call.body,
-            is_idempotent=True,
+            # Its caller asked for one run at most.
+            is_idempotent=not guard.is_keyed,
         )
         for number in range(1, _MAX_TRIES + 1):
-            started = self._dispatcher.run(work, sending, call)
+            started = self._dispatcher.run(work, sending, call, guard)
             if isinstance(started, result.Err):
                 return result.Err(started.err_value.refusal)
-            relay = _Relay(
-                started.ok_value, call, self._recorder(model_call, call)
-            )
-            answered = relay.answer(model_call.is_stream)
+            answered = self._relay(started.ok_value, model_call, call, guard)
             if isinstance(answered, result.Ok):
                 return answered
             failure = answered.err_value
@@ -139,13 +146,26 @@
                 return result.Err(failure.refusal)
         raise AssertionError("the last try returns")
 
-    def _recorder(
-        self, model_call: completions.Call, call: calls.Call
-    ) -> Callable[[str, int, int], None]:
-        def record(outcome: str, prompt: int, completion: int) -> None:
-            self._record(model_call, call, outcome, prompt, completion)
-
-        return record
+    def _relay(
+        self,
+        started: dispatch.Started,
+        model_call: completions.Call,
+        call: calls.Call,
+        guard: idempotency.Guard,
+    ) -> result.Result[httpd.Response, dispatch.Failure]:
+        tokens = _Tokens()
+        relay = relays.Relay(
+            started,
+            call,
+            guard,
+            lambda relay: self._record(
+                model_call, call, relay.code, *tokens.counts()
+            ),
+        )
+        answering = _Answering(relay, tokens)
+        if model_call.is_stream and relay.answer.status == _OK:
+            return answering.stream()
+        return answering.whole()
 
     def _record(
         self,
@@ -169,114 +189,87 @@
         )
 
 
-class _Relay:
-    """Relays one upstream's answer; gives the slot back exactly once."""
-
-    def __init__(
-        self,
-        started: dispatch.Started,
-        call: calls.Call,
-        record: Callable[[str, int, int], None],
-    ) -> None:
-        self._slot = started.slot
-        self._answer = started.answer
-        self._call = call
-        self._record = record
-        # What holds if the caller's side ends first.
-        self._outcome: services.Outcome = "cancelled"
-        self._code = "caller_left"
-        self._events = 0
-        self._usage_event = b""
+class _Answering:
+    """Answers one call from one upstream's answer."""
 
-    def answer(
-        self, is_stream: bool
-    ) -> result.Result[httpd.Response, dispatch.Failure]:
-        """Returns the answer once its first bytes, or all, are there."""
-        if is_stream and self._answer.status == _OK:
-            return self._stream()
-        return self._whole()
+    def __init__(self, relay: relays.Relay, tokens: "_Tokens") -> None:
+        self._relay = relay
+        self._tokens = tokens
 
-    def _whole(self) -> result.Result[httpd.Response, dispatch.Failure]:
+    def whole(self) -> result.Result[httpd.Response, dispatch.Failure]:
+        """Returns a whole answer once all of it is there."""
         parts: list[bytes] = []
         size_bytes = 0
-        for item in self._answer.chunks():
+        for item in self._relay.items:
             if isinstance(item, result.Err):
-                return result.Err(self._fail(item.err_value))
+                return result.Err(self._relay.failure(item.err_value))
             size_bytes += len(item.ok_value)
             if size_bytes > _MAX_ANSWER_BYTES:
-                return result.Err(self._fail(_TOO_LONG))
+                return result.Err(self._relay.failure(_TOO_LONG))
             parts.append(item.ok_value)
         body = b"".join(parts)
-        is_refused = self._answer.status >= _SERVER_ERROR
-        self._outcome = "refused" if is_refused else "ok"
-        is_ok = self._answer.status == _OK
-        self._code = "ok" if is_ok else f"upstream_{self._answer.status}"
-        self._usage_event = body
-        self._close()
-        return result.Ok(
-            httpd.Response(
-                self._answer.status,
-                _with_length(self._answer.headers, len(body)),
-                (body,),
-            )
-        )
+        self._tokens.usage_event = body
+        answer = self._relay.answer
+        self._relay.close()
+        headers = _with_length(answer.headers, len(body))
+        return result.Ok(httpd.Response(answer.status, headers, (body,)))
 
-    def _stream(self) -> result.Result[httpd.Response, dispatch.Failure]:
-        events = streams.whole_events(self._answer.chunks())
+    def stream(self) -> result.Result[httpd.Response, dispatch.Failure]:
+        """Returns a stream once its first event is there."""
+        events = streams.whole_events(self._relay.items)
         first = next(events)
         if isinstance(first, result.Err):
-            return result.Err(self._fail(first.err_value))
-        return result.Ok(
-            httpd.Response(
-                self._answer.status,
-                self._answer.headers,
-                calls.Body(self._relay(first.ok_value, events), self._close),
-            )
+            return result.Err(self._relay.failure(first.err_value))
+        answer = self._relay.answer
+        body = calls.Body(
+            self._events(first.ok_value, events), self._relay.close
         )
+        return result.Ok(httpd.Response(answer.status, answer.headers, body))
 
-    def _relay(
+    def _events(
         self,
         first: bytes,
         events: Iterator[result.Result[bytes, services.UpstreamError]],
     ) -> Iterator[bytes]:
-        self._note(first)
+        self._tokens.note(first)
         yield first
         for item in events:
             if isinstance(item, result.Err):
-                refusal = dispatch.refusal_of(item.err_value, self._call)
-                self._outcome = dispatch.outcome_of(item.err_value)
-                self._code = refusal.code
-                yield streams.error_event(refusal)
+                yield streams.error_event(self._relay.fail(item.err_value))
                 return
-            self._note(item.ok_value)
+            self._tokens.note(item.ok_value)
             yield item.ok_value
-        self._outcome = "ok"
-        self._code = "ok"
 
-    def _note(self, data: bytes) -> None:
+
+class _Tokens:
+    """Counts the tokens of an answer, by what the engine tells at best."""
+
+    def __init__(self) -> None:
+        self._events = 0
+        self.usage_event = b""
+
+    def note(self, data: bytes) -> None:
+        """Counts the events in a piece of a stream."""
         self._events += data.count(b"data:")
         if b'"usage"' in data:
-            self._usage_event = data
-
-    def _fail(self, error: services.UpstreamError) -> dispatch.Failure:
-        refusal = dispatch.refusal_of(error, self._call)
-        upstream = self._slot.upstream.upstream
-        self._answer.close()
-        self._slot.release(dispatch.outcome_of(error))
-        return dispatch.Failure(refusal, upstream, error)
-
-    def _close(self) -> None:
-        self._answer.close()
-        self._slot.release(self._outcome)
-        usage = _usage(self._usage_event)
+            self.usage_event = data
+
+    def counts(self) -> tuple[int, int]:
+        """Returns the tokens of prompt and answer."""
+        usage = _usage(self.usage_event)
         completion = int(usage.get("completion_tokens") or self._events)
-        prompt = int(usage.get("prompt_tokens") or 0)
-        self._record(self._code, prompt, completion)
+        return int(usage.get("prompt_tokens") or 0), completion
 
 
 _TOO_LONG = services.UpstreamError("crashed", "ran", "The answer is too long.")
 
 
+def _fingerprint(model_call: completions.Call, call: calls.Call) -> str:
+    return completions.fingerprint(
+        call.customer, model_call.path, model_call.body
+    )
+
+
 def _usage(data: bytes) -> dict[str, Any]:
     """Returns the usage that an engine told, empty if it did not."""
     for line in data.splitlines():
--- a/packages/daemon/bulrushdeald/plainservices.py
+++ b/packages/daemon/bulrushdeald/plainservices.py
@@ -16,14 +16,16 @@
 from bulrushdeald import defaults
 from bulrushdeald import dispatch
 from bulrushdeald import headers as headers_lib
+from bulrushdeald import idempotency
+from bulrushdeald import intents
 from bulrushdeald import refusals
+from bulrushdeald import relays
 from bulrushdeald import services
 
 PREFIX = "/services/"
 # Bodies up to this are read before the request is placed, so that the same
 # request is known again; longer ones are relayed as they come.
 _SMALL_BODY_BYTES = 64 * 1024
-_SERVER_ERROR = 500
 
 
 class _Request(NamedTuple):
@@ -45,6 +47,8 @@
     ) -> None:
         self._config = kernel.find(services.CONFIG, services.Config)
         self._limits = kernel.find(services.LIMITS, services.Limits)
+        self._intents = kernel.find(services.INTENTS, intents.Intents)
+        self._max_body_bytes = settings.max_body_bytes
         self._usage = kernel.find(services.USAGE, services.Usage)
         self._dispatcher = dispatcher
         self._deadline_s = settings.online_deadline_s
@@ -57,17 +61,32 @@
         plain = checked.ok_value
         taken = self._limits.take(call.customer)
         if isinstance(taken, result.Err):
-            self.record(plain, call, taken.err_value.code)
+            self._record(plain, call, taken.err_value.code)
             return refusals.response(taken.err_value)
+        guarded = idempotency.look_up(
+            self._intents, request, call, plain.fingerprint
+        )
+        if isinstance(guarded, result.Err):
+            return guarded.err_value
+        guard = guarded.ok_value
         started = self._dispatcher.run(
-            self._work(plain, call), plain.sending, call
+            self._work(plain, call), plain.sending, call, guard
         )
         if isinstance(started, result.Err):
             refusal = started.err_value.refusal
-            self.record(plain, call, refusal.code)
+            self._record(plain, call, refusal.code)
             return refusals.response(refusal)
-        relay = _Relay(self, plain, started.ok_value, call)
-        return relay.response()
+        relay = relays.Relay(
+            started.ok_value,
+            call,
+            guard,
+            lambda relay: self._record(plain, call, relay.code),
+        )
+        return httpd.Response(
+            relay.answer.status,
+            relay.answer.headers,
+            calls.Body(_chunks(relay), relay.close),
+        )
 
     def _check(
         self, request: httpd.Request, call: calls.Call
@@ -90,7 +109,7 @@
             )
         target = f"/{rest}{mark}{query}"
         headers = headers_lib.for_upstream(request.headers, key)
-        body = _body(request, key)
+        body = self._body(request, key)
         if isinstance(body, result.Err):
             return body
         if request.length_bytes >= 0:
@@ -108,6 +127,27 @@
             )
         )
 
+    def _body(
+        self, request: httpd.Request, key: str
+    ) -> result.Result[bytes | Iterator[bytes], services.Refusal]:
+        max_bytes = _SMALL_BODY_BYTES
+        is_keyed = idempotency.HEADER in request.headers
+        if is_keyed:
+            # The whole body must be known, to tell another request with
+            # the same key.
+            max_bytes = self._max_body_bytes
+        is_chunked = "transfer-encoding" in request.headers
+        is_long = is_chunked or request.length_bytes > max_bytes
+        if is_long and not is_keyed:
+            chunks = bodies.read_exactly(request)
+            return result.Ok(bodies.without_key(chunks, key))
+        body = bodies.read_whole(request, max_bytes)
+        if isinstance(body, result.Ok) and key.encode() in body.ok_value:
+            return result.Err(
+                refusals.bad_input("The body holds the key.", "body")
+            )
+        return body
+
     def _services(self) -> set[str]:
         return {
             upstream.service
@@ -128,8 +168,7 @@
             self._deadline_s,
         )
 
-    def record(self, plain: _Request, call: calls.Call, outcome: str) -> None:
-        """Tells the usage service how a request ended."""
+    def _record(self, plain: _Request, call: calls.Call, outcome: str) -> None:
         self._usage.record(
             services.UsageEvent(
                 time.time(),
@@ -142,61 +181,10 @@
         )
 
 
-def _body(
-    request: httpd.Request, key: str
-) -> result.Result[bytes | Iterator[bytes], services.Refusal]:
-    is_chunked = "transfer-encoding" in request.headers
-    if is_chunked or request.length_bytes > _SMALL_BODY_BYTES:
-        return result.Ok(bodies.without_key(bodies.read_exactly(request), key))
-    body = bodies.read_whole(request, _SMALL_BODY_BYTES)
-    if isinstance(body, result.Ok) and key.encode() in body.ok_value:
-        return result.Err(refusals.bad_input("The body holds the key.", "body"))
-    return body
-
-
-class _Relay:
-    """Relays one upstream's answer; gives the slot back exactly once."""
-
-    def __init__(
-        self,
-        owner: PlainServices,
-        plain: _Request,
-        started: dispatch.Started,
-        call: calls.Call,
-    ) -> None:
-        self._owner = owner
-        self._plain = plain
-        self._slot = started.slot
-        self._answer = started.answer
-        self._call = call
-        # What holds if the caller's side ends first.
-        self._outcome: services.Outcome = "cancelled"
-        self._code = "caller_left"
-
-    def response(self) -> httpd.Response:
-        """Returns the answer, relayed as it comes."""
-        return httpd.Response(
-            self._answer.status,
-            self._answer.headers,
-            calls.Body(self._chunks(), self._close),
-        )
-
-    def _chunks(self) -> Iterator[bytes]:
-        for item in self._answer.chunks():
-            if isinstance(item, result.Err):
-                error = item.err_value
-                refusal = dispatch.refusal_of(error, self._call)
-                self._outcome = dispatch.outcome_of(error)
-                self._code = refusal.code
-                # The head is out, so only a broken connection can tell the
-                # caller that this is not the whole answer.
-                raise calls.BrokenAnswerError(error.message)
-            yield item.ok_value
-        is_refused = self._answer.status >= _SERVER_ERROR
-        self._outcome = "refused" if is_refused else "ok"
-        self._code = "ok"
-
-    def _close(self) -> None:
-        self._answer.close()
-        self._slot.release(self._outcome)
-        self._owner.record(self._plain, self._call, self._code)
+def _chunks(relay: relays.Relay) -> Iterator[bytes]:
+    for item in relay.items:
+        if isinstance(item, result.Err):
+            # The head is out, so only a broken connection can tell the
+            # caller that this is not the whole answer.
+            raise calls.BrokenAnswerError(item.err_value.message)
+        yield item.ok_value
--- a/tests/support/pathfakes.py
+++ b/tests/support/pathfakes.py
@@ -15,6 +15,7 @@
 from bulrushdeal import records
 from bulrushdeald import callers
 from bulrushdeald import defaults
+from bulrushdeald import intents
 from bulrushdeald import services
 from bulrushdeald import upstreams
 from standins import engine
@@ -156,10 +157,106 @@
         self.events.append(event)
 
 
+class FakeKeyValue(FakeService):
+    """The platform's service in memory, shared by the VMs of a test."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.entries: dict[str, services.Entry] = {}
+        self.revision = 0
+        self.is_out = False
+        # The next writes that take effect and whose answer is lost.
+        self.lose_answers = 0
+
+    def get(
+        self, key: str
+    ) -> result.Result[services.Entry | None, services.KeyValueError]:
+        if self.is_out:
+            return result.Err(services.KeyValueError("unavailable", "out"))
+        return result.Ok(self.entries.get(key))
+
+    def list(
+        self, prefix: str
+    ) -> result.Result[tuple[services.Entry, ...], services.KeyValueError]:
+        with self.lock:
+            entries = sorted(self.entries.values())
+        return result.Ok(
+            tuple(entry for entry in entries if entry.key.startswith(prefix))
+        )
+
+    def put(
+        self, key: str, value: bytes, expected_revision: int
+    ) -> result.Result[int, services.KeyValueError]:
+        return self._write(key, value, expected_revision)
+
+    def delete(
+        self, key: str, expected_revision: int
+    ) -> result.Result[None, services.KeyValueError]:
+        written = self._write(key, None, expected_revision)
+        if isinstance(written, result.Err):
+            return written
+        return result.Ok(None)
+
+    def _write(
+        self, key: str, value: bytes | None, expected_revision: int
+    ) -> result.Result[int, services.KeyValueError]:
+        if self.is_out:
+            return result.Err(services.KeyValueError("unavailable", "out"))
+        with self.lock:
+            current = self.entries.get(key)
+            revision = current.revision if current is not None else 0
+            if revision != expected_revision:
+                return result.Err(
+                    services.KeyValueError("conflict", "other", current)
+                )
+            self.revision += 1
+            if value is None:
+                self.entries.pop(key, None)
+            else:
+                self.entries[key] = services.Entry(key, value, self.revision)
+            if self.lose_answers > 0:
+                self.lose_answers -= 1
+                return result.Err(services.KeyValueError("unknown", "lost"))
+            return result.Ok(self.revision)
+
+
+class FakeMembership(FakeService):
+    def __init__(self, vm: str, unlisted: set[str]) -> None:
+        self._own = records.Vm(vm, "nairobi-1", "entry")
+        self._incarnation = f"{vm}-{time.monotonic_ns()}"
+        self._unlisted = unlisted
+
+    def own(self) -> records.Vm:
+        return self._own
+
+    def incarnation(self) -> str:
+        return self._incarnation
+
+    def entry_vms(self) -> tuple[records.Vm, ...]:
+        return (self._own,)
+
+    def is_listed(self, vm: str) -> bool:
+        return vm not in self._unlisted
+
+
+class Platform:
+    """What several small VMs share."""
+
+    def __init__(self) -> None:
+        self.keyvalue = FakeKeyValue()
+        self.unlisted: set[str] = set()
+
+
 class SmallVm:
     """The callers' path of one VM, with fakes around it."""
 
-    def __init__(self, *rows: records.Upstream, **changes: Any) -> None:
+    def __init__(
+        self,
+        *rows: records.Upstream,
+        platform: Platform | None = None,
+        **changes: Any,
+    ) -> None:
+        self.platform = platform or Platform()
         self.config = FakeConfig(*rows)
         self.limits = FakeLimits()
         self.router = FakeRouter(self.config)
@@ -176,6 +273,12 @@
                 services.UPSTREAMS,
                 upstreams.HttpUpstreams(self.kernel, self.settings),
             ),
+            (services.KEYVALUE, self.platform.keyvalue),
+            (
+                services.MEMBERSHIP,
+                FakeMembership(self.settings.vm, self.platform.unlisted),
+            ),
+            (services.INTENTS, intents.Intents(self.kernel, self.settings)),
             (services.CALLERS, self.callers),
             (callers.LISTENER, callers.Listener(self.kernel, self.settings)),
         ):
