--- a/packages/daemon/bulrushdeald/intents.py
+++ b/packages/daemon/bulrushdeald/intents.py
@@ -295,17 +295,15 @@
         if intent.vm == self._vm:
             # An earlier run of this process.
             return False
-        if not self._membership.is_listed(intent.vm):
-            return False
-        if self._peers is None:
-            return True
-        asked = self._peers.call(
-            intent.vm, Question(name, intent.nonce), _PEER_TIMEOUT_S
-        )
-        if isinstance(asked, result.Err):
-            # Cut off is not gone: it may still run.
-            return True
-        return bool(asked.ok_value.is_running)
+        if self._peers is not None:
+            asked = self._peers.call(
+                intent.vm, Question(name, intent.nonce), _PEER_TIMEOUT_S
+            )
+            # The list lags, so the VM's own word goes before it.
+            if isinstance(asked, result.Ok):
+                return bool(asked.ok_value.is_running)
+        # Cut off is not gone: while it is listed it may still run.
+        return self._membership.is_listed(intent.vm)
 
     def _give_up(
         self, entry: services.Entry, intent: Intent
