Count usage once while rows move; show the whole system in a demo

Cause: a stronger state machine found two faults. A VM judged a batch by its old copy of a head and refused it, so a live VM's sums were lost. The report compared all heads' closed rows with the number of the head read last, so rows that had been moved showed twice for some seconds. Ruled out: faults of the fake service; both traces hold on the real one. Change: a refusal is judged by a head just read; the report's filter is evaluated for each head. Both have a test that failed before. The command line follows the operators' routes as they are; standins.demo runs two daemons, two engines and a plain service as processes, step by step.

--- a/packages/daemon/bulrushdeald/folding.py
+++ b/packages/daemon/bulrushdeald/folding.py
@@ -109,13 +109,20 @@
 
     def _fold_head(self, name: str) -> None:
         for _ in range(_ATTEMPTS):
-            held = self._held.get(name) or self._read(name)
+            cached = self._held.get(name)
+            held = cached or self._read(name)
             if held is None:
                 return
             with self._lock:
                 batches = tuple(self._pending.get(name, {}).values())
             now_s = self._clock.wall_s()
             head, verdicts = ledger.take(held.head, batches, now_s)
+            if cached is not None and "refused" in verdicts:
+                # Another VM has written since: by an old copy of the head a
+                # live source's batch does not follow, and would be lost.
+                with self._lock:
+                    self._held.pop(name, None)
+                continue
             if head is not held.head:
                 written = self._write(name, head, held.revision)
                 if written.is_err():
--- a/packages/daemon/bulrushdeald/report.py
+++ b/packages/daemon/bulrushdeald/report.py
@@ -224,7 +224,8 @@
         yield page.rows
     for name, head in heads.items():
         yield head.rows
-        yield (
+        # A tuple: an expression evaluated later would see the last head.
+        yield tuple(
             row
             for row in head.closing
             if not _has_moved(pages.get(ledger.page_key(row)), name, head)
--- /dev/null
+++ b/packages/standins/standins/demo.py
@@ -0,0 +1,214 @@
+"""Shows the whole system on loopback, step by step, and stops it again."""
+
+from collections.abc import Callable, Iterator
+import contextlib
+import json
+import pathlib
+import sys
+import tempfile
+import time
+
+from standins import deployment as deployment_lib
+from standins import fleet as fleet_lib
+
+_ITEMS = 300
+_JOB_S = 120.0
+_REFUSED_S = 12.0
+_USAGE_S = 30.0
+_UNAUTHORIZED = 401
+_OK = 200
+_CUSTOMER = "kisumu-schools"
+
+
+class Demo:
+    """Each step prints what it does and raises `FleetError` if it fails."""
+
+    def __init__(
+        self, deployment: deployment_lib.Deployment, folder: pathlib.Path
+    ) -> None:
+        self._deployment = deployment
+        self._folder = folder
+        self._key = ""
+
+    def start(self) -> None:
+        """Starts two daemons, two engines and a plain service."""
+        deployment = self._deployment
+        deployment.start_platform()
+        deployment.start_daemon("entry-a", "north", {"usage-flush-s": "1"})
+        deployment.start_daemon("entry-b", "south", {"usage-flush-s": "1"})
+        for daemon in deployment.daemons:
+            deployment.wait_started(daemon)
+        deployment.add_engine("engine-a", "north")
+        deployment.add_engine("engine-b", "south")
+        deployment.add_plain("orders-a", "north")
+        self._say(deployment.operate("vm", "list"))
+
+    def create_customer(self) -> None:
+        """Creates a customer and a key, and waits until they are in force."""
+        self._key = self._deployment.create_customer(_CUSTOMER)
+        for daemon in self._deployment.daemons:
+            self._deployment.wait_ready(daemon)
+        self._deployment.wait_in_force()
+        self._say(self._deployment.operate("table", "show"))
+
+    def chat(self) -> None:
+        """Streams one answer, token by token."""
+        self._say(
+            self._deployment.as_customer(
+                self._deployment.daemons[0],
+                self._key,
+                "chat",
+                "What is a glossary?",
+                "--model",
+                "textbook",
+                "--max-tokens",
+                "12",
+            )
+        )
+
+    def run_job(self) -> None:
+        """Submits a job at one daemon and reads its results at the other."""
+        first, second = self._deployment.daemons
+        items = self._folder / "items.jsonl"
+        items.write_text("".join(_item(index) for index in range(_ITEMS)))
+        submitted = self._deployment.check(
+            self._deployment.as_customer(
+                first, self._key, "job", "submit", str(items), "--json"
+            )
+        )
+        job = json.loads(submitted.output[submitted.output.index("{") :])["id"]
+        print(f"Submitted {_ITEMS} items as job {job}.")
+        results = self._folder / "results.jsonl"
+        self._deployment.check(
+            self._deployment.as_customer(
+                second,
+                self._key,
+                "job",
+                "results",
+                job,
+                "--wait",
+                "--output",
+                str(results),
+            )
+        )
+        lines = results.read_text().splitlines()
+        ids = {json.loads(line)["custom_id"] for line in lines}
+        print(f"Read {len(lines)} results of {len(ids)} different items.")
+        _expect(len(lines) == len(ids) == _ITEMS, "one result for each item")
+        self._say(self._deployment.operate("job", "list"))
+
+    def call_plain_service(self) -> None:
+        """Confirms an order once."""
+        answer = self._deployment.call(
+            "POST",
+            self._deployment.daemons[1].callers,
+            "/services/orders/confirm",
+            {"order": 17},
+            deployment_lib.bearer(self._key),
+        )
+        print(f"{answer.status} {answer.body.decode()}")
+        _expect(answer.status == _OK, "the order is confirmed")
+
+    def withdraw_key(self) -> None:
+        """Withdraws the key and waits for the refusal on both daemons."""
+        listed = self._deployment.check(
+            self._deployment.operate("key", "list", "--json")
+        )
+        key_hash = json.loads(listed.output)["keys"][0]["key_hash"]
+        began_s = time.monotonic()
+        self._say(self._deployment.operate("key", "withdraw", key_hash))
+        for daemon in self._deployment.daemons:
+            answer = fleet_lib.poll(
+                lambda daemon=daemon: self._refused(daemon),  # type: ignore[misc]
+                _REFUSED_S,
+                f"{daemon.vm} refuses the key",
+            )
+            took_s = time.monotonic() - began_s
+            print(
+                f"{daemon.vm} after {took_s:.1f} s: {answer.status}"
+                f" {answer.body.decode()}"
+            )
+
+    def report(self) -> None:
+        """Shows the usage report once all is in it."""
+        fleet_lib.poll(self._is_all_counted, _USAGE_S, "the report counts all")
+        self._say(self._deployment.operate("usage"))
+
+    def _refused(
+        self, daemon: deployment_lib.Daemon
+    ) -> deployment_lib.Answer | None:
+        answer = self._deployment.call(
+            "GET",
+            daemon.callers,
+            "/v1/models",
+            headers=deployment_lib.bearer(self._key),
+        )
+        return answer if answer.status == _UNAUTHORIZED else None
+
+    def _is_all_counted(self) -> bool:
+        shown = self._deployment.operate("usage", "--json")
+        if shown.code != 0:
+            return False
+        rows = json.loads(shown.output)["customers"]
+        counted = {"online": 0, "batch": 0}
+        for row in rows:
+            if row["outcome"] == "ok":
+                counted[row["work_class"]] += row["requests"]
+        # One chat, one order and the job's items.
+        return counted == {"online": 2, "batch": _ITEMS}
+
+    def _say(self, command: deployment_lib.Command) -> None:
+        print(self._deployment.check(command).output.rstrip("\n"))
+
+
+def _item(index: int) -> str:
+    item = {
+        "custom_id": f"item-{index}",
+        "method": "POST",
+        "url": "/v1/chat/completions",
+        "body": {
+            "model": "textbook",
+            "messages": [{"role": "user", "content": f"Quiz {index}?"}],
+            "max_tokens": 4,
+        },
+    }
+    return json.dumps(item) + "\n"
+
+
+def _expect(is_true: bool, what: str) -> None:
+    if not is_true:
+        raise fleet_lib.FleetError(f"Expected: {what}.")
+
+
+def _steps(demo: Demo) -> Iterator[Callable[[], None]]:
+    yield demo.start
+    yield demo.create_customer
+    yield demo.chat
+    yield demo.run_job
+    yield demo.call_plain_service
+    yield demo.withdraw_key
+    yield demo.report
+
+
+def main() -> int:
+    """Runs all steps; 0 only if each of them held."""
+    with contextlib.ExitStack() as stack:
+        name = stack.enter_context(tempfile.TemporaryDirectory())
+        folder = pathlib.Path(name)
+        fleet = stack.enter_context(fleet_lib.Fleet(folder))
+        demo = Demo(deployment_lib.Deployment(fleet), folder)
+        try:
+            for step in _steps(demo):
+                print(f"\n== {(step.__doc__ or '').strip()}", flush=True)
+                step()
+        except fleet_lib.FleetError as error:
+            print(f"\nThe demo failed: {error}", file=sys.stderr)
+            for process in fleet.processes:
+                print(f"--- {process.name}\n{process.tail()}", file=sys.stderr)
+            return 1
+    print("\nAll steps held; every process has been stopped.")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/standins/standins/deployment.py
@@ -0,0 +1,340 @@
+"""A small deployment of real processes, for the demo and process tests."""
+
+from collections.abc import Iterable, Mapping
+import http
+import json
+import sys
+from typing import Any, NamedTuple
+
+import urllib3
+import urllib3.exceptions
+
+from bulrushdeal import records
+from standins import fleet as fleet_lib
+
+OPERATOR_TOKEN = "demo-operator"
+_START_S = 30.0
+_CALL_S = 10.0
+_FIRST_ERROR = 400
+
+
+class Answer(NamedTuple):
+    """An answer over HTTP; status 0 if there was none."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    def value(self) -> Any:
+        """Returns the JSON in the body."""
+        return json.loads(self.body)
+
+
+class Daemon(NamedTuple):
+    """One `bulrushdeald` and where it listens."""
+
+    vm: str
+    failure_domain: str
+    callers: str
+    operators: str
+    peers: str
+    process: fleet_lib.Process
+
+
+class Command(NamedTuple):
+    """What a run of the command line brought."""
+
+    code: int
+    output: str
+
+
+class Deployment:
+    """The platform, upstreams and daemons of one demo or test."""
+
+    def __init__(self, fleet: fleet_lib.Fleet) -> None:
+        self.fleet = fleet
+        self.daemons: list[Daemon] = []
+        # The default of urllib3 sends a request again by itself.
+        self._pools = urllib3.PoolManager(retries=False, maxsize=50)
+        self.platform = ""
+
+    def start_platform(self) -> None:
+        """Starts the stand-in of the platform."""
+        process = self.start_module("platform", "standins.platform")
+        self.platform = process.address()
+
+    def start_module(
+        self, name: str, module: str, arguments: Iterable[str] = ()
+    ) -> fleet_lib.Process:
+        """Starts a stand-in on a free port."""
+        return self.fleet.start(
+            name,
+            [
+                sys.executable,
+                "-m",
+                module,
+                "--address",
+                "127.0.0.1:0",
+                *arguments,
+            ],
+        )
+
+    def list_vm(self, row: records.Vm) -> None:
+        """Puts a VM on the platform's list."""
+        self.must("PUT", self.platform, f"/v1/vms/{row.vm}", row._asdict())
+
+    def unlist_vm(self, vm: str) -> None:
+        """Takes a VM off the platform's list."""
+        self.must("DELETE", self.platform, f"/v1/vms/{vm}")
+
+    def set_platform_faults(self, **faults: Any) -> None:
+        """Switches the platform's faults; none given ends them."""
+        self.must("POST", self.platform, "/v1/faults", faults)
+
+    def start_daemon(
+        self,
+        vm: str,
+        failure_domain: str,
+        settings: Mapping[str, str] | None = None,
+    ) -> Daemon:
+        """Starts a daemon with a data folder; it may not be ready yet."""
+        callers, operators, peers = (fleet_lib.free_address() for _ in range(3))
+        data_folder = self.fleet.folder / f"data-{vm}"
+        data_folder.mkdir(exist_ok=True)
+        self.list_vm(
+            records.Vm(vm, failure_domain, "entry", peers, has_disk=True)
+        )
+        flags = {
+            "vm": vm,
+            "failure-domain": failure_domain,
+            "callers-address": callers,
+            "operators-address": operators,
+            "peers-address": peers,
+            "platform-address": self.platform,
+            "data-folder": str(data_folder),
+            **(settings or {}),
+        }
+        arguments = [f"--{name}={value}" for name, value in flags.items()]
+        process = self.fleet.start(
+            vm,
+            [
+                sys.executable,
+                "-c",
+                "from bulrushdeald import main; main.main()",
+                "serve",
+                *arguments,
+            ],
+            {"BULRUSHDEAL_OPERATOR_TOKEN": OPERATOR_TOKEN},
+        )
+        daemon = Daemon(vm, failure_domain, callers, operators, peers, process)
+        self.daemons.append(daemon)
+        return daemon
+
+    def wait_started(self, daemon: Daemon) -> None:
+        """Waits until a daemon answers operators."""
+        headers = bearer(OPERATOR_TOKEN)
+        self._wait(daemon, daemon.operators, "/v1/vms", headers)
+
+    def wait_ready(self, daemon: Daemon) -> None:
+        """Waits until a daemon takes callers' requests.
+
+        It does so only once there is any configuration.
+        """
+        self._wait(daemon, daemon.callers, "/healthz", {})
+
+    def _wait(
+        self,
+        daemon: Daemon,
+        address: str,
+        path: str,
+        headers: Mapping[str, str],
+    ) -> None:
+        def is_up() -> bool:
+            if not daemon.process.is_running():
+                raise fleet_lib.FleetError(
+                    f"{daemon.vm} ended:\n{daemon.process.tail()}"
+                )
+            answer = self.call("GET", address, path, headers=headers)
+            return answer.status == http.HTTPStatus.OK
+
+        fleet_lib.poll(is_up, _START_S, f"{daemon.vm} answers {path}")
+
+    def operate(self, *words: str) -> Command:
+        """Runs the operators' command line over all daemons."""
+        servers = ",".join(daemon.operators for daemon in self.daemons)
+        return self._command(
+            words,
+            {
+                "BULRUSHDEAL_SERVER": servers,
+                "BULRUSHDEAL_OPERATOR_TOKEN": OPERATOR_TOKEN,
+            },
+        )
+
+    def as_customer(self, daemon: Daemon, key: str, *words: str) -> Command:
+        """Runs a customer's command against one daemon."""
+        return self._command(
+            words,
+            {"BULRUSHDEAL_CALLERS": daemon.callers, "BULRUSHDEAL_KEY": key},
+        )
+
+    def add_engine(
+        self,
+        name: str,
+        failure_domain: str,
+        arguments: Iterable[str] = (),
+        slots: int = 16,
+    ) -> fleet_lib.Process:
+        """Starts an engine, lists its VM and adds it as an upstream."""
+        process = self.start_module(
+            name, "standins.engine", ["--name", name, *arguments]
+        )
+        self._add_upstream(
+            records.Upstream(
+                name,
+                "engine",
+                process.address(),
+                f"vm-{name}",
+                failure_domain,
+                models=("textbook",),
+                slots=slots,
+            ),
+        )
+        return process
+
+    def add_plain(self, name: str, failure_domain: str) -> fleet_lib.Process:
+        """Starts a plain service, lists its VM and adds it as an upstream."""
+        process = self.start_module(name, "standins.plain")
+        self._add_upstream(
+            records.Upstream(
+                name,
+                "plain",
+                process.address(),
+                f"vm-{name}",
+                failure_domain,
+                service="orders",
+            ),
+        )
+        return process
+
+    def create_customer(self, name: str, rate_per_s: float = 1000.0) -> str:
+        """Creates a customer with a key and returns the key."""
+        rate = f"{rate_per_s:g}"
+        self.check(
+            self.operate(
+                "customer",
+                "create",
+                name,
+                "--rate-per-s",
+                rate,
+                "--burst",
+                rate,
+            )
+        )
+        made = self.check(self.operate("key", "create", name, "--json"))
+        return str(json.loads(made.output)["key"])
+
+    def wait_in_force(self) -> None:
+        """Waits until what is stored is in force on every daemon."""
+
+        def is_in_force() -> bool:
+            shown = self.operate("config", "status", "--json")
+            if shown.code != 0:
+                return False
+            return bool(json.loads(shown.output)["is_in_force_everywhere"])
+
+        fleet_lib.poll(is_in_force, _START_S, "configuration is in force")
+
+    def check(self, command: Command) -> Command:
+        """Returns a command's output if it succeeded.
+
+        Raises:
+            fleet_lib.FleetError: It did not.
+        """
+        if command.code != 0:
+            raise fleet_lib.FleetError(
+                f"Exit code {command.code}: {command.output}"
+            )
+        return command
+
+    def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        value: Any = None,
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float = _CALL_S,
+    ) -> Answer:
+        """Calls once over HTTP; no answer is status 0."""
+        body = None if value is None else json.dumps(value).encode()
+        try:
+            response = self._pools.request(
+                method,
+                f"http://{address}{path}",
+                body=body,
+                headers=dict(headers or {}),
+                timeout=timeout_s,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return Answer(0, {}, repr(error).encode())
+        return Answer(response.status, response.headers, response.data)
+
+    def must(
+        self, method: str, address: str, path: str, value: Any = None
+    ) -> Answer:
+        """Calls once and expects success.
+
+        Raises:
+            fleet_lib.FleetError: There was an error or no answer.
+        """
+        answer = self.call(method, address, path, value)
+        if answer.status == 0 or answer.status >= _FIRST_ERROR:
+            raise fleet_lib.FleetError(
+                f"{method} {path}: {answer.status} {answer.body!r}"
+            )
+        return answer
+
+    def _add_upstream(self, row: records.Upstream) -> None:
+        self.list_vm(records.Vm(row.vm, row.failure_domain, "upstream"))
+        words = [
+            "upstream",
+            "add",
+            row.upstream,
+            "--kind",
+            row.kind,
+            "--address",
+            row.address,
+            "--vm",
+            row.vm,
+            "--failure-domain",
+            row.failure_domain,
+            "--slots",
+            str(row.slots),
+        ]
+        if row.models:
+            words += ["--models", ",".join(row.models)]
+        if row.service:
+            words += ["--service", row.service]
+        self.check(self.operate(*words))
+
+    def _command(
+        self, words: Iterable[str], environment: Mapping[str, str]
+    ) -> Command:
+        process = self.fleet.start(
+            "command",
+            [
+                sys.executable,
+                "-c",
+                "from bulrushdealui import main; main.main()",
+                *words,
+            ],
+            environment,
+        )
+        code = process.wait()
+        self.fleet.processes.remove(process)
+        return Command(code, process.output())
+
+
+def bearer(key: str) -> dict[str, str]:
+    """Returns the header that presents a key."""
+    return {"Authorization": f"Bearer {key}"}
--- a/packages/standins/standins/fleet.py
+++ b/packages/standins/standins/fleet.py
@@ -142,6 +142,7 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
         self.processes: list[Process] = []
+        self._started = 0
 
     def __enter__(self) -> "Fleet":
         """Returns itself."""
@@ -158,7 +159,8 @@
         environment: Mapping[str, str] | None = None,
     ) -> Process:
         """Starts a program; its output goes to a file in the folder."""
-        log = self.folder / f"{name}-{len(self.processes)}.log"
+        self._started += 1
+        log = self.folder / f"{self._started:04}-{name}.log"
         with log.open("wb") as output:
             child = subprocess.Popen(
                 list(arguments),
--- a/packages/ui/bulrushdealui/commands/customer.py
+++ b/packages/ui/bulrushdealui/commands/customer.py
@@ -1,5 +1,7 @@
 """`customer list`, `customer create` and `customer delete`."""
 
+from typing import Any
+
 from cleo.helpers import argument
 from cleo.helpers import option
 
@@ -35,12 +37,14 @@
     def run_command(self) -> None:
         """See `base.Command`."""
         name = self.argument("customer")
-        row = records.Customer(name)._asdict()
+        row: dict[str, Any] = records.Customer(name)._asdict()
         for column in COLUMNS[1:]:
             text = self.option(column.replace("_", "-"))
             if text is not None:
                 row[column] = self.number(column, text)
-        path = f"/v1/customers/{base.quote(name)}?expected_revision=0"
+        # Whoever creates must not replace a row that is there already.
+        row["expected_revision"] = 0
+        path = f"/v1/customers/{base.quote(name)}"
         self.show_fields(self.client().change("PUT", path, row))
 
 
--- a/packages/ui/bulrushdealui/commands/job.py
+++ b/packages/ui/bulrushdealui/commands/job.py
@@ -6,15 +6,19 @@
 import sys
 import time
 from typing import Any
+from urllib import parse
 
 from cleo.helpers import argument
 from cleo.helpers import option
 
 from bulrushdeal import errors
+from bulrushdealui import api
+from bulrushdealui import tables
 from bulrushdealui.commands import base
 
 _FINISHED = ("completed", "failed", "cancelled", "expired")
 _POLL_S = 1.0
+_PAGE_JOBS = 100
 _CHUNK_BYTES = 256 * 1024
 _ID = argument("id", description="The job's id.")
 
@@ -27,7 +31,11 @@
 
     def run_command(self) -> None:
         """See `base.Command`."""
-        self.show_rows(self.client().read_value("/v1/jobs"), "jobs")
+        jobs = list(_all_jobs(self.client()))
+        if self.option("json"):
+            self.show(tables.as_json({"jobs": jobs}))
+            return
+        self.show(tables.as_text([_line(job) for job in jobs]))
 
 
 class ShowCommand(base.OperatorCommand):
@@ -46,8 +54,9 @@
         self.show_fields(value)
         while self.option("follow") and not _has_finished(value):
             time.sleep(_POLL_S)
-            value = client.read_value(path)
-            self.show_fields(value)
+            before, value = value, client.read_value(path)
+            if value != before:
+                self.show(tables.as_text([_line(value)]))
 
 
 class CancelCommand(base.OperatorCommand):
@@ -161,6 +170,28 @@
                 file.write(piece)
 
 
+def _all_jobs(client: api.Client) -> Iterator[tables.Row]:
+    query: dict[str, Any] = {"limit": _PAGE_JOBS}
+    while True:
+        value = client.read_value(f"/v1/jobs?{parse.urlencode(query)}")
+        yield from tables.rows_of(value, "data")
+        if not value.get("has_more"):
+            return
+        query["after"] = value["last_id"]
+
+
+def _line(job: tables.Row) -> tables.Row:
+    counts = job.get("request_counts") or {}
+    return {
+        "id": job.get("id"),
+        "customer": job.get("customer"),
+        "status": job.get("status"),
+        **counts,
+        "created_at": tables.time_text(job.get("created_at")),
+        "expires_at": tables.time_text(job.get("expires_at")),
+    }
+
+
 def _has_finished(job: Any) -> bool:
     if not isinstance(job, dict):
         return True
--- a/packages/ui/bulrushdealui/commands/table.py
+++ b/packages/ui/bulrushdealui/commands/table.py
@@ -98,10 +98,29 @@
         body = pathlib.Path(self.argument("file")).read_bytes()
         query = "?dry_run=1" if self.option("dry-run") else ""
         value = self.client().send(f"/v1/table.csv{query}", body, _CSV_HEADERS)
-        if self.option("json") or not isinstance(value.get("changes"), list):
+        if self.option("json"):
             self.show(tables.as_json(value))
             return
-        self.show(tables.as_text(value["changes"]))
+        self.show(tables.as_text(_changes(tables.rows_of(value, "changed"))))
+
+
+def _changes(rows: list[tables.Row]) -> list[tables.Row]:
+    """Returns a line for each cell that changes."""
+    changes: list[tables.Row] = []
+    for row in rows:
+        old = row.get("old") or {}
+        for column in customer.COLUMNS[1:]:
+            new_value = row["new"].get(column)
+            if old.get(column) != new_value:
+                changes.append(
+                    {
+                        "customer": row["customer"],
+                        "column": column,
+                        "old": old.get(column, "new row"),
+                        "new": new_value,
+                    }
+                )
+    return changes
 
 
 def _row(client: api.Client, name: str) -> tables.Row:
--- a/packages/ui/bulrushdealui/commands/usage.py
+++ b/packages/ui/bulrushdealui/commands/usage.py
@@ -58,11 +58,18 @@
         self.show("\nUpstreams:")
         self.show(tables.as_text(tables.rows_of(value, "upstreams")))
         self.show("\nHow fresh each VM's sums are:")
-        self.show(tables.as_text(tables.rows_of(value, "sources")))
+        sources = tables.rows_of(value, "sources")
+        self.show(tables.as_text([_with_time(row) for row in sources]))
         for note in value.get("notes", []):
             self.show(f"Note: {note}")
 
 
+def _with_time(row: tables.Row) -> tables.Row:
+    wall_s = row.get("sums_until_s")
+    others = {name: row[name] for name in row if name != "sums_until_s"}
+    return {**others, "sums_until": tables.time_text(wall_s)}
+
+
 def _seconds(name: str, text: str) -> float:
     try:
         return float(text)
--- a/packages/ui/bulrushdealui/tables.py
+++ b/packages/ui/bulrushdealui/tables.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 import csv
+import datetime
 import io
 import json
 from typing import Any
@@ -64,6 +65,14 @@
     return text.getvalue()
 
 
+def time_text(wall_s: Any) -> str:
+    """Returns seconds since the epoch as a time in UTC."""
+    if not wall_s:
+        return ""
+    moment = datetime.datetime.fromtimestamp(wall_s, datetime.UTC)
+    return f"{moment:%Y-%m-%dT%H:%M:%SZ}"
+
+
 def _columns(rows: Sequence[Row]) -> list[str]:
     names: dict[str, None] = {}
     for row in rows:
@@ -75,7 +84,7 @@
     if item is None or item == "":
         return "-"
     if isinstance(item, float):
-        return f"{item:g}"
+        return f"{item:.12g}"
     if isinstance(item, list):
         return ",".join(_cell(part) for part in item) or "-"
     if isinstance(item, dict):
--- a/tests/daemon/test_usage.py
+++ b/tests/daemon/test_usage.py
@@ -18,7 +18,9 @@
 from support import usagefakes
 
 VMS = ("a", "b", "c")
+START_S = 1_000_000.0
 vms = st.sampled_from(VMS)
+_NO_FAULT: usagefakes.Fault = ""
 SETTINGS = defaults.read(
     {
         "vm": "a",
@@ -43,7 +45,7 @@
     """Three VMs of one failure domain, and what was recorded on each."""
 
     def __init__(self) -> None:
-        self.clock = clock_lib.FakeClock(1_000_000.0)
+        self.clock = clock_lib.FakeClock(START_S)
         self.keyvalue = usagefakes.FaultyKeyValue()
         self.network = usagefakes.Network()
         self.vms: dict[str, Vm] = {}
@@ -93,7 +95,7 @@
         """Returns what a report shows, by incarnation."""
         peers = self.vms["a"].peers
         reader = report.Report(self.keyvalue, peers, self.clock)
-        snapshot = reader.read(0, 2_000_000).unwrap()
+        snapshot = reader.read(START_S - 3600, self.clock.wall_s() + 1).unwrap()
         assert snapshot.is_settled
         totals: collections.Counter[str] = collections.Counter()
         for row in snapshot.rows:
@@ -128,35 +130,55 @@
         for _ in range(count):
             self.world.record(vm)
 
+    @stateful.rule()
+    def record_everywhere_and_flush(self) -> None:
+        for name, vm in self.world.vms.items():
+            self.world.record(name)
+            vm.usage.flush()
+
     @stateful.rule(
         vm=vms,
-        puts=st.lists(
-            st.sampled_from(["", "applied", "dropped", "late", "unavailable"]),
-            max_size=3,
-        ),
+        is_due=st.booleans(),
+        at=st.integers(0, 12),
+        fault=st.sampled_from(["applied", "dropped", "late", "unavailable"]),
         calls=st.lists(
             st.sampled_from(["", "unreachable", "timeout"]), max_size=2
         ),
     )
-    def flush(self, vm: str, puts: list[Any], calls: list[Any]) -> None:
-        self.world.keyvalue.faults = puts
+    def flush_with_a_fault(
+        self, vm: str, is_due: bool, at: int, fault: Any, calls: list[Any]
+    ) -> None:
+        self._make_due(is_due)
+        self.world.keyvalue.faults = [*[_NO_FAULT] * at, fault]
         self.world.network.faults = calls
         self.world.vms[vm].usage.flush()
+        if is_due:
+            # Whichever VM closes a head, the fault may hit its steps.
+            for other in self.world.vms.values():
+                other.usage.flush()
         self.world.keyvalue.faults = []
         self.world.network.faults = []
 
-    @stateful.rule(vm=vms, other=vms, at=st.integers(1, 6))
-    def flush_two_at_once(self, vm: str, other: str, at: int) -> None:
+    @stateful.rule(
+        vm=vms, other=vms, is_due=st.booleans(), at=st.integers(1, 12)
+    )
+    def flush_two_at_once(
+        self, vm: str, other: str, is_due: bool, at: int
+    ) -> None:
         if vm == other:
             return
+        self._make_due(is_due)
         self._interleave(other, at)
         self.world.vms[vm].usage.flush()
         self.world.keyvalue.on_call = lambda: None
 
-    @stateful.rule(vm=vms, at=st.integers(1, 4))
-    def report_during_flush(self, vm: str, at: int) -> None:
+    @stateful.rule(vm=vms, is_due=st.booleans(), at=st.integers(1, 9))
+    def report_during_flush(self, vm: str, is_due: bool, at: int) -> None:
+        before = self.world.durable()
+        self._make_due(is_due)
         self._interleave(vm, at)
-        self.check()
+        during = self.world.durable()
+        assert all(during[run] >= count for run, count in before.items())
         self.world.keyvalue.on_call = lambda: None
 
     @stateful.rule(vm=vms, index=st.integers(0, 30))
@@ -195,6 +217,10 @@
             doubtful = world.doubtful[run]
             assert durable[run] in (recorded, recorded - doubtful)
 
+    def _make_due(self, is_due: bool) -> None:
+        if is_due:
+            self.world.clock.sleep_s(301.0)
+
     def _interleave(self, vm: str, at: int) -> None:
         left = at
 
@@ -254,6 +280,37 @@
     assert world.durable()["m"] in (0, 1)
 
 
+def test_batch_is_not_refused_by_an_old_copy_of_the_head() -> None:
+    # A customer's requests of a minute are missing from the report, though
+    # no VM was lost. A VM folds once, another takes over for some batches,
+    # then the first folds again. Cause: it judged the next batch by the head
+    # as it had written it last, where that batch does not follow.
+    world = World()
+    others = set(VMS)
+    for folder in ("b", "c", "c", "b"):
+        world.network.leaving = others - {folder}
+        world.record("a")
+        world.heal()
+    assert world.durable() == world.recorded
+
+
+def test_rows_that_were_moved_count_once_while_others_are_closing() -> None:
+    # A report shows a customer's requests twice for some seconds. One head's
+    # rows stand in their pages already and its closing has not ended, as the
+    # answer was lost; another head has none. Cause: each head's closed rows
+    # were compared with the number of the head that was read last.
+    for lost_at in range(12):
+        world = World()
+        for name in VMS:
+            world.record(name)
+            world.vms[name].usage.flush()
+        world.clock.sleep_s(301.0)
+        world.keyvalue.faults = [*[_NO_FAULT] * lost_at, "dropped"]
+        for vm in world.vms.values():
+            vm.usage.flush()
+        assert world.durable() == world.recorded
+
+
 def test_unknown_models_cannot_fill_the_memory() -> None:
     world = World()
     service = world.vms["a"].usage
