Register the service of idempotency keys

Cause: the callers' server looks it up when it starts, nothing registered it, so no daemon started ('Service callers did not start', 'intents'). Change: it stands before the callers' server.

--- a/packages/daemon/bulrushdeald/assembly.py
+++ b/packages/daemon/bulrushdeald/assembly.py
@@ -6,6 +6,7 @@
 from bulrushdeald import coordinator
 from bulrushdeald import defaults
 from bulrushdeald import files
+from bulrushdeald import intents
 from bulrushdeald import jobs
 from bulrushdeald import keyvalue
 from bulrushdeald import limits
@@ -41,6 +42,7 @@
     add(services.LIMITS, limits.EscrowLimits(kernel, settings))
     add(services.ROUTER, router.UpstreamRouter(kernel, settings))
     add(services.UPSTREAMS, upstreams.HttpUpstreams(kernel, settings))
+    add(services.INTENTS, intents.Intents(kernel, settings))
     add(services.CALLERS, callers.CallersServer(kernel, settings))
     if settings.data_folder:
         add(services.STORE, store.DiskStore(kernel, settings))
