--- /dev/null
+++ b/tests/daemon/test_edits.py
@@ -0,0 +1,144 @@
+"""Operators who edit the table at the same moment.
+
+Story: two operators see a rate of 10. One sets it to 20; the other, who has
+not seen that, sets it to 5. Either would find the other's number later and
+believe that the table lost an edit. Cause: the second write went over the
+first unseen. One of them must be told, with both numbers; but operators
+who edit different cells must not get in each other's way.
+"""
+
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bulrushdeal import records
+from bulrushdeald import config
+from bulrushdeald import edits
+from bulrushdeald import pages
+from bulrushdeald import rewrites
+from support import controlplane
+from support import platformfakes
+
+NAMES = ("customer-15", "customer-20")
+KEY = pages.customer_key(NAMES[0])
+values = st.integers(1, 3).map(float)
+
+
+class Desk:
+    """An operator at a VM of its own."""
+
+    def __init__(self, store: platformfakes.Store, vm: str) -> None:
+        self.client = platformfakes.StoreClient(store)
+        rows = [records.Vm(vm, "d", "entry", "x:1")]
+        kernel = platformfakes.kernel(
+            keyvalue=self.client,
+            membership=platformfakes.FixedMembership(vm, rows),
+            peers=platformfakes.NetworkPeers(platformfakes.Network(), vm),
+        )
+        self.config = config.ConfigService(
+            kernel,
+            controlplane.settings("x:1", vm=vm),
+            pool=platformfakes.InlineExecutor(),
+        )
+        self.config.attach()
+        self.editor = edits.Editor(self.client, self.config)
+
+    def set_cell(
+        self, name: str, column: str, value: float, seen: float
+    ) -> Any:
+        change = edits.CellEdit(name, column, value, seen, None)
+        return self.editor.edit(KEY, rewrites.set_cell(change))
+
+
+def stored(store: platformfakes.Store) -> dict[str, records.Customer]:
+    held = store.keyspace.get(KEY)
+    assert held is not None
+    return {row.customer: row for row in pages.decode(held.value).customers}
+
+
+cells = st.tuples(st.sampled_from(NAMES), st.sampled_from(["weight", "burst"]))
+changes = st.lists(st.tuples(cells, values, values), min_size=1, max_size=5)
+
+
+@given(changes, changes)
+def test_each_accepted_edit_saw_what_it_replaced(
+    first: list[Any], second: list[Any]
+) -> None:
+    store = platformfakes.Store()
+    one, other = Desk(store, "vm-1"), Desk(store, "vm-2")
+    for name in NAMES:
+        row = records.Customer(name, weight=1.0, burst=1.0)
+        one.editor.edit(KEY, rewrites.put_customer(row, 0)).unwrap()
+    oracle = {(n, c): 1.0 for n in NAMES for c in ("weight", "burst")}
+
+    def submit(desk: Desk, cell: Any, value: float, seen: float) -> None:
+        name, column = cell
+        edited = desk.set_cell(name, column, value, seen)
+        if seen == oracle[cell]:
+            edited.unwrap()
+            oracle[cell] = value
+            return
+        error = edited.unwrap_err()
+        assert error.kind == "conflict"
+        assert (error.expected, error.current) == (seen, oracle[cell])
+
+    for (cell, value, seen), race in zip(
+        first, [*second, None, None, None, None], strict=False
+    ):
+        if race is not None:
+            # The other operator's write lands between read and write.
+            one.client.before_put = lambda race=race: submit(other, *race)
+        submit(one, cell, value, seen)
+        one.client.before_put = None
+        rows = stored(store)
+        for (name, column), expected in oracle.items():
+            assert getattr(rows[name], column) == expected
+
+
+def test_a_new_customer_does_not_replace_one_made_meanwhile() -> None:
+    """Two operators add a customer of the same name, each as new."""
+    store = platformfakes.Store()
+    one, other = Desk(store, "vm-1"), Desk(store, "vm-2")
+    fast = records.Customer(NAMES[0], rate_per_s=7.0)
+    slow = records.Customer(NAMES[0], rate_per_s=8.0)
+    one.client.before_put = lambda: other.editor.edit(
+        KEY, rewrites.put_customer(fast, 0)
+    ).unwrap()
+    lost = one.editor.edit(KEY, rewrites.put_customer(slow, 0)).unwrap_err()
+    assert (lost.kind, lost.current["rate_per_s"]) == ("conflict", 7.0)
+    assert stored(store)[NAMES[0]] == fast
+
+
+def test_a_deleted_customers_keys_stay_withdrawn() -> None:
+    """A customer is deleted and one of the same name is made later.
+
+    The old keys must not work for the new customer.
+    """
+    desk = Desk(platformfakes.Store(), "vm-1")
+    desk.config.feed.read_all()
+    row = records.Customer(NAMES[0])
+    key = records.Key(config.hash_key("secret"), NAMES[0], "")
+    for rewrite in (rewrites.put_customer(row, 0), rewrites.add_key(key)):
+        desk.editor.edit(KEY, rewrite).unwrap()
+    assert desk.config.authenticate("secret").is_ok()
+    for rewrite in (
+        rewrites.delete_customer(NAMES[0]),
+        rewrites.put_customer(row, 0),
+        rewrites.add_key(key),
+    ):
+        desk.editor.edit(KEY, rewrite).unwrap()
+    assert desk.config.authenticate("secret").is_err()
+
+
+def test_a_page_that_cannot_be_read_is_not_written_over() -> None:
+    """A newer program stored a page that this one cannot read."""
+    store = platformfakes.Store()
+    desk = Desk(store, "vm-1")
+    desk.client.put(KEY, b"from the future", 0).unwrap()
+    row = records.Customer(NAMES[0])
+    error = desk.editor.edit(KEY, rewrites.put_customer(row, None)).unwrap_err()
+    assert error.kind == "unavailable"
+    held = store.keyspace.get(KEY)
+    assert held is not None
+    assert held.value == b"from the future"
--- a/tests/support/platformfakes.py
+++ b/tests/support/platformfakes.py
@@ -48,7 +48,7 @@
         # effect, and reading back does not settle it.
         self.next_is_lost: bool | None = None
         # Runs once between the next read and the write that follows.
-        self.before_put: Callable[[], None] | None = None
+        self.before_put: Callable[[], object] | None = None
 
     def _down(self) -> services.KeyValueError | None:
         if self.is_cut or self._store.is_down:
