Prove the calls between VMs: late and crossed answers, wrong addresses

Each guard was taken out once: - answers matched by order and not by id: of three crossed calls one gets no answer, the others each other's; - the name in the greeting not checked: a call to 'old' is answered by 'new' at its address; - the address shared (reuse_port): a second process of the VM starts; - one thread a connection: three calls that wait for each other time out. Found on the way: a link closed for idleness could take a call at that moment, which then timed out though it was never sent; it retires first.

--- a/packages/daemon/bulrushdeald/links.py
+++ b/packages/daemon/bulrushdeald/links.py
@@ -108,11 +108,19 @@
         """Begins to connect."""
         self._thread.start()
 
-    def is_idle(self, for_s: float) -> bool:
-        """Tells whether nobody used or uses the link."""
+    def retire(self, idle_s: float) -> bool:
+        """Takes no more calls if nobody used the link for some time.
+
+        Returns:
+            Whether it was idle; it is then to be closed.
+        """
         with self._lock:
-            is_unused = time.monotonic() - self.used_s >= for_s
-            return is_unused and not self._waiters
+            is_unused = time.monotonic() - self.used_s >= idle_s
+            if not is_unused or self._waiters:
+                return False
+            # A call that comes from now on is surely not sent.
+            self._has_ended = True
+            return True
 
     def close(self) -> None:
         """Ends the connection; calls that wait are told so."""
--- a/packages/daemon/bulrushdeald/peers.py
+++ b/packages/daemon/bulrushdeald/peers.py
@@ -229,19 +229,18 @@
             _log.debug("No connection to %s: %s", name, link.problem)
 
     def _drop_idle(self, for_s: float) -> bool:
-        """Closes idle links, the one unused longest if `for_s` is 0."""
-        idle = [
-            (link.used_s, name)
-            for name, link in self._links.items()
-            if link.is_idle(for_s)
-        ]
-        idle.sort()
-        if for_s == 0.0:
-            idle = idle[:1]
-        for _, name in idle:
-            link = self._links.pop(name)
-            threading.Thread(target=link.close, daemon=True).start()
-        return bool(idle)
+        """Closes idle links, only the one unused longest if `for_s` is 0."""
+        by_use = sorted(self._links, key=lambda name: self._links[name].used_s)
+        dropped = 0
+        for name in by_use:
+            if for_s == 0.0 and dropped:
+                break
+            link = self._links[name]
+            if link.retire(for_s):
+                del self._links[name]
+                dropped += 1
+                threading.Thread(target=link.close, daemon=True).start()
+        return dropped > 0
 
     def _sweep(self) -> None:
         while not self._stopping.wait(_SWEEP_S):
--- /dev/null
+++ b/tests/daemon/test_peers.py
@@ -0,0 +1,186 @@
+"""Calls between VMs when answers are late, crossed, or never come.
+
+Story: a VM asks a peer for a share and gives the call up. The answer comes
+while the next call waits, and is taken for that call's own: two customers'
+shares are swapped. Or a VM was replaced, its address now belongs to another
+one, and a call reaches a VM that it was not meant for.
+"""
+
+from concurrent import futures
+import socket
+import threading
+from typing import Any, NamedTuple
+
+import pytest
+
+from bulrushdeal import records
+from bulrushdeald import links
+from bulrushdeald import peers
+from bulrushdeald import wire
+from support import controlplane
+from support import platformfakes
+
+_LONG_S = 20.0
+
+
+class Ask(NamedTuple):
+    number: int
+
+
+class Reply(NamedTuple):
+    vm: str
+    number: int
+
+
+class PeerVm:
+    def __init__(self, vm: str, rows: list[records.Vm]) -> None:
+        row = next(row for row in rows if row.vm == vm)
+        membership = platformfakes.FixedMembership(vm, rows)
+        self.peers = peers.WebsocketPeers(
+            platformfakes.kernel(membership=membership),
+            controlplane.settings("x:1", vm=vm, peers_address=row.peer_address),
+        )
+        self.vm = vm
+        self.peers.understand(Reply)
+        self.peers.handle(Ask, self.answer)
+
+    def answer(self, vm: str, message: Ask) -> Any:
+        return Reply(self.vm, message.number)
+
+    def __enter__(self) -> "PeerVm":
+        self.peers.start()
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self.peers.stop(1.0)
+
+
+def rows(*vms: str) -> list[records.Vm]:
+    return [
+        records.Vm(vm, "d", "entry", controlplane.free_address()) for vm in vms
+    ]
+
+
+def test_answers_that_cross_reach_their_own_calls() -> None:
+    listed = rows("a", "b")
+    with PeerVm("a", listed) as a, PeerVm("b", listed) as b:
+        asked = threading.Barrier(3)
+
+        def answer(vm: str, message: Ask) -> Any:
+            # All are asked before any answers, and the last answers first.
+            asked.wait(_LONG_S)
+            return Reply(vm, message.number)
+
+        b.peers.handle(Ask, answer)
+        with futures.ThreadPoolExecutor(3) as pool:
+            calls = [
+                pool.submit(a.peers.call, "b", Ask(number), _LONG_S)
+                for number in range(3)
+            ]
+            answers = [call.result().unwrap().number for call in calls]
+        assert answers == [0, 1, 2]
+
+
+def test_a_late_answer_is_not_the_next_calls() -> None:
+    listed = rows("a", "b")
+    with PeerVm("a", listed) as a, PeerVm("b", listed) as b:
+        given_up = threading.Event()
+
+        def answer(vm: str, message: Ask) -> Any:
+            if message.number == 1:
+                given_up.wait(_LONG_S)
+            return Reply(vm, message.number)
+
+        b.peers.handle(Ask, answer)
+        assert a.peers.call("b", Ask(0), _LONG_S).is_ok()
+        late = a.peers.call("b", Ask(1), 0.05)
+        assert late.unwrap_err().kind == "timeout"
+        # A slow handler does not hold up the connection's other calls.
+        assert a.peers.call("b", Ask(2), _LONG_S).unwrap().number == 2
+        given_up.set()
+        assert a.peers.call("b", Ask(3), _LONG_S).unwrap().number == 3
+
+
+def test_a_call_never_reaches_a_vm_it_was_not_meant_for() -> None:
+    """The list still names the old VM at an address that another has now."""
+    listed = rows("a", "new")
+    stale = [*listed, listed[1]._replace(vm="old")]
+    with PeerVm("a", stale) as a, PeerVm("new", listed):
+        error = a.peers.call("old", Ask(1), _LONG_S).unwrap_err()
+        assert error.kind == "unreachable"
+        assert a.peers.call("new", Ask(1), _LONG_S).unwrap().vm == "new"
+        seed = a.peers.call_address(listed[1].peer_address, Ask(2), _LONG_S)
+        assert seed.unwrap().vm == "new"
+
+
+def test_one_process_holds_the_address() -> None:
+    """A VM's process was replaced but the old one still runs.
+
+    Both would act for the VM; the newer one must not start.
+    """
+    listed = rows("a")
+    taken = pytest.raises(peers.PeerAddressError, match="--peers-address")
+    with PeerVm("a", listed), taken:
+        PeerVm("a", listed).peers.start()
+    with PeerVm("a", listed) as again:
+        assert again.peers.call("a", Ask(1), _LONG_S).is_ok()
+
+
+def test_a_peer_that_is_gone_is_unreachable_until_it_is_back() -> None:
+    listed = rows("a", "b")
+    with PeerVm("a", listed) as a:
+        with PeerVm("b", listed):
+            assert a.peers.call("b", Ask(1), _LONG_S).is_ok()
+        controlplane.wait_until(
+            lambda: (
+                a.peers.call("b", Ask(2), _LONG_S).unwrap_err().kind
+                == "unreachable"
+            )
+        )
+        with PeerVm("b", listed):
+            controlplane.wait_until(
+                lambda: a.peers.call("b", Ask(3), _LONG_S).is_ok()
+            )
+
+
+def test_failures_of_handlers_are_refusals() -> None:
+    listed = rows("a", "b")
+
+    class Unknown(NamedTuple):
+        number: int
+
+    def fail(vm: str, message: Ask) -> Any:
+        raise ValueError("broken")
+
+    with PeerVm("a", listed) as a, PeerVm("b", listed) as b:
+        b.peers.handle(Ask, fail)
+        for message in (Ask(1), Unknown(1)):
+            error = a.peers.call("b", message, _LONG_S).unwrap_err()
+            assert error.kind == "refused"
+        a.peers.handle(Ask, fail)
+        assert a.peers.call("a", Ask(1), 1.0).unwrap_err().kind == "refused"
+
+
+def test_traffic_is_counted_alike_at_both_ends() -> None:
+    listed = rows("a", "b")
+    with PeerVm("a", listed) as a, PeerVm("b", listed) as b:
+        assert a.peers.call("b", Ask(1), _LONG_S).is_ok()
+        ours, theirs = a.peers.dump(), b.peers.dump()
+        assert ours["sent_bytes"] == theirs["received_bytes"] > 0
+        assert ours["received_messages"] == theirs["sent_messages"] == 1
+
+
+def test_a_link_that_does_not_answer_is_given_up() -> None:
+    """The peer accepts the connection but its process is paused."""
+    with socket.create_server(("127.0.0.1", 0)) as paused:
+        address = f"127.0.0.1:{paused.getsockname()[1]}"
+        ended: list[links.Link] = []
+        link = links.Link(
+            links.Target("b", address),
+            wire.Hello("a", "run", "d"),
+            links.Traffic(),
+            ended.append,
+        )
+        link.start()
+        error = link.call(Ask(1), 0.05).unwrap_err()
+        assert error.kind == "unreachable"
