Prove the control services over HTTP and websockets, through outages

Each guard was taken out once: - a VM missing from one read counts as gone: b, still running, is not listed; - the age of a peer's answer not counted: the same by a peer that was cut off for 25 s; - no comparison with peers at the start: a VM that starts in an outage never serves. Found on the way: a VM missing from the list counted from when somebody asked, not from when it was missed.

--- a/packages/daemon/bulrushdeald/membership.py
+++ b/packages/daemon/bulrushdeald/membership.py
@@ -14,6 +14,7 @@
 
 _log = logs.Log("membership")
 _NOT_MODIFIED = 304
+_MAX_MISSING = 10_000
 
 
 class PlatformMembership:
@@ -149,12 +150,25 @@
         with self._lock:
             # A list from a peer is not the one that the platform named.
             self._etag = ""
+            before = self._listed
             self._listed = listed
             self._entry_vms = tuple(entry_vms[vm] for vm in sorted(entry_vms))
-            for vm in listed:
-                self._missing_since_s.pop(vm, None)
+            self._note_missing(before, listed)
         self.confirm(age_s)
 
+    def _note_missing(
+        self, before: dict[str, records.Vm], listed: dict[str, records.Vm]
+    ) -> None:
+        now_s = self._clock.monotonic_s()
+        for vm in listed:
+            self._missing_since_s.pop(vm, None)
+        for vm in before:
+            if vm not in listed:
+                self._missing_since_s.setdefault(vm, now_s)
+        # Names are not used again, so those longest gone can be forgotten.
+        while len(self._missing_since_s) > _MAX_MISSING:
+            del self._missing_since_s[next(iter(self._missing_since_s))]
+
     def confirm(self, age_s: float) -> None:
         """Notes that the list held was the platform's `age_s` seconds ago."""
         read_s = self._clock.monotonic_s() - age_s
--- a/tests/support/controlplane.py
+++ b/tests/support/controlplane.py
@@ -1,6 +1,7 @@
 """Real control services of a VM, in this process, on free ports."""
 
 from collections.abc import Callable
+from concurrent import futures
 import json
 import socket
 import time
@@ -116,14 +117,15 @@
         return self
 
     def __exit__(self, *exception: object) -> None:
-        for vm in self.vms:
-            vm.stop()
+        with futures.ThreadPoolExecutor(len(self.vms) or 1) as pool:
+            for vm in self.vms:
+                pool.submit(vm.stop)
         self.platform.stop(0.2)
 
     def add(self, vm: str, failure_domain: str, **given: Any) -> ControlVm:
         made = ControlVm(
             settings(
-                self.platform.address,
+                given.pop("platform_address", self.platform.address),
                 vm=vm,
                 failure_domain=failure_domain,
                 **given,
