--- a/packages/bench/bench/limitcost.py
+++ b/packages/bench/bench/limitcost.py
@@ -64,6 +64,44 @@
 }
 
 
+class Report(NamedTuple):
+    """One run.
+
+    Attributes:
+        policy: Which way.
+        profile: Which fleet.
+        condition: Which fault.
+        requests: By customers within their rate.
+        refused_inside: Of these, refused while the row had a token left.
+        refused_inside_per_1000: The same as a ratio.
+        flood_admitted: Of what the row of the flooding customer allows.
+        over: Requests admitted while the row had no token left.
+        worst_over: By how many tokens at most.
+        messages_per_request: Peer messages, asks and answers apart.
+        bytes_per_request: Their CBOR, without frames and headers.
+        messages_per_vm_s: Sent and received.
+        bytes_per_vm_s: Sent and received.
+        peers_per_vm: Other VMs that a VM called.
+        writes_per_s: To the platform.
+    """
+
+    policy: str
+    profile: str
+    condition: str
+    requests: int
+    refused_inside: int
+    refused_inside_per_1000: float
+    flood_admitted: float
+    over: int
+    worst_over: float
+    messages_per_request: float = 0.0
+    bytes_per_request: float = 0.0
+    messages_per_vm_s: float = 0.0
+    bytes_per_vm_s: float = 0.0
+    peers_per_vm: float = 0.0
+    writes_per_s: float = 0.0
+
+
 class Escrow:
     """The real limits, as a policy."""
 
@@ -106,6 +144,30 @@
                 node.limits.tend()
         self._ticks += 1
 
+    def begin_count(self) -> None:
+        """Counts messages and writes from now on."""
+        net = self.fleet.net
+        net.counts_bytes = True
+        net.messages = net.size_bytes = 0
+        net.pairs.clear()
+        self.fleet.keyvalue.writes = 0
+
+    def with_costs(
+        self, report: Report, requests: int, seconds: float
+    ) -> Report:
+        """Returns the report with what the run cost."""
+        net = self.fleet.net
+        vms = len(self._scene.domain_of)
+        writes = self.fleet.keyvalue.writes
+        return report._replace(
+            messages_per_request=round(net.messages / requests, 3),
+            bytes_per_request=round(net.size_bytes / requests, 1),
+            messages_per_vm_s=round(2 * net.messages / vms / seconds, 2),
+            bytes_per_vm_s=round(2 * net.size_bytes / vms / seconds, 1),
+            peers_per_vm=round(len(net.pairs) / vms, 1),
+            writes_per_s=round(writes / seconds, 3),
+        )
+
 
 class Tally:
     """Counts for one customer, with the row as the oracle."""
@@ -133,44 +195,6 @@
             self.refused_inside += 1
 
 
-class Report(NamedTuple):
-    """One run.
-
-    Attributes:
-        policy: Which way.
-        profile: Which fleet.
-        condition: Which fault.
-        requests: By customers within their rate.
-        refused_inside: Of these, refused while the row had a token left.
-        refused_inside_per_1000: The same as a ratio.
-        flood_admitted: Of what the row of the flooding customer allows.
-        over: Requests admitted while the row had no token left.
-        worst_over: By how many tokens at most.
-        messages_per_request: Peer messages, asks and answers apart.
-        bytes_per_request: Their CBOR, without frames and headers.
-        messages_per_vm_s: Sent and received.
-        bytes_per_vm_s: Sent and received.
-        peers_per_vm: Other VMs that a VM called.
-        writes_per_s: To the platform.
-    """
-
-    policy: str
-    profile: str
-    condition: str
-    requests: int
-    refused_inside: int
-    refused_inside_per_1000: float
-    flood_admitted: float
-    over: int
-    worst_over: float
-    messages_per_request: float = 0.0
-    bytes_per_request: float = 0.0
-    messages_per_vm_s: float = 0.0
-    bytes_per_vm_s: float = 0.0
-    peers_per_vm: float = 0.0
-    writes_per_s: float = 0.0
-
-
 class Run:
     """Feeds one policy with requests and faults."""
 
@@ -196,12 +220,8 @@
         args = self._args
         makers = {"escrow": Escrow, **limitpolicies.BASELINES}
         policy = makers[args.policy](self.scene, self.rows)
-        net = policy.fleet.net if isinstance(policy, Escrow) else None
-        if net is not None:
-            net.counts_bytes = True
-            net.messages = net.size_bytes = 0
-            net.pairs.clear()
-            writes = policy.fleet.keyvalue.writes
+        if isinstance(policy, Escrow):
+            policy.begin_count()
         tallies = {
             name: Tally(row, self._begin_s) for name, row in self.rows.items()
         }
@@ -222,20 +242,10 @@
             self._set_faults(tick / ticks)
             policy.tick()
         report = self._report(tallies)
-        if net is None:
+        if not isinstance(policy, Escrow):
             return report
         requests = sum(tally.requests for tally in tallies.values())
-        vm_s = args.seconds * len(self.scene.domain_of)
-        return report._replace(
-            messages_per_request=round(net.messages / requests, 3),
-            bytes_per_request=round(net.size_bytes / requests, 1),
-            messages_per_vm_s=round(2 * net.messages / vm_s, 2),
-            bytes_per_vm_s=round(2 * net.size_bytes / vm_s, 1),
-            peers_per_vm=round(len(net.pairs) / len(self.scene.domain_of), 1),
-            writes_per_s=round(
-                (policy.fleet.keyvalue.writes - writes) / args.seconds, 3
-            ),
-        )
+        return policy.with_costs(report, requests, args.seconds)
 
     def _gap_s(self, name: str) -> float:
         load = _FLOOD if name == self._flooding else self._args.load
