--- /dev/null
+++ b/tests/daemon/test_upstreams.py
@@ -0,0 +1,336 @@
+"""Each request gets the whole answer that is its own, or an error."""
+
+from collections.abc import Iterator
+import json
+import threading
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+import result
+
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeald import services
+from bulrushdeald import upstreams
+from standins import engine
+from standins import web
+from support import pathfakes
+from support import rawupstream
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"
+INDEXES = st.integers(0, 5)
+CLOSE = rawupstream.RawUpstream.CLOSE
+
+
+@pytest.fixture
+def client() -> Iterator[upstreams.HttpUpstreams]:
+    client = upstreams.HttpUpstreams(kernel_lib.Kernel(), pathfakes.settings())
+    yield client
+    client.stop(1.0)
+
+
+def get(client: upstreams.HttpUpstreams, address: str) -> Any:
+    """Returns a whole answer's body, or the error's kind and `ran`."""
+    sent = client.send(
+        pathfakes.plain_row(address), "GET", "/", {}, b"", timeout_s=2.0
+    )
+    if isinstance(sent, result.Err):
+        return sent.err_value.kind, sent.err_value.ran
+    body = b""
+    for item in sent.ok_value.chunks():
+        if isinstance(item, result.Err):
+            sent.ok_value.close()
+            return item.err_value.kind, item.err_value.ran
+        body += item.ok_value
+    sent.ok_value.close()
+    return body
+
+
+@pytest.mark.parametrize(
+    ("script", "expected"),
+    [
+        (HEAD + b"one", b"one"),
+        (HEAD + b"on" + CLOSE, ("crashed", "ran")),
+        (HEAD[:-2] + CLOSE, ("crashed", "unknown")),
+        (HEAD[:20] + CLOSE, ("crashed", "unknown")),
+        (CLOSE, ("crashed", "unknown")),
+        (b"HTTP/1.1 103 Early\r\nA: b\r\n\r\n" + HEAD + b"one", b"one"),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD + b"one", b"one"),
+        (b"HTTP/1.1 101 Switch\r\n\r\n", ("crashed", "ran")),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\none\r\n" + CLOSE,
+            ("crashed", "ran"),
+        ),
+        (b"garbage\r\n\r\n" + CLOSE, ("crashed", "unknown")),
+    ],
+)
+def test_one_answer(
+    client: upstreams.HttpUpstreams, script: bytes, expected: Any
+) -> None:
+    server = rawupstream.RawUpstream(script)
+    assert get(client, server.address) == expected
+    server.close()
+
+
+def test_bytes_beyond_an_answer_never_reach_the_next(
+    client: upstreams.HttpUpstreams,
+) -> None:
+    """Story: a householder reads a reply that was written for another.
+
+    An upstream sends more than its answer's length, a second answer even.
+    On the kept connection those bytes would be the next request's answer.
+    """
+    extra = HEAD + b"one" + HEAD + b"two"
+    server = rawupstream.RawUpstream(extra, HEAD + b"own", HEAD + b"too")
+    assert get(client, server.address) == b"one"
+    assert get(client, server.address) == b"own"
+    assert get(client, server.address) == b"too"
+    assert server.connections == 2
+    server.close()
+
+
+def test_connection_closed_while_idle_is_not_used(
+    client: upstreams.HttpUpstreams,
+) -> None:
+    server = rawupstream.RawUpstream(HEAD + b"one" + CLOSE, HEAD + b"two")
+    assert get(client, server.address) == b"one"
+    pathfakes.wait_until(lambda: _is_seen_closed(client))
+    assert get(client, server.address) == b"two"
+    server.close()
+
+
+def _is_seen_closed(client: upstreams.HttpUpstreams) -> bool:
+    idle = [item for items in client._pool._idle.values() for item in items]
+    return not any(item.connection.is_connected for item in idle)
+
+
+def test_cancel_ends_a_blocked_read_and_an_awaited_head() -> None:
+    """Story: an editor closes the window while an engine is silent.
+
+    The read must end at once, not at the timeout, and a body without a
+    length must not look whole because we ended it ourselves.
+    """
+    client = upstreams.HttpUpstreams(kernel_lib.Kernel(), pathfakes.settings())
+    server = rawupstream.RawUpstream(b"HTTP/1.0 200 OK\r\n\r\npart", b"")
+    row = pathfakes.plain_row(server.address)
+    sent = client.send(row, "GET", "/", {}, b"", timeout_s=30.0)
+    assert isinstance(sent, result.Ok)
+    chunks = sent.ok_value.chunks()
+    assert next(chunks) == result.Ok(b"part")
+    timer = threading.Timer(0.05, sent.ok_value.cancel)
+    timer.start()
+    ended = next(chunks)
+    assert isinstance(ended, result.Err)
+    assert (ended.err_value.kind, ended.err_value.ran) == ("cancelled", "ran")
+    sent.ok_value.close()
+    cancels: list[Any] = []
+
+    def on_open(cancel: Any) -> None:
+        cancels.append(cancel)
+        threading.Timer(0.05, cancel).start()
+
+    head = client.send(
+        row, "GET", "/", {}, b"", timeout_s=30.0, on_open=on_open
+    )
+    assert isinstance(head, result.Err)
+    assert head.err_value.kind == "cancelled"
+    assert head.err_value.ran == "unknown"
+    server.close()
+
+
+class Open:
+    """An answer under way and what it has to be."""
+
+    def __init__(
+        self,
+        expected: str,
+        answer: services.UpstreamAnswer,
+        cancel: Any,
+        may_fail: bool,
+    ) -> None:
+        self.expected = expected
+        self.answer = answer
+        self.cancel = cancel
+        self.may_fail = may_fail
+        self.chunks = answer.chunks()
+        self.body = b""
+
+
+class OwnAnswerMachine(stateful.RuleBasedStateMachine):
+    """Story: many callers share connections to one engine.
+
+    Answers are read, left half read, cancelled early, late and twice; the
+    engine drops connections, freezes, and answers after we gave up. Whatever
+    the order, what a caller reads is a beginning of its own answer, and what
+    ends without an error is all of it.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        timing = engine.Timing(0.0, 0.0, 0.0, 0.0)
+        self.engine = engine.Engine(timing=timing)
+        self.engine.start()
+        self.row = pathfakes.engine_row(self.engine.address)
+        self.client = upstreams.HttpUpstreams(
+            kernel_lib.Kernel(), pathfakes.settings()
+        )
+        self.open: list[Open] = []
+        self.old_cancels: list[Any] = []
+        self.count = 0
+
+    @stateful.rule(stream=st.booleans(), size=st.integers(1, 40))
+    def send(self, stream: bool, size: int) -> None:
+        self.ask(stream, size, timeout_s=5.0)
+
+    def ask(self, stream: bool, size: int, timeout_s: float) -> None:
+        self.count += 1
+        prompt = f"prompt {self.count}"
+        call = {
+            "model": "textbook",
+            "prompt": prompt,
+            "max_tokens": size,
+            "stream": stream,
+        }
+        cancels: list[Any] = []
+        faults = self.engine.faults
+        is_over = faults.drop_times == 0 or not faults.drop_at
+        may_fail = timeout_s < 1 or not is_over
+        sent = self.client.send(
+            self.row,
+            "POST",
+            "/v1/completions",
+            {},
+            json.dumps(call).encode(),
+            timeout_s,
+            on_open=cancels.append,
+        )
+        # A fault that is over must not meet a request sent later.
+        assert isinstance(sent, result.Ok) or may_fail
+        if isinstance(sent, result.Ok):
+            expected = "".join(engine.words(prompt, size))
+            self.open.append(
+                Open(expected, sent.ok_value, cancels[0], may_fail)
+            )
+
+    def pick(self, index: int) -> list[Open]:
+        """Returns one open answer, or none if there is none."""
+        count = len(self.open)
+        return [self.open[index % count]] if count else []
+
+    @stateful.rule(index=INDEXES, count=st.integers(1, 3))
+    def read_some(self, index: int, count: int) -> None:
+        for item in self.pick(index):
+            for _ in range(count):
+                self.read_one(item)
+
+    @stateful.rule(index=INDEXES)
+    def read_all(self, index: int) -> None:
+        for item in self.pick(index):
+            self.finish(item)
+
+    def finish(self, item: Open) -> None:
+        while item in self.open:
+            self.read_one(item)
+
+    def read_one(self, item: Open) -> None:
+        if item not in self.open:
+            return
+        got = next(item.chunks, None)
+        if isinstance(got, result.Ok):
+            item.body += got.ok_value
+            return
+        if got is None:
+            text, is_whole = text_of(item.body)
+            assert (text, is_whole) == (item.expected, True)
+        else:
+            assert item.may_fail, got
+        self.end(item)
+
+    def end(self, item: Open) -> None:
+        text, _ = text_of(item.body)
+        assert item.expected.startswith(text)
+        item.answer.close()
+        self.open.remove(item)
+        self.old_cancels += [item.cancel, item.answer.cancel]
+
+    @stateful.rule(index=INDEXES)
+    def close_early(self, index: int) -> None:
+        for item in self.pick(index):
+            self.end(item)
+
+    @stateful.rule(index=INDEXES)
+    def cancel(self, index: int) -> None:
+        for item in self.pick(index):
+            item.may_fail = True
+            item.cancel()
+            self.finish(item)
+
+    @stateful.rule()
+    def cancel_late(self) -> None:
+        """A cancellation that comes after its answer hits nobody else."""
+        self.engine.faults = web.Faults(freeze_in_answer_s=0.005)
+        self.ask(True, 3, timeout_s=5.0)
+        item = self.open[-1]
+        for cancel in self.old_cancels:
+            cancel()
+        self.finish(item)
+        self.engine.faults = web.Faults()
+
+    @stateful.rule(size=st.integers(2, 9))
+    def leave_silent_answer(self, size: int) -> None:
+        """An answer is left while its engine is silent, and goes on later."""
+        self.engine.faults = web.Faults(freeze_in_answer_s=0.005)
+        self.ask(True, size, timeout_s=5.0)
+        self.end(self.open[-1])
+        self.ask(False, size, timeout_s=5.0)
+        self.finish(self.open[-1])
+        self.engine.faults = web.Faults()
+
+    @stateful.rule(
+        point=st.sampled_from(
+            ["", "head", "in_head", "body", "answer_head", "answer"]
+        ),
+        times=st.integers(1, 2),
+    )
+    def drop(self, point: web.DropPoint, times: int) -> None:
+        self.engine.faults = web.Faults(drop_at=point, drop_times=times)
+
+    @stateful.rule(
+        fault=st.sampled_from(
+            [web.Faults(freeze_s=0.04), web.Faults(freeze_in_answer_s=0.04)]
+        )
+    )
+    def freeze(self, fault: web.Faults) -> None:
+        self.engine.faults = fault
+        self.ask(True, 3, timeout_s=0.01)
+        self.ask(False, 3, timeout_s=0.01)
+        self.engine.faults = web.Faults()
+
+    def teardown(self) -> None:
+        for item in tuple(self.open):
+            item.answer.close()
+        self.client.stop(1.0)
+        self.engine.stop()
+
+
+def text_of(body: bytes) -> tuple[str, bool]:
+    """Returns the text of an answer, and whether it has its end."""
+    if not body.startswith(b"data:"):
+        try:
+            return json.loads(body)["choices"][0]["text"], True
+        except ValueError:
+            return "", False
+    text = ""
+    for event in body.split(b"\n\n")[:-1]:
+        if event == b"data: [DONE]":
+            return text, True
+        for choice in json.loads(event[5:])["choices"]:
+            text += choice["text"]
+    return text, False
+
+
+TestOwnAnswer = OwnAnswerMachine.TestCase
+TestOwnAnswer.settings = settings(max_examples=30, stateful_step_count=25)
