--- a/packages/daemon/bulrushdeald/calls.py
+++ b/packages/daemon/bulrushdeald/calls.py
@@ -18,7 +18,7 @@
         401, "key_withdrawn", "The key was withdrawn."
     ),
     "stopping": services.Refusal(
-        503, "stopping", "This VM stops; send the request again.", "not_run", 1
+        503, "stopping", "This VM stops.", "not_run", 1
     ),
     "yielded": services.Refusal(
         503, "yielded", "The upstream was needed elsewhere.", "not_run", 1
--- /dev/null
+++ b/tests/daemon/test_cutstreams.py
@@ -0,0 +1,218 @@
+"""What a caller sees when a stream is cut, by whichever end."""
+
+import http.client
+import json
+import socket
+from typing import Any
+
+import pytest
+import result
+
+from bulrushdeald import services
+from bulrushdeald import streams
+from standins import engine
+from standins import plain
+from standins import web
+from support import pathfakes
+
+SLOW = engine.Timing(token_s=0.02, token_per_stream_s=0.0, prefill_s=0.0)
+PATH = "/v1/chat/completions"
+
+
+@pytest.fixture
+def standins() -> Any:
+    pair = (engine.Engine(timing=SLOW), plain.PlainService())
+    for standin in pair:
+        standin.start()
+    yield pair
+    for standin in pair:
+        standin.stop()
+
+
+@pytest.fixture
+def vm(standins: tuple[engine.Engine, plain.PlainService]) -> Any:
+    rows = (
+        pathfakes.engine_row(standins[0].address),
+        pathfakes.plain_row(standins[1].address),
+    )
+    with pathfakes.running(*rows, upstream_silence_s=1.0) as vm:
+        yield vm
+
+
+def begin(
+    vm: pathfakes.SmallVm, path: str, body: Any, key: str = pathfakes.KEY
+) -> tuple[http.client.HTTPConnection, http.client.HTTPResponse]:
+    connection = vm.connect()
+    headers = {"Authorization": f"Bearer {key}"}
+    connection.request("POST", path, json.dumps(body), headers)
+    return connection, connection.getresponse()
+
+
+def events(body: bytes) -> list[Any]:
+    datas = [event.removeprefix(b"data: ") for event in body.split(b"\n\n")]
+    return [d if d == b"[DONE]" else json.loads(d) for d in datas if d]
+
+
+def test_engine_breaks_off(
+    vm: pathfakes.SmallVm, standins: tuple[engine.Engine, Any]
+) -> None:
+    """Story: a teacher watches a quiz being written and it stops.
+
+    The engine broke off after the first words. The stream must end with an
+    error that says the request ran, and not look finished.
+    """
+    standins[0].faults = web.Faults(drop_at="answer")
+    reply = vm.ask("POST", PATH, pathfakes.chat(stream=True))
+    *_, last = events(reply.body)
+    assert last["error"]["ran"] == "ran"
+    assert last["error"]["code"] == "upstream_crashed"
+    assert b"[DONE]" not in reply.body
+    pathfakes.wait_until(lambda: vm.router.outcomes == ["crashed"])
+
+
+def test_engine_falls_silent(
+    vm: pathfakes.SmallVm, standins: tuple[engine.Engine, Any]
+) -> None:
+    standins[0].faults = web.Faults(freeze_in_answer_s=3.0)
+    reply = vm.ask("POST", PATH, pathfakes.chat(stream=True))
+    assert events(reply.body)[-1]["error"]["code"] == "upstream_timeout"
+
+
+def test_plain_answer_breaks_off(
+    vm: pathfakes.SmallVm, standins: tuple[Any, plain.PlainService]
+) -> None:
+    """Story: half a price list is taken for the whole of it.
+
+    The service broke off inside a chunked answer. The caller's connection
+    must break as well: a proper end would make the half look whole.
+    """
+    standins[1].faults = web.Faults(drop_at="answer")
+    for path in ("/services/booking/stream", "/services/booking/"):
+        with pytest.raises(http.client.IncompleteRead):
+            vm.ask("POST", path, {})
+    pathfakes.wait_until(lambda: vm.router.outcomes == ["crashed"] * 2)
+
+
+def test_caller_leaves(
+    vm: pathfakes.SmallVm, standins: tuple[engine.Engine, Any]
+) -> None:
+    """Story: an editor closes the window; the engine works on for nobody.
+
+    It must be told at once: in the middle of a stream, while the first word
+    is awaited, and while a whole answer is.
+    """
+    calls = (
+        pathfakes.chat(stream=True, max_tokens=400),
+        pathfakes.chat("a" * 40_000, stream=True),
+        pathfakes.chat(max_tokens=400),
+    )
+    for number, call in enumerate(calls, start=1):
+        connection = vm.connect()
+        headers = {"Authorization": f"Bearer {pathfakes.KEY}"}
+        connection.request("POST", PATH, json.dumps(call), headers)
+        pathfakes.wait_until(
+            lambda n=number: standins[0].counts["started"] == n  # type: ignore[misc]
+        )
+        assert connection.sock is not None
+        connection.sock.shutdown(socket.SHUT_RDWR)
+        connection.close()
+        pathfakes.wait_until(
+            lambda n=number: standins[0].counts["cancelled"] == n  # type: ignore[misc]
+        )
+    pathfakes.wait_until(lambda: vm.router.outcomes == ["cancelled"] * 3)
+    assert not vm.callers.dump().open_calls
+
+
+def test_withdrawn_key_ends_open_streams(
+    vm: pathfakes.SmallVm, standins: tuple[engine.Engine, Any]
+) -> None:
+    """Story: a key leaked and is withdrawn while its thief reads a stream.
+
+    The open stream must end within seconds, the engine's run with it, and
+    another customer's stream must go on.
+    """
+    call = pathfakes.chat(stream=True, max_tokens=50)
+    thief, stolen = begin(vm, PATH, call)
+    other, lawful = begin(vm, PATH, call, pathfakes.OTHER_KEY)
+    # One that is still waiting for its whole answer.
+    waiting = vm.connect()
+    headers = {"Authorization": f"Bearer {pathfakes.KEY}"}
+    body = json.dumps(pathfakes.chat(max_tokens=400))
+    waiting.request("POST", PATH, body, headers)
+    pathfakes.wait_until(lambda: standins[0].counts["started"] == 3)
+    vm.config.withdraw(pathfakes.KEY)
+    last = events(stolen.read())[-1]
+    assert (last["error"]["code"], last["error"]["ran"]) == (
+        "key_withdrawn",
+        "ran",
+    )
+    refused = pathfakes.Reply(waiting.getresponse())
+    assert (refused.status, refused.error["code"]) == (401, "key_withdrawn")
+    assert events(lawful.read())[-1] == b"[DONE]"
+    assert standins[0].counts["cancelled"] == 2
+    assert vm.ask("GET", "/v1/models").status == 401
+    for connection in (thief, other, waiting):
+        connection.close()
+
+
+def test_no_upstream_sees_the_key(
+    vm: pathfakes.SmallVm,
+    standins: tuple[engine.Engine, plain.PlainService],
+) -> None:
+    """Story: a plain service's log gives away its callers' keys.
+
+    A caller's library may put the key into several headers. None reaches an
+    upstream; a key in a path or body is refused, as it cannot be taken out.
+    """
+    key = pathfakes.KEY
+    headers = {
+        "X_Api_Key": key,
+        "Cookie": f"session={key}; a=b",
+        "X_Escaped": key.replace("-", "%2D"),
+        "X_Upper": key.upper(),
+        "Proxy_Authorization": f"Basic {key}",
+        "Connection": "X-Hop",
+        "X_Hop": "1",
+        "X_Kept": "yes",
+    }
+    assert vm.ask("POST", PATH, pathfakes.chat(), **headers).status == 200
+    assert vm.ask("POST", "/services/booking/", {}, **headers).status == 200
+    long_body = b"x" * 70_000 + key.encode()
+    for path, body in (
+        (f"/services/booking/{key}", b""),
+        (f"/services/booking/?k={key.replace('-', '%2d')}", b""),
+        ("/services/booking/", key.encode()),
+        ("/services/booking/", long_body),
+        (PATH, json.dumps(pathfakes.chat(key)).encode()),
+    ):
+        assert vm.ask("POST", path, body).status == 400, path
+    for standin in standins:
+        requests = standin.stats()["requests"]
+        assert len(requests) == 1
+        seen = requests[0]["headers"]
+        assert ("x-kept", "yes") in seen
+        names = {name.lower() for name, _ in seen}
+        assert not names & {"x-hop", "authorization", "proxy-authorization"}
+        assert key not in str(requests).lower()
+        assert "%2d" not in str(requests).lower()
+
+
+@pytest.mark.parametrize("size", [1, 7, 1000])
+@pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n"])
+def test_events_are_relayed_whole(size: int, end: bytes) -> None:
+    stream = end.join((b'data: {"a": 1}', b"data: [DONE]", b""))
+
+    def cut_at(stop: int) -> Any:
+        pieces = [stream[i : min(i + size, stop)] for i in range(0, stop, size)]
+        return streams.whole_events(result.Ok(piece) for piece in pieces)
+
+    got = list(cut_at(len(stream)))
+    assert b"".join(item.ok_value for item in got) == stream
+    for stop in range(len(stream)):
+        *whole, error = cut_at(stop)
+        data = b"".join(item.ok_value for item in whole)
+        assert data == b"" or data.endswith(end)
+        assert isinstance(error, result.Err)
+        assert error.err_value == services.UpstreamError(
+            "crashed", "ran", "The stream has no end."
+        )
