--- a/tests/support/controlplane.py
+++ b/tests/support/controlplane.py
@@ -1,6 +1,7 @@
 """Real control services of a VM, in this process, on free ports."""
 
 from collections.abc import Callable
+from concurrent import futures
 import json
 import socket
 import time
@@ -17,6 +18,7 @@
 from bulrushdeald import operators
 from bulrushdeald import peers
 from bulrushdeald import services
+from bulrushdeald import vmlist
 from standins import platform
 
 TOKEN = "operator-token"
@@ -71,11 +73,13 @@
         self.keyvalue = keyvalue.HttpKeyValue(self.kernel, given)
         self.membership = membership.PlatformMembership(self.kernel, given)
         self.peers = peers.WebsocketPeers(self.kernel, given)
+        self.vmlist = vmlist.VmListFeed(self.kernel, given)
         self.config = config.ConfigService(self.kernel, given)
         self.operators = operators.OperatorsServer(self.kernel, given)
         self.kernel.register(services.KEYVALUE, self.keyvalue)
         self.kernel.register(services.MEMBERSHIP, self.membership)
         self.kernel.register(services.PEERS, self.peers)
+        self.kernel.register(vmlist.NAME, self.vmlist)
         self.kernel.register(services.CONFIG, self.config)
         self.kernel.register(services.OPERATORS, self.operators)
         self._http = urllib3.PoolManager(retries=False)
@@ -113,14 +117,15 @@
         return self
 
     def __exit__(self, *exception: object) -> None:
-        for vm in self.vms:
-            vm.stop()
+        with futures.ThreadPoolExecutor(len(self.vms) or 1) as pool:
+            for vm in self.vms:
+                pool.submit(vm.stop)
         self.platform.stop(0.2)
 
     def add(self, vm: str, failure_domain: str, **given: Any) -> ControlVm:
         made = ControlVm(
             settings(
-                self.platform.address,
+                given.pop("platform_address", self.platform.address),
                 vm=vm,
                 failure_domain=failure_domain,
                 **given,
