--- a/packages/daemon/bulrushdeald/assembly.py
+++ b/packages/daemon/bulrushdeald/assembly.py
@@ -13,6 +13,7 @@
 from bulrushdeald import membership
 from bulrushdeald import operators
 from bulrushdeald import peers
+from bulrushdeald import repair
 from bulrushdeald import replicas
 from bulrushdeald import router
 from bulrushdeald import services
@@ -47,6 +48,8 @@
     if settings.data_folder:
         add(services.STORE, store.DiskStore(kernel, settings))
     add(replicas.NAME, replicas.Replicas(kernel, settings))
+    if settings.data_folder:
+        add(repair.NAME, repair.Repair(kernel, settings))
     add(files.NAME, files.Files(kernel, settings))
     add(services.JOBS, jobs.Jobs(kernel, settings))
     add(coordinator.NAME, coordinator.Coordinator(kernel, settings))
--- a/packages/daemon/bulrushdeald/coordinator.py
+++ b/packages/daemon/bulrushdeald/coordinator.py
@@ -234,9 +234,12 @@
                 self._table.change(view, confirm)
                 continue
             # It may be frozen and come back. Its seal then expects a
-            # revision that the next claim has changed.
-            take_back = functools.partial(view.take_back, number, chunk)
-            self._table.change(view, take_back)
+            # revision that the next claim, or this, has changed.
+            if view.is_cancelled:
+                self._void(view, number, chunk)
+            else:
+                take_back = functools.partial(view.take_back, number, chunk)
+                self._table.change(view, take_back)
             _log.info(
                 "Chunk %s/%d lost its holder %s.",
                 view.entry.job,
@@ -285,9 +288,12 @@
         if self._clock.monotonic_s() - since_s < wait_s:
             return
         for number, chunk in view.running():
-            self._finisher.void(
-                view.entry.job, number, chunk.epoch, chunk.revision
-            )
+            self._void(view, number, chunk)
+
+    def _void(
+        self, view: jobview.JobView, number: int, chunk: jobview.ChunkView
+    ) -> None:
+        self._finisher.void(view.entry.job, number, chunk.epoch, chunk.revision)
         self._table.change(view, view.reload)
 
 
--- a/packages/daemon/bulrushdeald/finishing.py
+++ b/packages/daemon/bulrushdeald/finishing.py
@@ -51,6 +51,8 @@
         chunks = self._read_chunks(record.job)
         if chunks is None:
             return "later"
+        # A chunk taken back from a silent holder, of a job cancelled since,
+        # is free in memory only.
         if any(chunk.state == "running" for chunk in chunks.values()):
             return "changed"
         done = [
--- a/packages/daemon/bulrushdeald/jobview.py
+++ b/packages/daemon/bulrushdeald/jobview.py
@@ -73,8 +73,11 @@
         for number, view in enumerate(self.chunks):
             chunk = known.get(number)
             # A VM may have reported something newer than what was read, and
-            # a chunk taken back from its holder stays free.
-            if chunk is not None and chunk.revision > view.revision:
+            # a chunk taken back from its holder stays free; but of a
+            # cancelled job nobody will claim it, so its record counts.
+            if chunk is None or chunk.revision < view.revision:
+                continue
+            if chunk.revision > view.revision or self.is_cancelled:
                 self.chunks[number] = _view(chunk, now_s)
         self.has_to_reload = False
         if self.is_cancelled and self.cancelled_since_s is None:
