Keep a sealed result whose record is gone; expire records; keep partials

Cause: a seal whose answer was lost was tried again after the job had ended and its chunks' records were deleted. The sealer took the missing record for another holder's claim and deleted the object that the job's results name: 'ConnectionError: .../0.1 could not be read' in the middle of a file. Ruled out: the stores; both copies were there until the deletion. Change: with no record the job's results decide whether this one counts, and the object stays in any case. Answers that a leaving VM saved are kept when its job is cancelled. Records expire with the files. An unreadable input is not claimed again at once, and ends at the deadline.

--- a/packages/daemon/bulrushdeald/chunkrun.py
+++ b/packages/daemon/bulrushdeald/chunkrun.py
@@ -6,6 +6,7 @@
 
 from bulrushdeald import batchmessages
 from bulrushdeald import batchrecords
+from bulrushdeald import objects
 from bulrushdeald import results
 from bulrushdeald import services
 from bulrushdeald import splitter
@@ -36,6 +37,13 @@
 
     lines: tuple[PartialLine, ...]
 
+    def result_lines(self) -> list[results.Line]:
+        """Returns the lines in item order."""
+        return [
+            results.Line(line.text.encode(), line.is_success)
+            for line in sorted(self.lines)
+        ]
+
 
 class Sealed(NamedTuple):
     """A chunk's whole result before it is stored."""
@@ -45,6 +53,22 @@
     completed: int
     failed: int
 
+    def chunk_result(self, ref: objects.ObjectRef) -> batchrecords.ChunkResult:
+        """Returns the result once it is stored."""
+        return batchrecords.ChunkResult(
+            ref, self.output_bytes, self.completed, self.failed
+        )
+
+
+def seal(lines: Iterable[results.Line]) -> Sealed:
+    """Joins result lines: successes, then the others, each in order."""
+    good: list[bytes] = []
+    bad: list[bytes] = []
+    for line in lines:
+        (good if line.is_success else bad).append(line.data + b"\n")
+    output = b"".join(good)
+    return Sealed(output + b"".join(bad), len(output), len(good), len(bad))
+
 
 class ChunkRun:
     """Hands out the items of one chunk and gathers their answers."""
@@ -181,7 +205,4 @@
         """Returns the result: successes, then the others, in item order."""
         with self._lock:
             lines = [line for _, line in sorted(self._lines.items())]
-        good = [line.data + b"\n" for line in lines if line.is_success]
-        bad = [line.data + b"\n" for line in lines if not line.is_success]
-        output = b"".join(good)
-        return Sealed(output + b"".join(bad), len(output), len(good), len(bad))
+        return seal(lines)
--- a/packages/daemon/bulrushdeald/claims.py
+++ b/packages/daemon/bulrushdeald/claims.py
@@ -4,6 +4,7 @@
 
 import result
 
+from bulrushdeal import clock as clock_lib
 from bulrushdeal import codec
 from bulrushdeal import logs
 from bulrushdeald import batchmessages
@@ -37,9 +38,11 @@
         self,
         keyvalue: services.KeyValue,
         stores: replicas.Replicas,
+        clock: clock_lib.Clock,
         vm: str,
         incarnation: str,
     ) -> None:
+        self._clock = clock
         self._keyvalue = keyvalue
         self._replicas = stores
         self._vm = vm
@@ -90,12 +93,18 @@
         # claim, or this read sees the cancellation.
         job = self._job(holding.job)
         if job is None:
-            return result.Err(self.give_back(holding, record.partial))
+            # The coordinator finds that nobody holds it and offers it again
+            # after a while; giving it back would try again at once.
+            return result.Err(_lost(holding, "unsure"))
         if job.state != "in_progress":
             return result.Err(self._void(holding, job.has_ended))
         items = self._items(job, holding.chunk)
+        if items is None and self._clock.wall_s() < job.deadline_wall_s:
+            return result.Err(_lost(holding, "unsure"))
         if items is None:
-            return result.Err(self.give_back(holding, record.partial))
+            # Both copies are gone for good; the rest of the job has to end.
+            _log.error("Input of %s/%d is lost.", job.job, holding.chunk)
+            items = ()
         run = chunkrun.ChunkRun(job, holding, items)
         if record.partial is not None:
             self._restore(run, record.partial)
--- a/packages/daemon/bulrushdeald/coordinator.py
+++ b/packages/daemon/bulrushdeald/coordinator.py
@@ -18,6 +18,7 @@
 from bulrushdeald import jobtable
 from bulrushdeald import jobview
 from bulrushdeald import replicas
+from bulrushdeald import retention
 from bulrushdeald import services
 
 _log = logs.Log("coordinator")
@@ -25,6 +26,7 @@
 NAME = "coordinator"
 _TICK_S = 0.5
 _SWEEP_S = 10.0
+_EXPIRY_S = 3600.0
 _CALL_TIMEOUT_S = 1.0
 # A holder that was not heard of for so long is asked, and loses the chunk
 # if it does not say that it still runs it.
@@ -49,12 +51,14 @@
         settings: defaults.Settings,
         clock: clock_lib.Clock | None = None,
     ) -> None:
-        del settings
+        self._retention_s = settings.batch_retention_s
         self._kernel = kernel
         self._clock = clock or clock_lib.SystemClock()
         self._wake = threading.Event()
         self._is_stopping = False
         self._silent: set[str] = set()
+        self._expired_s = self._clock.monotonic_s()
+        self._expired = 0
         self._swept_s = float("-inf")
         self._buckets: list[int] = []
 
@@ -69,8 +73,11 @@
             self._membership, self._clock
         )
         self._replicas = find(replicas.NAME, replicas.Replicas)
+        self._retention = retention.Retention(
+            self._keyvalue, self._clock, self._retention_s
+        )
         self._finisher = finishing.Finisher(
-            self._keyvalue, self._replicas, self._clock
+            self._keyvalue, self._replicas, self._clock, self._retention
         )
         self._table = jobtable.JobTable(self._weight)
         self._peers.understand(*batchmessages.ANSWERS)
@@ -91,7 +98,11 @@
 
     def dump(self) -> Any:
         """Returns the jobs coordinated here."""
-        return {"buckets": self._buckets, "jobs": self._table.dump()}
+        return {
+            "buckets": self._buckets,
+            "jobs": self._table.dump(),
+            "expired_records": self._expired,
+        }
 
     def _loop(self) -> None:
         while not self._is_stopping:
@@ -113,6 +124,9 @@
             self._ping_others()
             self._buckets = self.coordinators.own_buckets()
             self._sweep()
+            if now_s - self._expired_s >= _EXPIRY_S:
+                self._expired_s = now_s
+                self._expired += sum(map(self._retention.sweep, self._buckets))
         self._load_some()
         self._silent.clear()
         for view in self._table.loaded():
--- a/packages/daemon/bulrushdeald/files.py
+++ b/packages/daemon/bulrushdeald/files.py
@@ -18,6 +18,7 @@
 from bulrushdeald import refusals
 from bulrushdeald import replicas
 from bulrushdeald import results
+from bulrushdeald import retention
 from bulrushdeald import services
 from bulrushdeald import splitter
 
@@ -38,7 +39,7 @@
         settings: defaults.Settings,
         clock: clock_lib.Clock | None = None,
     ) -> None:
-        del settings
+        self._retention_s = settings.batch_retention_s
         self._kernel = kernel
         self._clock = clock or clock_lib.SystemClock()
         self._accepted = 0
@@ -49,6 +50,10 @@
         self._keyvalue = self._kernel.find(services.KEYVALUE, services.KeyValue)
         self._replicas = self._kernel.find(replicas.NAME, replicas.Replicas)
         self._results = results.Reader(self._keyvalue, self._replicas)
+        self._retention = retention.Retention(
+            self._keyvalue, self._clock, self._retention_s
+        )
+        self._limits = self._kernel.find(services.LIMITS, services.Limits)
         routes = self._kernel.find(services.CALLERS, services.CallerRoutes)
         routes.route("POST", PATH, self._post, bulk=True)
         routes.route("GET", PATH + "/", self._get, bulk=True)
@@ -65,6 +70,10 @@
         self, request: httpd.Request, principal: services.Principal
     ) -> httpd.Response:
         customer = principal.customer.customer
+        taken = self._limits.take(customer)
+        if isinstance(taken, result.Err):
+            self._refused += 1
+            return refusals.response(taken.err_value)
         key = request.headers.get("idempotency-key", "")
         accepted = self._accept(request, customer, key)
         if isinstance(accepted, result.Err):
@@ -138,8 +147,15 @@
             batchrecords.file_key(record.file), batchrecords.dump(record), 0
         )
         if isinstance(put, result.Ok):
+            # Should this be lost, the small record stays for ever; the
+            # file itself expires in the stores.
+            key = batchrecords.file_key(record.file)
+            self._retention.add(record.customer, record.file, key)
             return result.Ok(record)
         current = put.err_value.current
+        if put.err_value.kind == "unknown":
+            message = "The platform did not answer whether it has the file."
+            return result.Err(_unavailable(message, "unknown"))
         if put.err_value.kind != "conflict" or current is None:
             return result.Err(_unavailable("The platform does not answer."))
         held = batchrecords.load(batchrecords.FileRecord, current.value)
@@ -241,7 +257,7 @@
     yield from pieces
 
 
-def _unavailable(message: str) -> services.Refusal:
-    return services.Refusal(
-        503, "unavailable", message, "not_run", _RETRY_AFTER_S
-    )
+def _unavailable(
+    message: str, ran: services.Ran = "not_run"
+) -> services.Refusal:
+    return services.Refusal(503, "unavailable", message, ran, _RETRY_AFTER_S)
--- a/packages/daemon/bulrushdeald/finishing.py
+++ b/packages/daemon/bulrushdeald/finishing.py
@@ -9,7 +9,9 @@
 from bulrushdeal import codec
 from bulrushdeal import logs
 from bulrushdeald import batchrecords
+from bulrushdeald import chunkrun
 from bulrushdeald import replicas
+from bulrushdeald import retention
 from bulrushdeald import services
 
 _log = logs.Log("finishing")
@@ -29,10 +31,12 @@
         keyvalue: services.KeyValue,
         stores: replicas.Replicas,
         clock: clock_lib.Clock,
+        kept: retention.Retention,
     ) -> None:
         self._keyvalue = keyvalue
         self._replicas = stores
         self._clock = clock
+        self._retention = kept
 
     def finish(
         self,
@@ -51,6 +55,8 @@
         chunks = self._read_chunks(record.job)
         if chunks is None:
             return "later"
+        if record.state == "cancelling":
+            chunks = self._keep_partials(record.job, chunks)
         # A chunk taken back from a silent holder, of a job cancelled since,
         # is free in memory only.
         if any(chunk.state == "running" for chunk in chunks.values()):
@@ -109,6 +115,29 @@
             _log.error("Job %s has an unreadable chunk: %s.", job, error)
             return None
 
+    def _keep_partials(
+        self, job: str, chunks: dict[int, batchrecords.ChunkRecord]
+    ) -> dict[int, batchrecords.ChunkRecord]:
+        # A holder that stopped gracefully left answers that the next was to
+        # take over; now there is no next, and they are the result.
+        kept = dict(chunks)
+        for number, chunk in chunks.items():
+            if chunk.state != "open" or chunk.partial is None:
+                continue
+            data = self._replicas.get(chunk.partial)
+            if isinstance(data, result.Err):
+                _log.warning("%s: no copy.", chunk.partial.name)
+                continue
+            partial = batchrecords.load(chunkrun.Partial, data.ok_value)
+            sealed = chunkrun.seal(partial.result_lines())
+            name = f"{job}/{number}.{chunk.epoch}.cancelled"
+            ref = self._replicas.put(name, sealed.data)
+            if isinstance(ref, result.Ok):
+                kept[number] = chunk._replace(
+                    result=sealed.chunk_result(ref.ok_value)
+                )
+        return kept
+
     def _clean_up(self, entry: batchrecords.QueueEntry) -> Outcome:
         # The queue entry goes last: while it is there another coordinator
         # finds the job and cleans up what a lost one left.
@@ -119,6 +148,9 @@
             deleted = self._keyvalue.delete(chunk.key, chunk.revision)
             if isinstance(deleted, result.Err):
                 return "later"
+        key = batchrecords.job_key(entry.job)
+        if not self._retention.add(entry.customer, entry.job, key):
+            return "later"
         return self._delete_entry(entry)
 
     def _delete_entry(self, entry: batchrecords.QueueEntry) -> Outcome:
--- a/packages/daemon/bulrushdeald/sealing.py
+++ b/packages/daemon/bulrushdeald/sealing.py
@@ -60,9 +60,7 @@
         if isinstance(ref, result.Err):
             _log.warning("Result %s not stored: %s.", name, ref.err_value)
             return None
-        return batchrecords.ChunkResult(
-            ref.ok_value, sealed.output_bytes, sealed.completed, sealed.failed
-        )
+        return sealed.chunk_result(ref.ok_value)
 
     def _record(
         self, sealing: Sealing, stored: batchrecords.ChunkResult
@@ -86,7 +84,9 @@
         if put.err_value.kind != "conflict":
             return sealing
         current = put.err_value.current
-        if current is not None and current.value == batchrecords.dump(record):
+        if current is None:
+            return self._end_after_job(sealing.run, stored)
+        if current.value == batchrecords.dump(record):
             # An earlier try took effect and its answer was lost.
             self._count(sealing.run, "")
             return batchmessages.Ended(
@@ -103,6 +103,35 @@
         self._replicas.delete(stored.ref)
         return batchmessages.Ended(holding.job, holding.chunk, "unsure")
 
+    def _end_after_job(
+        self, run: chunkrun.ChunkRun, stored: batchrecords.ChunkResult
+    ) -> Sealing | batchmessages.Ended:
+        # The job has ended and its chunks' records are gone. An earlier try
+        # whose answer was lost may have made this very result part of the
+        # job, so the object stays; what nobody refers to expires.
+        is_kept = self._is_kept(run.holding.job, stored)
+        if is_kept is None:
+            return Sealing(run, stored)
+        self._count(run, "" if is_kept else "discarded")
+        return batchmessages.Ended(run.holding.job, run.holding.chunk, "unsure")
+
+    def _is_kept(
+        self, job: str, stored: batchrecords.ChunkResult
+    ) -> bool | None:
+        entry = self._keyvalue.get(batchrecords.job_key(job))
+        if isinstance(entry, result.Err):
+            return None
+        if entry.ok_value is None:
+            return False
+        record = batchrecords.load(batchrecords.JobRecord, entry.ok_value.value)
+        if record.results is None:
+            return False
+        data = self._replicas.get(record.results)
+        if isinstance(data, result.Err):
+            return None
+        index = batchrecords.load(batchrecords.ResultIndex, data.ok_value)
+        return any(one.ref.name == stored.ref.name for one in index.chunks)
+
     def discard(self, run: chunkrun.ChunkRun) -> None:
         """Counts the answers of a chunk that another VM answers."""
         self._count(run, "discarded")
--- a/packages/daemon/bulrushdeald/worker.py
+++ b/packages/daemon/bulrushdeald/worker.py
@@ -74,7 +74,9 @@
         self._membership = membership
         self._coordinators = coordinators.Coordinators(membership, self._clock)
         vm, incarnation = membership.own().vm, membership.incarnation()
-        self._claims = claims.Claims(keyvalue, stores, vm, incarnation)
+        self._claims = claims.Claims(
+            keyvalue, stores, self._clock, vm, incarnation
+        )
         self._sealer = sealing.Sealer(
             keyvalue,
             stores,
