Measure the cost of batch work; look up chunks by state

Cause: each half second a coordinator went through each chunk of each loaded job three times. Change: chunk numbers are kept by state; idle threads of the worker sleep until they are woken; bench/batchcost.py measures processor time, platform calls and bytes.

--- /dev/null
+++ b/packages/bench/bench/batchcost.py
@@ -0,0 +1,171 @@
+"""Measures what batch work costs: processor time, platform calls, bytes.
+
+Run as `PYTHONPATH=tests python -m bench.batchcost`. The services are the
+daemon's own; the platform, the peers and the engine are the tests' fakes,
+which answer at once, so that the figures are this system's overhead. Peer
+messages pass through the codec but not through a socket.
+"""
+
+import pathlib
+import tempfile
+import time
+from typing import NamedTuple
+
+from support import batchfakes
+
+_SIZES_BYTES = (200, 2_000, 16_000)
+_ITEMS = 2_000
+_JOB_CHUNKS = (4, 16, 64)
+_CHUNK_ITEMS = 500
+_MS = 1000.0
+
+
+class Cost(NamedTuple):
+    """Processor time for the items of one job.
+
+    Attributes:
+        size_bytes: The prompt's length.
+        upload_ms: For each item, to check, split and store it twice.
+        claim_ms: For each item, to claim and read its chunk.
+        run_ms: For each item, to run it at an engine that answers at once.
+        seal_ms: For each item, to seal its result and store it twice.
+        store_bytes: On all disks, for each item.
+    """
+
+    size_bytes: int
+    upload_ms: float
+    claim_ms: float
+    run_ms: float
+    seal_ms: float
+    store_bytes: float
+
+
+class Calls(NamedTuple):
+    """Platform calls of one job."""
+
+    chunks: int
+    reads: int
+    writes: int
+
+
+def main() -> None:
+    """Prints all figures."""
+    print("| prompt bytes | upload | claim | run | seal | store bytes |")
+    print("|---|---|---|---|---|---|")
+    for size_bytes in _SIZES_BYTES:
+        cost = measure_cost(size_bytes)
+        print(
+            f"| {cost.size_bytes} | {cost.upload_ms:.3f} |"
+            f" {cost.claim_ms:.3f} | {cost.run_ms:.3f} |"
+            f" {cost.seal_ms:.3f} | {cost.store_bytes:.0f} |"
+        )
+    counted = [measure_calls(chunks) for chunks in _JOB_CHUNKS]
+    for calls in counted:
+        print(
+            f"{calls.chunks} chunks: {calls.reads} reads, {calls.writes} writes"
+        )
+    first, last = counted[0], counted[-1]
+    more = last.chunks - first.chunks
+    print(
+        f"each further chunk: {(last.reads - first.reads) / more:.2f} reads,"
+        f" {(last.writes - first.writes) / more:.2f} writes"
+    )
+
+
+def measure_cost(size_bytes: int) -> Cost:
+    """Measures one job on one VM, step after step."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = _fleet(pathlib.Path(folder))
+        vm = fleet.vms["vm0"]
+        prompts = _prompts(_ITEMS, size_bytes)
+        body, kind = batchfakes.form(batchfakes.lines(prompts))
+        headers = {"content-type": kind}
+        begin_s = time.process_time()
+        reply = vm.request("c", "POST", "/v1/files", body, headers)
+        upload_s = time.process_time() - begin_s
+        vm.submit("c", reply.json["id"])
+        for other in fleet.vms.values():
+            other.coordinator.tick()
+        claim_s = run_s = seal_s = 0.0
+        done = 0
+        while done < _ITEMS:
+            begin_s = time.process_time()
+            vm.worker.ask()
+            claim_s += time.process_time() - begin_s
+            begin_s = time.process_time()
+            done += vm.run_items()
+            run_s += time.process_time() - begin_s
+            begin_s = time.process_time()
+            vm.seal()
+            seal_s += time.process_time() - begin_s
+            for other in fleet.vms.values():
+                other.coordinator.tick()
+        files = pathlib.Path(folder).rglob("objects/*/*/*")
+        store_bytes = sum(file.stat().st_size for file in files)
+    per_item = _MS / _ITEMS
+    return Cost(
+        size_bytes,
+        upload_s * per_item,
+        claim_s * per_item,
+        run_s * per_item,
+        seal_s * per_item,
+        store_bytes / _ITEMS,
+    )
+
+
+def measure_calls(chunks: int) -> Calls:
+    """Counts the platform calls of a job from submission to its end."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = _fleet(pathlib.Path(folder))
+        vm = fleet.vms["vm0"]
+        prompts = _prompts(chunks * _CHUNK_ITEMS, 20)
+        file = vm.upload("c", prompts).json["id"]
+        idle = _idle_reads_a_round(fleet)
+        before = fleet.keyvalue.reads, fleet.keyvalue.writes
+        job = vm.submit("c", file).json["id"]
+        rounds = 0
+        while not _has_ended(fleet, job):
+            fleet.round()
+            rounds += 1
+        reads = fleet.keyvalue.reads - before[0] - round(idle * rounds)
+        return Calls(chunks, reads, fleet.keyvalue.writes - before[1])
+
+
+def _idle_reads_a_round(fleet: batchfakes.Fleet) -> float:
+    # The sweeps of the queue go on with no work, and are not the job's.
+    rounds = 40
+    before = fleet.keyvalue.reads
+    fleet.run(rounds)
+    return (fleet.keyvalue.reads - before) / rounds
+
+
+def _has_ended(fleet: batchfakes.Fleet, job: str) -> bool:
+    return not any(
+        key.startswith("queue/") and key.endswith(job)
+        for key in fleet.keyvalue.entries
+    )
+
+
+def _fleet(folder: pathlib.Path) -> batchfakes.Fleet:
+    fleet = batchfakes.Fleet()
+    for number in range(3):
+        name = f"vm{number}"
+        fleet.add(name, f"d{number}", str(folder / name))
+    # Counting what was sent is the tests' business and grows with it.
+    fleet.upstreams.prompts = _Forgetful()
+    return fleet
+
+
+class _Forgetful(list[str]):
+    """A list that keeps nothing."""
+
+    def append(self, item: str) -> None:
+        """Drops the item."""
+
+
+def _prompts(count: int, size_bytes: int) -> dict[str, str]:
+    return {f"id{n}": f"{n} ".ljust(size_bytes, "x") for n in range(count)}
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/daemon/bulrushdeald/coordinator.py
+++ b/packages/daemon/bulrushdeald/coordinator.py
@@ -239,7 +239,8 @@
         vms = len(self._membership.entry_vms())
         silent_s = _SILENT_S + _MISSED_REPORTS * vms / REPORTS_PER_S
         self._table.change(view, lambda: view.expire_offers(now_s))
-        for number, chunk in view.running():
+        running = self._table.change(view, view.running)
+        for number, chunk in running:
             is_heard = now_s - chunk.since_s <= silent_s
             if is_heard and self._membership.is_listed(chunk.vm):
                 continue
@@ -301,7 +302,8 @@
         wait_s = _CANCEL_S + _MISSED_REPORTS * vms / REPORTS_PER_S
         if self._clock.monotonic_s() - since_s < wait_s:
             return
-        for number, chunk in view.running():
+        running = self._table.change(view, view.running)
+        for number, chunk in running:
             self._void(view, number, chunk)
 
     def _void(
--- a/packages/daemon/bulrushdeald/jobtable.py
+++ b/packages/daemon/bulrushdeald/jobtable.py
@@ -2,13 +2,15 @@
 
 from collections.abc import Callable, Iterable, Mapping
 import threading
-from typing import Any
+from typing import Any, TypeVar
 
 from bulrushdeald import batchmessages
 from bulrushdeald import batchrecords
 from bulrushdeald import jobview
 from bulrushdeald import stride
 
+T = TypeVar("T")
+
 
 class JobTable:
     """Keeps jobs by customer; safe for threads, and never waits.
@@ -87,11 +89,12 @@
             view.update(record, revision, known, now_s)
             self._index(view)
 
-    def change(self, view: jobview.JobView, change: Callable[[], Any]) -> None:
-        """Changes one job under the lock."""
+    def change(self, view: jobview.JobView, change: Callable[[], T]) -> T:
+        """Reads or changes one job under the lock."""
         with self._lock:
-            change()
+            answer = change()
             self._index(view)
+            return answer
 
     def report(
         self, vm: str, report: batchmessages.WorkReport, now_s: float
--- a/packages/daemon/bulrushdeald/jobview.py
+++ b/packages/daemon/bulrushdeald/jobview.py
@@ -1,6 +1,5 @@
 """What a coordinator knows of one job's chunks."""
 
-import collections
 from collections.abc import Mapping
 from typing import Any, Literal, NamedTuple
 
@@ -11,6 +10,9 @@
 _OFFER_S = 10.0
 
 
+State = Literal["free", "offered", "running", "ended"]
+
+
 class ChunkView(NamedTuple):
     """One chunk as last heard of.
 
@@ -23,7 +25,7 @@
         since_s: When the state was last confirmed.
     """
 
-    state: Literal["free", "offered", "running", "ended"] = "free"
+    state: State = "free"
     epoch: int = 0
     revision: int = 0
     vm: str = ""
@@ -41,6 +43,12 @@
         self.entry = entry
         # Made when the job is read: most jobs only wait in the queue.
         self.chunks: list[ChunkView] = []
+        self._numbers: dict[State, set[int]] = {
+            "free": set(),
+            "offered": set(),
+            "running": set(),
+            "ended": set(),
+        }
         self.has_to_reload = True
         self.record: batchrecords.JobRecord | None = None
         self.revision = 0
@@ -70,6 +78,9 @@
                 items=record.items, chunk_count=record.chunk_count
             )
             self.chunks = [_FREE] * record.chunk_count
+            for numbers in self._numbers.values():
+                numbers.clear()
+            self._numbers["free"].update(range(record.chunk_count))
         for number, view in enumerate(self.chunks):
             chunk = known.get(number)
             # A VM may have reported something newer than what was read, and
@@ -78,7 +89,7 @@
             if chunk is None or chunk.revision < view.revision:
                 continue
             if chunk.revision > view.revision or self.is_cancelled:
-                self.chunks[number] = _view(chunk, now_s)
+                self._set(number, _view(chunk, now_s))
         self.has_to_reload = False
         if self.is_cancelled and self.cancelled_since_s is None:
             self.cancelled_since_s = now_s
@@ -92,35 +103,37 @@
         return {
             "customer": self.entry.customer,
             "cancelled": self.is_cancelled,
-            "chunks": collections.Counter(view.state for view in self.chunks),
+            "chunks": {
+                state: len(numbers) for state, numbers in self._numbers.items()
+            },
         }
 
     def offer(self, now_s: float) -> batchmessages.Offer | None:
         """Returns the first chunk that may be claimed."""
         if self.is_cancelled or self.has_to_reload:
             return None
-        for number, view in enumerate(self.chunks):
-            if view.state != "free":
-                continue
-            self.chunks[number] = view._replace(state="offered", since_s=now_s)
-            return batchmessages.Offer(
-                self.entry.job, number, view.epoch + 1, view.revision
-            )
-        return None
+        number = min(self._numbers["free"], default=None)
+        if number is None:
+            return None
+        view = self.chunks[number]
+        self._set(number, view._replace(state="offered", since_s=now_s))
+        return batchmessages.Offer(
+            self.entry.job, number, view.epoch + 1, view.revision
+        )
 
     def has_free(self) -> bool:
         """Tells whether a chunk may be offered."""
         if self.is_cancelled or self.has_to_reload:
             return False
-        return any(view.state == "free" for view in self.chunks)
+        return bool(self._numbers["free"])
 
     def has_ended(self) -> bool:
         """Tells whether each chunk is thought to have ended."""
         if self.record is not None and self.record.has_ended:
             return True
         if self.is_cancelled:
-            return all(view.state != "running" for view in self.chunks)
-        return all(view.state == "ended" for view in self.chunks)
+            return not self._numbers["running"]
+        return len(self._numbers["ended"]) == len(self.chunks)
 
     def hold(
         self,
@@ -139,7 +152,7 @@
             return False
         if view.state == "ended":
             return True
-        self.chunks[holding.chunk] = ChunkView(
+        held = ChunkView(
             "running",
             holding.epoch,
             holding.revision,
@@ -147,6 +160,7 @@
             incarnation,
             now_s,
         )
+        self._set(holding.chunk, held)
         return True
 
     def end(self, ended: batchmessages.Ended) -> None:
@@ -162,7 +176,13 @@
         state: Literal["free", "ended"] = (
             "free" if ended.state == "open" else "ended"
         )
-        self.chunks[ended.chunk] = ChunkView(state, ended.epoch, ended.revision)
+        self._set(ended.chunk, ChunkView(state, ended.epoch, ended.revision))
+
+    def _set(self, chunk: int, view: ChunkView) -> None:
+        # Kept by state as well: most jobs have far more chunks than run.
+        self._numbers[self.chunks[chunk].state].discard(chunk)
+        self._numbers[view.state].add(chunk)
+        self.chunks[chunk] = view
 
     def _known(self, chunk: int) -> ChunkView | None:
         if 0 <= chunk < len(self.chunks):
@@ -171,28 +191,28 @@
 
     def expire_offers(self, now_s: float) -> None:
         """Asks for a reload if an offer was not taken up."""
-        for number, view in enumerate(self.chunks):
-            if view.state == "offered" and now_s - view.since_s > _OFFER_S:
-                self.chunks[number] = view._replace(state="free")
+        for number in tuple(self._numbers["offered"]):
+            view = self.chunks[number]
+            if now_s - view.since_s > _OFFER_S:
+                self._set(number, view._replace(state="free"))
                 self.has_to_reload = True
 
     def running(self) -> list[tuple[int, ChunkView]]:
         """Returns the chunks that are thought to run."""
         return [
-            (number, view)
-            for number, view in enumerate(self.chunks)
-            if view.state == "running"
+            (number, self.chunks[number])
+            for number in sorted(self._numbers["running"])
         ]
 
     def confirm(self, chunk: int, now_s: float) -> None:
         """Notes that the holder was asked and still runs a chunk."""
-        self.chunks[chunk] = self.chunks[chunk]._replace(since_s=now_s)
+        self._set(chunk, self.chunks[chunk]._replace(since_s=now_s))
 
     def take_back(self, chunk: int, held: ChunkView) -> None:
         """Lets a chunk be claimed whose holder is gone."""
         if self.chunks[chunk]._replace(since_s=held.since_s) != held:
             return
-        self.chunks[chunk] = ChunkView("free", held.epoch, held.revision)
+        self._set(chunk, ChunkView("free", held.epoch, held.revision))
 
 
 class KnownRecord(NamedTuple):
--- a/packages/daemon/bulrushdeald/worker.py
+++ b/packages/daemon/bulrushdeald/worker.py
@@ -27,7 +27,8 @@
 _MIN_PERIOD_S = 1.0
 _RETRY_S = 1.0
 _UNCONFIRMED_S = 8.0
-_IDLE_S = 0.5
+_IDLE_S = 10.0
+_DUE_S = 0.5
 # Chunks whose results wait for the platform; more work is not claimed then.
 _MAX_SEALING = 8
 _SEALERS = 2
@@ -286,7 +287,8 @@
                     return
                 picked = self.pick()
                 if picked is None:
-                    self._wake.wait(_IDLE_S)
+                    # Items that wait for another try come due unannounced.
+                    self._wake.wait(_DUE_S if self._runs else _IDLE_S)
                     continue
             self.run_item(picked.run, picked.number)
 
