Measure what control costs as VMs and customers grow

Cause: the size to design for is 1,200 VMs; a slope is needed. Change: bench.control runs the control services of some VMs against the stand-in platform in another process. Customers' names are shared between rows and keys.

--- /dev/null
+++ b/packages/bench/bench/control.py
@@ -0,0 +1,345 @@
+"""Measures what control costs as VMs and customers grow.
+
+Runs the control services of some VMs in this process against the stand-in
+platform in another, and prints a table: calls a second at the platform,
+bytes a second between VMs, processor time, and how long an edit takes until
+it is in force everywhere. With `--memory` it prints what customers cost in
+memory instead.
+"""
+
+import gc
+import random
+import socket
+import statistics
+import subprocess
+import sys
+import time
+import tracemalloc
+from typing import Any, ClassVar, NamedTuple
+
+from cleo import application
+from cleo.commands import command
+from cleo.helpers import option
+from cleo.io.inputs import argv_input
+from cleo.io.inputs import option as option_lib
+import urllib3
+
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeal import logs
+from bulrushdeal import records
+from bulrushdeald import config
+from bulrushdeald import defaults
+from bulrushdeald import keyvalue
+from bulrushdeald import membership
+from bulrushdeald import pages
+from bulrushdeald import pageset
+from bulrushdeald import peers
+from bulrushdeald import services
+from bulrushdeald import vmlist
+
+_DOMAINS = 4
+_KEYS_PER_CUSTOMER = 2
+_SETTLE_S = 3.0
+_START_TIMEOUT_S = 60.0
+
+
+class Sample(NamedTuple):
+    """The counters of all VMs and of the platform at one moment."""
+
+    at_s: float
+    cpu_s: float
+    calls: dict[str, int]
+    platform_bytes: int
+    sent_bytes: int
+    messages: int
+
+
+class Row(NamedTuple):
+    """One line of the table.
+
+    Attributes:
+        vms: VMs in four failure domains.
+        customers: Customers with two keys each.
+        calls_per_s: At the platform, from all VMs together.
+        watches_per_s: Of these, watches.
+        lists_per_s: Of these, reads of the list of VMs.
+        platform_bytes_per_s: Bodies to and from the platform, all VMs.
+        peer_bytes_per_s: Sent by each VM to its peers.
+        messages_per_s: Sent by each VM to its peers.
+        cpu_percent: Of one core, for each VM.
+        median_ms: From an edit's start until it is in force on all VMs.
+        worst_ms: The slowest of these.
+    """
+
+    vms: int
+    customers: int
+    calls_per_s: float
+    watches_per_s: float
+    lists_per_s: float
+    platform_bytes_per_s: float
+    peer_bytes_per_s: float
+    messages_per_s: float
+    cpu_percent: float
+    median_ms: float
+    worst_ms: float
+
+
+class ControlNode:
+    """The control services of one VM."""
+
+    def __init__(self, vm: str, failure_domain: str, platform: str) -> None:
+        flags = {
+            "vm": vm,
+            "failure-domain": failure_domain,
+            "callers-address": "127.0.0.1:0",
+            "operators-address": "127.0.0.1:0",
+            "peers-address": _free_address(),
+            "platform-address": platform,
+            "operator-token": "bench",
+        }
+        self.settings = defaults.read(flags, {})
+        self.kernel = kernel_lib.Kernel()
+        self.keyvalue = keyvalue.HttpKeyValue(self.kernel, self.settings)
+        self.peers = peers.WebsocketPeers(self.kernel, self.settings)
+        self.config = config.ConfigService(self.kernel, self.settings)
+        self.kernel.register(services.KEYVALUE, self.keyvalue)
+        self.kernel.register(
+            services.MEMBERSHIP,
+            membership.PlatformMembership(self.kernel, self.settings),
+        )
+        self.kernel.register(services.PEERS, self.peers)
+        self.kernel.register(
+            vmlist.NAME, vmlist.VmListFeed(self.kernel, self.settings)
+        )
+        self.kernel.register(services.CONFIG, self.config)
+
+
+def _free_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+class Experiment:
+    """Some VMs, some customers, and the stand-in platform."""
+
+    def __init__(self, vms: int, customers: int, seed: int = 1) -> None:
+        self._random = random.Random(seed)
+        self._customers = customers
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "standins.platform"],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        assert self._process.stdout is not None
+        self._platform = self._process.stdout.readline().split()[-1]
+        self._http = urllib3.PoolManager(retries=False)
+        self._nodes = [
+            ControlNode(f"vm-{n}", f"domain-{n % _DOMAINS}", self._platform)
+            for n in range(vms)
+        ]
+
+    def start(self) -> None:
+        """Lists the VMs, stores the customers and waits until all serve."""
+        for node in self._nodes:
+            row = records.Vm(
+                node.settings.vm,
+                node.settings.failure_domain,
+                "entry",
+                node.settings.peers_address,
+            )
+            self._http.request(
+                "PUT",
+                f"http://{self._platform}/v1/vms/{row.vm}",
+                json=row._asdict(),
+            )
+        for key, page in make_pages(self._customers).items():
+            self._nodes[0].keyvalue.put(key, pages.encode(page), 0).unwrap()
+        for node in self._nodes:
+            node.kernel.start()
+        end_s = time.monotonic() + _START_TIMEOUT_S
+        while not all(node.config.is_ready() for node in self._nodes):
+            if time.monotonic() > end_s:
+                raise TimeoutError("Not all VMs became ready.")
+            time.sleep(0.05)
+        time.sleep(_SETTLE_S)
+
+    def stop(self) -> None:
+        """Stops the VMs and the platform."""
+        for node in self._nodes:
+            node.kernel.stop(0.1)
+        self._process.terminate()
+        self._process.wait()
+
+    def run(self, duration_s: float, edits_per_s: float) -> Row:
+        """Edits for a while and returns what it cost."""
+        before = self._sample()
+        delays_ms: list[float] = []
+        end_s = before.at_s + duration_s
+        next_s = before.at_s
+        while time.monotonic() < end_s:
+            delays_ms.append(self._edit())
+            next_s += 1.0 / edits_per_s
+            time.sleep(max(0.0, min(next_s, end_s) - time.monotonic()))
+        return self._row(before, self._sample(), delays_ms)
+
+    def _edit(self) -> float:
+        """Changes a random row at a random VM; returns milliseconds."""
+        node = self._random.choice(self._nodes)
+        name = f"customer-{self._random.randrange(self._customers)}"
+        key = pages.customer_key(name)
+        began_s = time.monotonic()
+        entry = node.keyvalue.get(key).unwrap()
+        assert entry is not None
+        page = pages.decode(entry.value)
+        rows = {row.customer: row for row in page.customers}
+        rows[name] = rows[name]._replace(weight=self._random.uniform(1, 9))
+        page = page._replace(customers=tuple(rows[n] for n in sorted(rows)))
+        put = node.keyvalue.put(key, pages.encode(page), entry.revision)
+        node.config.adopt(key, put.unwrap(), page)
+        waiting = list(self._nodes)
+        while waiting:
+            waiting = [
+                node
+                for node in waiting
+                if (held := node.config.page(key)) is None
+                or held.revision < put.unwrap()
+            ]
+            time.sleep(0.002)
+        return (time.monotonic() - began_s) * 1000
+
+    def _sample(self) -> Sample:
+        stats = self._http.request(
+            "GET", f"http://{self._platform}/v1/stats"
+        ).json()
+        traffic = [node.peers.dump() for node in self._nodes]
+        return Sample(
+            time.monotonic(),
+            time.process_time(),
+            stats["calls"],
+            stats["bytes"],
+            sum(dump["sent_bytes"] for dump in traffic),
+            sum(dump["sent_messages"] for dump in traffic),
+        )
+
+    def _row(
+        self, before: Sample, after: Sample, delays_ms: list[float]
+    ) -> Row:
+        took_s = after.at_s - before.at_s
+        vms = len(self._nodes)
+
+        def rate(kind: str) -> float:
+            count = after.calls.get(kind, 0) - before.calls.get(kind, 0)
+            return count / took_s
+
+        kinds = set(after.calls) | set(before.calls)
+        return Row(
+            vms,
+            self._customers,
+            sum(map(rate, kinds)),
+            rate("watch"),
+            rate("vms"),
+            (after.platform_bytes - before.platform_bytes) / took_s,
+            (after.sent_bytes - before.sent_bytes) / took_s / vms,
+            (after.messages - before.messages) / took_s / vms,
+            100 * (after.cpu_s - before.cpu_s) / took_s / vms,
+            statistics.median(delays_ms),
+            max(delays_ms),
+        )
+
+
+def make_pages(customers: int) -> dict[str, pages.Page]:
+    """Returns pages with so many customers and two keys for each."""
+    rows: dict[str, list[records.Customer]] = {}
+    keys: dict[str, list[records.Key]] = {}
+    for number in range(customers):
+        name = f"customer-{number}"
+        key = pages.customer_key(name)
+        rows.setdefault(key, []).append(records.Customer(name))
+        for which in range(_KEYS_PER_CUSTOMER):
+            key_hash = config.hash_key(f"{name}/{which}")
+            row = records.Key(key_hash, name, f"key {which}")
+            keys.setdefault(key, []).append(row)
+    return {
+        key: pages.Page(tuple(sorted(rows[key])), tuple(sorted(keys[key])))
+        for key in sorted(rows)
+    }
+
+
+def measure_memory(customers: int) -> float:
+    """Returns how many bytes a VM holds for each customer."""
+    stored = {
+        key: pages.encode(page) for key, page in make_pages(customers).items()
+    }
+    gc.collect()
+    tracemalloc.start()
+    held = pageset.PageSet()
+    for key, value in stored.items():
+        held.offer(key, 1, pages.decode(value))
+    gc.collect()
+    size_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(held.customers) == customers
+    return size_bytes / customers
+
+
+class ControlCommand(command.Command):
+    """Prints what control costs."""
+
+    name = "control"
+    description = "Measure the control services as VMs and customers grow."
+    options: ClassVar[list[option_lib.Option]] = [
+        option("vms", default="4,8,16,32", flag=False),
+        option("customers", default="100", flag=False),
+        option("duration-s", default="20", flag=False),
+        option("edits-per-s", default="1", flag=False),
+        option("memory", description="Only measure memory."),
+    ]
+
+    def handle(self) -> int:
+        """Runs one experiment after the other."""
+        logs.configure("error")
+        customers = _numbers(self.option("customers"))
+        if self.option("memory"):
+            for count in customers:
+                self.line(f"{count} {measure_memory(count):.0f}")
+            return 0
+        self.line("| " + " | ".join(Row._fields) + " |")
+        self.line("|" + "---|" * len(Row._fields))
+        for vms in _numbers(self.option("vms")):
+            for count in customers:
+                self.line(_format(self._measure(vms, count)))
+        return 0
+
+    def _measure(self, vms: int, customers: int) -> Row:
+        experiment = Experiment(vms, customers)
+        try:
+            experiment.start()
+            return experiment.run(
+                float(self.option("duration-s")),
+                float(self.option("edits-per-s")),
+            )
+        finally:
+            experiment.stop()
+
+
+def _numbers(text: Any) -> list[int]:
+    return [int(part) for part in str(text).split(",")]
+
+
+def _format(row: Row) -> str:
+    cells = [
+        str(value) if isinstance(value, int) else f"{value:.2f}"
+        for value in row
+    ]
+    return "| " + " | ".join(cells) + " |"
+
+
+def main() -> None:
+    """Runs the only command."""
+    app = application.Application("bench.control")
+    app.add(ControlCommand())
+    app.run(argv_input.ArgvInput(["bench", "control", *sys.argv[1:]]))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/daemon/bulrushdeald/pages.py
+++ b/packages/daemon/bulrushdeald/pages.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+import sys
 from typing import NamedTuple
 
 import cbor2
@@ -89,7 +90,21 @@
         plain = cbor2.loads(value)
     except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
         raise codec.CodecError(f"not a page: {error}") from error
-    return codec.from_plain(Page, plain)
+    return _with_shared_names(codec.from_plain(Page, plain))
+
+
+def _with_shared_names(page: Page) -> Page:
+    # A customer's name stands in its row and in each of its keys; shared,
+    # it is held once.
+    intern = sys.intern
+    customers = tuple(
+        row._replace(customer=intern(row.customer)) for row in page.customers
+    )
+    keys = tuple(
+        row._replace(customer=intern(row.customer), label=intern(row.label))
+        for row in page.keys
+    )
+    return page._replace(customers=customers, keys=keys)
 
 
 def diff(
--- a/packages/standins/standins/platform.py
+++ b/packages/standins/standins/platform.py
@@ -4,7 +4,6 @@
 faults. Run it with `python -m standins.platform --address 127.0.0.1:0`.
 """
 
-import argparse
 import base64
 import collections
 from collections.abc import Callable
@@ -13,11 +12,18 @@
 import json
 import math
 import signal
+import sys
 import threading
 import time
-from typing import Any, NamedTuple
+from typing import Any, ClassVar, NamedTuple
 from urllib import parse
 
+from cleo import application
+from cleo.commands import command
+from cleo.helpers import option
+from cleo.io.inputs import argv_input
+from cleo.io.inputs import option as option_lib
+
 from bulrushdeal import codec
 from bulrushdeal import httpd
 from bulrushdeal import records
@@ -59,6 +65,9 @@
     ) -> None:
         self.keyspace = keyspace.Keyspace()
         self.calls: collections.Counter[str] = collections.Counter()
+        self._host = address.rpartition(":")[0]
+        # Bodies of requests and answers together.
+        self.size_bytes = 0
         self._server = httpd.Server(address, self._serve, threads)
         self._lock = threading.Lock()
         self._faults = Faults()
@@ -74,7 +83,7 @@
     @property
     def address(self) -> str:
         """`HOST:PORT`, known after `start`."""
-        return f"127.0.0.1:{self.port}"
+        return f"{self._host}:{self.port}"
 
     def start(self) -> None:
         """Begins to serve."""
@@ -122,13 +131,17 @@
             self.fault(**json.loads(request.body.read(request.length_bytes)))
             return httpd.json_response(200, self._faults._asdict())
         if request.path == "/v1/stats":
-            return httpd.json_response(200, {"calls": dict(self.calls)})
+            stats = {"calls": dict(self.calls), "bytes": self.size_bytes}
+            return httpd.json_response(200, stats)
         kind = _kind(request)
         self.calls[kind] += 1
         if self._faults.latency_s:
             time.sleep(self._faults.latency_s)
         self._check_outage(kind)
         response = self._answer(kind, request)
+        with self._lock:
+            self.size_bytes += max(0, request.length_bytes)
+            self.size_bytes += sum(len(part) for part in response.body)
         # A watch that an outage finds waiting is cut as well.
         self._check_outage(kind)
         if kind in ("put", "delete") and self._loses_answer():
@@ -269,19 +282,33 @@
     return entry
 
 
-def main() -> None:
+class PlatformCommand(command.Command):
     """Serves until a signal ends the process."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--address", default="127.0.0.1:0")
-    platform = Platform(parser.parse_args().address)
-    stopping = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopping.set())
-    platform.start()
-    host = parser.parse_args().address.rpartition(":")[0]
-    print(f"listening {host}:{platform.port}", flush=True)
-    stopping.wait()
-    platform.stop()
+
+    name = "platform"
+    description = "Stand in for the platform."
+    options: ClassVar[list[option_lib.Option]] = [
+        option("address", default="127.0.0.1:0", flag=False)
+    ]
+
+    def handle(self) -> int:
+        """Prints where it listens, then serves."""
+        platform = Platform(self.option("address"))
+        stopping = threading.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: stopping.set())
+        platform.start()
+        print(f"listening {platform.address}", flush=True)
+        stopping.wait()
+        platform.stop()
+        return 0
+
+
+def main() -> None:
+    """Runs the only command."""
+    app = application.Application("standins.platform")
+    app.add(PlatformCommand())
+    app.run(argv_input.ArgvInput(["standins", "platform", *sys.argv[1:]]))
 
 
 if __name__ == "__main__":
