--- a/packages/bench/bench/control.py
+++ b/packages/bench/bench/control.py
@@ -9,6 +9,7 @@
 
 import gc
 import random
+import resource
 import socket
 import statistics
 import subprocess
@@ -69,6 +70,7 @@
         cpu_percent: Of one core, for each VM.
         median_ms: From an edit's start until it is in force on all VMs.
         worst_ms: The slowest of these.
+        peak_rss_mb: Of this process with all its VMs so far.
     """
 
     vms: int
@@ -82,6 +84,7 @@
     cpu_percent: float
     median_ms: float
     worst_ms: float
+    peak_rss_mb: float
 
 
 class ControlNode:
@@ -244,6 +247,7 @@
             100 * (after.cpu_s - before.cpu_s) / took_s / vms,
             statistics.median(delays_ms),
             max(delays_ms),
+            resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1000,
         )
 
 
--- a/packages/daemon/bulrushdeald/configroutes.py
+++ b/packages/daemon/bulrushdeald/configroutes.py
@@ -216,8 +216,9 @@
         problems = self._import_pages(changed, expected)
         if not problems:
             return httpd.json_response(200, body)
+        is_refused = all(row["code"] == "conflict" for row in problems)
         return replies.error(
-            409,
+            409 if is_refused else 503,
             "partial",
             "Some pages were not changed; import the file again.",
             pages=problems,
--- a/packages/daemon/bulrushdeald/vmlist.py
+++ b/packages/daemon/bulrushdeald/vmlist.py
@@ -82,8 +82,8 @@
             target=self._run, name=NAME, daemon=True
         )
 
-    def start(self) -> None:
-        """Answers peers and begins to feed."""
+    def attach(self) -> None:
+        """Finds the other services and answers peers; starts no thread."""
         self._membership = self._kernel.find(
             services.MEMBERSHIP, membership_lib.PlatformMembership
         )
@@ -93,6 +93,10 @@
         self._peers.handle(ReadVmList, self._on_read)
         self._peers.understand(VmListChange)
         self._note()
+
+    def start(self) -> None:
+        """Answers peers and begins to feed."""
+        self.attach()
         self._thread.start()
 
     def stop(self, grace_s: float) -> None:
