--- a/tests/daemon/test_batchfailures.py
+++ b/tests/daemon/test_batchfailures.py
@@ -128,6 +128,88 @@
     assert [key.split("/")[0] for key in left] == ["expiry", "jobs"]
 
 
+def test_cancelled_job_ends_though_an_item_does_not(
+    fleet: batchfakes.Fleet,
+) -> None:
+    # A job stays cancelling for ever: its holder lives and says that it has
+    # the chunk, but an upstream never lets go of one item's stream.
+    job = start(fleet)
+    holder = hold(fleet, "vm2")
+    fleet.network.silent.clear()
+    stuck = holder.worker.pick()
+    assert stuck is not None
+    fleet.vms["vm0"].cancel("c", job)
+    fleet.run(40)
+    before = outcome(fleet, job)
+    assert before[0] == "cancelled"
+    holder.worker.run_item(stuck.run, stuck.number)
+    holder.seal()
+    fleet.run(3)
+    assert outcome(fleet, job) == before
+
+
+def test_job_does_not_end_while_a_record_runs(
+    fleet: batchfakes.Fleet,
+) -> None:
+    # A cancelled job ends without answers that its holder is about to
+    # seal: the coordinator went by its memory in place of the records.
+    job = start(fleet)
+    fleet.vms["vm1"].claim(batchmessages.Offer(job, 1, 1, 0)).unwrap()
+    fleet.vms["vm0"].cancel("c", job)
+    entry = fleet.keyvalue.entries[batchrecords.job_key(job)]
+    record = batchrecords.load(batchrecords.JobRecord, entry.value)
+    queued = batchrecords.QueueEntry(job, "c", 0.0, 5, 3, 0.0)
+    finisher = fleet.vms["vm0"].finisher()
+    assert finisher.finish(queued, record, entry.revision) == "changed"
+
+
+def test_cancellation_that_is_not_known_is_not_confirmed(
+    fleet: batchfakes.Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # A user cancels a job, is told so, and it runs for hours: the platform
+    # went away after the decision, and no coordinator heard of it.
+    job = start(fleet)
+    put = fleet.keyvalue.put
+
+    def put_once(
+        key: str, value: bytes, expected_revision: int
+    ) -> result.Result[int, services.KeyValueError]:
+        written = put(key, value, expected_revision)
+        fleet.keyvalue.has_outage = True
+        return written
+
+    monkeypatch.setattr(fleet.keyvalue, "put", put_once)
+    reply = fleet.vms["vm0"].cancel("c", job)
+    assert reply.status == 503
+    assert reply.json["error"]["ran"] == "unknown"
+    monkeypatch.setattr(fleet.keyvalue, "put", put)
+    fleet.keyvalue.has_outage = False
+    assert fleet.vms["vm1"].cancel("c", job).status == 200
+    fleet.run(20)
+    assert fleet.vms["vm0"].show("c", job).json["status"] == "cancelled"
+
+
+def test_counts_do_not_fall_when_a_job_ends(
+    fleet: batchfakes.Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # A job shows 80,000 answered items, then none, then all: it ended
+    # between the read of the job and the read of its chunks.
+    job = start(fleet)
+    list_once = fleet.keyvalue.list
+
+    def list_late(
+        prefix: str,
+    ) -> result.Result[tuple[services.Entry, ...], services.KeyValueError]:
+        monkeypatch.setattr(fleet.keyvalue, "list", list_once)
+        fleet.run(15)
+        return list_once(prefix)
+
+    monkeypatch.setattr(fleet.keyvalue, "list", list_late)
+    shown = fleet.vms["vm0"].show("c", job).json
+    assert shown["status"] == "completed"
+    assert shown["request_counts"]["completed"] == len(PROMPTS)
+
+
 def test_frozen_holder_of_a_cancelled_job_stops(
     fleet: batchfakes.Fleet,
 ) -> None:
--- a/tests/support/batchfakes.py
+++ b/tests/support/batchfakes.py
@@ -17,9 +17,11 @@
 from bulrushdeald import coordinator
 from bulrushdeald import defaults
 from bulrushdeald import files
+from bulrushdeald import finishing
 from bulrushdeald import jobs
 from bulrushdeald import repair
 from bulrushdeald import replicas
+from bulrushdeald import retention
 from bulrushdeald import services
 from bulrushdeald import store
 from bulrushdeald import worker
@@ -440,6 +442,12 @@
         )
         return mine.claim(offer)
 
+    def finisher(self) -> finishing.Finisher:
+        """What a coordinator ends jobs with."""
+        keyvalue: Any = self.keyvalue
+        kept = retention.Retention(keyvalue, self.clock, 1e6)
+        return finishing.Finisher(keyvalue, self.replicas, self.clock, kept)
+
     def show(self, customer: str, job: str) -> Reply:
         return self.request(customer, "GET", f"/v1/batches/{job}")
 
