--- a/tests/daemon/test_atmostonce.py
+++ b/tests/daemon/test_atmostonce.py
@@ -198,7 +198,7 @@
         # The budget is small: a dead upstream is not asked twice for ever.
         for _ in range(10):
             assert book(vm, "none") == (503, "not_run")
-        assert len(vm.router.works) < 20
+        assert vm.router.acquired < 20
 
 
 def test_model_calls_are_tried_again_before_the_first_byte() -> None:
--- a/tests/daemon/test_intents.py
+++ b/tests/daemon/test_intents.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 import result
 
+from bench import staticvm
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeald import intents
 from bulrushdeald import services
@@ -24,7 +25,7 @@
     does_run: bool
 
 
-class OnlyPeers(pathfakes.FakeService):
+class OnlyPeers(staticvm.StaticService):
     """Carries questions between the two VMs, or does not."""
 
     def __init__(self, owner: "IntentsMachine") -> None:
@@ -78,7 +79,7 @@
         made = intents.Intents(kernel, pathfakes.settings(vm=self.names[side]))
         # Without its thread, which only repeats `_repair`.
         made._keyvalue = cast(services.KeyValue, self.platform.keyvalue)
-        membership = pathfakes.FakeMembership(
+        membership = staticvm.StaticMembership(
             self.names[side], self.platform.unlisted
         )
         made._membership = cast(services.Membership, membership)
--- a/tests/support/pathfakes.py
+++ b/tests/support/pathfakes.py
@@ -1,163 +1,28 @@
-"""Fakes of the services that the callers' path speaks to, and a small VM."""
+"""Fakes of the platform for the callers' path, and a small VM to ask."""
 
 from collections.abc import Callable, Iterator
 import contextlib
-import hashlib
 import http.client
 import json
 import threading
 import time
-from typing import Any, cast
+from typing import Any
 
 import result
 
-from bulrushdeal import kernel as kernel_lib
+from bench import staticvm
 from bulrushdeal import records
-from bulrushdeald import callers
-from bulrushdeald import defaults
-from bulrushdeald import intents
 from bulrushdeald import services
-from bulrushdeald import upstreams
 from standins import engine
 
-KEY = "sk-schools-1"
-OTHER_KEY = "sk-plumbers-1"
+KEY = staticvm.KEY
+OTHER_KEY = staticvm.OTHER_KEY
 FAST = engine.Timing(token_s=0.001, token_per_stream_s=0.0, prefill_s=0.0)
+engine_row = staticvm.engine_row
+settings = staticvm.settings
 
 
-def settings(**changes: Any) -> defaults.Settings:
-    flags = {
-        "vm": "vm-1",
-        "failure-domain": "nairobi-1",
-        "callers-address": "127.0.0.1:0",
-        "operators-address": "127.0.0.1:0",
-        "peers-address": "127.0.0.1:0",
-        "platform-address": "127.0.0.1:1",
-        "operator-token": "token",
-        "online-threads": "32",
-        "unready-s": "0.1",
-    }
-    return defaults.read(flags, {})._replace(**changes)
-
-
-def hash_of(key: str) -> str:
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
-class FakeService:
-    def start(self) -> None:
-        pass
-
-    def stop(self, grace_s: float) -> None:
-        pass
-
-    def dump(self) -> Any:
-        return {}
-
-
-class FakeConfig(FakeService):
-    def __init__(self, *upstream_rows: records.Upstream) -> None:
-        self.upstream_rows = upstream_rows
-        self.keys = {KEY: "schools", OTHER_KEY: "plumbers"}
-        self.withdrawn: set[str] = set()
-        self.is_ready = True
-        self._callbacks: list[Callable[[], None]] = []
-
-    def revision(self) -> int:
-        return int(self.is_ready)
-
-    def authenticate(
-        self, key: str
-    ) -> result.Result[services.Principal, services.ConfigError]:
-        if not self.is_ready:
-            return result.Err(services.ConfigError("not_ready", "Not ready."))
-        if key not in self.keys or hash_of(key) in self.withdrawn:
-            return result.Err(services.ConfigError("unknown_key", "No key."))
-        customer = records.Customer(self.keys[key])
-        return result.Ok(services.Principal(customer, hash_of(key)))
-
-    def is_withdrawn(self, key_hash: str) -> bool:
-        return key_hash in self.withdrawn
-
-    def upstreams(self) -> tuple[records.Upstream, ...]:
-        return self.upstream_rows
-
-    def on_change(self, callback: Callable[[], None]) -> None:
-        self._callbacks.append(callback)
-
-    def withdraw(self, key: str) -> None:
-        self.withdrawn.add(hash_of(key))
-        for callback in self._callbacks:
-            callback()
-
-
-class FakeLimits(FakeService):
-    def __init__(self) -> None:
-        self.taken = 0
-        self.refusal: services.Refusal | None = None
-
-    def take(
-        self, customer: str, count: float = 1.0
-    ) -> result.Result[None, services.Refusal]:
-        self.taken += 1
-        if self.refusal is not None:
-            return result.Err(self.refusal)
-        return result.Ok(None)
-
-
-class FakeSlot:
-    def __init__(self, owner: "FakeRouter", row: records.Upstream) -> None:
-        self._owner = owner
-        self._row = row
-
-    @property
-    def upstream(self) -> records.Upstream:
-        return self._row
-
-    def on_yield(self, callback: Callable[[], None]) -> None:
-        pass
-
-    def release(self, outcome: services.Outcome) -> None:
-        with self._owner.lock:
-            self._owner.held.remove(self)
-            self._owner.outcomes.append(outcome)
-
-
-class FakeRouter(FakeService):
-    """Gives slots in turn without end; a slot released twice is an error."""
-
-    def __init__(self, config: FakeConfig) -> None:
-        self._config = config
-        self.lock = threading.Lock()
-        self.held: list[FakeSlot] = []
-        self.outcomes: list[services.Outcome] = []
-        self.works: list[services.Work] = []
-
-    def acquire(
-        self, work: services.Work
-    ) -> result.Result[FakeSlot, services.Refusal]:
-        with self.lock:
-            rows = [
-                row
-                for row in self._config.upstreams()
-                if work.model in row.models
-                or (work.service and work.service == row.service)
-            ]
-            self.works.append(work)
-            slot = FakeSlot(self, rows[len(self.works) % len(rows)])
-            self.held.append(slot)
-            return result.Ok(slot)
-
-
-class FakeUsage(FakeService):
-    def __init__(self) -> None:
-        self.events: list[services.UsageEvent] = []
-
-    def record(self, event: services.UsageEvent) -> None:
-        self.events.append(event)
-
-
-class FakeKeyValue(FakeService):
+class FakeKeyValue(staticvm.StaticService):
     """The platform's service in memory, shared by the VMs of a test."""
 
     def __init__(self) -> None:
@@ -227,25 +92,6 @@
         return result.Ok(revision)
 
 
-class FakeMembership(FakeService):
-    def __init__(self, vm: str, unlisted: set[str]) -> None:
-        self._own = records.Vm(vm, "nairobi-1", "entry")
-        self._incarnation = f"{vm}-{time.monotonic_ns()}"
-        self._unlisted = unlisted
-
-    def own(self) -> records.Vm:
-        return self._own
-
-    def incarnation(self) -> str:
-        return self._incarnation
-
-    def entry_vms(self) -> tuple[records.Vm, ...]:
-        return (self._own,)
-
-    def is_listed(self, vm: str) -> bool:
-        return vm not in self._unlisted
-
-
 class Platform:
     """What several small VMs share."""
 
@@ -254,7 +100,7 @@
         self.unlisted: set[str] = set()
 
 
-class SmallVm:
+class SmallVm(staticvm.StaticVm):
     """The callers' path of one VM, with fakes around it."""
 
     def __init__(
@@ -264,32 +110,13 @@
         **changes: Any,
     ) -> None:
         self.platform = platform or Platform()
-        self.config = FakeConfig(*rows)
-        self.limits = FakeLimits()
-        self.router = FakeRouter(self.config)
-        self.usage = FakeUsage()
-        self.settings = settings(**changes)
-        self.kernel = kernel_lib.Kernel()
-        self.callers = callers.CallersServer(self.kernel, self.settings)
-        for name, service in (
-            (services.CONFIG, self.config),
-            (services.LIMITS, self.limits),
-            (services.ROUTER, self.router),
-            (services.USAGE, self.usage),
-            (
-                services.UPSTREAMS,
-                upstreams.HttpUpstreams(self.kernel, self.settings),
-            ),
-            (services.KEYVALUE, self.platform.keyvalue),
-            (
-                services.MEMBERSHIP,
-                FakeMembership(self.settings.vm, self.platform.unlisted),
-            ),
-            (services.INTENTS, intents.Intents(self.kernel, self.settings)),
-            (services.CALLERS, self.callers),
-            (callers.LISTENER, callers.Listener(self.kernel, self.settings)),
-        ):
-            self.kernel.register(name, cast(kernel_lib.Service, service))
+        changes = {"online_threads": 32, "unready_s": 0.1} | changes
+        super().__init__(
+            *rows,
+            keyvalue=self.platform.keyvalue,
+            unlisted=self.platform.unlisted,
+            **changes,
+        )
 
     def connect(self) -> http.client.HTTPConnection:
         return http.client.HTTPConnection(
@@ -344,12 +171,6 @@
         vm.kernel.stop(2.0)
 
 
-def engine_row(address: str, name: str = "engine-1") -> records.Upstream:
-    return records.Upstream(
-        name, "engine", address, "vm-up", "nairobi-1", ("textbook",)
-    )
-
-
 def plain_row(address: str, name: str = "booking-1") -> records.Upstream:
     return records.Upstream(
         name, "plain", address, "vm-up", "nairobi-1", service="booking"
