Frame requests strictly and refuse connections that find no room

Cause: cheroot takes the rest of a refused chunked body for the next request (the test's smuggled request ran: 2 answers for 1), reads a whole chunk of any size into memory, takes -2, +2 and 1_0 for lengths, overwrites repeated headers, has no limit on headers, and lets 1,024 connections wait behind long streams. Change: the adaptations stand in httpwire.py; waiting connections are a quarter of the threads, others get 503 with Retry-After at once.

--- a/packages/core/bulrushdeal/httpd.py
+++ b/packages/core/bulrushdeal/httpd.py
@@ -7,16 +7,17 @@
 import threading
 from typing import Any, cast, NamedTuple, Protocol
 
-import cheroot.server
-import cheroot.wsgi
+from bulrushdeal import httpwire
 
 _CHUNK_BYTES = 64 * 1024
 # Threads wait on upstreams, so there are many more than processors.
 DEFAULT_THREADS = 200
 _BACKLOG = 1024
 _SOCKET_TIMEOUT_S = 60
-_SOCKET = "bulrushdeal.socket"
-_MAX_UNREAD_BYTES = 64 * 1024
+# Connections that may wait for a thread, as a part of the threads: a burst
+# of short requests finds room, and nobody waits behind long streams unseen.
+_WAITING_SHARE = 4
+_MIN_WAITING = 16
 
 
 class BodyReader(Protocol):
@@ -109,97 +110,61 @@
         environ["wsgi.input"],
         int(length),
         environ.get("REQUEST_URI", ""),
-        environ.get(_SOCKET),
+        environ.get(httpwire.SOCKET),
     )
 
 
-class _HeaderReader(cheroot.server.HeaderReader):
-    # `Content_Length` and `Content-Length` would become one name, and the
-    # body's length would be what another than the server's reader says.
-    # The library's own reader for this fails on bytes.
-    def _allow_header(self, key_name: bytes) -> bool:
-        return b"_" not in key_name
+_BUSY = json_response(503, {}, (("Retry-After", "1"),))
 
 
-class _HttpRequest(cheroot.server.HTTPRequest):
-    header_reader = _HeaderReader()
+def _wire(response: Response) -> bytes:
+    """Returns a whole answer as it goes over the wire."""
+    lines = [f"HTTP/1.1 {response.status} {_phrase(response.status)}"]
+    lines += [f"{name}: {value}" for name, value in response.headers]
+    head = "\r\n".join((*lines, "Connection: close", "", ""))
+    return head.encode("latin-1") + b"".join(response.body)
 
 
-class _Writer:
-    """Sends at once, without the library's buffer in interpreted code.
-
-    A relayed token is one small write, and that buffer cost more than the
-    system call; see docs/CAPACITY.md.
-    """
-
-    def __init__(self, sock: socket.socket) -> None:
-        self._socket = sock
-        self.bytes_written = 0
-
-    def write(self, data: bytes) -> int:
-        self._socket.sendall(data)
-        self.bytes_written += len(data)
-        return len(data)
-
-
-class _Connection(cheroot.server.HTTPConnection):
-    RequestHandlerClass = _HttpRequest
-
-    def __init__(self, server: Any, sock: Any, *args: Any) -> None:
-        super().__init__(server, sock, *args)
-        self.wfile = _Writer(sock)
-
-
-class _Gateway(cheroot.wsgi.Gateway_10):
-    def get_environ(self) -> Any:
-        environ = super().get_environ()  # type: ignore[no-untyped-call]
-        environ[_SOCKET] = self.req.conn.socket
-        return environ
-
-    def start_response(
-        self, status: str, headers: Any, exc_info: Any = None
-    ) -> Any:
-        if _has_unread_body(self.req.rfile):
-            self.req.close_connection = True
-        return super().start_response(status, headers, exc_info)
-
-
-def _has_unread_body(body: Any) -> bool:
-    # The library reads the rest of a body with a length into memory at once,
-    # and takes the rest of a chunked one for the next request. Neither may
-    # happen when a request was refused without reading it.
-    if isinstance(body, cheroot.server.ChunkedRFile):
-        return not body.closed
-    return bool(getattr(body, "remaining", 0) > _MAX_UNREAD_BYTES)
+def _phrase(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
 
 
 class Server:
     """Serves one handler on one address, each connection on its thread.
 
     The number of accepted connections that wait for a thread is bounded,
-    since those that wait age unseen.
+    since those that wait age unseen; others are refused at once.
+
+    Args:
+        address: `HOST:PORT`; port 0 takes a free one.
+        handler: Called on a connection's thread.
+        threads: Connections served at once.
+        busy: The answer to a connection that found no room.
     """
 
     def __init__(
-        self, address: str, handler: Handler, threads: int = DEFAULT_THREADS
+        self,
+        address: str,
+        handler: Handler,
+        threads: int = DEFAULT_THREADS,
+        busy: Response | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._handler = handler
-        self._server = cheroot.wsgi.Server(
+        self._server = httpwire.Server(
             (host, int(port)),
             self._serve,
             numthreads=threads,
             request_queue_size=_BACKLOG,
-            accepted_queue_size=_BACKLOG,
-            accepted_queue_timeout=1,
+            accepted_queue_size=max(threads // _WAITING_SHARE, _MIN_WAITING),
+            # The thread that accepts must not wait for room.
+            accepted_queue_timeout=0,
             timeout=_SOCKET_TIMEOUT_S,
         )
-        self._server.gateway = _Gateway
-        self._server.ConnectionClass = _Connection
-        # The library's limit of 10 would close nearly every connection.
-        self._server.keep_alive_conn_limit = None  # type: ignore[assignment]
-        # The caller's body is relayed as it comes, so it may be long.
-        self._server.max_request_body_size = 0
+        self._server.busy = _wire(busy or _BUSY)
         self._thread: threading.Thread | None = None
 
     @property
@@ -226,10 +191,7 @@
         self, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
         response = self._handler(_request(environ))
-        try:
-            phrase = http.HTTPStatus(response.status).phrase
-        except ValueError:
-            phrase = "Unknown"
+        phrase = _phrase(response.status)
         try:
             start_response(
                 f"{response.status} {phrase}", list(response.headers)
--- a/packages/daemon/bulrushdeald/callers.py
+++ b/packages/daemon/bulrushdeald/callers.py
@@ -103,7 +103,9 @@
         if settings.bulk_address:
             addresses.append((settings.bulk_address, _BULK_THREADS))
         for address, threads in addresses:
-            server = httpd.Server(address, self._serve, threads)
+            server = httpd.Server(
+                address, self._serve, threads, refusals.response(_BUSY)
+            )
             server.start()
             self._servers.append(server)
         self._state = "serving"
@@ -291,6 +293,9 @@
 _INTERNAL = services.Refusal(
     500, "internal_error", "This VM failed to serve the request.", "unknown"
 )
+_BUSY = services.Refusal(
+    503, "vm_busy", "This VM has no room now.", retry_after_s=1.0
+)
 _BULK_FULL = services.Refusal(
     503,
     "bulk_full",
