Count only 503 against an upstream

Cause: a slot whose answer was any 5xx went back as 'refused', and the router then leaves the upstream out for a while: one caller's request that fails with 500 would have taken an engine from all. Before: outcomes ['refused', 'ok', 'refused'] for 500, 400, 503; after ['ok', 'ok', 'refused']. Also: the sweeper's VM is picked by the common rendezvous.

--- a/packages/daemon/bulrushdeald/relays.py
+++ b/packages/daemon/bulrushdeald/relays.py
@@ -9,7 +9,11 @@
 from bulrushdeald import idempotency
 from bulrushdeald import services
 
-_SERVER_ERROR = 500
+_CLIENT_ERROR = 400
+# The one status by which an upstream says that it cannot serve anybody now.
+# Any other error may be one caller's fault, and must not take the upstream
+# from the others.
+_UNAVAILABLE = 503
 
 
 class Relay:
@@ -84,7 +88,7 @@
             yield item
             if isinstance(item, result.Err):
                 return
-        is_refused = self.answer.status >= _SERVER_ERROR
-        self._outcome = "refused" if is_refused else "ok"
-        self.code = f"upstream_{self.answer.status}" if is_refused else "ok"
+        status = self.answer.status
+        self._outcome = "refused" if status == _UNAVAILABLE else "ok"
+        self.code = f"upstream_{status}" if status >= _CLIENT_ERROR else "ok"
         self._is_whole = True
--- a/packages/daemon/bulrushdeald/sweeper.py
+++ b/packages/daemon/bulrushdeald/sweeper.py
@@ -1,6 +1,5 @@
 """Deletes old intents, on one VM at a time and at a bounded rate."""
 
-import hashlib
 import itertools
 import threading
 import time
@@ -12,6 +11,7 @@
 from bulrushdeal import logs
 from bulrushdeald import defaults
 from bulrushdeald import intents
+from bulrushdeald import rendezvous
 from bulrushdeald import services
 
 SWEEPER = "intents_sweeper"
@@ -23,15 +23,6 @@
 _MAX_DELETES = 100
 
 
-def chosen(vms: tuple[str, ...]) -> str:
-    """Returns which VM sweeps, the same on all that see the same list."""
-    return max(
-        vms,
-        key=lambda vm: hashlib.sha256(f"intents {vm}".encode()).digest(),
-        default="",
-    )
-
-
 class Sweeper:
     """Sweeps one bucket of intents at a time.
 
@@ -92,7 +83,7 @@
                 for vm in self._membership.entry_vms()
                 if vm.state == "live"
             )
-            if chosen(vms) == self._vm:
+            if rendezvous.pick(intents.PREFIX, vms) == self._vm:
                 self._deleted += self.sweep(next(self._buckets), time.time())
 
 
--- a/tests/daemon/test_cutstreams.py
+++ b/tests/daemon/test_cutstreams.py
@@ -93,6 +93,22 @@
     pathfakes.wait_until(lambda: vm.router.outcomes == ["crashed"] * 2)
 
 
+def test_only_503_counts_against_an_upstream(
+    vm: pathfakes.SmallVm, standins: tuple[engine.Engine, Any]
+) -> None:
+    """Story: one firm's bad request takes an engine from all the others.
+
+    The engine answers it with 500 each time. If that counted as the engine's
+    own failure, it would be given no work for a while.
+    """
+    for status in (500, 400, 503):
+        standins[0].faults = web.Faults(refuse_status=status)
+        assert vm.ask("POST", PATH, pathfakes.chat()).status == status
+    assert vm.router.outcomes == ["ok", "ok", "refused"]
+    codes = [event.outcome for event in vm.usage.events]
+    assert codes == ["upstream_500", "upstream_400", "upstream_503"]
+
+
 def test_caller_leaves(
     vm: pathfakes.SmallVm, standins: tuple[engine.Engine, Any]
 ) -> None:
--- a/tests/daemon/test_intents.py
+++ b/tests/daemon/test_intents.py
@@ -227,9 +227,3 @@
         platform.keyvalue.put(name, intents.pack(intent), 0)
     assert [swept.sweep(bucket, 1000.0) for bucket in (14, 15)] == [0, 1]
     assert list(platform.keyvalue.entries) == [f"{intents.PREFIX}00f1"]
-
-
-def test_one_vm_sweeps() -> None:
-    vms = ("vm-1", "vm-2", "vm-3")
-    assert sweeper.chosen(vms) == sweeper.chosen(tuple(reversed(vms)))
-    assert sweeper.chosen(()) == ""
