Tell how old each VM's configuration may be, and let operators bound it

Cause: a withdrawn key has to stop within seconds, and a domain that is cut off has to serve on; nobody could see which VM was how far behind. Change: each VM knows until when every accepted change is surely in force there, from its own reads or from peers, by durations and not by wall clocks. The status shows it; config_max_age_s makes a VM refuse keys after so long, 0 (serve on) is the default. Each guard was taken out once: - the peer's age not subtracted: two VMs cut off together believe each other, age 1 s and not 31 s; the state machine finds it as a page at revision 0 called confirmed while revision 1 was accepted; - a push taken for a confirmation: a page that was changed and pushed again while an earlier push was held is called confirmed; - a callback's error not kept from the others: open streams of a withdrawn key do not hear of it. Found on the way: the answer to a comparison left its age at the default, which the test showed; the fields have no default now.

--- a/packages/bench/bench/control.py
+++ b/packages/bench/bench/control.py
@@ -10,6 +10,7 @@
 import gc
 import random
 import resource
+import signal
 import socket
 import statistics
 import subprocess
@@ -339,7 +340,8 @@
 
 
 def main() -> None:
-    """Runs the only command."""
+    """Runs the only command; a signal stops the platform as well."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     app = application.Application("bench.control")
     app.add(ControlCommand())
     app.run(argv_input.ArgvInput(["bench", "control", *sys.argv[1:]]))
--- a/packages/daemon/bulrushdeald/config.py
+++ b/packages/daemon/bulrushdeald/config.py
@@ -20,7 +20,8 @@
 from bulrushdeald import services
 from bulrushdeald import watchers
 
-_WATCH_S = 25.0
+# Each return confirms the configuration, so it bounds the age shown.
+_WATCH_S = 10.0
 _RETRY_S = 0.5
 _COMPARE_S = 1.0
 _PUSH_THREADS = 4
@@ -45,7 +46,7 @@
         choice: random.Random | None = None,
         pool: futures.Executor | None = None,
     ) -> None:
-        del settings
+        self._max_age_s = settings.config_max_age_s
         self._kernel = kernel
         self._clock = clock or clock_lib.SystemClock()
         self._random = choice or random.Random()
@@ -61,7 +62,9 @@
         find = self._kernel.find
         self._membership = find(services.MEMBERSHIP, services.Membership)
         self.feed = configfeed.PlatformFeed(
-            self._held, find(services.KEYVALUE, services.KeyValue)
+            self._held,
+            find(services.KEYVALUE, services.KeyValue),
+            self._clock,
         )
         self.gossip = configgossip.PeerGossip(
             self._held,
@@ -82,10 +85,10 @@
             self._threads.append(thread)
 
     def stop(self, grace_s: float) -> None:
-        """Ends the threads; a watch that waits is left to its end."""
+        """Ends the comparisons; a watch that waits is left to its end."""
         self._stopping.set()
         self.gossip.stop()
-        for thread in self._threads:
+        for thread in self._threads[1:]:
             thread.join(min(grace_s, _RETRY_S))
 
     def dump(self) -> Any:
@@ -93,6 +96,7 @@
         return {
             "is_ready": self._held.is_ready,
             "revision": self.revision(),
+            "age_s": round(self.gossip.age_s(), 3),
             "watched_revision": self.feed.watched_revision,
             "is_watcher": self.is_watcher(),
             "partners": [
@@ -147,6 +151,10 @@
             return result.Err(
                 services.ConfigError("not_ready", "No configuration yet.")
             )
+        if self._is_too_old():
+            return result.Err(
+                services.ConfigError("not_ready", "Cut off for too long.")
+            )
         row = self._held.keys.get(hash_key(key))
         unknown = services.ConfigError("unknown_key", "The key is not valid.")
         if row is None or row.withdrawn:
@@ -156,6 +164,12 @@
             return result.Err(unknown)
         return result.Ok(services.Principal(customer, row.key_hash))
 
+    def _is_too_old(self) -> bool:
+        if self._max_age_s <= 0:
+            return False
+        age_s = self.gossip.age_s()
+        return age_s < 0 or age_s > self._max_age_s
+
     def is_withdrawn(self, key_hash: str) -> bool:
         """See `services.Config`; a key that is gone counts as withdrawn."""
         row = self._held.keys.get(key_hash)
--- a/packages/daemon/bulrushdeald/configfeed.py
+++ b/packages/daemon/bulrushdeald/configfeed.py
@@ -1,5 +1,6 @@
 """Feeds pages from the platform: by reading all, then by watching."""
 
+from bulrushdeal import clock as clock_lib
 from bulrushdeal import codec
 from bulrushdeal import logs
 from bulrushdeald import pages
@@ -13,10 +14,14 @@
     """Takes pages from the platform's key-value service."""
 
     def __init__(
-        self, held: pageset.PageSet, keyvalue: services.KeyValue
+        self,
+        held: pageset.PageSet,
+        keyvalue: services.KeyValue,
+        clock: clock_lib.Clock,
     ) -> None:
         self._held = held
         self._keyvalue = keyvalue
+        self._clock = clock
         self._has_read_all = False
         # Every change up to this revision was read here; a page that came
         # from a peer does not raise it, for it says nothing of the others.
@@ -34,11 +39,13 @@
 
     def read_all(self) -> bool:
         """Reads all pages; false if the platform does not answer."""
+        began_s = self._clock.monotonic_s()
         entries = self._keyvalue.list(pages.PREFIX)
         if entries.is_err():
             _log.debug("Could not read: %s", entries.unwrap_err().message)
             return False
         self._take(entries.unwrap())
+        self._held.confirm(began_s)
         self._has_read_all = True
         self._held.become_ready("the platform")
         return True
@@ -49,13 +56,18 @@
         Returns:
             What changed here; `None` if the platform does not answer.
         """
+        # The answer may have waited for this process, paused meanwhile; it
+        # surely tells of all that was accepted before the call began.
+        began_s = self._clock.monotonic_s()
         entries = self._keyvalue.watch(
             pages.PREFIX, self._watched_revision, timeout_s
         )
         if entries.is_err():
             _log.debug("Could not watch: %s", entries.unwrap_err().message)
             return None
-        return self._take(entries.unwrap())
+        changes = self._take(entries.unwrap())
+        self._held.confirm(began_s)
+        return changes
 
     def _take(
         self, entries: tuple[services.Entry, ...]
--- a/packages/daemon/bulrushdeald/configgossip.py
+++ b/packages/daemon/bulrushdeald/configgossip.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import hashlib
+import math
 import random
 from typing import Any
 
@@ -72,6 +73,13 @@
         """Returns for how long no peer was heard of."""
         return self._clock.monotonic_s() - self._heard_s
 
+    def age_s(self) -> float:
+        """Returns how old the configuration may be; below 0 if unknown."""
+        confirmed_s = self._held.confirmed_s
+        if math.isinf(confirmed_s):
+            return -1.0
+        return self._clock.monotonic_s() - confirmed_s
+
     def near_partners(self) -> tuple[str, ...]:
         """Returns the partners in the own failure domain."""
         own = self._membership.own()
@@ -146,6 +154,7 @@
             every page.
         """
         message = configsync.CompareRevisions(self._held.digest())
+        began_s = self._clock.monotonic_s()
         answer = self._peers.call(vm, message, _TIMEOUT_S)
         if answer.is_err():
             return False
@@ -153,6 +162,8 @@
         there: configsync.PeerRevisions = answer.unwrap()
         if not there.is_same and not self._pull(vm, there.revisions):
             return False
+        if there.is_ready and there.age_s >= 0:
+            self._held.confirm(began_s - there.age_s)
         return there.is_ready
 
     def _pull(self, vm: str, revisions: tuple[int, ...]) -> bool:
@@ -186,7 +197,9 @@
         del vm
         is_same = message.digest == self._held.digest()
         revisions = () if is_same else self._held.revisions()
-        return configsync.PeerRevisions(self._held.is_ready, is_same, revisions)
+        return configsync.PeerRevisions(
+            self._held.is_ready, is_same, revisions, self.age_s()
+        )
 
     def _on_fetch(self, vm: str, message: configsync.FetchPages) -> Any:
         del vm
@@ -203,5 +216,5 @@
     def _on_status(self, vm: str, message: configsync.ReadStatus) -> Any:
         del vm, message
         return configsync.PeerStatus(
-            self._held.is_ready, self._held.revisions()
+            self._held.is_ready, self._held.revisions(), self.age_s()
         )
--- a/packages/daemon/bulrushdeald/configstatus.py
+++ b/packages/daemon/bulrushdeald/configstatus.py
@@ -27,6 +27,8 @@
             there is not known; it goes on serving what it had.
         revision: The newest in force there, 0 if not known.
         behind_pages: How many pages are older there than stored.
+        age_s: All changes accepted so long ago are in force there; less
+            than 0 if that is not known.
     """
 
     vm: str
@@ -34,6 +36,7 @@
     state: VmConfigState
     revision: int
     behind_pages: int
+    age_s: float
 
 
 class ConfigStatus:
@@ -95,7 +98,7 @@
             row.vm, configsync.ReadStatus(), _ASK_TIMEOUT_S
         )
         if answer.is_err():
-            return VmStatus(row.vm, row.failure_domain, "cut_off", 0, 0)
+            return VmStatus(row.vm, row.failure_domain, "cut_off", 0, 0, -1.0)
         there: configsync.PeerStatus = answer.unwrap()
         behind = sum(
             held < wanted
@@ -105,5 +108,10 @@
         if not there.is_ready:
             state = "starting"
         return VmStatus(
-            row.vm, row.failure_domain, state, max(there.revisions), behind
+            row.vm,
+            row.failure_domain,
+            state,
+            max(there.revisions),
+            behind,
+            round(there.age_s, 3),
         )
--- a/packages/daemon/bulrushdeald/configsync.py
+++ b/packages/daemon/bulrushdeald/configsync.py
@@ -31,11 +31,14 @@
         is_ready: Whether the peer holds every page.
         is_same: Whether the digests are the same.
         revisions: In the order of `pages.all_keys`; empty if the same.
+        age_s: All changes accepted so long ago are in force at the peer;
+            less than 0 if it was never confirmed.
     """
 
     is_ready: bool
     is_same: bool
     revisions: tuple[int, ...]
+    age_s: float
 
 
 class FetchPages(NamedTuple):
@@ -60,7 +63,10 @@
     Attributes:
         is_ready: Whether it has a configuration.
         revisions: In the order of `pages.all_keys`.
+        age_s: All changes accepted so long ago are in force there; less
+            than 0 if it was never confirmed.
     """
 
     is_ready: bool
     revisions: tuple[int, ...]
+    age_s: float
--- a/packages/daemon/bulrushdeald/defaults.py
+++ b/packages/daemon/bulrushdeald/defaults.py
@@ -86,6 +86,15 @@
         low=0,
         high=3600,
     ),
+    settings.Setting(
+        "config_max_age_s",
+        "number",
+        0.0,
+        "A VM cut off from the platform and from all peers that hear of it"
+        " refuses all keys after so long; 0 for never.",
+        low=0,
+        high=1_000_000,
+    ),
     settings.Setting(
         "peer_seeds",
         "addresses",
@@ -130,6 +139,7 @@
     platform_timeout_s: float
     vm_list_poll_s: float
     vm_list_lag_s: float
+    config_max_age_s: float
     peer_seeds: str
     max_body_bytes: int
     online_threads: int
--- a/packages/daemon/bulrushdeald/pageset.py
+++ b/packages/daemon/bulrushdeald/pageset.py
@@ -1,6 +1,7 @@
 """The pages in force on one VM, and what is looked up in them."""
 
 from collections.abc import Callable
+import math
 import threading
 from typing import NamedTuple
 
@@ -38,6 +39,7 @@
         self._order = pages.all_keys()
         self._pages = {key: PageAt(key, 0, pages.Page()) for key in self._order}
         self._callbacks: list[Callable[[], None]] = []
+        self._confirmed_s = -math.inf
         self.is_ready = False
         self.customers: dict[str, records.Customer] = {}
         self.keys: dict[str, records.Key] = {}
@@ -117,6 +119,19 @@
         _log.info("Every page has come from %s.", source)
         self.announce()
 
+    @property
+    def confirmed_s(self) -> float:
+        """Until when every accepted change is surely in force here.
+
+        On this VM's monotonic clock; minus infinity if never.
+        """
+        return self._confirmed_s
+
+    def confirm(self, at_s: float) -> None:
+        """Notes that all changes accepted before a moment are in force."""
+        with self._lock:
+            self._confirmed_s = max(self._confirmed_s, at_s)
+
     def at(self, key: str) -> PageAt | None:
         """Returns the page held under a key, `None` for no page's key."""
         return self._pages.get(key)
--- a/tests/daemon/test_config_machine.py
+++ b/tests/daemon/test_config_machine.py
@@ -35,6 +35,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.store = platformfakes.Store()
+        self.accepted_s: dict[tuple[str, int], float] = {}
         self.network = platformfakes.Network()
         self.clock = clock_lib.FakeClock()
         self.rows = [records.Vm(vm, vm[0], "entry", "x:1") for vm in VMS]
@@ -180,6 +181,18 @@
                     stored = self.store.history[key, held.revision]
                     assert held.page == pages.decode(stored)
 
+    @stateful.invariant()
+    def what_a_vm_calls_confirmed_is_in_force(self) -> None:
+        self.clock.now_s += 1.0
+        for key, revision in self.store.history:
+            at_s = self.accepted_s.setdefault((key, revision), self.clock.now_s)
+            for made in self.configs.values():
+                held = made.page(key)
+                assert held is not None
+                age_s = made.gossip.age_s()
+                if age_s >= 0 and at_s <= self.clock.now_s - age_s:
+                    assert held.revision >= revision
+
     @stateful.invariant()
     def lookups_follow_the_pages(self) -> None:
         for made in self.configs.values():
