--- a/packages/daemon/bulrushdeald/defaults.py
+++ b/packages/daemon/bulrushdeald/defaults.py
@@ -118,6 +118,116 @@
         low=2,
         high=5000,
     ),
+    settings.Setting(
+        "batch_reserve_fraction",
+        "number",
+        0.06,
+        "Part of an upstream's slots that batch work leaves free.",
+        low=0,
+        high=1,
+    ),
+    settings.Setting(
+        "batch_yields",
+        "choice",
+        "yes",
+        "Whether batch items yield to online requests; `no` to compare.",
+        choices=("yes", "no"),
+    ),
+    settings.Setting(
+        "upstream_policy",
+        "choice",
+        "affinity",
+        "How an upstream is chosen among those with room.",
+        choices=("affinity", "least_load", "random"),
+    ),
+    settings.Setting(
+        "unready_s",
+        "number",
+        1.0,
+        "How long a stopping VM still accepts, so the balancer can notice.",
+        low=0,
+        high=600,
+    ),
+    settings.Setting(
+        "online_deadline_s",
+        "number",
+        30.0,
+        "How long an online request may wait for an upstream.",
+        low=0.1,
+        high=3600,
+    ),
+    settings.Setting(
+        "upstream_connect_timeout_s",
+        "number",
+        1.0,
+        "How long connecting to an upstream may take.",
+        low=0.01,
+        high=60,
+    ),
+    settings.Setting(
+        "upstream_silence_s",
+        "number",
+        60.0,
+        "How long an upstream may send nothing before it counts as failed.",
+        low=0.05,
+        high=3600,
+    ),
+    settings.Setting(
+        "intent_age_s",
+        "number",
+        86400.0,
+        "How long an idempotency key is remembered.",
+        low=60,
+        high=2_600_000,
+    ),
+    settings.Setting(
+        "batch_threads",
+        "integer",
+        64,
+        "Batch items that this VM runs at once; 0 runs none.",
+        low=0,
+        high=2000,
+    ),
+    settings.Setting(
+        "batch_chunks",
+        "integer",
+        4,
+        "Chunks of batch items that this VM claims ahead.",
+        low=1,
+        high=100,
+    ),
+    settings.Setting(
+        "batch_item_timeout_s",
+        "number",
+        600.0,
+        "The longest silence of an upstream that runs a batch item.",
+        low=1,
+        high=86400,
+    ),
+    settings.Setting(
+        "batch_retention_s",
+        "number",
+        604800.0,
+        "How long files and results of batch jobs are kept.",
+        low=60,
+        high=31536000,
+    ),
+    settings.Setting(
+        "usage_flush_s",
+        "number",
+        5.0,
+        "How often usage is handed over; a lost VM loses as much.",
+        low=0.1,
+        high=300,
+    ),
+    settings.Setting(
+        "usage_bucket_s",
+        "integer",
+        3600,
+        "How finely usage is kept by time; should divide an hour.",
+        low=60,
+        high=3600,
+    ),
 )
 
 
@@ -143,6 +253,20 @@
     peer_seeds: str
     max_body_bytes: int
     online_threads: int
+    batch_reserve_fraction: float
+    batch_yields: str
+    upstream_policy: str
+    unready_s: float
+    online_deadline_s: float
+    upstream_connect_timeout_s: float
+    upstream_silence_s: float
+    intent_age_s: float
+    batch_threads: int
+    batch_chunks: int
+    batch_item_timeout_s: float
+    batch_retention_s: float
+    usage_flush_s: float
+    usage_bucket_s: int
 
 
 def read(flags: Mapping[str, str], environment: Mapping[str, str]) -> Settings:
--- /dev/null
+++ b/packages/daemon/bulrushdeald/modelcalls.py
@@ -0,0 +1,295 @@
+"""Serves the calls of models: whole answers and streams of events."""
+
+from collections.abc import Iterator
+import json
+import time
+from typing import Any
+
+import result
+
+from bulrushdeal import httpd
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeald import bodies
+from bulrushdeald import calls
+from bulrushdeald import completions
+from bulrushdeald import defaults
+from bulrushdeald import dispatch
+from bulrushdeald import headers as headers_lib
+from bulrushdeald import idempotency
+from bulrushdeald import intents
+from bulrushdeald import refusals
+from bulrushdeald import relays
+from bulrushdeald import services
+from bulrushdeald import streams
+
+MODELS_PATH = "/v1/models"
+_OK = 200
+_MAX_TRIES = 2
+_MAX_ANSWER_BYTES = 64_000_000
+
+
+class ModelCalls:
+    """Serves `completions.PATHS` and the list of models."""
+
+    def __init__(
+        self,
+        kernel: kernel_lib.Kernel,
+        settings: defaults.Settings,
+        dispatcher: dispatch.Dispatcher,
+    ) -> None:
+        self._config = kernel.find(services.CONFIG, services.Config)
+        self._limits = kernel.find(services.LIMITS, services.Limits)
+        self._intents = kernel.find(services.INTENTS, intents.Intents)
+        self._usage = kernel.find(services.USAGE, services.Usage)
+        self._dispatcher = dispatcher
+        self._max_body_bytes = settings.max_body_bytes
+        self._deadline_s = settings.online_deadline_s
+
+    def models(
+        self, request: httpd.Request, call: calls.Call
+    ) -> httpd.Response:
+        """Lists the models that some upstream serves."""
+        del request, call
+        data = [
+            {"id": name, "object": "model", "created": 0, "owned_by": ""}
+            for name in sorted(self._models())
+        ]
+        return httpd.json_response(_OK, {"object": "list", "data": data})
+
+    def complete(
+        self, request: httpd.Request, call: calls.Call
+    ) -> httpd.Response:
+        """Answers one call of a model."""
+        checked = self._check(request)
+        if isinstance(checked, result.Err):
+            return refusals.response(checked.err_value)
+        model_call = checked.ok_value
+        taken = self._limits.take(call.customer)
+        if isinstance(taken, result.Err):
+            self._record(model_call, call, taken.err_value.code)
+            return refusals.response(taken.err_value)
+        guarded = idempotency.look_up(
+            self._intents, request, call, _fingerprint(model_call, call)
+        )
+        if isinstance(guarded, result.Err):
+            return guarded.err_value
+        answered = self._answer(request, model_call, call, guarded.ok_value)
+        if isinstance(answered, result.Err):
+            self._record(model_call, call, answered.err_value.code)
+            return refusals.response(answered.err_value)
+        return answered.ok_value
+
+    def _check(
+        self, request: httpd.Request
+    ) -> result.Result[completions.Call, services.Refusal]:
+        body = bodies.read_whole(request, self._max_body_bytes)
+        if isinstance(body, result.Err):
+            return body
+        key = headers_lib.bearer(request.headers)
+        if key.encode() in body.ok_value:
+            return result.Err(
+                refusals.bad_input("The body holds the key.", "body")
+            )
+        checked = completions.read(request.path, body.ok_value)
+        if isinstance(checked, result.Err):
+            return checked
+        if checked.ok_value.model not in self._models():
+            return result.Err(
+                services.Refusal(
+                    404,
+                    "model_not_found",
+                    f"There is no model {checked.ok_value.model!r}.",
+                    field="model",
+                )
+            )
+        return checked
+
+    def _models(self) -> set[str]:
+        return {
+            model
+            for upstream in self._config.upstreams()
+            for model in upstream.models
+        }
+
+    def _answer(
+        self,
+        request: httpd.Request,
+        model_call: completions.Call,
+        call: calls.Call,
+        guard: idempotency.Guard,
+    ) -> result.Result[httpd.Response, services.Refusal]:
+        work = completions.work(
+            model_call, call.customer, "online", self._deadline_s
+        )
+        key = headers_lib.bearer(request.headers)
+        sending = dispatch.Sending(
+            "POST",
+            model_call.path,
+            headers_lib.for_upstream(request.headers, key),
+            model_call.body,
+            # Its caller asked for one run at most.
+            is_idempotent=not guard.is_keyed,
+        )
+        for number in range(1, _MAX_TRIES + 1):
+            started = self._dispatcher.run(work, sending, call, guard)
+            if isinstance(started, result.Err):
+                return result.Err(started.err_value.refusal)
+            answered = self._relay(started.ok_value, model_call, call, guard)
+            if isinstance(answered, result.Ok):
+                return answered
+            failure = answered.err_value
+            # No byte of this answer went to the caller yet.
+            is_last = number == _MAX_TRIES
+            if is_last or not self._dispatcher.may_retry(
+                failure, sending, call
+            ):
+                return result.Err(failure.refusal)
+        raise AssertionError("the last try returns")
+
+    def _relay(
+        self,
+        started: dispatch.Started,
+        model_call: completions.Call,
+        call: calls.Call,
+        guard: idempotency.Guard,
+    ) -> result.Result[httpd.Response, dispatch.Failure]:
+        tokens = _Tokens()
+        relay = relays.Relay(
+            started,
+            call,
+            guard,
+            lambda relay: self._record(
+                model_call, call, relay.code, *tokens.counts()
+            ),
+        )
+        answering = _Answering(relay, tokens)
+        if model_call.is_stream and relay.answer.status == _OK:
+            return answering.stream()
+        return answering.whole()
+
+    def _record(
+        self,
+        model_call: completions.Call,
+        call: calls.Call,
+        outcome: str,
+        prompt_tokens: int = 0,
+        completion_tokens: int = 0,
+    ) -> None:
+        self._usage.record(
+            services.UsageEvent(
+                time.time(),
+                call.customer,
+                "online",
+                call.upstream,
+                model_call.model,
+                outcome,
+                prompt_tokens,
+                completion_tokens,
+            )
+        )
+
+
+class _Answering:
+    """Answers one call from one upstream's answer."""
+
+    def __init__(self, relay: relays.Relay, tokens: "_Tokens") -> None:
+        self._relay = relay
+        self._tokens = tokens
+
+    def whole(self) -> result.Result[httpd.Response, dispatch.Failure]:
+        """Returns a whole answer once all of it is there."""
+        parts: list[bytes] = []
+        size_bytes = 0
+        for item in self._relay.items:
+            if isinstance(item, result.Err):
+                return result.Err(self._relay.failure(item.err_value))
+            size_bytes += len(item.ok_value)
+            if size_bytes > _MAX_ANSWER_BYTES:
+                return result.Err(self._relay.failure(_TOO_LONG))
+            parts.append(item.ok_value)
+        body = b"".join(parts)
+        self._tokens.usage_event = body
+        answer = self._relay.answer
+        self._relay.close()
+        headers = _with_length(answer.headers, len(body))
+        return result.Ok(httpd.Response(answer.status, headers, (body,)))
+
+    def stream(self) -> result.Result[httpd.Response, dispatch.Failure]:
+        """Returns a stream once its first event is there."""
+        events = streams.whole_events(self._relay.items)
+        first = next(events)
+        if isinstance(first, result.Err):
+            return result.Err(self._relay.failure(first.err_value))
+        answer = self._relay.answer
+        body = calls.Body(
+            self._events(first.ok_value, events), self._relay.close
+        )
+        return result.Ok(httpd.Response(answer.status, answer.headers, body))
+
+    def _events(
+        self,
+        first: bytes,
+        events: Iterator[result.Result[bytes, services.UpstreamError]],
+    ) -> Iterator[bytes]:
+        self._tokens.note(first)
+        yield first
+        for item in events:
+            if isinstance(item, result.Err):
+                yield streams.error_event(self._relay.fail(item.err_value))
+                return
+            self._tokens.note(item.ok_value)
+            yield item.ok_value
+
+
+class _Tokens:
+    """Counts the tokens of an answer, by what the engine tells at best."""
+
+    def __init__(self) -> None:
+        self._events = 0
+        self.usage_event = b""
+
+    def note(self, data: bytes) -> None:
+        """Counts the events in a piece of a stream."""
+        self._events += data.count(b"data:")
+        if b'"usage"' in data:
+            self.usage_event = data
+
+    def counts(self) -> tuple[int, int]:
+        """Returns the tokens of prompt and answer."""
+        usage = _usage(self.usage_event)
+        completion = int(usage.get("completion_tokens") or self._events)
+        return int(usage.get("prompt_tokens") or 0), completion
+
+
+_TOO_LONG = services.UpstreamError("crashed", "ran", "The answer is too long.")
+
+
+def _fingerprint(model_call: completions.Call, call: calls.Call) -> str:
+    return completions.fingerprint(
+        call.customer, model_call.path, model_call.body
+    )
+
+
+def _usage(data: bytes) -> dict[str, Any]:
+    """Returns the usage that an engine told, empty if it did not."""
+    for line in data.splitlines():
+        text = line.removeprefix(b"data:").strip()
+        if b'"usage"' not in text:
+            continue
+        try:
+            usage = json.loads(text).get("usage")
+        except (ValueError, AttributeError):
+            return {}
+        return usage if isinstance(usage, dict) else {}
+    return {}
+
+
+def _with_length(
+    headers: tuple[tuple[str, str], ...], size_bytes: int
+) -> tuple[tuple[str, str], ...]:
+    kept = tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() != "content-length"
+    )
+    return (*kept, ("Content-Length", str(size_bytes)))
