--- a/packages/bench/bench/limitcost.py
+++ b/packages/bench/bench/limitcost.py
@@ -75,6 +75,7 @@
         requests: By customers within their rate.
         refused_inside: Of these, refused while the row had a token left.
         refused_inside_per_1000: The same as a ratio.
+        ideal_refused_per_1000: What one bucket for the fleet would refuse.
         flood_admitted: Of what the row of the flooding customer allows.
         over: Requests admitted while the row had no token left.
         worst_over: By how many tokens at most.
@@ -92,6 +93,7 @@
     requests: int
     refused_inside: int
     refused_inside_per_1000: float
+    ideal_refused_per_1000: float
     flood_admitted: float
     over: int
     worst_over: float
@@ -120,6 +122,7 @@
         # Begin with all parts owned and all buckets full.
         while not self._is_owned():
             self.fleet.settle(1)
+        self.fleet.settle(2)
         self.fleet.world.now_s += 600.0
         self._offset_s = self.fleet.world.now_s - scene.now_s
 
@@ -183,7 +186,9 @@
 
     def __init__(self, row: records.Customer, now_s: float) -> None:
         self.ideal = limitpolicies.Bucket(row.rate_per_s, row.burst, now_s)
+        self.alone = limitpolicies.Bucket(row.rate_per_s, row.burst, now_s)
         self.row = row
+        self.refused_by_ideal = 0
         self.requests = 0
         self.admitted = 0
         self.refused_inside = 0
@@ -193,6 +198,8 @@
     def note(self, is_admitted: bool, now_s: float) -> None:
         """Counts one request."""
         self.requests += 1
+        if not self.alone.take(now_s):
+            self.refused_by_ideal += 1
         self.ideal.accrue(now_s)
         if is_admitted:
             self.admitted += 1
@@ -297,6 +304,7 @@
             requests,
             refused,
             round(1000 * refused / requests, 3),
+            round(1000 * sum(t.refused_by_ideal for t in inside) / requests, 3),
             round(flood.admitted / allowed, 4),
             sum(tally.over for tally in tallies.values()),
             round(max(t.worst_over for t in tallies.values()), 2),
--- a/packages/daemon/bulrushdeald/credit.py
+++ b/packages/daemon/bulrushdeald/credit.py
@@ -7,6 +7,11 @@
 _EPSILON = 1e-9
 
 
+def compact(count: float) -> float:
+    """Returns a whole number as such: one byte on the wire, not nine."""
+    return int(count) if count == int(count) else count
+
+
 class Want(NamedTuple):
     """What a holder wants of one customer.
 
@@ -22,10 +27,10 @@
 
     customer: str
     held: float
-    need: float = 0.0
-    want: float = 0.0
-    returned: float = 0.0
-    reserved: float = 0.0
+    need: float = 0
+    want: float = 0
+    returned: float = 0
+    reserved: float = 0
 
 
 class CreditAsk(NamedTuple):
@@ -58,7 +63,6 @@
     Attributes:
         granted: Tokens; 0 if what was needed is not there.
         burst: The row's burst as the owner knows it.
-        left: What the owner could still grant.
         again_s: Above 0 if the owner now collects from other parts: when
             to ask again.
         wait_s: When the tokens will be there, if nobody else takes them.
@@ -67,9 +71,8 @@
 
     granted: float
     burst: float
-    left: float = 0.0
-    again_s: float = 0.0
-    wait_s: float = 0.0
+    again_s: float = 0
+    wait_s: float = 0
     tight: bool = False
 
 
--- a/packages/daemon/bulrushdeald/holder.py
+++ b/packages/daemon/bulrushdeald/holder.py
@@ -95,7 +95,7 @@
         joined = turnstile.join(customer, need, want)
         if joined is None:
             # Sent by another thread: look into the wallet again.
-            return Answer(True, credit.Grant(0.0, 0.0, 0.0, 0.0))
+            return Answer(True, credit.Grant(0, 0))
         asked = asker.Asked(False, {})
         try:
             asked = self._send(page, failure_domain, joined)
@@ -158,10 +158,10 @@
                 wallet.is_tight = False
                 want = credit.Want(
                     name,
-                    wallet.declare(source),
-                    joined.needs.get(name, 0.0),
-                    joined.wants.get(name, 0.0),
-                    returned.get(name, 0.0),
+                    credit.compact(wallet.declare(source)),
+                    credit.compact(joined.needs.get(name, 0)),
+                    credit.compact(joined.wants.get(name, 0)),
+                    credit.compact(returned.get(name, 0)),
                 )
                 wants.append(want)
             return tuple(wants), self._drops.get(page, 0)
--- a/packages/daemon/bulrushdeald/owner.py
+++ b/packages/daemon/bulrushdeald/owner.py
@@ -24,12 +24,17 @@
 AHEAD_S = 0.2
 # Above this fraction of a part's capacity in holders' hands the owner wants
 # to hear soon what was spent, since its bucket cannot fill meanwhile.
-_TIGHT_FRACTION = 0.1
+_TIGHT_FRACTION = 0.2
 # Above this room, as a fraction of capacity, a part that is asked takes
 # from the others ahead of need.
 _LOW_FRACTION = 0.25
-# How long a part waits between two such rounds.
+# How long a part waits between two such rounds, and for one customer as a
+# fraction of the time in which its bucket fills: a part that is full loses
+# what its rate gives meanwhile.
 BALANCE_S = 0.1
+_BALANCE_FRACTION = 0.1
+# A slower part loses too little by a late report to be worth a message.
+_TIGHT_PER_S = 0.25
 _EPSILON = 1e-9
 
 
@@ -88,6 +93,7 @@
         self._holders: dict[HolderName, Holder] = {}
         self._missing: dict[str, float] = {}
         self._low: set[str] = set()
+        self._balance_due_s: dict[str, float] = {}
         # What a lender may believe to be out here, though it is not.
         self._unsure: dict[credit.Source, set[str]] = {}
         self._balanced_s = 0.0
@@ -196,7 +202,7 @@
         ledger.accrue(now_s)
         ledger.report(name, want.held, want.returned)
         if want.want <= 0:
-            return credit.Grant(0.0, row.burst, ledger.grantable())
+            return credit.Grant(0, credit.compact(row.burst))
         if name.for_domain:
             return self._transfer(name, want, row, ledger)
         demand = self._demands.setdefault(want.customer, bucket.Demand())
@@ -212,10 +218,33 @@
         if granted <= 0:
             wait_s = (want.need - left) / (row.rate_per_s or _EPSILON)
             again_s = self._plan(want, want.need - left, now_s)
-        if ledger.room > _LOW_FRACTION * ledger.capacity:
-            self._low.add(want.customer)
-        tight = ledger.lent > _TIGHT_FRACTION * ledger.capacity
-        return credit.Grant(granted, row.burst, left, again_s, wait_s, tight)
+        self._note_low(want.customer, row, ledger, now_s)
+        tight = (
+            ledger.lent > _TIGHT_FRACTION * ledger.capacity
+            and ledger.terms.rate_per_s > _TIGHT_PER_S
+        )
+        return credit.Grant(
+            credit.compact(granted),
+            credit.compact(row.burst),
+            again_s,
+            wait_s,
+            tight,
+        )
+
+    def _note_low(
+        self,
+        customer: str,
+        row: records.Customer,
+        ledger: bucket.Ledger,
+        now_s: float,
+    ) -> None:
+        if ledger.room <= _LOW_FRACTION * ledger.capacity:
+            return
+        if now_s < self._balance_due_s.get(customer, 0.0):
+            return
+        fill_s = row.burst / (row.rate_per_s or _EPSILON)
+        self._balance_due_s[customer] = now_s + _BALANCE_FRACTION * fill_s
+        self._low.add(customer)
 
     def _transfer(
         self,
@@ -229,7 +258,7 @@
         even = (want.reserved - max(0.0, ledger.room)) / 2
         most = min(want.want, max(want.need, even))
         moved = ledger.transfer(name, most, want.reserved)
-        return credit.Grant(moved, row.burst, ledger.grantable())
+        return credit.Grant(credit.compact(moved), credit.compact(row.burst))
 
     def _plan(self, want: credit.Want, missing: float, now_s: float) -> float:
         if now_s < self._paused_until_s.get(want.customer, 0.0):
@@ -279,10 +308,10 @@
             reserved = ledger.reserve()
             return credit.Want(
                 shortage.customer,
-                held,
-                shortage.missing,
-                max(shortage.missing, reserved),
-                reserved=reserved,
+                credit.compact(held),
+                credit.compact(shortage.missing),
+                credit.compact(max(shortage.missing, reserved)),
+                reserved=credit.compact(reserved),
             )
 
     def receive(
