--- a/packages/daemon/bulrushdeald/holder.py
+++ b/packages/daemon/bulrushdeald/holder.py
@@ -95,7 +95,7 @@
         joined = turnstile.join(customer, need, want)
         if joined is None:
             # Sent by another thread: look into the wallet again.
-            return Answer(True, credit.Grant(0.0, 0.0, 0.0, 0.0))
+            return Answer(True, credit.Grant(0, 0))
         asked = asker.Asked(False, {})
         try:
             asked = self._send(page, failure_domain, joined)
@@ -158,10 +158,10 @@
                 wallet.is_tight = False
                 want = credit.Want(
                     name,
-                    wallet.declare(source),
-                    joined.needs.get(name, 0.0),
-                    joined.wants.get(name, 0.0),
-                    returned.get(name, 0.0),
+                    credit.compact(wallet.declare(source)),
+                    credit.compact(joined.needs.get(name, 0)),
+                    credit.compact(joined.wants.get(name, 0)),
+                    credit.compact(returned.get(name, 0)),
                 )
                 wants.append(want)
             return tuple(wants), self._drops.get(page, 0)
@@ -194,11 +194,15 @@
                     wallet.distrust(source)
                     continue
                 if self._is_closed or self._drops.get(page, 0) != drops:
+                    wallet.distrust(source)
                     continue
                 row = self._row_of(want.customer)
                 if row is None or grant.granted <= 0:
                     continue
                 factor = min(1.0, row.burst / grant.burst)
+                if factor < 1:
+                    # The owner has an older row and counts more as held.
+                    wallet.distrust(source)
                 wallet.add(source, grant.granted * factor)
                 wallet.touched_s = self._clock.monotonic_s()
                 wallet.is_tight = grant.tight
