--- a/packages/daemon/bulrushdeald/assembly.py
+++ b/packages/daemon/bulrushdeald/assembly.py
@@ -19,6 +19,7 @@
 from bulrushdeald import store
 from bulrushdeald import upstreams
 from bulrushdeald import usage
+from bulrushdeald import vmlist
 from bulrushdeald import worker
 
 _CALLERS_LISTENER = "callers_listener"
@@ -37,6 +38,7 @@
     add(services.KEYVALUE, keyvalue.HttpKeyValue(kernel, settings))
     add(services.MEMBERSHIP, membership.PlatformMembership(kernel, settings))
     add(services.PEERS, peers.WebsocketPeers(kernel, settings))
+    add(vmlist.NAME, vmlist.VmListFeed(kernel, settings))
     add(services.CONFIG, config.ConfigService(kernel, settings))
     add(services.USAGE, usage.UsageService(kernel, settings))
     add(services.LIMITS, limits.EscrowLimits(kernel, settings))
--- a/packages/daemon/bulrushdeald/platformclient.py
+++ b/packages/daemon/bulrushdeald/platformclient.py
@@ -10,7 +10,7 @@
 import result
 import urllib3
 
-_POOL_CONNECTIONS = 8
+_POOL_CONNECTIONS = 32
 _SERVER_ERROR = 500
 
 
