Limits: a flooding customer no longer costs a round of all parts each 0.1 s

Change: a collection that took more than two other parts counts as vain, and the pause doubles up to 1.6 s. Ruled out: doubling only when nothing was found: no change, as nearly each round found a token. Also: a round of drops asks all VMs again each time, so the check of the list after it never decided anything, and went.

--- a/packages/daemon/bulrushdeald/collector.py
+++ b/packages/daemon/bulrushdeald/collector.py
@@ -30,11 +30,17 @@
 
     def _collect(self, owned: owner.OwnedPart) -> None:
         missing = list(owned.shortages())
+        asked = 0
         for source, vm in self._lenders(owned):
             if not missing:
                 return
-            if not self._sender.is_silent(vm):
-                missing = self._collect_from(owned, source, vm, missing)
+            if self._sender.is_silent(vm):
+                continue
+            names = {shortage.customer for shortage in missing}
+            missing = self._collect_from(owned, source, vm, missing)
+            asked += 1
+            for name in names - {shortage.customer for shortage in missing}:
+                owned.collected(name, asked)
 
     def _collect_from(
         self,
@@ -53,19 +59,20 @@
             left = shortage.missing - count
             if left > _EPSILON:
                 still.append(shortage._replace(missing=left))
-            else:
-                owned.collected(want.customer)
         return still
 
     def balance(self, owned: owner.OwnedPart) -> None:
         """Evens a part's levels with one other part's, by turns."""
         with owned.exchange:
             low = owned.low()
+            if not low:
+                return
             lenders = self._lenders(owned)
-            turn = owned.next_turn(len(lenders)) if low and lenders else 0
+            if not lenders:
+                return
+            turn = owned.next_turn(len(lenders))
             for source, vm in (lenders + lenders)[turn : turn + BALANCE_WITH]:
-                if low:
-                    self._collect_from(owned, source, vm, list(low))
+                self._collect_from(owned, source, vm, list(low))
 
     def settle(self, owned: owner.OwnedPart) -> None:
         """Lowers debts, and gives back what is idle."""
--- a/packages/daemon/bulrushdeald/owner.py
+++ b/packages/daemon/bulrushdeald/owner.py
@@ -18,8 +18,11 @@
 # When a holder is to ask again while this part collects from others.
 COLLECT_S = 0.004
 # After a collection that brought too little, the next one waits, so that a
-# customer over its rate does not cost a round of messages for each request.
+# customer over its rate does not cost a round of messages for each request;
+# it doubles with each that follows, since all parts then do the same.
 COLLECT_PAUSE_S = 0.1
+_MAX_DOUBLINGS = 4
+_FEW_ASKED = 2
 # Credit ahead of need covers the demand of this long.
 AHEAD_S = 0.2
 # Above this fraction of a part's capacity in holders' hands the owner wants
@@ -99,6 +102,7 @@
         self._balanced_s = 0.0
         self._turn = 0
         self._paused_until_s: dict[str, float] = {}
+        self._vain: dict[str, int] = {}
         # Counts drops asked of this VM; an answer to what was asked before
         # one may bring credit of an owner that is gone, and is void.
         self.drops = 0
@@ -273,7 +277,10 @@
             now_s = self._clock.monotonic_s()
             found = []
             for name, missing in self._missing.items():
-                self._paused_until_s[name] = now_s + COLLECT_PAUSE_S
+                doublings = self._vain.get(name, 0)
+                pause_s = COLLECT_PAUSE_S * 2**doublings
+                self._paused_until_s[name] = now_s + pause_s
+                self._vain[name] = min(_MAX_DOUBLINGS, doublings + 1)
                 found.append(Shortage(name, missing))
             self._missing.clear()
             return tuple(found)
@@ -294,10 +301,21 @@
         self._turn += 1
         return self._turn % count
 
-    def collected(self, customer: str) -> None:
-        """Notes that a shortage was met, so the next is met at once too."""
+    def collected(self, customer: str, asked: int) -> None:
+        """Notes that a shortage was met, so the next is met at once too.
+
+        Args:
+            customer: The customer.
+            asked: How many other parts it took.
+        """
         with self._lock:
+            burst = self._ledgers[customer].terms.burst
+            if asked > _FEW_ASKED and burst >= 1:
+                # All parts are nearly empty: this one took what the next
+                # would have given out itself.
+                return
             self._paused_until_s.pop(customer, None)
+            self._vain.pop(customer, None)
 
     def want(self, source: credit.Source, shortage: Shortage) -> credit.Want:
         """Returns what to ask another part for, and keeps room for it."""
--- a/packages/daemon/bulrushdeald/ownership.py
+++ b/packages/daemon/bulrushdeald/ownership.py
@@ -219,6 +219,8 @@
         key = (owned.page, part.failure_domain)
         drop = credit.CreditDrop(owned.page, part.failure_domain, part.epoch)
         names = [vm.vm for vm in self._membership.entry_vms()]
+        # All are asked again in each round: one that was not clean, or is
+        # lost during the round, may have lent on credit to one asked before.
         # The one that failed last goes first: the round is likely vain.
         names.sort(key=lambda vm: vm != self._unclean.get(key, ""))
         for vm in names:
@@ -226,10 +228,7 @@
             if isinstance(answer, result.Err) or not answer.ok_value.is_clean:
                 self._unclean[key] = vm
                 return False
-        # A VM that is lost during the round may have lent on credit to one
-        # that was asked before: all are asked again.
-        after = {vm.vm for vm in self._membership.entry_vms()}
-        return after.issuperset(names)
+        return True
 
     def _set_cleared(self, owned: owner.OwnedPart) -> None:
         stored = self._book.get(owned.page)
