--- a/tests/daemon/test_openaibatch.py
+++ b/tests/daemon/test_openaibatch.py
@@ -9,6 +9,7 @@
 import openai
 import pytest
 
+from bench import staticvm
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import records
 from bulrushdeald import callers
@@ -30,8 +31,8 @@
 def client(tmp_path: pathlib.Path) -> Iterator[openai.OpenAI]:
     server = engine.Engine(timing=pathfakes.FAST)
     server.start()
-    config = Config(pathfakes.engine_row(server.address))
-    settings = pathfakes.settings(data_folder=str(tmp_path))
+    config = Config(staticvm.engine_row(server.address))
+    settings = staticvm.settings(data_folder=str(tmp_path))
     kernel = kernel_lib.Kernel()
     network = batchfakes.Network()
     row = records.Vm("vm", "d", "entry", "", "live", has_disk=True)
@@ -45,9 +46,9 @@
         ),
         (services.PEERS, Still(batchfakes.FakePeers(network, "vm"))),
         (services.CONFIG, config),
-        (services.LIMITS, pathfakes.FakeLimits()),
-        (services.USAGE, pathfakes.FakeUsage()),
-        (services.ROUTER, pathfakes.FakeRouter(config)),
+        (services.LIMITS, staticvm.StaticLimits()),
+        (services.USAGE, staticvm.StaticUsage()),
+        (services.ROUTER, staticvm.TurnRouter(config)),
         (services.UPSTREAMS, upstreams.HttpUpstreams(kernel, settings)),
         (services.INTENTS, intents.Intents(kernel, settings)),
         (services.OPERATORS, batchfakes.FakeRest()),
@@ -72,7 +73,7 @@
     server.stop()
 
 
-class Config(pathfakes.FakeConfig):
+class Config(staticvm.StaticConfig):
     def customer(self, customer: str) -> records.Customer:
         return records.Customer(customer)
 
