Resume batch items that yielded where they stood, and drop the batch reserve

Change: an item names its stream, is placed before new ones and first on the engine where it yielded; the reserve is 0 unless set.

--- a/packages/daemon/bulrushdeald/chunkrun.py
+++ b/packages/daemon/bulrushdeald/chunkrun.py
@@ -85,6 +85,8 @@
         self.tries = [0] * len(items)
         # When a coordinator last spoke of the chunk as running here.
         self.confirmed_s = 0.0
+        # Where an item yielded, so that it can go on from where it stood.
+        self.yielded_at: dict[int, str] = {}
         self._lines: dict[int, results.Line] = {}
         self._usage: list[services.UsageEvent] = []
         self._pending = list(range(len(items)))[::-1]
@@ -149,7 +151,10 @@
         """Gives an item back unrun; returns whether all have ended."""
         with self._lock:
             self._cancels.pop(item, None)
-            self._later[item] = due_s
+            if item in self.yielded_at:
+                self._pending.append(item)
+            else:
+                self._later[item] = due_s
             return self._has_ended()
 
     def stop(self, cancel_running: bool) -> bool:
--- a/packages/daemon/bulrushdeald/defaults.py
+++ b/packages/daemon/bulrushdeald/defaults.py
@@ -121,8 +121,9 @@
     settings.Setting(
         "batch_reserve_fraction",
         "number",
-        0.06,
-        "Part of an upstream's slots that batch work leaves free.",
+        0.0,
+        "Part of an upstream's slots that batch work leaves free; for engines"
+        " that queue beyond their slots.",
         low=0,
         high=1,
     ),
--- a/packages/daemon/bulrushdeald/items.py
+++ b/packages/daemon/bulrushdeald/items.py
@@ -18,7 +18,9 @@
 _ACQUIRE_S = 5.0
 _RETRY_S = 1.0
 _MAX_ANSWER_BYTES = 8_000_000
-_HEADERS = {"Content-Type": "application/json"}
+# Engines that resume streams know a stream by this header: one that was
+# cancelled goes on where it stood. Others ignore it and begin anew.
+STREAM_HEADER = "X-Stream-Id"
 _RETRIED = frozenset((408, 429, 500, 502, 503, 504))
 _TOO_MANY = 429
 _FIRST_SERVER_ERROR = 500
@@ -80,7 +82,8 @@
     ) -> chunkrun.Answer | Again:
         call = run.items[number].call
         work = completions.work(call, run.job.customer, "batch", _ACQUIRE_S)
-        slot = self._router.acquire(work)
+        resumes_at = run.yielded_at.pop(number, "")
+        slot = self._router.acquire(work._replace(resumes_at=resumes_at))
         if isinstance(slot, result.Err):
             return self._refused(run, number, slot.err_value)
         return self._send(run, number, slot.ok_value)
@@ -105,6 +108,8 @@
             reply = self._exchange(run, number, slot)
             if isinstance(reply, result.Err):
                 outcome = _outcome(run, reply.err_value)
+                if outcome == "yielded":
+                    run.yielded_at[number] = slot.upstream.upstream
                 return _again(reply.err_value)
             status = reply.ok_value.status
             outcome = "refused" if status in _RETRIED else "ok"
@@ -130,7 +135,7 @@
             slot.upstream,
             "POST",
             call.path,
-            _HEADERS,
+            _headers(run, number),
             call.body,
             self._timeout_s,
             on_open=on_open,
@@ -218,6 +223,12 @@
         )
 
 
+def _headers(run: chunkrun.ChunkRun, number: int) -> dict[str, str]:
+    holding = run.holding
+    stream = f"{holding.job}/{holding.chunk}/{holding.epoch}/{number}"
+    return {"Content-Type": "application/json", STREAM_HEADER: stream}
+
+
 def _number(run: chunkrun.ChunkRun, number: int) -> int:
     return run.holding.chunk * 1000 + number
 
--- a/packages/daemon/bulrushdeald/router.py
+++ b/packages/daemon/bulrushdeald/router.py
@@ -57,6 +57,9 @@
     def __init__(self) -> None:
         self.online: fairqueue.FairQueue[_Waiter] = fairqueue.FairQueue()
         self.batch: fairqueue.FairQueue[_Waiter] = fairqueue.FairQueue()
+        # Items that have yielded come before those that have not begun: an
+        # engine keeps what they have done only for a while.
+        self.resumed: fairqueue.FairQueue[_Waiter] = fairqueue.FairQueue()
         self.hold_s = _FIRST_HOLD_S
 
 
@@ -159,7 +162,7 @@
                 "queues": {
                     name: {
                         "online": len(pool.online),
-                        "batch": len(pool.batch),
+                        "batch": len(pool.batch) + len(pool.resumed),
                         "hold_s": round(pool.hold_s, 4),
                     }
                     for name, pool in self._pools.items()
@@ -195,7 +198,8 @@
         not ask for work of this model.
         """
         with self._lock:
-            waiting = len(self._pool(model).batch)
+            pool = self._pool(model)
+            waiting = len(pool.batch) + len(pool.resumed)
             free = sum(
                 self._free_batch_slots(upstream)
                 for upstream in self._candidates(model, "").usable
@@ -291,7 +295,7 @@
         """Returns a slot if one is free and nobody waits for it."""
         pool = self._pool(work.model or work.service)
         if work.work_class == "batch":
-            if pool.batch:
+            if pool.resumed or (pool.batch and not work.resumes_at):
                 return None
             return self._place_batch(work)
         if pool.online:
@@ -333,6 +337,9 @@
             for upstream in self._candidates(work.model, "").usable
             if not (is_suspect and self._suspects.get(upstream.upstream, 0))
         ]
+        for slots, name, upstream in free:
+            if name == work.resumes_at and slots > 0:
+                return self._take(work, upstream)
         most = max(free, default=None)
         if most is None or most[0] <= 0:
             return None
@@ -390,6 +397,8 @@
         pool = self._pool(work.model or work.service)
         is_online = work.work_class == "online"
         queue = pool.online if is_online else pool.batch
+        if work.resumes_at:
+            queue = pool.resumed
         row = self._config.customer(work.customer)
         weight = 1.0
         if row is not None:
@@ -478,7 +487,9 @@
             if pool is None:
                 continue
             self._drain(pool.online, self._place_online)
-            self._drain(pool.batch, self._place_batch)
+            self._drain(pool.resumed, self._place_batch)
+            if not pool.resumed:
+                self._drain(pool.batch, self._place_batch)
 
     def _drain(
         self,
--- a/packages/daemon/bulrushdeald/services.py
+++ b/packages/daemon/bulrushdeald/services.py
@@ -246,6 +246,8 @@
         fingerprint: Hash of customer and body; requests that crash
             upstreams are known by it.
         deadline_s: Seconds from now after which an answer is of no use.
+        resumes_at: The upstream where a batch item yielded and may go on
+            from where it stood; empty if there is none.
     """
 
     customer: str
@@ -256,6 +258,7 @@
     expected_tokens: int
     fingerprint: str
     deadline_s: float
+    resumes_at: str = ""
 
 
 class Slot(Protocol):
--- a/packages/standins/standins/engine.py
+++ b/packages/standins/standins/engine.py
@@ -35,6 +35,8 @@
         max_running: Streams run at once; others queue.
         cache_blocks: Blocks of prompt prefixes kept, of 256 bytes each.
         load_lag_s: How old the reported load is.
+        paused_streams: Cancelled streams kept, to be resumed by their
+            `X-Stream-Id`; 0 if the engine cannot.
     """
 
     token_s: float = 0.010
@@ -44,6 +46,7 @@
     max_running: int = 64
     cache_blocks: int = 4096
     load_lag_s: float = 1.0
+    paused_streams: int = 64
 
 
 class Load(NamedTuple):
@@ -96,6 +99,31 @@
         return cached
 
 
+class PausedStreams:
+    """Remembers how far cancelled streams had come, the latest ones."""
+
+    def __init__(self, max_streams: int) -> None:
+        self._max_streams = max_streams
+        self._tokens: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._lock = threading.Lock()
+
+    def pause(self, stream: str, tokens: int) -> None:
+        """Keeps how many tokens a stream had made when it was cancelled."""
+        if not stream:
+            return
+        with self._lock:
+            self._tokens[stream] = tokens
+            while len(self._tokens) > self._max_streams:
+                self._tokens.popitem(last=False)
+
+    def resume(self, stream: str) -> int:
+        """Returns how many tokens need not be made again."""
+        with self._lock:
+            return self._tokens.pop(stream, 0)
+
+
 class Engine(web.Server):
     """One replica of a model engine."""
 
@@ -111,6 +139,7 @@
         self._models = models
         self._timing = timing or Timing()
         self._cache = PrefixCache(self._timing.cache_blocks)
+        self._paused = PausedStreams(self._timing.paused_streams)
         self._admitting = threading.Condition()
         self._running = 0
         self._queued = 0
@@ -209,6 +238,7 @@
         cached = self._cache.take(data)
         fresh_tokens = (len(data) - cached) / _BYTES_PER_TOKEN
         prefill_s = self._timing.prefill_per_token_s * fresh_tokens
+        made = self._paused.resume(_stream_name(exchange))
         count = int(call.get("max_tokens") or _DEFAULT_MAX_TOKENS)
         usage = {
             "prompt_tokens": len(data) // _BYTES_PER_TOKEN + 1,
@@ -220,7 +250,7 @@
         }
         exchange.wait(self._timing.prefill_s + prefill_s)
         shape = _Shape(exchange.path == CHAT_PATH, str(call["model"]))
-        tokens = self._tokens_in_time(exchange, words(prompt, count))
+        tokens = self._tokens_in_time(exchange, words(prompt, count), made)
         if not call.get("stream"):
             text = "".join(tokens)
             exchange.answer_json(200, shape.whole(text, usage))
@@ -230,10 +260,11 @@
         _stream(exchange, shape, tokens, last)
 
     def _tokens_in_time(
-        self, exchange: web.Exchange, answer: list[str]
+        self, exchange: web.Exchange, answer: list[str], made: int
     ) -> Iterator[str]:
+        yield from answer[:made]
         due_s = time.monotonic()
-        for word in answer:
+        for number, word in enumerate(answer[made:], made + 1):
             yield word
             # Reading a number needs no lock; an old one does no harm.
             self._tokens += 1
@@ -241,7 +272,21 @@
                 self._timing.token_s
                 + self._timing.token_per_stream_s * self._running
             )
-            exchange.wait(due_s - time.monotonic())
+            try:
+                exchange.wait(due_s - time.monotonic())
+            except web.DroppedError:
+                self._paused.pause(_stream_name(exchange), number)
+                raise
+
+
+def _stream_name(exchange: web.Exchange) -> str:
+    """Returns the name that a stream is resumed by, empty if it has none.
+
+    The body is a part of it, so that a stream's name given to another
+    request resumes nothing.
+    """
+    stream = exchange.header("X-Stream-Id")
+    return f"{stream}/{web.fingerprint(exchange.body)}" if stream else ""
 
 
 class _Shape:
--- a/tests/daemon/test_router.py
+++ b/tests/daemon/test_router.py
@@ -204,3 +204,38 @@
     assert (full.status, full.ran) == (503, "not_run")
     assert full.retry_after_s > 0
     fleet.stop()
+
+
+def test_item_that_yielded_goes_on_where_it_stood_before_new_ones() -> None:
+    # Online bursts make the same items yield again and again. Begun anew on
+    # another engine, or behind the backlog, each would lose its work and the
+    # batch would crawl. Cause: the engine keeps a cancelled stream a while.
+    fleet = Fleet()
+    owners = fleet.routers["vm-a"].topology().owner
+    router = fleet.routers[owners["e1"]]
+    running = [take(router, work("batch")) for _ in range(2 * SLOTS)]
+    on_e1 = [s for s in running if s and s.upstream.upstream == "e1"]
+    assert len(on_e1) == SLOTS - RESERVE
+    found: list[str] = []
+
+    def wait_for_slot(name: str, wanted: services.Work) -> None:
+        answer = router.acquire(wanted._replace(deadline_s=30.0))
+        found.append(f"{name} {answer.unwrap().upstream.upstream}")
+
+    waits: tuple[tuple[str, services.Work], ...] = (
+        ("new", work("batch")),
+        ("yielded", work("batch")._replace(resumes_at="e1")),
+    )
+    threads = []
+    for count, (name, wanted) in enumerate(waits, 1):
+        thread = threading.Thread(target=wait_for_slot, args=(name, wanted))
+        thread.start()
+        threads.append(thread)
+        while router.dump()["queues"]["m"]["batch"] < count:
+            threads[-1].join(0.01)
+    on_e1[0].release("ok")
+    threads[1].join()
+    on_e1[1].release("ok")
+    threads[0].join()
+    fleet.stop()
+    assert found == ["yielded e1", "new e1"]
