--- a/packages/bench/bench/relay.py
+++ b/packages/bench/bench/relay.py
@@ -25,6 +25,7 @@
 _UTIME_FIELD = 13
 _STIME_FIELD = 14
 _WARM_UP_S = 1.0
+_SPARE_THREADS = 50
 
 
 class Reading(NamedTuple):
@@ -162,6 +163,7 @@
     parser.add_argument("--token-s", type=float, default=0.042)
     parser.add_argument("--duration-s", type=float, default=8.0)
     flags = parser.parse_args()
+    counts = [int(text) for text in flags.streams.split(",")]
     print("command: python -m bench.relay", *sys.argv[1:])
     with contextlib.ExitStack() as stack:
         engines = [
@@ -178,11 +180,15 @@
         ]
         addresses = ",".join(address for _, address in engines)
         pid, address = stack.enter_context(
-            process("bench.staticvm", "--engines", addresses)
+            process(
+                "bench.staticvm",
+                *("--engines", addresses),
+                *("--threads", str(max(counts) + _SPARE_THREADS)),
+            )
         )
-        for text in flags.streams.split(","):
+        for count in counts:
             reading = measure(
-                pid, address, int(text), flags.tokens, flags.duration_s
+                pid, address, count, flags.tokens, flags.duration_s
             )
             print(
                 f"{reading.streams} streams:"
--- a/packages/core/bulrushdeal/httpwire.py
+++ b/packages/core/bulrushdeal/httpwire.py
@@ -1,4 +1,4 @@
-"""What `cheroot` is adapted in: strict framing, small writes, refusals.
+"""What `cheroot` is adapted in: strict framing, and refusals.
 
 A caller's framing must mean the same to this server, to the balancer before
 it and to the upstream behind: what one takes for a body's rest another may
@@ -7,7 +7,6 @@
 
 import queue
 import re
-import socket
 from typing import Any
 
 import cheroot.server
@@ -111,30 +110,9 @@
         raise ValueError("The trailer is cut or too long.")
 
 
-class _Writer:
-    """Sends at once, without the library's buffer in interpreted code.
-
-    A relayed token is one small write, and that buffer cost more than the
-    system call; see docs/CAPACITY.md.
-    """
-
-    def __init__(self, sock: socket.socket) -> None:
-        self._socket = sock
-        self.bytes_written = 0
-
-    def write(self, data: bytes) -> int:
-        self._socket.sendall(data)
-        self.bytes_written += len(data)
-        return len(data)
-
-
 class _Connection(cheroot.server.HTTPConnection):
     RequestHandlerClass = _Request
 
-    def __init__(self, server: Any, sock: Any, *args: Any) -> None:
-        super().__init__(server, sock, *args)
-        self.wfile = _Writer(sock)
-
 
 class _Gateway(cheroot.wsgi.Gateway_10):
     def __init__(self, req: Any) -> None:
