--- a/packages/bench/bench/harm.py
+++ b/packages/bench/bench/harm.py
@@ -73,8 +73,8 @@
         alone,
         both,
         batch,
-        _ratios(_first(both), _first(alone)),
-        _ratios(_between(both), _between(alone)),
+        load.ratios(_first(both), _first(alone)),
+        load.ratios(_between(both), _between(alone)),
         both.batch_per_s
         / (batch.batch_per_s * (1 - both.online_slots / site.slots)),
         batch.batch_per_s / (site.slots / _item_s(site)),
@@ -123,7 +123,3 @@
 
 def _between(phase: Phase) -> dict[str, float]:
     return phase.online.between_tokens_ms if phase.online else {}
-
-
-def _ratios(one: dict[str, float], other: dict[str, float]) -> dict[str, float]:
-    return {name: one[name] / max(other[name], 0.001) for name in one}
--- a/packages/bench/bench/load.py
+++ b/packages/bench/bench/load.py
@@ -129,6 +129,11 @@
     }
 
 
+def ratios(one: dict[str, float], other: dict[str, float]) -> dict[str, float]:
+    """Returns each percentile of one phase relative to another's."""
+    return {name: one[name] / max(other[name], 0.001) for name in one}
+
+
 def plan(
     callers: Sequence[Caller],
     addresses: Sequence[str],
@@ -159,6 +164,24 @@
     return sorted(arrivals, key=lambda arrival: arrival.at_s)
 
 
+def admitted_by_one_bucket(
+    arrivals: Sequence[Arrival], customer: str, rate_per_s: float, burst: float
+) -> int:
+    """Returns how many arrivals one bucket over the whole fleet would admit."""
+    level = burst
+    last_s = 0.0
+    admitted = 0
+    for arrival in arrivals:
+        if arrival.caller.customer != customer:
+            continue
+        level = min(burst, level + (arrival.at_s - last_s) * rate_per_s)
+        last_s = arrival.at_s
+        if level >= 1:
+            level -= 1
+            admitted += 1
+    return admitted
+
+
 def _body(shape: Shape, source: random.Random) -> bytes:
     prefix = ""
     if shape.prefixes:
@@ -179,12 +202,20 @@
 class Run:
     """Sends planned arrivals and records what comes back."""
 
-    def __init__(self, arrivals: Sequence[Arrival]) -> None:
+    def __init__(self, arrivals: Sequence[Arrival], loud: str = "") -> None:
+        """Prepares a run.
+
+        Args:
+            arrivals: In order of time.
+            loud: A customer left out of `others`.
+        """
         self._arrivals = arrivals
+        self._loud = loud
         self._pools = urllib3.PoolManager(
             retries=False, maxsize=_THREADS, num_pools=64
         )
         self.all = Recorder()
+        self.others = Recorder()
         self.customers = {
             arrival.caller.customer: Recorder() for arrival in arrivals
         }
@@ -199,7 +230,10 @@
                 threads.submit(self._send, arrival, due_s)
 
     def _send(self, arrival: Arrival, due_s: float) -> None:
-        recorders = (self.all, self.customers[arrival.caller.customer])
+        customer = arrival.caller.customer
+        recorders = [self.all, self.customers[customer]]
+        if customer != self._loud:
+            recorders.append(self.others)
         code = self._exchange(arrival, due_s, recorders)
         if code:
             for recorder in recorders:
--- a/packages/bench/bench/noisy.py
+++ b/packages/bench/bench/noisy.py
@@ -10,26 +10,42 @@
 from bench import site as site_lib
 
 
-class Noisy(NamedTuple):
-    """The two phases and the ratios that count.
+class Phase(NamedTuple):
+    """What callers saw in one phase.
 
     Attributes:
-        calm: What the other customers saw, by name, when all kept to theirs.
-        noisy: The same while one sent several times its rate.
-        worst_first_token_ratio: The worst of the others, noisy to calm, at
-            the 95th percentile.
+        others: All customers but the loud one.
+        loud: The customer that is noisy in the second phase.
         worst_served_ratio: The least part of its requests that one of the
-            others had answered while it was noisy.
-        admitted: Requests of the noisy customer that were answered.
-        allowed: What its row allows in that time.
-        admitted_ratio: `admitted` to `allowed`.
+            others had answered.
+        ideal: Requests of the loud customer that one bucket over the whole
+            fleet would have admitted.
+        refused_inside: How many fewer were admitted.
     """
 
-    calm: dict[str, load.Seen]
-    noisy: dict[str, load.Seen]
-    worst_first_token_ratio: float
+    others: load.Seen
+    loud: load.Seen
     worst_served_ratio: float
-    admitted: int
+    ideal: int
+    refused_inside: int
+
+
+class Noisy(NamedTuple):
+    """The two phases and the ratios that count.
+
+    Attributes:
+        calm: All customers about within their rates.
+        noisy: One customer at several times its rate.
+        first_token_ratio: What the others saw, noisy to calm.
+        between_tokens_ratio: The same for the time between tokens.
+        allowed: What the loud customer's row allows in the noisy phase.
+        admitted_ratio: Its answered requests to `allowed`.
+    """
+
+    calm: Phase
+    noisy: Phase
+    first_token_ratio: dict[str, float]
+    between_tokens_ratio: dict[str, float]
     allowed: float
     admitted_ratio: float
 
@@ -43,40 +59,47 @@
 ) -> Noisy:
     """Runs the two phases."""
     loud = site.callers[0]
-    burst = loud.rate_per_s
-    site.set_row(loud.customer, loud.rate_per_s, burst)
-    calm = _seen(site, site.callers, shape, duration_s, seed, "calm")
+    site.set_row(loud.customer, loud.rate_per_s, loud.rate_per_s)
     louder = loud._replace(rate_per_s=loud.rate_per_s * factor)
-    callers = [louder, *site.callers[1:]]
-    noisy = _seen(site, callers, shape, duration_s, seed, "noisy")
-    others = [caller.customer for caller in site.callers[1:]]
-    allowed = burst + loud.rate_per_s * duration_s
-    admitted = noisy[loud.customer].ok
+
+    def phase(name: str, first: load.Caller) -> Phase:
+        arrivals = load.plan(
+            [first, *site.callers[1:]],
+            site.addresses,
+            shape,
+            duration_s,
+            seed,
+            name,
+        )
+        return _phase(arrivals, loud)
+
+    calm = phase("calm", loud)
+    noisy = phase("noisy", louder)
+    allowed = loud.rate_per_s * (1 + duration_s)
     return Noisy(
         calm,
         noisy,
-        max(
-            noisy[name].first_token_ms["p95"]
-            / max(calm[name].first_token_ms["p95"], 0.001)
-            for name in others
+        load.ratios(noisy.others.first_token_ms, calm.others.first_token_ms),
+        load.ratios(
+            noisy.others.between_tokens_ms, calm.others.between_tokens_ms
         ),
-        min(noisy[name].ok / noisy[name].requests for name in others),
-        admitted,
         allowed,
-        admitted / allowed,
+        noisy.loud.ok / allowed,
     )
 
 
-def _seen(
-    site: site_lib.Site,
-    callers: list[load.Caller],
-    shape: load.Shape,
-    duration_s: float,
-    seed: int,
-    phase: str,
-) -> dict[str, load.Seen]:
-    run = load.Run(
-        load.plan(callers, site.addresses, shape, duration_s, seed, phase)
-    )
+def _phase(arrivals: list[load.Arrival], loud: load.Caller) -> Phase:
+    run = load.Run(arrivals, loud.customer)
     run.run()
-    return {name: recorder.seen() for name, recorder in run.customers.items()}
+    seen = {name: part.seen() for name, part in run.customers.items()}
+    mine = seen.pop(loud.customer)
+    ideal = load.admitted_by_one_bucket(
+        arrivals, loud.customer, loud.rate_per_s, loud.rate_per_s
+    )
+    return Phase(
+        run.others.seen(),
+        mine,
+        min(part.ok / part.requests for part in seen.values()),
+        ideal,
+        max(0, ideal - mine.ok),
+    )
