--- a/packages/bench/bench/control.py
+++ b/packages/bench/bench/control.py
@@ -98,7 +98,9 @@
 class ControlNode:
     """The control services of one VM."""
 
-    def __init__(self, vm: str, failure_domain: str, platform: str) -> None:
+    def __init__(
+        self, vm: str, failure_domain: str, platform: str, seed: str
+    ) -> None:
         flags = {
             "vm": vm,
             "failure-domain": failure_domain,
@@ -107,6 +109,7 @@
             "peers-address": _free_address(),
             "platform-address": platform,
             "operator-token": "bench",
+            "peer-seeds": seed,
         }
         self.settings = defaults.read(flags, {})
         self.kernel = kernel_lib.Kernel()
@@ -133,7 +136,9 @@
 class Experiment:
     """Some VMs, some customers, and the stand-in platform."""
 
-    def __init__(self, vms: int, customers: int, seed: int = 1) -> None:
+    def __init__(
+        self, vms: int, customers: int, cut_domains: int = 0, seed: int = 1
+    ) -> None:
         self._random = random.Random(seed)
         self._customers = customers
         self._worst_age_s = 0.0
@@ -145,11 +150,28 @@
         assert self._process.stdout is not None
         self._platform = self._process.stdout.readline().split()[-1]
         self._http = urllib3.PoolManager(retries=False)
-        self._nodes = [
-            ControlNode(f"vm-{n}", f"domain-{n % _DOMAINS}", self._platform)
-            for n in range(vms)
+        self._nodes: list[ControlNode] = []
+        for number in range(vms):
+            self._nodes.append(self._make_node(number, cut_domains))
+        # Those that reach the platform; edits are made there.
+        self._editing = [
+            node
+            for node in self._nodes
+            if node.settings.platform_address == self._platform
         ]
 
+    def _make_node(self, number: int, cut_domains: int) -> ControlNode:
+        domain = number % _DOMAINS
+        # The last domains are cut off: nobody listens at their platform.
+        is_cut = domain >= _DOMAINS - cut_domains
+        seed = self._nodes[0].settings.peers_address if self._nodes else ""
+        return ControlNode(
+            f"vm-{number}",
+            f"domain-{domain}",
+            _free_address() if is_cut else self._platform,
+            seed,
+        )
+
     def start(self) -> None:
         """Lists the VMs, stores the customers and waits until all serve."""
         for node in self._nodes:
@@ -202,7 +224,7 @@
 
     def _edit(self) -> float:
         """Changes a random row at a random VM; returns milliseconds."""
-        node = self._random.choice(self._nodes)
+        node = self._random.choice(self._editing)
         name = f"customer-{self._random.randrange(self._customers)}"
         key = pages.customer_key(name)
         began_s = time.monotonic()
@@ -360,6 +382,13 @@
         option("customers", default="100", flag=False),
         option("duration-s", default="20", flag=False),
         option("edits-per-s", default="1", flag=False),
+        option(
+            "cut-domains",
+            description="So many of the four domains do not reach the"
+            " platform.",
+            default="0",
+            flag=False,
+        ),
         option("pages", description="Only measure the pages."),
     ]
 
@@ -383,7 +412,7 @@
         self.line("|" + "---|" * len(names))
 
     def _measure(self, vms: int, customers: int) -> Row:
-        experiment = Experiment(vms, customers)
+        experiment = Experiment(vms, customers, int(self.option("cut-domains")))
         try:
             experiment.start()
             return experiment.run(
