--- a/packages/daemon/bulrushdeald/coordinator.py
+++ b/packages/daemon/bulrushdeald/coordinator.py
@@ -18,6 +18,7 @@
 from bulrushdeald import jobtable
 from bulrushdeald import jobview
 from bulrushdeald import replicas
+from bulrushdeald import retention
 from bulrushdeald import services
 
 _log = logs.Log("coordinator")
@@ -25,6 +26,7 @@
 NAME = "coordinator"
 _TICK_S = 0.5
 _SWEEP_S = 10.0
+_EXPIRY_S = 3600.0
 _CALL_TIMEOUT_S = 1.0
 # A holder that was not heard of for so long is asked, and loses the chunk
 # if it does not say that it still runs it.
@@ -49,12 +51,14 @@
         settings: defaults.Settings,
         clock: clock_lib.Clock | None = None,
     ) -> None:
-        del settings
+        self._retention_s = settings.batch_retention_s
         self._kernel = kernel
         self._clock = clock or clock_lib.SystemClock()
         self._wake = threading.Event()
         self._is_stopping = False
         self._silent: set[str] = set()
+        self._expired_s = self._clock.monotonic_s()
+        self._expired = 0
         self._swept_s = float("-inf")
         self._buckets: list[int] = []
 
@@ -69,8 +73,11 @@
             self._membership, self._clock
         )
         self._replicas = find(replicas.NAME, replicas.Replicas)
+        self._retention = retention.Retention(
+            self._keyvalue, self._clock, self._retention_s
+        )
         self._finisher = finishing.Finisher(
-            self._keyvalue, self._replicas, self._clock
+            self._keyvalue, self._replicas, self._clock, self._retention
         )
         self._table = jobtable.JobTable(self._weight)
         self._peers.understand(*batchmessages.ANSWERS)
@@ -91,7 +98,11 @@
 
     def dump(self) -> Any:
         """Returns the jobs coordinated here."""
-        return {"buckets": self._buckets, "jobs": self._table.dump()}
+        return {
+            "buckets": self._buckets,
+            "jobs": self._table.dump(),
+            "expired_records": self._expired,
+        }
 
     def _loop(self) -> None:
         while not self._is_stopping:
@@ -113,6 +124,9 @@
             self._ping_others()
             self._buckets = self.coordinators.own_buckets()
             self._sweep()
+            if now_s - self._expired_s >= _EXPIRY_S:
+                self._expired_s = now_s
+                self._expired += sum(map(self._retention.sweep, self._buckets))
         self._load_some()
         self._silent.clear()
         for view in self._table.loaded():
@@ -225,7 +239,8 @@
         vms = len(self._membership.entry_vms())
         silent_s = _SILENT_S + _MISSED_REPORTS * vms / REPORTS_PER_S
         self._table.change(view, lambda: view.expire_offers(now_s))
-        for number, chunk in view.running():
+        running = self._table.change(view, view.running)
+        for number, chunk in running:
             is_heard = now_s - chunk.since_s <= silent_s
             if is_heard and self._membership.is_listed(chunk.vm):
                 continue
@@ -234,9 +249,12 @@
                 self._table.change(view, confirm)
                 continue
             # It may be frozen and come back. Its seal then expects a
-            # revision that the next claim has changed.
-            take_back = functools.partial(view.take_back, number, chunk)
-            self._table.change(view, take_back)
+            # revision that the next claim, or this, has changed.
+            if view.is_cancelled:
+                self._void(view, number, chunk)
+            else:
+                take_back = functools.partial(view.take_back, number, chunk)
+                self._table.change(view, take_back)
             _log.info(
                 "Chunk %s/%d lost its holder %s.",
                 view.entry.job,
@@ -284,10 +302,14 @@
         wait_s = _CANCEL_S + _MISSED_REPORTS * vms / REPORTS_PER_S
         if self._clock.monotonic_s() - since_s < wait_s:
             return
-        for number, chunk in view.running():
-            self._finisher.void(
-                view.entry.job, number, chunk.epoch, chunk.revision
-            )
+        running = self._table.change(view, view.running)
+        for number, chunk in running:
+            self._void(view, number, chunk)
+
+    def _void(
+        self, view: jobview.JobView, number: int, chunk: jobview.ChunkView
+    ) -> None:
+        self._finisher.void(view.entry.job, number, chunk.epoch, chunk.revision)
         self._table.change(view, view.reload)
 
 
