--- a/packages/bench/bench/control.py
+++ b/packages/bench/bench/control.py
@@ -7,7 +7,6 @@
 memory and in their pages instead.
 """
 
-import gc
 import random
 import resource
 import signal
@@ -16,7 +15,6 @@
 import subprocess
 import sys
 import time
-import tracemalloc
 from typing import Any, ClassVar, NamedTuple
 
 from cleo import application
@@ -26,25 +24,21 @@
 from cleo.io.inputs import option as option_lib
 import urllib3
 
+from bench import pagecost
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import logs
 from bulrushdeal import records
 from bulrushdeald import config
-from bulrushdeald import configsync
 from bulrushdeald import defaults
 from bulrushdeald import keyvalue
 from bulrushdeald import membership
 from bulrushdeald import pages
-from bulrushdeald import pageset
 from bulrushdeald import peers
 from bulrushdeald import services
 from bulrushdeald import vmlist
-from bulrushdeald import wire
 
 _DOMAINS = 4
-_KEYS_PER_CUSTOMER = 2
 _SETTLE_S = 3.0
-_ROUNDS = 20
 _AGE_S = 0.25
 _START_TIMEOUT_S = 60.0
 
@@ -98,7 +92,9 @@
 class ControlNode:
     """The control services of one VM."""
 
-    def __init__(self, vm: str, failure_domain: str, platform: str) -> None:
+    def __init__(
+        self, vm: str, failure_domain: str, platform: str, seed: str
+    ) -> None:
         flags = {
             "vm": vm,
             "failure-domain": failure_domain,
@@ -107,6 +103,7 @@
             "peers-address": _free_address(),
             "platform-address": platform,
             "operator-token": "bench",
+            "peer-seeds": seed,
         }
         self.settings = defaults.read(flags, {})
         self.kernel = kernel_lib.Kernel()
@@ -133,7 +130,9 @@
 class Experiment:
     """Some VMs, some customers, and the stand-in platform."""
 
-    def __init__(self, vms: int, customers: int, seed: int = 1) -> None:
+    def __init__(
+        self, vms: int, customers: int, cut_domains: int = 0, seed: int = 1
+    ) -> None:
         self._random = random.Random(seed)
         self._customers = customers
         self._worst_age_s = 0.0
@@ -145,11 +144,28 @@
         assert self._process.stdout is not None
         self._platform = self._process.stdout.readline().split()[-1]
         self._http = urllib3.PoolManager(retries=False)
-        self._nodes = [
-            ControlNode(f"vm-{n}", f"domain-{n % _DOMAINS}", self._platform)
-            for n in range(vms)
+        self._nodes: list[ControlNode] = []
+        for number in range(vms):
+            self._nodes.append(self._make_node(number, cut_domains))
+        # Those that reach the platform; edits are made there.
+        self._editing = [
+            node
+            for node in self._nodes
+            if node.settings.platform_address == self._platform
         ]
 
+    def _make_node(self, number: int, cut_domains: int) -> ControlNode:
+        domain = number % _DOMAINS
+        # The last domains are cut off: nobody listens at their platform.
+        is_cut = domain >= _DOMAINS - cut_domains
+        seed = self._nodes[0].settings.peers_address if self._nodes else ""
+        return ControlNode(
+            f"vm-{number}",
+            f"domain-{domain}",
+            _free_address() if is_cut else self._platform,
+            seed,
+        )
+
     def start(self) -> None:
         """Lists the VMs, stores the customers and waits until all serve."""
         for node in self._nodes:
@@ -164,7 +180,7 @@
                 f"http://{self._platform}/v1/vms/{row.vm}",
                 json=row._asdict(),
             )
-        for key, page in make_pages(self._customers).items():
+        for key, page in pagecost.make_pages(self._customers).items():
             self._nodes[0].keyvalue.put(key, pages.encode(page), 0).unwrap()
         for node in self._nodes:
             node.kernel.start()
@@ -202,7 +218,7 @@
 
     def _edit(self) -> float:
         """Changes a random row at a random VM; returns milliseconds."""
-        node = self._random.choice(self._nodes)
+        node = self._random.choice(self._editing)
         name = f"customer-{self._random.randrange(self._customers)}"
         key = pages.customer_key(name)
         began_s = time.monotonic()
@@ -267,89 +283,6 @@
         )
 
 
-def make_pages(customers: int) -> dict[str, pages.Page]:
-    """Returns pages with so many customers and two keys for each."""
-    rows: dict[str, list[records.Customer]] = {}
-    keys: dict[str, list[records.Key]] = {}
-    for number in range(customers):
-        name = f"customer-{number}"
-        key = pages.customer_key(name)
-        rows.setdefault(key, []).append(records.Customer(name))
-        for which in range(_KEYS_PER_CUSTOMER):
-            key_hash = config.hash_key(f"{name}/{which}")
-            row = records.Key(key_hash, name, f"key {which}")
-            keys.setdefault(key, []).append(row)
-    return {
-        key: pages.Page(tuple(sorted(rows[key])), tuple(sorted(keys[key])))
-        for key in sorted(rows)
-    }
-
-
-class PageRow(NamedTuple):
-    """What customers cost where they are stored and held.
-
-    Attributes:
-        customers: Customers with two keys each.
-        held_bytes: In memory on each VM, for each customer.
-        largest_page_bytes: The largest value at the platform.
-        bytes_per_key: What one more key adds to its page.
-        decode_ms: Processor time to read the largest page.
-        change_ms: Processor time to apply a change of one row to it.
-        push_bytes: The message that carries this change to a peer.
-    """
-
-    customers: int
-    held_bytes: float
-    largest_page_bytes: int
-    bytes_per_key: int
-    decode_ms: float
-    change_ms: float
-    push_bytes: int
-
-
-def measure_pages(customers: int) -> PageRow:
-    """Stores, reads and changes the pages of so many customers."""
-    made = make_pages(customers)
-    stored = {key: pages.encode(page) for key, page in made.items()}
-    key = max(stored, key=lambda key: len(stored[key]))
-    page = made[key]
-    extra = records.Key("f" * 64, page.customers[0].customer, "key 9", True)
-    longer = page._replace(keys=(*page.keys, extra))
-    began_s = time.process_time()
-    for _ in range(_ROUNDS):
-        pages.decode(stored[key])
-    decode_s = (time.process_time() - began_s) / _ROUNDS
-    first, *rest = page.customers
-    other = page._replace(customers=(first._replace(weight=7.0), *rest))
-    held = pageset.PageSet()
-    held.offer(key, 1, page)
-    change = pages.diff(key, page, 1, other, 2)
-    began_s = time.process_time()
-    held.change(change)
-    change_s = time.process_time() - began_s
-    return PageRow(
-        customers,
-        _held_bytes(stored) / customers,
-        len(stored[key]),
-        len(pages.encode(longer)) - len(stored[key]),
-        1000 * decode_s,
-        1000 * change_s,
-        len(wire.pack(1, configsync.PushChanges((change,)))),
-    )
-
-
-def _held_bytes(stored: dict[str, bytes]) -> int:
-    gc.collect()
-    tracemalloc.start()
-    held = pageset.PageSet()
-    for key, value in stored.items():
-        held.offer(key, 1, pages.decode(value))
-    gc.collect()
-    size_bytes, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    return size_bytes
-
-
 class ControlCommand(command.Command):
     """Prints what control costs."""
 
@@ -360,6 +293,13 @@
         option("customers", default="100", flag=False),
         option("duration-s", default="20", flag=False),
         option("edits-per-s", default="1", flag=False),
+        option(
+            "cut-domains",
+            description="So many of the four domains do not reach the"
+            " platform.",
+            default="0",
+            flag=False,
+        ),
         option("pages", description="Only measure the pages."),
     ]
 
@@ -368,9 +308,9 @@
         logs.configure("error")
         customers = _numbers(self.option("customers"))
         if self.option("pages"):
-            self._head(PageRow._fields)
+            self._head(pagecost.PageRow._fields)
             for count in customers:
-                self.line(_format(measure_pages(count)))
+                self.line(_format(pagecost.measure_pages(count)))
             return 0
         self._head(Row._fields)
         for vms in _numbers(self.option("vms")):
@@ -383,7 +323,7 @@
         self.line("|" + "---|" * len(names))
 
     def _measure(self, vms: int, customers: int) -> Row:
-        experiment = Experiment(vms, customers)
+        experiment = Experiment(vms, customers, int(self.option("cut-domains")))
         try:
             experiment.start()
             return experiment.run(
@@ -398,7 +338,7 @@
     return [int(part) for part in str(text).split(",")]
 
 
-def _format(row: Row | PageRow) -> str:
+def _format(row: Row | pagecost.PageRow) -> str:
     cells = [
         str(value) if isinstance(value, int) else f"{value:.2f}"
         for value in row
