--- a/tests/daemon/test_callers.py
+++ b/tests/daemon/test_callers.py
@@ -188,3 +188,13 @@
     assert vm.ask("POST", "/v1/files").status == 200
     assert statuses == [503, *[200] * 7]
     assert vm.ask("GET", "/v1/models").status == 200
+
+
+def test_bulk_address_has_threads_of_its_own() -> None:
+    with pathfakes.running(bulk_address="127.0.0.1:0") as vm:
+        first, second = vm.callers._servers
+        assert first.port != second.port
+        for server in (first, second):
+            vm.callers._servers[0] = server
+            assert vm.ask("GET", "/v1/models").status == 200
+        vm.callers._servers[0] = first
