--- /dev/null
+++ b/packages/bench/bench/noisy.py
@@ -0,0 +1,105 @@
+"""What a customer at several times its rate does to the others.
+
+Two phases on one deployment: all within their rates, and one large customer
+at several times its own.
+"""
+
+from typing import NamedTuple
+
+from bench import load
+from bench import site as site_lib
+
+
+class Phase(NamedTuple):
+    """What callers saw in one phase.
+
+    Attributes:
+        others: All customers but the loud one.
+        loud: The customer that is noisy in the second phase.
+        worst_served_ratio: The least part of its requests that one of the
+            others had answered.
+        ideal: Requests of the loud customer that one bucket over the whole
+            fleet would have admitted.
+        refused_inside: How many fewer were admitted.
+    """
+
+    others: load.Seen
+    loud: load.Seen
+    worst_served_ratio: float
+    ideal: int
+    refused_inside: int
+
+
+class Noisy(NamedTuple):
+    """The two phases and the ratios that count.
+
+    Attributes:
+        calm: All customers about within their rates.
+        noisy: One customer at several times its rate.
+        first_token_ratio: What the others saw, noisy to calm.
+        between_tokens_ratio: The same for the time between tokens.
+        allowed: What the loud customer's row allows in the noisy phase.
+        admitted_ratio: Its answered requests to `allowed`.
+    """
+
+    calm: Phase
+    noisy: Phase
+    first_token_ratio: dict[str, float]
+    between_tokens_ratio: dict[str, float]
+    allowed: float
+    admitted_ratio: float
+
+
+def run(
+    site: site_lib.Site,
+    shape: load.Shape,
+    duration_s: float,
+    seed: int,
+    factor: float,
+) -> Noisy:
+    """Runs the two phases."""
+    loud = site.callers[0]
+    site.set_row(loud.customer, loud.rate_per_s, loud.rate_per_s)
+    louder = loud._replace(rate_per_s=loud.rate_per_s * factor)
+
+    def phase(name: str, first: load.Caller) -> Phase:
+        arrivals = load.plan(
+            [first, *site.callers[1:]],
+            site.addresses,
+            shape,
+            duration_s,
+            seed,
+            name,
+        )
+        return _phase(arrivals, loud)
+
+    calm = phase("calm", loud)
+    noisy = phase("noisy", louder)
+    allowed = loud.rate_per_s * (1 + duration_s)
+    return Noisy(
+        calm,
+        noisy,
+        load.ratios(noisy.others.first_token_ms, calm.others.first_token_ms),
+        load.ratios(
+            noisy.others.between_tokens_ms, calm.others.between_tokens_ms
+        ),
+        allowed,
+        noisy.loud.ok / allowed,
+    )
+
+
+def _phase(arrivals: list[load.Arrival], loud: load.Caller) -> Phase:
+    run = load.Run(arrivals, loud.customer)
+    run.run()
+    seen = {name: part.seen() for name, part in run.customers.items()}
+    mine = seen.pop(loud.customer)
+    ideal = load.admitted_by_one_bucket(
+        arrivals, loud.customer, loud.rate_per_s, loud.rate_per_s
+    )
+    return Phase(
+        run.others.seen(),
+        mine,
+        min(part.ok / part.requests for part in seen.values()),
+        ideal,
+        max(0, ideal - mine.ok),
+    )
--- a/packages/daemon/bulrushdeald/collector.py
+++ b/packages/daemon/bulrushdeald/collector.py
@@ -30,11 +30,23 @@
 
     def _collect(self, owned: owner.OwnedPart) -> None:
         missing = list(owned.shortages())
-        for source, vm in self._lenders(owned):
+        if not missing:
+            return
+        first = missing[0].customer
+        asked = 0
+        for source, vm in _begin_at(
+            owned.last_lender.get(first, ""), self._lenders(owned)
+        ):
             if not missing:
                 return
-            if not self._sender.is_silent(vm):
-                missing = self._collect_from(owned, source, vm, missing)
+            if self._sender.is_silent(vm):
+                continue
+            names = {shortage.customer for shortage in missing}
+            missing = self._collect_from(owned, source, vm, missing)
+            asked += 1
+            for name in names - {shortage.customer for shortage in missing}:
+                owned.last_lender[name] = source.failure_domain
+                owned.collected(name, asked)
 
     def _collect_from(
         self,
@@ -53,19 +65,20 @@
             left = shortage.missing - count
             if left > _EPSILON:
                 still.append(shortage._replace(missing=left))
-            else:
-                owned.collected(want.customer)
         return still
 
     def balance(self, owned: owner.OwnedPart) -> None:
         """Evens a part's levels with one other part's, by turns."""
         with owned.exchange:
             low = owned.low()
+            if not low:
+                return
             lenders = self._lenders(owned)
-            turn = owned.next_turn(len(lenders)) if low and lenders else 0
+            if not lenders:
+                return
+            turn = owned.next_turn(len(lenders))
             for source, vm in (lenders + lenders)[turn : turn + BALANCE_WITH]:
-                if low:
-                    self._collect_from(owned, source, vm, list(low))
+                self._collect_from(owned, source, vm, list(low))
 
     def settle(self, owned: owner.OwnedPart) -> None:
         """Lowers debts, and gives back what is idle."""
@@ -77,15 +90,18 @@
             part = self._book.part(owned.page, source.failure_domain)
             if part is None or part.epoch != source.epoch:
                 owned.void(source.failure_domain, source.epoch + 1)
+                owned.settled(source)
                 continue
             wants = []
-            for name in names:
+            for name in sorted(names):
                 returned = owned.give_back(source, name)
                 held = owned.owed(source, name)
                 wants.append(credit.Want(name, held, returned=returned))
-            self._sender.send(
+            asked = self._sender.send(
                 part.vm, owned.page, source, tuple(wants), owned.source
             )
+            if asked.is_answered:
+                owned.settled(source)
 
     def _lenders(
         self, owned: owner.OwnedPart
@@ -103,3 +119,13 @@
             (credit.Source(p.failure_domain, p.epoch), p.vm)
             for p in after + before
         ]
+
+
+def _begin_at(
+    failure_domain: str, lenders: list[tuple[credit.Source, str]]
+) -> list[tuple[credit.Source, str]]:
+    # The one that had enough the last time; those before it were drained.
+    for index, (source, _) in enumerate(lenders):
+        if source.failure_domain == failure_domain:
+            return lenders[index:] + lenders[:index]
+    return lenders
--- a/packages/daemon/bulrushdeald/owner.py
+++ b/packages/daemon/bulrushdeald/owner.py
@@ -18,18 +18,26 @@
 # When a holder is to ask again while this part collects from others.
 COLLECT_S = 0.004
 # After a collection that brought too little, the next one waits, so that a
-# customer over its rate does not cost a round of messages for each request.
+# customer over its rate does not cost a round of messages for each request;
+# it doubles with each that follows, since all parts then do the same.
 COLLECT_PAUSE_S = 0.1
+_MAX_DOUBLINGS = 4
+_FEW_ASKED = 2
 # Credit ahead of need covers the demand of this long.
 AHEAD_S = 0.2
 # Above this fraction of a part's capacity in holders' hands the owner wants
 # to hear soon what was spent, since its bucket cannot fill meanwhile.
-_TIGHT_FRACTION = 0.1
+_TIGHT_FRACTION = 0.2
 # Above this room, as a fraction of capacity, a part that is asked takes
 # from the others ahead of need.
 _LOW_FRACTION = 0.25
-# How long a part waits between two such rounds.
+# How long a part waits between two such rounds, and for one customer as a
+# fraction of the time in which its bucket fills: a part that is full loses
+# what its rate gives meanwhile.
 BALANCE_S = 0.1
+_BALANCE_FRACTION = 0.1
+# A slower part loses too little by a late report to be worth a message.
+_TIGHT_PER_S = 0.25
 _EPSILON = 1e-9
 
 
@@ -88,12 +96,18 @@
         self._holders: dict[HolderName, Holder] = {}
         self._missing: dict[str, float] = {}
         self._low: set[str] = set()
+        self._balance_due_s: dict[str, float] = {}
+        # What a lender may believe to be out here, though it is not.
+        self._unsure: dict[credit.Source, set[str]] = {}
         self._balanced_s = 0.0
         self._turn = 0
         self._paused_until_s: dict[str, float] = {}
+        self._vain: dict[str, int] = {}
         # Counts drops asked of this VM; an answer to what was asked before
         # one may bring credit of an owner that is gone, and is void.
         self.drops = 0
+        # Which part met a customer's shortage last; guarded by `exchange`.
+        self.last_lender: dict[str, str] = {}
         # One exchange of this part with the other owners at a time.
         self.exchange = threading.Lock()
 
@@ -122,10 +136,16 @@
                 before = self._rows.get(name)
                 if before is not None and row.burst < before.burst:
                     factor = row.burst / before.burst
+                    self._doubt_debts(name)
                     self._ledgers[name].scale_debts(factor)
             self._rows = dict(rows)
             self._set_terms()
 
+    def _doubt_debts(self, customer: str) -> None:
+        for source in self._ledgers[customer].debts:
+            assert isinstance(source, credit.Source)
+            self._unsure.setdefault(source, set()).add(customer)
+
     def _set_terms(self) -> None:
         now_s = self._clock.monotonic_s()
         # The ledger of a deleted row stays: a row of the same name, made
@@ -188,7 +208,7 @@
         ledger.accrue(now_s)
         ledger.report(name, want.held, want.returned)
         if want.want <= 0:
-            return credit.Grant(0.0, row.burst, ledger.grantable())
+            return credit.Grant(0, credit.compact(row.burst))
         if name.for_domain:
             return self._transfer(name, want, row, ledger)
         demand = self._demands.setdefault(want.customer, bucket.Demand())
@@ -204,10 +224,33 @@
         if granted <= 0:
             wait_s = (want.need - left) / (row.rate_per_s or _EPSILON)
             again_s = self._plan(want, want.need - left, now_s)
-        if ledger.room > _LOW_FRACTION * ledger.capacity:
-            self._low.add(want.customer)
-        tight = ledger.lent > _TIGHT_FRACTION * ledger.capacity
-        return credit.Grant(granted, row.burst, left, again_s, wait_s, tight)
+        self._note_low(want.customer, row, ledger, now_s)
+        tight = (
+            ledger.lent > _TIGHT_FRACTION * ledger.capacity
+            and ledger.terms.rate_per_s > _TIGHT_PER_S
+        )
+        return credit.Grant(
+            credit.compact(granted),
+            credit.compact(row.burst),
+            again_s,
+            wait_s,
+            tight,
+        )
+
+    def _note_low(
+        self,
+        customer: str,
+        row: records.Customer,
+        ledger: bucket.Ledger,
+        now_s: float,
+    ) -> None:
+        if ledger.room <= _LOW_FRACTION * ledger.capacity:
+            return
+        if now_s < self._balance_due_s.get(customer, 0.0):
+            return
+        fill_s = row.burst / (row.rate_per_s or _EPSILON)
+        self._balance_due_s[customer] = now_s + _BALANCE_FRACTION * fill_s
+        self._low.add(customer)
 
     def _transfer(
         self,
@@ -221,7 +264,7 @@
         even = (want.reserved - max(0.0, ledger.room)) / 2
         most = min(want.want, max(want.need, even))
         moved = ledger.transfer(name, most, want.reserved)
-        return credit.Grant(moved, row.burst, ledger.grantable())
+        return credit.Grant(credit.compact(moved), credit.compact(row.burst))
 
     def _plan(self, want: credit.Want, missing: float, now_s: float) -> float:
         if now_s < self._paused_until_s.get(want.customer, 0.0):
@@ -236,7 +279,10 @@
             now_s = self._clock.monotonic_s()
             found = []
             for name, missing in self._missing.items():
-                self._paused_until_s[name] = now_s + COLLECT_PAUSE_S
+                doublings = self._vain.get(name, 0)
+                pause_s = COLLECT_PAUSE_S * 2**doublings
+                self._paused_until_s[name] = now_s + pause_s
+                self._vain[name] = min(_MAX_DOUBLINGS, doublings + 1)
                 found.append(Shortage(name, missing))
             self._missing.clear()
             return tuple(found)
@@ -257,10 +303,21 @@
         self._turn += 1
         return self._turn % count
 
-    def collected(self, customer: str) -> None:
-        """Notes that a shortage was met, so the next is met at once too."""
+    def collected(self, customer: str, asked: int) -> None:
+        """Notes that a shortage was met, so the next is met at once too.
+
+        Args:
+            customer: The customer.
+            asked: How many other parts it took.
+        """
         with self._lock:
+            burst = self._ledgers[customer].terms.burst
+            if asked > _FEW_ASKED and burst >= 1:
+                # All parts are nearly empty: this one took what the next
+                # would have given out itself.
+                return
             self._paused_until_s.pop(customer, None)
+            self._vain.pop(customer, None)
 
     def want(self, source: credit.Source, shortage: Shortage) -> credit.Want:
         """Returns what to ask another part for, and keeps room for it."""
@@ -271,10 +328,10 @@
             reserved = ledger.reserve()
             return credit.Want(
                 shortage.customer,
-                held,
-                shortage.missing,
-                max(shortage.missing, reserved),
-                reserved=reserved,
+                credit.compact(held),
+                credit.compact(shortage.missing),
+                credit.compact(max(shortage.missing, reserved)),
+                reserved=credit.compact(reserved),
             )
 
     def receive(
@@ -303,6 +360,11 @@
                 factor = row.burst / grant.burst if grant.burst else 0.0
                 count = grant.granted * min(1.0, factor)
             ledger.receive(source, count, want.reserved)
+            if grant is None or grant.granted > want.reserved:
+                # The lender counts a loan that is smaller here, or that a
+                # lost answer never brought; it has to be told, or it keeps
+                # its bucket that much emptier for good.
+                self._unsure.setdefault(source, set()).add(want.customer)
             return count
 
     def owed(self, source: credit.Source, customer: str) -> float:
@@ -311,15 +373,22 @@
             ledger = self._ledgers.get(customer)
             return 0.0 if ledger is None else ledger.repay(source)
 
-    def debts(self) -> dict[credit.Source, list[str]]:
-        """Returns the customers borrowed for, by source."""
-        found: dict[credit.Source, list[str]] = {}
+    def debts(self) -> dict[credit.Source, set[str]]:
+        """Returns the customers to settle, by source."""
         with self._lock:
+            found = {
+                source: set(names) for source, names in self._unsure.items()
+            }
             for name, ledger in self._ledgers.items():
                 for source in ledger.debts:
                     assert isinstance(source, credit.Source)
-                    found.setdefault(source, []).append(name)
-        return found
+                    found.setdefault(source, set()).add(name)
+            return found
+
+    def settled(self, source: credit.Source) -> None:
+        """Notes that a lender knows what is out here."""
+        with self._lock:
+            self._unsure.pop(source, None)
 
     def give_back(self, source: credit.Source, customer: str) -> float:
         """Takes off what is unspent of a debt, if demand has gone."""
--- a/packages/daemon/bulrushdeald/router.py
+++ b/packages/daemon/bulrushdeald/router.py
@@ -27,6 +27,7 @@
 from bulrushdeald import health
 from bulrushdeald import inflight
 from bulrushdeald import inflightreports
+from bulrushdeald import loadpoll
 from bulrushdeald import quarantine
 from bulrushdeald import services
 from bulrushdeald import topology as topology_lib
@@ -57,6 +58,9 @@
     def __init__(self) -> None:
         self.online: fairqueue.FairQueue[_Waiter] = fairqueue.FairQueue()
         self.batch: fairqueue.FairQueue[_Waiter] = fairqueue.FairQueue()
+        # Items that have yielded come before those that have not begun: an
+        # engine keeps what they have done only for a while.
+        self.resumed: fairqueue.FairQueue[_Waiter] = fairqueue.FairQueue()
         self.hold_s = _FIRST_HOLD_S
 
 
@@ -126,6 +130,8 @@
             settings.upstream_policy, random.Random(settings.vm)
         )
         self._topology = topology_lib.Cache()
+        self._window = loadpoll.Window(self._clock)
+        self._polls = loadpoll.LoadPolls(self)
         self._suspects: dict[str, int] = {}
         self._counters: dict[str, int] = {}
 
@@ -144,11 +150,13 @@
         )
         self._notices.start()
         self._reports.start()
+        self._polls.start()
         self._config.on_change(self.wake)
 
     def stop(self, grace_s: float) -> None:
         """Ends the reports; slots in use stay valid."""
         del grace_s
+        self._polls.stop()
         self._reports.stop()
         self._notices.stop()
 
@@ -159,7 +167,7 @@
                 "queues": {
                     name: {
                         "online": len(pool.online),
-                        "batch": len(pool.batch),
+                        "batch": len(pool.batch) + len(pool.resumed),
                         "hold_s": round(pool.hold_s, 4),
                     }
                     for name, pool in self._pools.items()
@@ -195,7 +203,8 @@
         not ask for work of this model.
         """
         with self._lock:
-            waiting = len(self._pool(model).batch)
+            pool = self._pool(model)
+            waiting = len(pool.batch) + len(pool.resumed)
             free = sum(
                 self._free_batch_slots(upstream)
                 for upstream in self._candidates(model, "").usable
@@ -291,7 +300,7 @@
         """Returns a slot if one is free and nobody waits for it."""
         pool = self._pool(work.model or work.service)
         if work.work_class == "batch":
-            if pool.batch:
+            if pool.resumed or (pool.batch and not work.resumes_at):
                 return None
             return self._place_batch(work)
         if pool.online:
@@ -333,6 +342,9 @@
             for upstream in self._candidates(work.model, "").usable
             if not (is_suspect and self._suspects.get(upstream.upstream, 0))
         ]
+        for slots, name, upstream in free:
+            if name == work.resumes_at and slots > 0:
+                return self._take(work, upstream)
         most = max(free, default=None)
         if most is None or most[0] <= 0:
             return None
@@ -351,6 +363,7 @@
         else:
             self._inflight.add_online(name, 1)
             self._changed(upstream, is_urgent=True)
+        self._note_known(name)
         self._count(f"placed_{work.work_class}")
         now_s = self._clock.monotonic_s()
         return Slot(self, work, upstream, running, now_s)
@@ -383,6 +396,19 @@
         if is_late:
             _run_callback(callback)
 
+    def took_load(self, upstream: str, running: int) -> None:
+        """Takes an engine's own count; see `loadpoll`."""
+        with self._lock:
+            external = max(0, running - self._window.most(upstream))
+            self._inflight.set_external(upstream, external)
+            self._note_known(upstream)
+            self.took_report(frozenset((upstream,)))
+
+    def _note_known(self, upstream: str) -> None:
+        known = self._inflight.known_online(upstream)
+        known += self._inflight.own_batch(upstream)
+        self._window.note(upstream, known)
+
     def _wait(
         self, work: services.Work
     ) -> result.Result[services.Slot, services.Refusal]:
@@ -390,6 +416,8 @@
         pool = self._pool(work.model or work.service)
         is_online = work.work_class == "online"
         queue = pool.online if is_online else pool.batch
+        if work.resumes_at:
+            queue = pool.resumed
         row = self._config.customer(work.customer)
         weight = 1.0
         if row is not None:
@@ -478,7 +506,9 @@
             if pool is None:
                 continue
             self._drain(pool.online, self._place_online)
-            self._drain(pool.batch, self._place_batch)
+            self._drain(pool.resumed, self._place_batch)
+            if not pool.resumed:
+                self._drain(pool.batch, self._place_batch)
 
     def _drain(
         self,
@@ -507,6 +537,7 @@
             if upstream is None:
                 continue
             if name in topology.owned:
+                self._note_known(name)
                 self.make_room(upstream)
             self._dispatch(upstream)
 
