--- /dev/null
+++ b/packages/daemon/bulrushdeald/placement.py
@@ -0,0 +1,188 @@
+"""Which upstream a request goes to, by what is believed to run where."""
+
+from collections.abc import Iterator
+
+from bulrushdeal import clock as clock_lib
+from bulrushdeal import records
+from bulrushdeald import batchslots
+from bulrushdeald import choice
+from bulrushdeald import health as health_lib
+from bulrushdeald import inflight as inflight_lib
+from bulrushdeald import loadpoll
+from bulrushdeald import services
+from bulrushdeald import topology as topology_lib
+
+
+class Placement:
+    """Places requests; not thread-safe by itself.
+
+    Attributes:
+        health: Which upstreams answer.
+        inflight: The counts of what runs where.
+        batch: The batch items that run here.
+    """
+
+    def __init__(
+        self,
+        policy: choice.Policy,
+        batch: batchslots.BatchSlots,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._policy = policy
+        self._window = loadpoll.Window(clock)
+        self._suspects: dict[str, int] = {}
+        self._config: services.Config | None = None
+        self._entry_vms: tuple[records.Vm, ...] = ()
+        self._topology = topology_lib.build((), (), records.Vm("", "", "entry"))
+        self._is_stale = True
+        self.health = health_lib.Health(clock)
+        self.inflight = inflight_lib.Inflight(clock)
+        self.batch = batch
+
+    def connect(
+        self, config: services.Config, membership: services.Membership
+    ) -> None:
+        """Goes by this configuration and list of VMs."""
+        self._config = config
+        self._membership = membership
+        self._own = membership.own()
+        config.on_change(self._note_change)
+
+    def _note_change(self) -> None:
+        self._is_stale = True
+
+    def topology(self) -> topology_lib.Topology:
+        """Returns who serves what and who owns which upstream.
+
+        It is built anew only after a change: at 6,400 upstreams that takes
+        too long to be done for each request. Two threads may both build it,
+        which gives the same.
+        """
+        entry_vms = self._membership.entry_vms()
+        if not self._is_stale and entry_vms is self._entry_vms:
+            return self._topology
+        # Cleared first: a change that comes meanwhile sets it again.
+        self._is_stale = False
+        assert self._config is not None
+        self._topology = topology_lib.build(
+            self._config.upstreams(), entry_vms, self._own
+        )
+        self._entry_vms = entry_vms
+        return self._topology
+
+    def serving(self, work: services.Work) -> topology_lib.Serving:
+        """Returns all upstreams that serve what a request asks for."""
+        return self.topology().serving(work.model, work.service)
+
+    def usable(
+        self, upstreams: tuple[records.Upstream, ...]
+    ) -> Iterator[records.Upstream]:
+        """Yields those that answer and are not leaving."""
+        for upstream in upstreams:
+            if not self.health.is_up(upstream.upstream):
+                continue
+            if not self._membership.is_leaving(upstream.vm):
+                yield upstream
+
+    def estimate(self, upstream: records.Upstream) -> inflight_lib.Count:
+        """Returns what is believed to run on an upstream."""
+        name = upstream.upstream
+        owner = self.topology().owner.get(name, "")
+        return self.inflight.estimate(name, owner, self._own.vm)
+
+    def online(
+        self, work: services.Work, is_suspect: bool
+    ) -> records.Upstream | None:
+        """Returns where an online request goes now, if there is room.
+
+        The own failure domain comes first; others take what it cannot.
+        """
+        serving = self.serving(work)
+        candidates = self._with_room(serving.near, is_suspect)
+        if not candidates:
+            candidates = self._with_room(serving.far, is_suspect)
+        if not candidates:
+            return None
+        return self._policy.choose(candidates, work.prompt_prefix).upstream
+
+    def _with_room(
+        self, upstreams: tuple[records.Upstream, ...], is_suspect: bool
+    ) -> list[choice.Candidate]:
+        found: list[choice.Candidate] = []
+        for upstream in self.usable(upstreams):
+            if is_suspect and self._suspects.get(upstream.upstream, 0):
+                continue
+            count = self.estimate(upstream)
+            if count.online < upstream.slots:
+                found.append(
+                    choice.Candidate(upstream, count.online, count.batch)
+                )
+        return found
+
+    def free_batch_slots(self, upstream: records.Upstream) -> int:
+        """Returns how many more batch items may run on an upstream."""
+        if upstream.upstream not in self.topology().owned:
+            return 0
+        online = self.inflight.total_online(upstream.upstream)
+        allowed = self.batch.allowed(upstream, online)
+        return max(0, allowed - self.batch.running(upstream.upstream))
+
+    def batch_item(
+        self, work: services.Work, is_suspect: bool
+    ) -> records.Upstream | None:
+        """Returns where a batch item goes now, if there is a free slot."""
+        best: records.Upstream | None = None
+        most = 0
+        for upstream in self.usable(self.serving(work).all):
+            if is_suspect and self._suspects.get(upstream.upstream, 0):
+                continue
+            free = self.free_batch_slots(upstream)
+            if free > 0 and upstream.upstream == work.resumes_at:
+                return upstream
+            if free > most:
+                best, most = upstream, free
+        return best
+
+    def take(
+        self, work: services.Work, upstream: records.Upstream, is_suspect: bool
+    ) -> batchslots.Running | None:
+        """Counts a request as running there."""
+        name = upstream.upstream
+        if self.health.is_trial(name):
+            self.health.begin_trial(name)
+        if is_suspect:
+            self._suspects[name] = self._suspects.get(name, 0) + 1
+        running = None
+        if work.work_class == "batch":
+            running = self.batch.add(name)
+            self.inflight.add_batch(name, 1)
+        else:
+            self.inflight.add_online(name, 1)
+        self.note_known(name)
+        return running
+
+    def give_back(
+        self,
+        upstream: str,
+        running: batchslots.Running | None,
+        is_suspect: bool,
+    ) -> None:
+        """Counts a request as ended."""
+        if is_suspect:
+            self._suspects[upstream] -= 1
+        if running is None:
+            self.inflight.add_online(upstream, -1)
+            return
+        self.batch.remove(upstream, running)
+        self.inflight.add_batch(upstream, -1)
+
+    def note_known(self, upstream: str) -> None:
+        """Remembers how many requests are known to run now."""
+        known = self.inflight.known_online(upstream)
+        known += self.inflight.own_batch(upstream)
+        self._window.note(upstream, known)
+
+    def take_load(self, upstream: str, running: int) -> None:
+        """Takes an engine's own count; see `loadpoll`."""
+        strangers = max(0, running - self._window.most(upstream))
+        self.inflight.set_external(upstream, strangers)
--- a/packages/daemon/bulrushdeald/topology.py
+++ b/packages/daemon/bulrushdeald/topology.py
@@ -7,6 +7,23 @@
 from bulrushdeald import rendezvous
 
 
+class Serving(NamedTuple):
+    """The upstreams that serve one model or plain service.
+
+    Attributes:
+        near: Those of the own failure domain.
+        far: All others.
+    """
+
+    near: tuple[records.Upstream, ...] = ()
+    far: tuple[records.Upstream, ...] = ()
+
+    @property
+    def all(self) -> tuple[records.Upstream, ...]:
+        """The near ones first."""
+        return self.near + self.far
+
+
 class Topology(NamedTuple):
     """What follows from the configuration and the list of VMs.
 
@@ -22,84 +39,68 @@
     """
 
     upstreams: Mapping[str, records.Upstream]
-    by_model: Mapping[str, tuple[records.Upstream, ...]]
-    by_service: Mapping[str, tuple[records.Upstream, ...]]
+    by_model: Mapping[str, Serving]
+    by_service: Mapping[str, Serving]
     owner: Mapping[str, str]
     owned: frozenset[str]
     other_owners: Mapping[str, frozenset[str]]
     vms: int
 
-    def serving(self, model: str, service: str) -> tuple[records.Upstream, ...]:
+    def serving(self, model: str, service: str) -> Serving:
         """Returns the upstreams that serve a model or a plain service."""
         if model:
-            return self.by_model.get(model, ())
-        return self.by_service.get(service, ())
+            return self.by_model.get(model, Serving())
+        return self.by_service.get(service, Serving())
 
 
 def build(
     upstreams: tuple[records.Upstream, ...],
     entry_vms: tuple[records.Vm, ...],
-    own_vm: str,
+    own: records.Vm,
 ) -> Topology:
     """Returns the topology; every VM works out the same owners."""
     by_model: dict[str, list[records.Upstream]] = {}
     by_service: dict[str, list[records.Upstream]] = {}
-    owners: dict[str, str] = {}
-    live = [vm for vm in entry_vms if vm.state == "live"]
     for upstream in upstreams:
         for model in upstream.models:
             by_model.setdefault(model, []).append(upstream)
         if upstream.service:
             by_service.setdefault(upstream.service, []).append(upstream)
-        owners[upstream.upstream] = _owner(upstream, live)
+    live = [vm for vm in entry_vms if vm.state == "live"]
+    owners = _owners(upstreams, live)
     others: dict[str, set[str]] = {}
     for name, owner in owners.items():
-        if owner and owner != own_vm:
+        if owner and owner != own.vm:
             others.setdefault(owner, set()).add(name)
+    domain = own.failure_domain
     return Topology(
         {upstream.upstream: upstream for upstream in upstreams},
-        {model: tuple(found) for model, found in by_model.items()},
-        {service: tuple(found) for service, found in by_service.items()},
+        {model: _split(found, domain) for model, found in by_model.items()},
+        {name: _split(found, domain) for name, found in by_service.items()},
         owners,
-        frozenset(name for name, vm in owners.items() if vm == own_vm),
+        frozenset(name for name, vm in owners.items() if vm == own.vm),
         {owner: frozenset(names) for owner, names in others.items()},
         max(1, len(live)),
     )
 
 
-def _owner(upstream: records.Upstream, live: list[records.Vm]) -> str:
-    near = [
-        vm.vm for vm in live if vm.failure_domain == upstream.failure_domain
-    ]
-    return rendezvous.pick(upstream.upstream, near or [vm.vm for vm in live])
-
-
-class _Known(NamedTuple):
-    upstreams: tuple[records.Upstream, ...]
-    entry_vms: tuple[records.Vm, ...]
-    topology: Topology
-
-
-class Cache:
-    """Keeps the topology until its sources change.
-
-    Threads may race to replace it: sources and result change in one
-    assignment, so the worst is that it is built twice.
-    """
-
-    def __init__(self) -> None:
-        self._known = _Known((), (), build((), (), ""))
-
-    def get(
-        self,
-        upstreams: tuple[records.Upstream, ...],
-        entry_vms: tuple[records.Vm, ...],
-        own_vm: str,
-    ) -> Topology:
-        """Returns the topology for these sources."""
-        known = self._known
-        if upstreams == known.upstreams and entry_vms == known.entry_vms:
-            return known.topology
-        topology = build(upstreams, entry_vms, own_vm)
-        self._known = _Known(upstreams, entry_vms, topology)
-        return topology
+def _split(found: list[records.Upstream], failure_domain: str) -> Serving:
+    near = [row for row in found if row.failure_domain == failure_domain]
+    far = [row for row in found if row.failure_domain != failure_domain]
+    return Serving(tuple(near), tuple(far))
+
+
+def _owners(
+    upstreams: tuple[records.Upstream, ...], live: list[records.Vm]
+) -> dict[str, str]:
+    by_domain: dict[str, list[str]] = {}
+    for vm in live:
+        by_domain.setdefault(vm.failure_domain, []).append(vm.vm)
+    everyone = [vm.vm for vm in live]
+    return {
+        upstream.upstream: rendezvous.pick(
+            upstream.upstream,
+            by_domain.get(upstream.failure_domain, everyone),
+        )
+        for upstream in upstreams
+    }
--- a/tests/daemon/test_router.py
+++ b/tests/daemon/test_router.py
@@ -10,6 +10,7 @@
 from bulrushdeal import records
 from bulrushdeald import router as router_lib
 from bulrushdeald import services
+from bulrushdeald import slots
 from support import fakes
 
 SLOTS = 4
@@ -81,7 +82,7 @@
         super().__init__()
         self.fleet = Fleet()
         self.online: list[services.Slot] = []
-        self.batch: list[router_lib.Slot] = []
+        self.batch: list[slots.Slot] = []
         self.yielding: dict[int, threading.Event] = {}
 
     def running(self, upstream: str) -> int:
@@ -100,7 +101,7 @@
     @stateful.rule(vm=st.sampled_from(["vm-a", "vm-b"]))
     def start_batch(self, vm: str) -> None:
         slot = take(self.fleet.routers[vm], work("batch"))
-        if not isinstance(slot, router_lib.Slot):
+        if not isinstance(slot, slots.Slot):
             return
         event = threading.Event()
         slot.on_yield(event.set)
@@ -169,14 +170,14 @@
     for slot in slots:
         assert slot is not None
         slot.release("crashed")
-    fleet.config.all_upstreams = (engine("e3"),)
+    fleet.config.set_upstreams(engine("e3"))
     bad = take(router, work("online", "bad"))
     assert bad is not None
     refusal = router.acquire(work("online", "good")).unwrap_err()
     assert (refusal.code, refusal.ran) == ("overloaded", "not_run")
     assert refusal.retry_after_s > 0
     bad.release("crashed")
-    fleet.config.all_upstreams = (engine("e4"),)
+    fleet.config.set_upstreams(engine("e4"))
     assert router.acquire(work("online", "bad")).is_err()
     assert router.acquire(work("online", "good")).is_ok()
     fleet.stop()
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -142,6 +142,11 @@
     def upstreams(self) -> tuple[records.Upstream, ...]:
         return self.all_upstreams
 
+    def set_upstreams(self, *upstreams: records.Upstream) -> None:
+        self.all_upstreams = upstreams
+        for callback in self.callbacks:
+            callback()
+
     def on_change(self, callback: Callable[[], None]) -> None:
         self.callbacks.append(callback)
 
