--- a/packages/daemon/bulrushdeald/assembly.py
+++ b/packages/daemon/bulrushdeald/assembly.py
@@ -13,12 +13,14 @@
 from bulrushdeald import membership
 from bulrushdeald import operators
 from bulrushdeald import peers
+from bulrushdeald import repair
 from bulrushdeald import replicas
 from bulrushdeald import router
 from bulrushdeald import services
 from bulrushdeald import store
 from bulrushdeald import upstreams
 from bulrushdeald import usage
+from bulrushdeald import vmlist
 from bulrushdeald import worker
 
 _CALLERS_LISTENER = "callers_listener"
@@ -37,6 +39,7 @@
     add(services.KEYVALUE, keyvalue.HttpKeyValue(kernel, settings))
     add(services.MEMBERSHIP, membership.PlatformMembership(kernel, settings))
     add(services.PEERS, peers.WebsocketPeers(kernel, settings))
+    add(vmlist.NAME, vmlist.VmListFeed(kernel, settings))
     add(services.CONFIG, config.ConfigService(kernel, settings))
     add(services.USAGE, usage.UsageService(kernel, settings))
     add(services.LIMITS, limits.EscrowLimits(kernel, settings))
@@ -47,6 +50,8 @@
     if settings.data_folder:
         add(services.STORE, store.DiskStore(kernel, settings))
     add(replicas.NAME, replicas.Replicas(kernel, settings))
+    if settings.data_folder:
+        add(repair.NAME, repair.Repair(kernel, settings))
     add(files.NAME, files.Files(kernel, settings))
     add(services.JOBS, jobs.Jobs(kernel, settings))
     add(coordinator.NAME, coordinator.Coordinator(kernel, settings))
--- a/tests/support/batchfakes.py
+++ b/tests/support/batchfakes.py
@@ -17,9 +17,11 @@
 from bulrushdeald import coordinator
 from bulrushdeald import defaults
 from bulrushdeald import files
+from bulrushdeald import finishing
 from bulrushdeald import jobs
 from bulrushdeald import repair
 from bulrushdeald import replicas
+from bulrushdeald import retention
 from bulrushdeald import services
 from bulrushdeald import store
 from bulrushdeald import worker
@@ -340,6 +342,7 @@
         register(services.KEYVALUE, fleet.keyvalue)
         register(services.PEERS, peers)
         self.keyvalue = fleet.keyvalue
+        self.clock = fleet.clock
         self.membership = FakeMembership(fleet.network, row, incarnation)
         register(services.MEMBERSHIP, self.membership)
         for known in (
@@ -352,7 +355,7 @@
             register(known, self.rest)
         register(services.ROUTER, fleet.router)
         register(services.UPSTREAMS, fleet.upstreams)
-        values = settings(name, domain, folder)
+        values = self.settings = settings(name, domain, folder)
         if folder:
             disk = store.DiskStore(kernel, values, fleet.clock)
             disk.start()
@@ -431,10 +434,20 @@
         row = self.membership.own()
         keyvalue: Any = self.keyvalue
         mine = claims.Claims(
-            keyvalue, self.replicas, row.vm, self.membership.incarnation()
+            keyvalue,
+            self.replicas,
+            self.clock,
+            row.vm,
+            self.membership.incarnation(),
         )
         return mine.claim(offer)
 
+    def finisher(self) -> finishing.Finisher:
+        """What a coordinator ends jobs with."""
+        keyvalue: Any = self.keyvalue
+        kept = retention.Retention(keyvalue, self.clock, 1e6)
+        return finishing.Finisher(keyvalue, self.replicas, self.clock, kept)
+
     def show(self, customer: str, job: str) -> Reply:
         return self.request(customer, "GET", f"/v1/batches/{job}")
 
