--- a/packages/daemon/bulrushdeald/bucket.py
+++ b/packages/daemon/bulrushdeald/bucket.py
@@ -165,6 +165,11 @@
             self.debts[lender] = self.debts.get(lender, 0.0) + loan
         self._clamp()
 
+    @property
+    def can_repay(self) -> bool:
+        """Whether a debt can be lowered now."""
+        return bool(self.debts) and min(self.room, self._lendable) > _EPSILON
+
     def repay(self, lender: Hashable) -> float:
         """Lowers a debt by the room there is.
 
--- a/packages/daemon/bulrushdeald/limits.py
+++ b/packages/daemon/bulrushdeald/limits.py
@@ -334,6 +334,9 @@
     def _hurry(self) -> None:
         for owned in self._ownership.owned():
             self._collector.balance(owned)
+            if owned.can_repay():
+                # A loan keeps the lender from granting as much to others.
+                self._collector.settle(owned)
         self._holder.report(only_tight=True)
 
     def _watch(self) -> None:
--- a/packages/daemon/bulrushdeald/owner.py
+++ b/packages/daemon/bulrushdeald/owner.py
@@ -471,6 +471,11 @@
                     found.setdefault(source, set()).add(name)
             return found
 
+    def can_repay(self) -> bool:
+        """Tells whether a lender counts what it need not any more."""
+        with self._lock:
+            return any(ledger.can_repay for ledger in self._ledgers.values())
+
     def settled(self, source: credit.Source) -> None:
         """Notes that a lender knows what is out here."""
         with self._lock:
--- a/tests/daemon/test_limits_guards.py
+++ b/tests/daemon/test_limits_guards.py
@@ -434,3 +434,14 @@
         node.limits.stop(1.0)
         assert isinstance(node.limits.take("a"), result.Err)
     assert min(admitted.values()) >= 20
+
+
+def test_loans_are_repaid_before_the_next_second() -> None:
+    # A burst inside the row is refused: a token lent for a moment still
+    # counts at its lender, whose bucket then grants less than it has.
+    row = records.Customer("a", rate_per_s=0.01, burst=6)
+    scene = Scene(3, 1, row)
+    scene.fleet.world.now_s += 1000.0
+    scene.bucket.accrue(scene.fleet.world.now_s)
+    admitted = sum(scene.take(vm, 1) for vm in 4 * ["d0v0", "d1v0", "d2v0"])
+    assert admitted == 6
