Limits: bound the watches of the records over the whole fleet

Cause: read in review: each change of a record ends the watch of every VM; 1,200 VMs would make 1,200 calls for each write. Change: a VM pauses before its next watch, longer in a larger fleet, so that all together make at most 100 such calls a second. A change is known within 12 s at 1,200 VMs, half a second at 9. The test of a lost transfer now fails without its guard (a burst of 2.1; 2.5 left room for the loss).

--- a/packages/daemon/bulrushdeald/limits.py
+++ b/packages/daemon/bulrushdeald/limits.py
@@ -35,6 +35,11 @@
 TEND_S = 1.0
 REPORT_S = 0.1
 _WATCH_S = 20.0
+# Every VM watches the records, and each change ends all watches. The pause
+# before the next one grows with the fleet, so that all VMs together make at
+# most this many calls a second, however often records change.
+_WATCHES_PER_S = 100.0
+_LEAST_PAUSE_S = 0.5
 _RETRY_S = 1.0
 # Each round brings a message or two; a request is not worth more.
 _MAX_ROUNDS = 8
@@ -120,6 +125,7 @@
         peers = kernel.find(services.PEERS, services.Peers)
         self._config = kernel.find(services.CONFIG, services.Config)
         clock = self._clock
+        self._members = members
         self._book = sharebook.ShareBook(keyvalue)
         sender = asker.Sender(peers, clock, members.incarnation())
         self._holder = holder.Holder(
@@ -341,8 +347,10 @@
 
     def _watch(self) -> None:
         while not self._stopping.is_set():
+            pause_s = _watch_pause_s(len(self._members.entry_vms()))
             if not self._book.follow(_WATCH_S):
-                self._stopping.wait(_RETRY_S)
+                pause_s = max(pause_s, _RETRY_S)
+            self._stopping.wait(pause_s)
 
     def _tend_loop(self) -> None:
         while not self._stopping.wait(TEND_S):
@@ -366,6 +374,10 @@
             _log.exception("A step failed; it is tried again.")
 
 
+def _watch_pause_s(vms: int) -> float:
+    return max(_LEAST_PAUSE_S, vms / _WATCHES_PER_S)
+
+
 def _refusal(wait_s: float) -> services.Refusal:
     return services.Refusal(
         429,
--- a/tests/daemon/test_limits_guards.py
+++ b/tests/daemon/test_limits_guards.py
@@ -285,7 +285,7 @@
 def test_transfer_whose_answer_was_lost_is_told_to_the_lender() -> None:
     # A customer's burst stays smaller for good: an owner lent a token, the
     # answer was lost, and the borrower, which owes nothing, never tells.
-    row = records.Customer("a", rate_per_s=50, burst=2.5)
+    row = records.Customer("a", rate_per_s=50, burst=2.1)
     scene = Scene(3, 2, row)
     asking = scene.part("d1").vm
     paused = scene.part("d2").vm
