Limits: a move of fractions that was not written is taken back at once

A donor stayed low for as long as the platform was out, though the write had certainly failed. Change: a write that had no effect ends the move; only one without an answer keeps the donor low.

--- a/packages/daemon/bulrushdeald/owner.py
+++ b/packages/daemon/bulrushdeald/owner.py
@@ -110,19 +110,17 @@
             return True
 
     def is_moving(self, revision: int) -> bool:
-        """Tells whether a move may still be written over a revision.
+        """Tells whether a move may still be written over a revision."""
+        with self._lock:
+            return self._moving_over == revision
 
-        A move that was not written ends here: the fraction is the
-        record's again.
-        """
+    def end_move(self) -> None:
+        """Takes back what a move gave up that was not and will not be."""
         with self._lock:
-            if self._moving_over == revision:
-                return True
             if self._moving_over:
                 self._moving_over = 0
                 self.fraction_cap = self.part.fraction
                 self._set_terms()
-            return False
 
     def greatest_outflow(self) -> Outflow:
         """Returns which part took most since the last call."""
--- a/packages/daemon/bulrushdeald/ownership.py
+++ b/packages/daemon/bulrushdeald/ownership.py
@@ -181,7 +181,9 @@
             page, revision = self._first_page(), 0
         else:
             page, revision = stored
-        self._put(vacancy.page, page.with_part(mine, self.nonce()), revision)
+        self._book.put(
+            vacancy.page, page.with_part(mine, self.nonce()), revision
+        )
 
     def _first_page(self) -> shares.Page:
         domains = {vm.failure_domain for vm in self._candidates("")}
@@ -191,9 +193,6 @@
         )
         return shares.Page(parts)
 
-    def _put(self, number: int, page: shares.Page, revision: int) -> bool:
-        return self._book.put(number, page, revision)
-
     def nonce(self) -> str:
         """Returns a name for one write."""
         return f"{self._incarnation}/{next(self._nonces)}"
@@ -247,7 +246,7 @@
             return
         cleared = part._replace(takeovers=0)
         page = stored.page.with_part(cleared, self.nonce())
-        self._put(owned.page, page, stored.revision)
+        self._book.put(owned.page, page, stored.revision)
 
     def close(self) -> None:
         """Hands all parts over to nobody in particular."""
@@ -264,4 +263,4 @@
                 takeovers=part.takeovers + (0 if is_empty else 1),
             )
             page = stored.page.with_part(free, self.nonce())
-            self._put(owned.page, page, stored.revision)
+            self._book.put(owned.page, page, stored.revision)
--- a/packages/daemon/bulrushdeald/rebalance.py
+++ b/packages/daemon/bulrushdeald/rebalance.py
@@ -49,6 +49,7 @@
                 stored.revision,
             )
             return
+        owned.end_move()
         now_s = self._clock.monotonic_s()
         key = (owned.page, owned.part.failure_domain)
         if now_s < self._due_s.setdefault(key, now_s + REBALANCE_S):
@@ -72,4 +73,5 @@
         raised = receiver._replace(fraction=receiver.fraction + moved)
         nonce = self._nonce()
         page = stored.page.with_part(lowered, nonce).with_part(raised, nonce)
-        self._book.put(owned.page, page, stored.revision)
+        if self._book.put(owned.page, page, stored.revision) == "no":
+            owned.end_move()
--- a/packages/daemon/bulrushdeald/sharebook.py
+++ b/packages/daemon/bulrushdeald/sharebook.py
@@ -1,7 +1,7 @@
 """The records of `limits/` as this VM has read them last."""
 
 import threading
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 import result
 
@@ -12,6 +12,9 @@
 _log = logs.Log("limits")
 
 
+Written = Literal["yes", "no", "unknown"]
+
+
 class Stored(NamedTuple):
     """A record and the revision that it was read with."""
 
@@ -65,23 +68,26 @@
         self._note(entries.ok_value)
         return True
 
-    def put(self, number: int, page: shares.Page, revision: int) -> bool:
+    def put(self, number: int, page: shares.Page, revision: int) -> Written:
         """Writes a page if its revision is as read.
 
         Returns:
-            Whether it is known to be written. If not, the next reading
+            Whether it was written; if that is unknown, the next reading
             tells what the record holds.
         """
-        written = self._keyvalue.put(
-            shares.key_of(number), shares.to_bytes(page), revision
-        )
+        value = shares.to_bytes(page)
+        written = self._keyvalue.put(shares.key_of(number), value, revision)
         if isinstance(written, result.Ok):
             self._keep(number, Stored(page, written.ok_value))
-            return True
+            return "yes"
         error = written.err_value
         if error.kind == "conflict" and error.current is not None:
             self._note((error.current,))
-        return False
+            if error.current.value == value:
+                # Our own write, sent twice after an answer was lost; the
+                # nonce tells it from any other.
+                return "yes"
+        return "unknown" if error.kind == "unknown" else "no"
 
     def _note(self, entries: tuple[services.Entry, ...]) -> None:
         for entry in entries:
