Test two failures found on the way: an edit nobody pushed, a retiring link

Each guard was taken out once: without the push of an own edit, b keeps the old row (burst 20); without the mark of a link that retires, a call goes into it and is answered or times out where it should be 'unreachable'.

--- a/tests/daemon/test_config.py
+++ b/tests/daemon/test_config.py
@@ -11,7 +11,9 @@
 from bulrushdeal import clock as clock_lib
 from bulrushdeal import records
 from bulrushdeald import config
+from bulrushdeald import edits
 from bulrushdeald import pages
+from bulrushdeald import rewrites
 from support import controlplane
 from support import platformfakes
 
@@ -91,6 +93,23 @@
     assert error.kind == "unknown_key"
 
 
+def test_an_edit_is_pushed_by_the_vm_that_made_it() -> None:
+    """The editing VM is its domain's only watcher.
+
+    Its own watch told it nothing new, so nobody pushed the edit on, and the
+    others heard of it only by comparing.
+    """
+    domains = Domains(0.0)
+    for vm in ("b", "c"):
+        domains.clients[vm].is_cut = True
+    editor = edits.Editor(domains.clients["a"], domains.configs["a"])
+    row = records.Customer(CUSTOMER, burst=3.0)
+    at = pages.customer_key(CUSTOMER)
+    editor.edit(at, rewrites.put_customer(row, None)).unwrap()
+    assert domains.configs["b"].customer(CUSTOMER) == row
+    assert domains.configs["c"].customer(CUSTOMER) == row
+
+
 def test_open_streams_hear_of_a_withdrawal() -> None:
     """A caller is still connected when its key is withdrawn."""
     domains = Domains(0.0)
--- a/tests/daemon/test_peers.py
+++ b/tests/daemon/test_peers.py
@@ -170,6 +170,42 @@
         assert ours["received_messages"] == theirs["sent_messages"] == 1
 
 
+def test_a_link_that_retires_takes_no_call_into_its_end() -> None:
+    """A connection is closed for idleness just as it is called again.
+
+    The call timed out though it was never sent, and its caller had to take
+    it for one that may have had an effect.
+    """
+    listed = rows("a", "b")
+    with PeerVm("a", listed), PeerVm("b", listed) as b:
+        asked, go_on = threading.Event(), threading.Event()
+
+        def answer(vm: str, message: Ask) -> Any:
+            asked.set()
+            go_on.wait(_LONG_S)
+            return Reply(vm, message.number)
+
+        b.peers.handle(Ask, answer)
+        link = links.Link(
+            links.Target("b", listed[1].peer_address),
+            wire.Hello("a", "run", "d"),
+            links.Traffic(),
+            lambda link: None,
+        )
+        link.start()
+        with futures.ThreadPoolExecutor(1) as pool:
+            call = pool.submit(link.call, Ask(1), _LONG_S)
+            assert asked.wait(_LONG_S)
+            # A call waits, so the link is in use.
+            assert not link.retire(0.0)
+            go_on.set()
+            assert call.result().is_ok()
+        assert link.retire(0.0)
+        late = link.call(Ask(2), _LONG_S).unwrap_err()
+        assert late.kind == "unreachable"
+        link.close()
+
+
 def test_a_link_that_does_not_answer_is_given_up() -> None:
     """The peer accepts the connection but its process is paused."""
     with socket.create_server(("127.0.0.1", 0)) as paused:
