--- a/tests/daemon/test_atmostonce.py
+++ b/tests/daemon/test_atmostonce.py
@@ -200,10 +200,10 @@
     booking: plain.PlainService,
 ) -> None:
     one, _ = two_vms
-    one.platform.keyvalue.is_out = True
+    one.platform.keyvalue.has_outage = True
     assert book(one, "out", Idempotency_Key="k") == (503, "not_run")
     assert book(one, "keyless") == (200, "ran")
-    one.platform.keyvalue.is_out = False
+    one.platform.keyvalue.has_outage = False
     assert booking.runs["out"] == 0
     assert book(one, "out", Idempotency_Key="k") == (200, "ran")
 
--- a/tests/daemon/test_intents.py
+++ b/tests/daemon/test_intents.py
@@ -179,7 +179,7 @@
 
     @stateful.rule(is_out=st.booleans())
     def outage(self, is_out: bool) -> None:
-        self.platform.keyvalue.is_out = is_out
+        self.platform.keyvalue.has_outage = is_out
 
     @stateful.rule(count=st.integers(0, 2))
     def lose_answers(self, count: int) -> None:
@@ -196,7 +196,7 @@
         """Once nothing fails, a key nobody holds gets its final answer."""
         if any(item.key == key for item in self.open):
             return
-        self.platform.keyvalue.is_out = self.is_cut = False
+        self.platform.keyvalue.has_outage = self.is_cut = False
         self.platform.keyvalue.lose_answers = 0
         for side in self.sides:
             side._repair()
--- a/tests/support/pathfakes.py
+++ b/tests/support/pathfakes.py
@@ -14,6 +14,7 @@
 from bulrushdeal import records
 from bulrushdeald import services
 from standins import engine
+from support import batchfakes
 
 KEY = staticvm.KEY
 OTHER_KEY = staticvm.OTHER_KEY
@@ -22,74 +23,30 @@
 settings = staticvm.settings
 
 
-class FakeKeyValue(staticvm.StaticService):
-    """The platform's service in memory, shared by the VMs of a test."""
+class FakeKeyValue(batchfakes.FakeKeyValue, staticvm.StaticService):
+    """Shared by the VMs of a test, whose threads call it at once."""
 
     def __init__(self) -> None:
-        self.lock = threading.Lock()
-        self.entries: dict[str, services.Entry] = {}
-        self.revision = 0
-        self.is_out = False
-        # The next writes that take effect and whose answer is lost.
-        self.lose_answers = 0
+        super().__init__()
+        self._lock = threading.Lock()
         # Called once after a write took effect, before its answer.
         self.on_write: Callable[[], None] | None = None
 
-    def get(
-        self, key: str
-    ) -> result.Result[services.Entry | None, services.KeyValueError]:
-        if self.is_out:
-            return result.Err(services.KeyValueError("unavailable", "out"))
-        return result.Ok(self.entries.get(key))
-
-    def list(
-        self, prefix: str
-    ) -> result.Result[tuple[services.Entry, ...], services.KeyValueError]:
-        with self.lock:
-            entries = sorted(self.entries.values())
-        return result.Ok(
-            tuple(entry for entry in entries if entry.key.startswith(prefix))
-        )
-
     def put(
         self, key: str, value: bytes, expected_revision: int
     ) -> result.Result[int, services.KeyValueError]:
-        return self._write(key, value, expected_revision)
+        with self._lock:
+            done = super().put(key, value, expected_revision)
+        on_write, self.on_write = self.on_write, None
+        if on_write is not None:
+            on_write()
+        return done
 
     def delete(
         self, key: str, expected_revision: int
     ) -> result.Result[None, services.KeyValueError]:
-        written = self._write(key, None, expected_revision)
-        if isinstance(written, result.Err):
-            return written
-        return result.Ok(None)
-
-    def _write(
-        self, key: str, value: bytes | None, expected_revision: int
-    ) -> result.Result[int, services.KeyValueError]:
-        if self.is_out:
-            return result.Err(services.KeyValueError("unavailable", "out"))
-        with self.lock:
-            current = self.entries.get(key)
-            revision = current.revision if current is not None else 0
-            if revision != expected_revision:
-                return result.Err(
-                    services.KeyValueError("conflict", "other", current)
-                )
-            self.revision += 1
-            revision = self.revision
-            if value is None:
-                self.entries.pop(key, None)
-            else:
-                self.entries[key] = services.Entry(key, value, revision)
-            on_write, self.on_write = self.on_write, None
-        if on_write is not None:
-            on_write()
-        with self.lock:
-            if self.lose_answers > 0:
-                self.lose_answers -= 1
-                return result.Err(services.KeyValueError("unknown", "lost"))
-        return result.Ok(revision)
+        with self._lock:
+            return super().delete(key, expected_revision)
 
 
 class Platform:
