Try a model's call elsewhere when an engine answers 503

Cause: a starting engine's 503 went to the caller although another engine had room. Before: 503 for 200, outcomes ['refused']; after ['refused', 'ok']. Ruled out for calls with an idempotency key: they are sent once.

--- a/packages/daemon/bulrushdeald/dispatch.py
+++ b/packages/daemon/bulrushdeald/dispatch.py
@@ -141,12 +141,18 @@
         neither: a GET of a plain service may book something.
         """
         error = failure.error
-        if error is None or call.reason or call.tries >= _MAX_TRIES:
+        if error is None:
             return False
         is_safe = error.ran == "not_run" or (
             sending.is_idempotent and error.kind == "crashed"
         )
-        return is_safe and self.budget.take(failure.upstream)
+        return is_safe and self.take_retry(failure.upstream, call)
+
+    def take_retry(self, upstream: str, call: calls.Call) -> bool:
+        """Takes a safe retry from the budget, if one is left."""
+        if call.reason or call.tries >= _MAX_TRIES:
+            return False
+        return self.budget.take(upstream)
 
     def _try(
         self,
--- a/packages/daemon/bulrushdeald/modelcalls.py
+++ b/packages/daemon/bulrushdeald/modelcalls.py
@@ -135,7 +135,14 @@
             started = self._dispatcher.run(work, sending, call, guard)
             if isinstance(started, result.Err):
                 return result.Err(started.err_value.refusal)
-            answered = self._relay(started.ok_value, model_call, call, guard)
+            tokens = _Tokens()
+            relay = self._relay(
+                started.ok_value, model_call, call, guard, tokens
+            )
+            if self._is_tried_elsewhere(relay, call, guard):
+                relay.refuse()
+                continue
+            answered = _answer(relay, tokens, model_call.is_stream)
             if isinstance(answered, result.Ok):
                 return answered
             failure = answered.err_value
@@ -143,15 +150,22 @@
             if not self._dispatcher.may_retry(failure, sending, call):
                 return result.Err(failure.refusal)
 
+    def _is_tried_elsewhere(
+        self, relay: relays.Relay, call: calls.Call, guard: idempotency.Guard
+    ) -> bool:
+        if not relay.is_refusal or guard.is_keyed:
+            return False
+        return self._dispatcher.take_retry(call.upstream, call)
+
     def _relay(
         self,
         started: dispatch.Started,
         model_call: completions.Call,
         call: calls.Call,
         guard: idempotency.Guard,
-    ) -> result.Result[httpd.Response, dispatch.Failure]:
-        tokens = _Tokens()
-        relay = relays.Relay(
+        tokens: "_Tokens",
+    ) -> relays.Relay:
+        return relays.Relay(
             started,
             call,
             guard,
@@ -159,10 +173,6 @@
                 model_call, call, relay.code, *tokens.counts()
             ),
         )
-        answering = _Answering(relay, tokens)
-        if model_call.is_stream and relay.answer.status == _OK:
-            return answering.stream()
-        return answering.whole()
 
     def _record(
         self,
@@ -186,6 +196,15 @@
         )
 
 
+def _answer(
+    relay: relays.Relay, tokens: "_Tokens", is_stream: bool
+) -> result.Result[httpd.Response, dispatch.Failure]:
+    answering = _Answering(relay, tokens)
+    if is_stream and relay.answer.status == _OK:
+        return answering.stream()
+    return answering.whole()
+
+
 class _Answering:
     """Answers one call from one upstream's answer."""
 
--- a/packages/daemon/bulrushdeald/relays.py
+++ b/packages/daemon/bulrushdeald/relays.py
@@ -70,6 +70,17 @@
             self._guard.failed(self._ran)
         self._record(self)
 
+    @property
+    def is_refusal(self) -> bool:
+        """Whether the upstream says that it cannot serve anybody now."""
+        return self.answer.status == _UNAVAILABLE
+
+    def refuse(self) -> None:
+        """Closes unread, since another upstream is tried instead."""
+        self._is_closed = True
+        self.answer.close()
+        self._slot.release("refused")
+
     def failure(self, error: services.UpstreamError) -> dispatch.Failure:
         """Closes without a record, since the request may be tried again."""
         refusal = self.fail(error)
@@ -89,6 +100,6 @@
             if isinstance(item, result.Err):
                 return
         status = self.answer.status
-        self._outcome = "refused" if status == _UNAVAILABLE else "ok"
+        self._outcome = "refused" if self.is_refusal else "ok"
         self.code = f"upstream_{status}" if status >= _CLIENT_ERROR else "ok"
         self._is_whole = True
--- a/tests/daemon/test_cutstreams.py
+++ b/tests/daemon/test_cutstreams.py
@@ -104,11 +104,32 @@
     for status in (500, 400, 503):
         standins[0].faults = web.Faults(refuse_status=status)
         assert vm.ask("POST", PATH, pathfakes.chat()).status == status
-    assert vm.router.outcomes == ["ok", "ok", "refused"]
+    # A model's call is tried once more, here at the same engine.
+    assert vm.router.outcomes == ["ok", "ok", "refused", "refused"]
     codes = [event.outcome for event in vm.usage.events]
     assert codes == ["upstream_500", "upstream_400", "upstream_503"]
 
 
+def test_starting_engine_sends_nobody_away() -> None:
+    """Story: an editor is refused by an engine that still loads its model.
+
+    The other engine had room, and the call may run anywhere.
+    """
+    engines = [engine.Engine(timing=pathfakes.FAST) for _ in range(2)]
+    rows = []
+    for number, server in enumerate(engines):
+        server.start()
+        rows.append(pathfakes.engine_row(server.address, f"e{number}"))
+    engines[1].faults = web.Faults(refuse_status=503)
+    with pathfakes.running(*rows) as vm:
+        assert vm.ask("POST", PATH, pathfakes.chat()).status == 200
+        assert vm.router.outcomes == ["refused", "ok"]
+        keyed = vm.ask("POST", PATH, pathfakes.chat(), Idempotency_Key="k")
+        assert keyed.status == 503
+    for server in engines:
+        server.stop()
+
+
 def test_caller_leaves(
     vm: pathfakes.SmallVm, standins: tuple[engine.Engine, Any]
 ) -> None:
