Claim chunks only of models that this VM has upstreams for

Cause: with four daemons, one frozen, a job of 1,500 items stood still for 120 s with both engines idle: batch items run only on upstreams that their own VM owns, and two VMs without any had claimed chunks, whose items waited for slots in vain (576 refusals, no item placed). Ruled out: stealing and the coordinators' takeover, which the dumps showed to work; lost input, which held up one chunk of three only. Change: files and jobs name their models, a VM reports the models it had slots for in the last 15 s, and only chunks of these are offered to it; a chunk that makes no progress for 15 s is given back with its answers. A job for a model that no upstream serves is refused.

--- a/packages/daemon/bulrushdeald/batchmessages.py
+++ b/packages/daemon/bulrushdeald/batchmessages.py
@@ -42,12 +42,14 @@
         holding: The chunks that it runs.
         ended: The chunks that it ran since the last report.
         wanted: How many more it would take.
+        models: The models that it has free upstreams for.
     """
 
     incarnation: str
     holding: tuple[Holding, ...]
     ended: tuple[Ended, ...]
     wanted: int
+    models: tuple[str, ...]
 
 
 class Offer(NamedTuple):
--- a/packages/daemon/bulrushdeald/batchrecords.py
+++ b/packages/daemon/bulrushdeald/batchrecords.py
@@ -48,6 +48,7 @@
         chunk_count: Into how many chunks it was split.
         digest: SHA-256 of the content in hexadecimal.
         paths: The paths that its lines ask for.
+        models: The models that its lines ask for.
         created_wall_s: When it was accepted.
         index_ref: Where its `FileIndex` is.
     """
@@ -60,6 +61,7 @@
     chunk_count: int
     digest: str
     paths: tuple[str, ...]
+    models: tuple[str, ...]
     created_wall_s: float
     index_ref: objects.ObjectRef
 
@@ -94,6 +96,7 @@
         customer: Whose it is.
         input_file: The ID of its input file.
         path: The path that each item asks for.
+        models: The models that its items ask for.
         window: The completion window as the caller wrote it.
         metadata: As the caller gave it.
         digest: Hash of what was asked, to tell a resent job from another.
@@ -114,6 +117,7 @@
     customer: str
     input_file: str
     path: str
+    models: tuple[str, ...]
     window: str
     metadata: Mapping[str, str]
     digest: str
@@ -141,6 +145,7 @@
     Attributes:
         job: The job's ID.
         customer: Whose it is.
+        models: The models that its items ask for.
         deadline_wall_s: When it is due.
         items: How many there are.
         chunk_count: In how many chunks.
@@ -150,6 +155,7 @@
 
     job: str
     customer: str
+    models: tuple[str, ...]
     deadline_wall_s: float
     items: int
     chunk_count: int
--- a/packages/daemon/bulrushdeald/chunkrun.py
+++ b/packages/daemon/bulrushdeald/chunkrun.py
@@ -85,6 +85,8 @@
         self.tries = [0] * len(items)
         # When a coordinator last spoke of the chunk as running here.
         self.confirmed_s = 0.0
+        # When an item last ended, or ran at an upstream.
+        self.progress_s = 0.0
         # Where an item yielded, so that it can go on from where it stood.
         self.yielded_at: dict[int, str] = {}
         self._lines: dict[int, results.Line] = {}
@@ -191,6 +193,16 @@
         with self._lock:
             return len(self._cancels)
 
+    def ended(self) -> int:
+        """Returns how many items have their answer."""
+        with self._lock:
+            return len(self._lines)
+
+    def placed(self) -> int:
+        """Returns how many items run at an upstream."""
+        with self._lock:
+            return sum(1 for one in self._cancels.values() if one is not None)
+
     def usage(self) -> tuple[services.UsageEvent, ...]:
         """Returns what is to be counted when the result counts."""
         with self._lock:
--- a/packages/daemon/bulrushdeald/coordinator.py
+++ b/packages/daemon/bulrushdeald/coordinator.py
@@ -208,7 +208,9 @@
     def _on_report(
         self, vm: str, report: batchmessages.WorkReport
     ) -> batchmessages.WorkOffers:
-        offers = self._table.report(vm, report, self._clock.monotonic_s())
+        offers = self._table.report(
+            vm, report, self._clock.monotonic_s(), self._clock.wall_s()
+        )
         if report.ended or offers.offers:
             # A job may have ended, or the customer's next has to be read.
             self._wake.set()
--- a/packages/daemon/bulrushdeald/files.py
+++ b/packages/daemon/bulrushdeald/files.py
@@ -136,6 +136,7 @@
             len(chunks),
             split.digest,
             tuple(sorted(split.paths)),
+            tuple(sorted(split.models)),
             self._clock.wall_s(),
             put.ok_value,
         )
--- a/packages/daemon/bulrushdeald/jobqueue.py
+++ b/packages/daemon/bulrushdeald/jobqueue.py
@@ -95,6 +95,7 @@
     return batchrecords.QueueEntry(
         record.job,
         record.customer,
+        record.models,
         record.deadline_wall_s,
         record.items,
         record.chunk_count,
--- a/packages/daemon/bulrushdeald/jobs.py
+++ b/packages/daemon/bulrushdeald/jobs.py
@@ -47,6 +47,7 @@
         find = self._kernel.find
         self._keyvalue = find(services.KEYVALUE, services.KeyValue)
         peers = find(services.PEERS, services.Peers)
+        self._config = find(services.CONFIG, services.Config)
         self._limits = find(services.LIMITS, services.Limits)
         membership = find(services.MEMBERSHIP, services.Membership)
         known = coordinators.Coordinators(membership, self._clock)
@@ -105,6 +106,15 @@
                     "Lines of the input file ask for another url.", "endpoint"
                 )
             )
+        served = {
+            model
+            for upstream in self._config.upstreams()
+            for model in upstream.models
+        }
+        for model in file.ok_value.models:
+            if model not in served:
+                message = f"No upstream serves the model {model}."
+                return result.Err(refusals.bad_input(message, "model"))
         key = request.headers.get("idempotency-key", "")
         record = self._new_record(order.ok_value, file.ok_value, key)
         return self._record(record)
@@ -118,6 +128,7 @@
             file.customer,
             file.file,
             order.path,
+            file.models,
             order.window,
             order.metadata,
             orders.digest(order, file),
--- a/packages/daemon/bulrushdeald/jobtable.py
+++ b/packages/daemon/bulrushdeald/jobtable.py
@@ -63,12 +63,14 @@
                 view for view in self._loaded.values() if view.has_to_reload
             ]
             for customer, queued in self._queued.items():
-                cancelled = [
-                    view for view in queued.values() if view.is_cancelled
-                ]
-                changed += cancelled
-                if customer not in self._ready and not cancelled:
-                    changed.append(min(queued.values(), key=_due))
+                ready = self._ready.get(customer, {})
+                # One job of each kind: a job whose models are all busy must
+                # not hold up another one of its customer.
+                kinds = {view.entry.models for view in ready.values()}
+                for view in sorted(queued.values(), key=_due):
+                    if view.is_cancelled or view.entry.models not in kinds:
+                        kinds.add(view.entry.models)
+                        changed.append(view)
             return changed
 
     def loaded(self) -> list[jobview.JobView]:
@@ -97,7 +99,11 @@
             return answer
 
     def report(
-        self, vm: str, report: batchmessages.WorkReport, now_s: float
+        self,
+        vm: str,
+        report: batchmessages.WorkReport,
+        now_s: float,
+        wall_s: float,
     ) -> batchmessages.WorkOffers:
         """Takes in what a VM runs, and offers it what it wants."""
         with self._lock:
@@ -114,11 +120,12 @@
                 if view is not None:
                     view.end(ended)
                     self._index(view)
-            offers = self._choose(report.wanted, now_s)
+            offers = self._choose(report, now_s, wall_s)
             held = {holding.job for holding in report.holding}
             known = sorted(held & set(self._loaded))
             stop = [job for job in known if self._loaded[job].is_cancelled]
-            weight = sum(self._weight(customer) for customer in self._ready)
+            eligible = self._eligible(report.models, wall_s)
+            weight = sum(self._weight(customer) for customer in eligible)
         return batchmessages.WorkOffers(
             offers, tuple(stop), weight, tuple(known), tuple(lost)
         )
@@ -135,17 +142,20 @@
             }
 
     def _choose(
-        self, wanted: int, now_s: float
+        self, report: batchmessages.WorkReport, now_s: float, wall_s: float
     ) -> tuple[batchmessages.Offer, ...]:
         offers: list[batchmessages.Offer] = []
-        while len(offers) < wanted and self._ready:
-            for customer in self._ready:
+        while len(offers) < report.wanted:
+            eligible = self._eligible(report.models, wall_s)
+            if not eligible:
+                break
+            for customer in eligible:
                 self._shares.set_weight(customer, self._weight(customer))
             # Who had least for its weight goes first. Of equals and within
             # a customer, what is due first.
-            due = sorted(self._ready, key=self._first_due)
+            due = sorted(eligible, key=lambda one: _due(eligible[one]))
             customer = self._shares.order(due)[0]
-            view = min(self._ready[customer].values(), key=_due)
+            view = eligible[customer]
             offer = view.offer(now_s)
             self._index(view)
             if offer is None:
@@ -155,8 +165,23 @@
             self._shares.charge(customer, items)
         return tuple(offers)
 
-    def _first_due(self, customer: str) -> tuple[float, str]:
-        return min(_due(view) for view in self._ready[customer].values())
+    def _eligible(
+        self, models: Iterable[str], wall_s: float
+    ) -> dict[str, jobview.JobView]:
+        """Returns each customer's first job that a VM can run."""
+        served = frozenset(models)
+        eligible = {}
+        for customer, views in self._ready.items():
+            fit = [
+                view
+                for view in views.values()
+                # Items that are overdue need no upstream to be given up.
+                if not served.isdisjoint(view.entry.models)
+                or view.entry.deadline_wall_s <= wall_s
+            ]
+            if fit:
+                eligible[customer] = min(fit, key=_due)
+        return eligible
 
     def _index(self, view: jobview.JobView) -> None:
         job, customer = view.entry.job, view.entry.customer
--- a/packages/daemon/bulrushdeald/splitter.py
+++ b/packages/daemon/bulrushdeald/splitter.py
@@ -14,6 +14,7 @@
 
 _MAX_LINE_BYTES = batchrecords.MAX_CHUNK_BYTES
 _MAX_ID_LENGTH = 512
+_MAX_MODELS = 32
 
 
 class Item(NamedTuple):
@@ -50,6 +51,7 @@
         self.size_bytes = 0
         self.items = 0
         self.paths: set[str] = set()
+        self.models: set[str] = set()
         self._line = 0
         self._digest = hashlib.sha256()
         # Hashes in place of the IDs: 88,000 long IDs would take much more.
@@ -108,6 +110,10 @@
             raise self._error(item.err_value.message, self._line)
         self._check_new(item.ok_value.custom_id)
         self.paths.add(item.ok_value.call.path)
+        self.models.add(item.ok_value.call.model)
+        if len(self.models) > _MAX_MODELS:
+            message = f"More than {_MAX_MODELS} models."
+            raise self._error(message, self._line)
         self.items += 1
         if self.items > batchrecords.MAX_JOB_ITEMS:
             limit = batchrecords.MAX_JOB_ITEMS
--- a/packages/daemon/bulrushdeald/worker.py
+++ b/packages/daemon/bulrushdeald/worker.py
@@ -27,6 +27,9 @@
 _MIN_PERIOD_S = 1.0
 _RETRY_S = 1.0
 _UNCONFIRMED_S = 8.0
+# Longer than an item waits for a slot, and than a short burst of online work.
+_STALLED_S = 15.0
+_USABLE_S = 15.0
 _IDLE_S = 10.0
 _DUE_S = 0.5
 # Chunks whose results wait for the platform; more work is not claimed then.
@@ -64,6 +67,7 @@
         self._shares = stride.Shares()
         self._threads: list[threading.Thread] = []
         self._items = 0
+        self._usable_s: dict[str, float] = {}
 
     def connect(self) -> None:
         """Looks the other services up and answers peers."""
@@ -85,8 +89,10 @@
             vm,
             incarnation,
         )
+        self._config = find(services.CONFIG, services.Config)
+        self._router = find(services.ROUTER, services.Router)
         self._runner = items.Runner(
-            find(services.ROUTER, services.Router),
+            self._router,
             find(services.UPSTREAMS, services.Upstreams),
             self._clock,
             self._settings.batch_item_timeout_s,
@@ -198,6 +204,7 @@
             ended, self._ended = tuple(self._ended), []
         names = self._coordinators.all()
         self._check_unconfirmed()
+        self._give_back_stalled()
         claimed = 0
         for vm in self._shares.order(names):
             claimed += self._ask_one(vm, ended, 0 if claimed else 1)
@@ -217,11 +224,13 @@
     ) -> int:
         with self._wake:
             holding = tuple(self._held())
+        models = self._free_models()
         report = batchmessages.WorkReport(
             self._membership.incarnation(),
             holding,
             ended,
             min(wanted, self._wanted()),
+            models,
         )
         answer = self._peers.call(vm, report, _CALL_TIMEOUT_S)
         if isinstance(answer, result.Err):
@@ -240,6 +249,43 @@
                     run.confirmed_s = now_s
         return sum(self._claim(offer, vm) for offer in offers.offers)
 
+    def _free_models(self) -> tuple[str, ...]:
+        # Batch items only run on upstreams that this VM owns. A chunk that
+        # it claims for others' models would lie here and run nowhere.
+        models = {
+            model
+            for upstream in self._config.upstreams()
+            for model in upstream.models
+        }
+        now_s = self._clock.monotonic_s()
+        for model in models:
+            if self._router.batch_slots(model) > 0:
+                self._usable_s[model] = now_s
+        # Slots that are all taken by its own items are still its slots:
+        # the next chunk is claimed before the last one has drained.
+        return tuple(
+            model
+            for model in sorted(models)
+            if now_s - self._usable_s.get(model, -_USABLE_S) < _USABLE_S
+        )
+
+    def _give_back_stalled(self) -> None:
+        # The VM lost its upstreams to another, or the chunk's items left
+        # are for models that it has none of: another VM may go on.
+        now_s = self._clock.monotonic_s()
+        with self._wake:
+            runs = list(self._runs)
+        for run in runs:
+            if run.placed():
+                run.progress_s = now_s
+            if now_s - run.progress_s < _STALLED_S or not self._leave(run):
+                continue
+            run.stop(cancel_running=True)
+            partial = self._sealer.save_partial(run)
+            given = self._claims.give_back(run.holding, partial)
+            with self._wake:
+                self._ended.append(given.ended)
+
     def _check_unconfirmed(self) -> None:
         # No coordinator spoke of the chunk for long: this VM was frozen or
         # cut off, and the chunk may be another's or its job cancelled.
@@ -270,7 +316,8 @@
                 self._ended.append(run.err_value.ended)
             return 0
         self._shares.charge(vm, len(run.ok_value.items))
-        run.ok_value.confirmed_s = self._clock.monotonic_s()
+        now_s = self._clock.monotonic_s()
+        run.ok_value.confirmed_s = run.ok_value.progress_s = now_s
         with self._wake:
             self._runs.append(run.ok_value)
             self._wake.notify_all()
@@ -304,6 +351,7 @@
 
     def run_item(self, run: chunkrun.ChunkRun, number: int) -> None:
         """Runs one item, and has the chunk sealed if it was the last."""
+        ended = run.ended()
         try:
             has_ended = self._runner.run(run, number)
         except Exception:  # noqa: BLE001 - one item must not end the thread.
@@ -311,6 +359,10 @@
             due_s = self._clock.monotonic_s() + _RETRY_S
             has_ended = run.requeue(number, due_s)
         self._items += 1
+        if run.ended() > ended:
+            run.progress_s = self._clock.monotonic_s()
+            model = run.items[number].call.model
+            self._usable_s[model] = run.progress_s
         if has_ended:
             self._to_sealing(run)
 
--- a/tests/daemon/test_batchfailures.py
+++ b/tests/daemon/test_batchfailures.py
@@ -158,7 +158,7 @@
     fleet.vms["vm0"].cancel("c", job)
     entry = fleet.keyvalue.entries[batchrecords.job_key(job)]
     record = batchrecords.load(batchrecords.JobRecord, entry.value)
-    queued = batchrecords.QueueEntry(job, "c", 0.0, 5, 3, 0.0)
+    queued = batchrecords.QueueEntry(job, "c", ("m",), 0.0, 5, 3, 0.0)
     finisher = fleet.vms["vm0"].finisher()
     assert finisher.finish(queued, record, entry.revision) == "changed"
 
@@ -210,6 +210,37 @@
     assert shown["request_counts"]["completed"] == len(PROMPTS)
 
 
+def test_chunk_without_upstreams_goes_to_another_vm(
+    fleet: batchfakes.Fleet,
+) -> None:
+    # A batch stands still while engines are idle: chunks lie at VMs that
+    # own no upstream of their model, where items wait for slots for ever.
+    job = start(fleet)
+    fleet.router.slots = 0
+    fleet.run(3)
+    assert not [key for key in fleet.keyvalue.entries if "chunks/" in key]
+    fleet.router.slots = 1000
+    for vm in fleet.vms.values():
+        vm.worker.ask()
+        vm.run_items(1)
+    busy = services.Refusal(503, "overloaded", "No slot.", retry_after_s=1.0)
+    fleet.router.refuse = lambda work: busy
+    fleet.router.slots = 0
+    fleet.run(20)
+    chunks = fleet.keyvalue.list(batchrecords.chunk_prefix(job)).unwrap()
+    assert chunks
+    for chunk in chunks:
+        record = batchrecords.load(batchrecords.ChunkRecord, chunk.value)
+        assert record.state == "open"
+    fleet.router.refuse = lambda work: None
+    fleet.router.slots = 1000
+    fleet.run(20)
+    status, lines = outcome(fleet, job)
+    assert status == "completed"
+    assert set(lines) == set(PROMPTS)
+    assert len(fleet.upstreams.prompts) == len(PROMPTS)
+
+
 def test_frozen_holder_of_a_cancelled_job_stops(
     fleet: batchfakes.Fleet,
 ) -> None:
--- a/tests/daemon/test_openaibatch.py
+++ b/tests/daemon/test_openaibatch.py
@@ -48,7 +48,7 @@
         (services.CONFIG, config),
         (services.LIMITS, staticvm.StaticLimits()),
         (services.USAGE, staticvm.StaticUsage()),
-        (services.ROUTER, staticvm.TurnRouter(config)),
+        (services.ROUTER, Router(config)),
         (services.UPSTREAMS, upstreams.HttpUpstreams(kernel, settings)),
         (services.INTENTS, intents.Intents(kernel, settings)),
         (services.OPERATORS, batchfakes.FakeRest()),
@@ -78,6 +78,11 @@
         return records.Customer(customer)
 
 
+class Router(staticvm.TurnRouter):
+    def batch_slots(self, model: str) -> int:
+        return 16
+
+
 class Still:
     """A fake that is neither started nor stopped."""
 
--- a/tests/support/batchfakes.py
+++ b/tests/support/batchfakes.py
@@ -183,10 +183,14 @@
     """Gives a slot for each item; `refuse` may refuse by fingerprint."""
 
     def __init__(self) -> None:
+        self.slots = 1000
         self.refuse: Callable[[services.Work], services.Refusal | None] = (
             lambda work: None
         )
 
+    def batch_slots(self, model: str) -> int:
+        return self.slots
+
     def acquire(
         self, work: services.Work
     ) -> result.Result[services.Slot, services.Refusal]:
@@ -259,6 +263,9 @@
         self.events: list[services.UsageEvent] = []
         self.routes: dict[str, dict[str, Any]] = {}
 
+    def upstreams(self) -> tuple[records.Upstream, ...]:
+        return (ENGINE,)
+
     def customer(self, customer: str) -> records.Customer | None:
         weight = self.weights.get(customer, 1.0)
         return records.Customer(customer, batch_weight=weight)
