--- a/packages/bench/bench/staticvm.py
+++ b/packages/bench/bench/staticvm.py
@@ -157,7 +157,7 @@
         self.lock = threading.Lock()
         self.held: list[StaticSlot] = []
         self.outcomes: list[services.Outcome] = []
-        self.acquired = 0
+        self.works: list[services.Work] = []
 
     def acquire(
         self, work: services.Work
@@ -170,8 +170,8 @@
             or (work.service and work.service == row.service)
         ]
         with self.lock:
-            self.acquired += 1
-            slot = StaticSlot(self, rows[self.acquired % len(rows)])
+            self.works.append(work)
+            slot = StaticSlot(self, rows[len(self.works) % len(rows)])
             self.held.append(slot)
         return result.Ok(slot)
 
@@ -235,7 +235,9 @@
         self.settings = settings(**changes)
         self.kernel = kernel_lib.Kernel()
         self.callers = callers.CallersServer(self.kernel, self.settings)
-        membership = StaticMembership(self.settings.vm, unlisted or set())
+        # The set may be shared and change later, so an empty one is kept.
+        others = set() if unlisted is None else unlisted
+        membership = StaticMembership(self.settings.vm, others)
         for name, service in (
             (services.KEYVALUE, keyvalue or StaticService()),
             (services.MEMBERSHIP, membership),
