Count answers that are handed on; queue results in a class of their own

Cause: answers of a chunk that was given back were never counted: the next holder takes their lines and knows nothing of their usage. Change: they are counted when the chunk is given back with them; the queue of results and the models of a VM have modules of their own. Conclusion: the test of the graceful stop counts each answer once.

--- a/packages/daemon/bulrushdeald/chunkrun.py
+++ b/packages/daemon/bulrushdeald/chunkrun.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 import threading
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from bulrushdeald import batchmessages
 from bulrushdeald import batchrecords
@@ -193,6 +193,14 @@
         with self._lock:
             return len(self._cancels)
 
+    def dump(self) -> Any:
+        """Returns the state for people."""
+        return {
+            "chunk": self.holding,
+            "waiting": self.waiting(),
+            "running": self.running(),
+        }
+
     def ended(self) -> int:
         """Returns how many items have their answer."""
         with self._lock:
--- a/packages/daemon/bulrushdeald/claims.py
+++ b/packages/daemon/bulrushdeald/claims.py
@@ -30,6 +30,11 @@
 
     ended: batchmessages.Ended
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the next holder takes it over as it was given back."""
+        return self.ended.state == "open"
+
 
 class Claims:
     """Claims chunks for one VM."""
--- a/packages/daemon/bulrushdeald/sealing.py
+++ b/packages/daemon/bulrushdeald/sealing.py
@@ -77,7 +77,7 @@
             holding.revision,
         )
         if isinstance(put, result.Ok):
-            self._count(sealing.run, "")
+            self.count(sealing.run, is_kept=True)
             return batchmessages.Ended(
                 holding.job, holding.chunk, "done", holding.epoch, put.ok_value
             )
@@ -88,7 +88,7 @@
             return self._end_after_job(sealing.run, stored)
         if current.value == batchrecords.dump(record):
             # An earlier try took effect and its answer was lost.
-            self._count(sealing.run, "")
+            self.count(sealing.run, is_kept=True)
             return batchmessages.Ended(
                 holding.job,
                 holding.chunk,
@@ -99,7 +99,7 @@
         _log.info(
             "Chunk %s/%d went to another holder.", holding.job, holding.chunk
         )
-        self.discard(sealing.run)
+        self.count(sealing.run, is_kept=False)
         self._replicas.delete(stored.ref)
         return batchmessages.Ended(holding.job, holding.chunk, "unsure")
 
@@ -112,7 +112,7 @@
         is_kept = self._is_kept(run.holding.job, stored)
         if is_kept is None:
             return Sealing(run, stored)
-        self._count(run, "" if is_kept else "discarded")
+        self.count(run, is_kept)
         return batchmessages.Ended(run.holding.job, run.holding.chunk, "unsure")
 
     def _is_kept(
@@ -132,14 +132,11 @@
         index = batchrecords.load(batchrecords.ResultIndex, data.ok_value)
         return any(one.ref.name == stored.ref.name for one in index.chunks)
 
-    def discard(self, run: chunkrun.ChunkRun) -> None:
-        """Counts the answers of a chunk that another VM answers."""
-        self._count(run, "discarded")
-
-    def _count(self, run: chunkrun.ChunkRun, outcome: str) -> None:
+    def count(self, run: chunkrun.ChunkRun, is_kept: bool) -> None:
+        """Counts a chunk's answers: as they are, or as run for nothing."""
         for event in run.usage():
             self._usage.record(
-                event._replace(outcome=outcome) if outcome else event
+                event if is_kept else event._replace(outcome="discarded")
             )
 
     def save_partial(self, run: chunkrun.ChunkRun) -> objects.ObjectRef | None:
--- a/packages/daemon/bulrushdeald/worker.py
+++ b/packages/daemon/bulrushdeald/worker.py
@@ -17,8 +17,10 @@
 from bulrushdeald import items
 from bulrushdeald import replicas
 from bulrushdeald import sealing
+from bulrushdeald import sealqueue
 from bulrushdeald import services
 from bulrushdeald import stride
+from bulrushdeald import usablemodels
 
 _log = logs.Log("worker")
 
@@ -29,7 +31,6 @@
 _UNCONFIRMED_S = 8.0
 # Longer than an item waits for a slot, and than a short burst of online work.
 _STALLED_S = 15.0
-_USABLE_S = 15.0
 _IDLE_S = 10.0
 _DUE_S = 0.5
 # Chunks whose results wait for the platform; more work is not claimed then.
@@ -61,13 +62,10 @@
         self._wake = threading.Condition()
         self._is_stopping = False
         self._runs: list[chunkrun.ChunkRun] = []
-        self._sealing: list[sealing.Sealing] = []
-        self._in_step: list[sealing.Sealing] = []
         self._ended: list[batchmessages.Ended] = []
         self._shares = stride.Shares()
         self._threads: list[threading.Thread] = []
         self._items = 0
-        self._usable_s: dict[str, float] = {}
 
     def connect(self) -> None:
         """Looks the other services up and answers peers."""
@@ -89,10 +87,12 @@
             vm,
             incarnation,
         )
-        self._config = find(services.CONFIG, services.Config)
-        self._router = find(services.ROUTER, services.Router)
+        self._results = sealqueue.SealQueue(self._sealer, self._note_ended)
+        config = find(services.CONFIG, services.Config)
+        router = find(services.ROUTER, services.Router)
+        self._models = usablemodels.UsableModels(config, router, self._clock)
         self._runner = items.Runner(
-            self._router,
+            router,
             find(services.UPSTREAMS, services.Upstreams),
             self._clock,
             self._settings.batch_item_timeout_s,
@@ -131,32 +131,27 @@
     def give_all_back(self, runs: tuple[chunkrun.ChunkRun, ...]) -> None:
         """Seals what is complete and lets other VMs claim the rest."""
         for run in runs:
-            run.stop(cancel_running=True)
             self._leave(run)
-            if run.is_complete:
-                self._sealer.step(sealing.Sealing(run))
-                continue
-            # What was answered is kept, so that it need not run again.
-            partial = self._sealer.save_partial(run)
-            self._claims.give_back(run.holding, partial)
-        with self._wake:
-            waiting = tuple(self._sealing)
-        for entry in waiting:
-            self._sealer.step(entry)
+            self._give_back(run)
+        self._results.seal_all_once()
+
+    def _give_back(self, run: chunkrun.ChunkRun) -> None:
+        run.stop(cancel_running=True)
+        if run.is_complete:
+            self._sealer.step(sealing.Sealing(run))
+            return
+        # What was answered is kept, so that it need not run again.
+        partial = self._sealer.save_partial(run)
+        given = self._claims.give_back(run.holding, partial)
+        self._sealer.count(run, partial is not None and given.is_open)
+        self._note_ended(given.ended)
 
     def dump(self) -> Any:
         """Returns what runs here."""
         with self._wake:
             return {
-                "chunks": [
-                    {
-                        "chunk": run.holding,
-                        "waiting": run.waiting(),
-                        "running": run.running(),
-                    }
-                    for run in self._runs
-                ],
-                "sealing": len(self._sealing) + len(self._in_step),
+                "chunks": [run.dump() for run in self._runs],
+                "sealing": len(self._results),
                 "items_ended": self._items,
             }
 
@@ -186,10 +181,9 @@
             if self._is_stopping or self._membership.is_leaving(own):
                 return 0
             waiting = sum(run.waiting() for run in self._runs)
-            results = len(self._sealing) + len(self._in_step)
             room = self._settings.batch_chunks - len(self._runs)
         has_enough = waiting >= self._settings.batch_threads
-        if has_enough or results >= _MAX_SEALING or room <= 0:
+        if has_enough or len(self._results) >= _MAX_SEALING or room <= 0:
             return 0
         return 1
 
@@ -224,13 +218,12 @@
     ) -> int:
         with self._wake:
             holding = tuple(self._held())
-        models = self._free_models()
         report = batchmessages.WorkReport(
             self._membership.incarnation(),
             holding,
             ended,
             min(wanted, self._wanted()),
-            models,
+            self._models.now(),
         )
         answer = self._peers.call(vm, report, _CALL_TIMEOUT_S)
         if isinstance(answer, result.Err):
@@ -249,26 +242,6 @@
                     run.confirmed_s = now_s
         return sum(self._claim(offer, vm) for offer in offers.offers)
 
-    def _free_models(self) -> tuple[str, ...]:
-        # Batch items only run on upstreams that this VM owns. A chunk that
-        # it claims for others' models would lie here and run nowhere.
-        models = {
-            model
-            for upstream in self._config.upstreams()
-            for model in upstream.models
-        }
-        now_s = self._clock.monotonic_s()
-        for model in models:
-            if self._router.batch_slots(model) > 0:
-                self._usable_s[model] = now_s
-        # Slots that are all taken by its own items are still its slots:
-        # the next chunk is claimed before the last one has drained.
-        return tuple(
-            model
-            for model in sorted(models)
-            if now_s - self._usable_s.get(model, -_USABLE_S) < _USABLE_S
-        )
-
     def _give_back_stalled(self) -> None:
         # The VM lost its upstreams to another, or the chunk's items left
         # are for models that it has none of: another VM may go on.
@@ -280,11 +253,7 @@
                 run.progress_s = now_s
             if now_s - run.progress_s < _STALLED_S or not self._leave(run):
                 continue
-            run.stop(cancel_running=True)
-            partial = self._sealer.save_partial(run)
-            given = self._claims.give_back(run.holding, partial)
-            with self._wake:
-                self._ended.append(given.ended)
+            self._give_back(run)
 
     def _check_unconfirmed(self) -> None:
         # No coordinator spoke of the chunk for long: this VM was frozen or
@@ -307,13 +276,12 @@
         for run in runs:
             self._leave(run)
             run.stop(cancel_running=True)
-            self._sealer.discard(run)
+            self._sealer.count(run, is_kept=False)
 
     def _claim(self, offer: batchmessages.Offer, vm: str) -> int:
         run = self._claims.claim(offer)
         if isinstance(run, result.Err):
-            with self._wake:
-                self._ended.append(run.err_value.ended)
+            self._note_ended(run.err_value.ended)
             return 0
         self._shares.charge(vm, len(run.ok_value.items))
         now_s = self._clock.monotonic_s()
@@ -361,8 +329,7 @@
         self._items += 1
         if run.ended() > ended:
             run.progress_s = self._clock.monotonic_s()
-            model = run.items[number].call.model
-            self._usable_s[model] = run.progress_s
+            self._models.note(run.items[number].call.model)
         if has_ended:
             self._to_sealing(run)
 
@@ -370,7 +337,7 @@
         if self._is_stopping or not self._leave(run):
             return
         with self._wake:
-            self._sealing.append(sealing.Sealing(run))
+            self._results.add(run)
             self._wake.notify_all()
 
     def _leave(self, run: chunkrun.ChunkRun) -> bool:
@@ -385,7 +352,7 @@
     def _seal_loop(self) -> None:
         while not self._is_stopping:
             with self._wake:
-                if not self._sealing:
+                if not self._results.has_waiting():
                     self._wake.wait(_IDLE_S)
                     continue
             if not self.seal_one():
@@ -393,28 +360,16 @@
 
     def has_results(self) -> bool:
         """Tells whether results wait to be sealed."""
-        with self._wake:
-            return bool(self._sealing)
+        return self._results.has_waiting()
 
     def seal_one(self) -> bool:
         """Tries to seal the oldest result; returns whether it is sealed."""
+        return self._results.seal_one()
+
+    def _note_ended(self, ended: batchmessages.Ended) -> None:
         with self._wake:
-            if not self._sealing:
-                return True
-            entry = self._sealing.pop(0)
-            self._in_step.append(entry)
-        done: sealing.Sealing | batchmessages.Ended = entry
-        try:
-            done = self._sealer.step(entry)
-        finally:
-            with self._wake:
-                self._in_step.remove(entry)
-                if isinstance(done, sealing.Sealing):
-                    self._sealing.append(done)
-                else:
-                    self._ended.append(done)
-                self._wake.notify_all()
-        return not isinstance(done, sealing.Sealing)
+            self._ended.append(ended)
+            self._wake.notify_all()
 
     # Messages.
 
@@ -434,8 +389,7 @@
 
     def _held(self) -> list[batchmessages.Holding]:
         held = [run.holding for run in self._runs]
-        entries = self._sealing + self._in_step
-        return held + [entry.run.holding for entry in entries]
+        return held + self._results.held()
 
     def _on_hold_query(
         self, vm: str, query: batchmessages.HoldQuery
--- a/tests/daemon/test_batchfailures.py
+++ b/tests/daemon/test_batchfailures.py
@@ -339,6 +339,8 @@
     shown = fleet.vms["vm0"].show("c", job).json
     assert shown["status"] == "completed"
     assert len(fleet.upstreams.prompts) == len(PROMPTS)
+    counted = [event for event in fleet.events if event.outcome == "ok"]
+    assert len(counted) == len(PROMPTS)
 
 
 def test_result_whose_answer_was_lost_stays_readable(
