--- a/packages/daemon/bulrushdeald/worker.py
+++ b/packages/daemon/bulrushdeald/worker.py
@@ -17,8 +17,10 @@
 from bulrushdeald import items
 from bulrushdeald import replicas
 from bulrushdeald import sealing
+from bulrushdeald import sealqueue
 from bulrushdeald import services
 from bulrushdeald import stride
+from bulrushdeald import usablemodels
 
 _log = logs.Log("worker")
 
@@ -27,6 +29,8 @@
 _MIN_PERIOD_S = 1.0
 _RETRY_S = 1.0
 _UNCONFIRMED_S = 8.0
+# Longer than an item waits for a slot, and than a short burst of online work.
+_STALLED_S = 15.0
 _IDLE_S = 10.0
 _DUE_S = 0.5
 # Chunks whose results wait for the platform; more work is not claimed then.
@@ -58,8 +62,6 @@
         self._wake = threading.Condition()
         self._is_stopping = False
         self._runs: list[chunkrun.ChunkRun] = []
-        self._sealing: list[sealing.Sealing] = []
-        self._in_step: list[sealing.Sealing] = []
         self._ended: list[batchmessages.Ended] = []
         self._shares = stride.Shares()
         self._threads: list[threading.Thread] = []
@@ -85,8 +87,12 @@
             vm,
             incarnation,
         )
+        self._results = sealqueue.SealQueue(self._sealer, self._note_ended)
+        config = find(services.CONFIG, services.Config)
+        router = find(services.ROUTER, services.Router)
+        self._models = usablemodels.UsableModels(config, router, self._clock)
         self._runner = items.Runner(
-            find(services.ROUTER, services.Router),
+            router,
             find(services.UPSTREAMS, services.Upstreams),
             self._clock,
             self._settings.batch_item_timeout_s,
@@ -125,32 +131,27 @@
     def give_all_back(self, runs: tuple[chunkrun.ChunkRun, ...]) -> None:
         """Seals what is complete and lets other VMs claim the rest."""
         for run in runs:
-            run.stop(cancel_running=True)
             self._leave(run)
-            if run.is_complete:
-                self._sealer.step(sealing.Sealing(run))
-                continue
-            # What was answered is kept, so that it need not run again.
-            partial = self._sealer.save_partial(run)
-            self._claims.give_back(run.holding, partial)
-        with self._wake:
-            waiting = tuple(self._sealing)
-        for entry in waiting:
-            self._sealer.step(entry)
+            self._give_back(run)
+        self._results.seal_all_once()
+
+    def _give_back(self, run: chunkrun.ChunkRun) -> None:
+        run.stop(cancel_running=True)
+        if run.is_complete:
+            self._sealer.step(sealing.Sealing(run))
+            return
+        # What was answered is kept, so that it need not run again.
+        partial = self._sealer.save_partial(run)
+        given = self._claims.give_back(run.holding, partial)
+        self._sealer.count(run, partial is not None and given.is_open)
+        self._note_ended(given.ended)
 
     def dump(self) -> Any:
         """Returns what runs here."""
         with self._wake:
             return {
-                "chunks": [
-                    {
-                        "chunk": run.holding,
-                        "waiting": run.waiting(),
-                        "running": run.running(),
-                    }
-                    for run in self._runs
-                ],
-                "sealing": len(self._sealing) + len(self._in_step),
+                "chunks": [run.dump() for run in self._runs],
+                "sealing": len(self._results),
                 "items_ended": self._items,
             }
 
@@ -180,10 +181,9 @@
             if self._is_stopping or self._membership.is_leaving(own):
                 return 0
             waiting = sum(run.waiting() for run in self._runs)
-            results = len(self._sealing) + len(self._in_step)
             room = self._settings.batch_chunks - len(self._runs)
         has_enough = waiting >= self._settings.batch_threads
-        if has_enough or results >= _MAX_SEALING or room <= 0:
+        if has_enough or len(self._results) >= _MAX_SEALING or room <= 0:
             return 0
         return 1
 
@@ -198,6 +198,7 @@
             ended, self._ended = tuple(self._ended), []
         names = self._coordinators.all()
         self._check_unconfirmed()
+        self._give_back_stalled()
         claimed = 0
         for vm in self._shares.order(names):
             claimed += self._ask_one(vm, ended, 0 if claimed else 1)
@@ -222,6 +223,7 @@
             holding,
             ended,
             min(wanted, self._wanted()),
+            self._models.now(),
         )
         answer = self._peers.call(vm, report, _CALL_TIMEOUT_S)
         if isinstance(answer, result.Err):
@@ -240,6 +242,19 @@
                     run.confirmed_s = now_s
         return sum(self._claim(offer, vm) for offer in offers.offers)
 
+    def _give_back_stalled(self) -> None:
+        # The VM lost its upstreams to another, or the chunk's items left
+        # are for models that it has none of: another VM may go on.
+        now_s = self._clock.monotonic_s()
+        with self._wake:
+            runs = list(self._runs)
+        for run in runs:
+            if run.placed():
+                run.progress_s = now_s
+            if now_s - run.progress_s < _STALLED_S or not self._leave(run):
+                continue
+            self._give_back(run)
+
     def _check_unconfirmed(self) -> None:
         # No coordinator spoke of the chunk for long: this VM was frozen or
         # cut off, and the chunk may be another's or its job cancelled.
@@ -261,16 +276,16 @@
         for run in runs:
             self._leave(run)
             run.stop(cancel_running=True)
-            self._sealer.discard(run)
+            self._sealer.count(run, is_kept=False)
 
     def _claim(self, offer: batchmessages.Offer, vm: str) -> int:
         run = self._claims.claim(offer)
         if isinstance(run, result.Err):
-            with self._wake:
-                self._ended.append(run.err_value.ended)
+            self._note_ended(run.err_value.ended)
             return 0
         self._shares.charge(vm, len(run.ok_value.items))
-        run.ok_value.confirmed_s = self._clock.monotonic_s()
+        now_s = self._clock.monotonic_s()
+        run.ok_value.confirmed_s = run.ok_value.progress_s = now_s
         with self._wake:
             self._runs.append(run.ok_value)
             self._wake.notify_all()
@@ -304,6 +319,7 @@
 
     def run_item(self, run: chunkrun.ChunkRun, number: int) -> None:
         """Runs one item, and has the chunk sealed if it was the last."""
+        ended = run.ended()
         try:
             has_ended = self._runner.run(run, number)
         except Exception:  # noqa: BLE001 - one item must not end the thread.
@@ -311,6 +327,9 @@
             due_s = self._clock.monotonic_s() + _RETRY_S
             has_ended = run.requeue(number, due_s)
         self._items += 1
+        if run.ended() > ended:
+            run.progress_s = self._clock.monotonic_s()
+            self._models.note(run.items[number].call.model)
         if has_ended:
             self._to_sealing(run)
 
@@ -318,7 +337,7 @@
         if self._is_stopping or not self._leave(run):
             return
         with self._wake:
-            self._sealing.append(sealing.Sealing(run))
+            self._results.add(run)
             self._wake.notify_all()
 
     def _leave(self, run: chunkrun.ChunkRun) -> bool:
@@ -333,7 +352,7 @@
     def _seal_loop(self) -> None:
         while not self._is_stopping:
             with self._wake:
-                if not self._sealing:
+                if not self._results.has_waiting():
                     self._wake.wait(_IDLE_S)
                     continue
             if not self.seal_one():
@@ -341,28 +360,16 @@
 
     def has_results(self) -> bool:
         """Tells whether results wait to be sealed."""
-        with self._wake:
-            return bool(self._sealing)
+        return self._results.has_waiting()
 
     def seal_one(self) -> bool:
         """Tries to seal the oldest result; returns whether it is sealed."""
+        return self._results.seal_one()
+
+    def _note_ended(self, ended: batchmessages.Ended) -> None:
         with self._wake:
-            if not self._sealing:
-                return True
-            entry = self._sealing.pop(0)
-            self._in_step.append(entry)
-        done: sealing.Sealing | batchmessages.Ended = entry
-        try:
-            done = self._sealer.step(entry)
-        finally:
-            with self._wake:
-                self._in_step.remove(entry)
-                if isinstance(done, sealing.Sealing):
-                    self._sealing.append(done)
-                else:
-                    self._ended.append(done)
-                self._wake.notify_all()
-        return not isinstance(done, sealing.Sealing)
+            self._ended.append(ended)
+            self._wake.notify_all()
 
     # Messages.
 
@@ -382,8 +389,7 @@
 
     def _held(self) -> list[batchmessages.Holding]:
         held = [run.holding for run in self._runs]
-        entries = self._sealing + self._in_step
-        return held + [entry.run.holding for entry in entries]
+        return held + self._results.held()
 
     def _on_hold_query(
         self, vm: str, query: batchmessages.HoldQuery
