--- a/packages/daemon/bulrushdeald/usage.py
+++ b/packages/daemon/bulrushdeald/usage.py
@@ -27,6 +27,8 @@
 # What a long outage may cost in memory: about 300 bytes for each row.
 _MAX_ROWS = 50_000
 _MAX_NAME_CHARACTERS = 64
+# Without the platform a planned stop waits no longer for a few sums.
+_LAST_FLUSH_S = 10.0
 _OTHER = "(other)"
 
 
@@ -85,6 +87,7 @@
     def stop(self, grace_s: float) -> None:
         """Folds what is left without a peer, for at most `grace_s`."""
         self._stopping.set()
+        grace_s = min(grace_s, _LAST_FLUSH_S)
         deadline_s = self._clock.monotonic_s() + grace_s
         if self._thread.is_alive():
             self._thread.join(grace_s)
