--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES = core daemon ui standins bench
 SOURCES = packages tests
 
-.PHONY: setup test check format demo fuzz clean
+.PHONY: setup test check format demo up fuzz clean
 
 setup: $(VENV)/ready
 
@@ -32,5 +32,8 @@
 demo: setup
 	$(BIN)/python -m standins.demo
 
+up: setup
+	$(BIN)/python -m standins.demo --stay
+
 clean:
 	rm -rf $(VENV) .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- a/packages/standins/standins/demo.py
+++ b/packages/standins/standins/demo.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -17,7 +18,7 @@
 _USAGE_S = 30.0
 _UNAUTHORIZED = 401
 _OK = 200
-_CUSTOMER = "kisumu-schools"
+_CUSTOMER = "demo"
 
 
 class Demo:
@@ -51,6 +52,17 @@
         self._deployment.wait_in_force()
         self._say(self._deployment.operate("table", "show"))
 
+    def exports(self) -> Iterator[str]:
+        """Yields the lines that set a shell up for the command line."""
+        daemons = self._deployment.daemons
+        operators = ",".join(daemon.operators for daemon in daemons)
+        callers = ",".join(daemon.callers for daemon in daemons)
+        yield f"export BULRUSHDEAL_SERVER={operators}"
+        token = deployment_lib.OPERATOR_TOKEN
+        yield f"export BULRUSHDEAL_OPERATOR_TOKEN={token}"
+        yield f"export BULRUSHDEAL_CALLERS={callers}"
+        yield f"export BULRUSHDEAL_KEY={self._key}"
+
     def chat(self) -> None:
         """Streams one answer, token by token."""
         self._say(
@@ -190,25 +202,47 @@
     yield demo.report
 
 
-def main() -> int:
-    """Runs all steps; 0 only if each of them held."""
+def _stay(demo: Demo) -> None:
+    """Starts all, says how to reach it, and waits for Ctrl-C."""
+    # A shell starts background jobs with SIGINT ignored.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
+    demo.start()
+    demo.create_customer()
+    for line in demo.exports():
+        print(line)
+    print("\nPaste these into another terminal; Ctrl-C here stops it all.")
+    with contextlib.suppress(KeyboardInterrupt):
+        signal.pause()
+    print("Stopping.")
+
+
+def _show(demo: Demo) -> None:
+    for step in _steps(demo):
+        print(f"\n== {(step.__doc__ or '').strip()}", flush=True)
+        step()
+
+
+def main(stays: bool = False) -> int:
+    """Runs all steps, or only starts; 0 only if each of them held."""
     with contextlib.ExitStack() as stack:
         name = stack.enter_context(tempfile.TemporaryDirectory())
         folder = pathlib.Path(name)
         fleet = stack.enter_context(fleet_lib.Fleet(folder))
         demo = Demo(deployment_lib.Deployment(fleet), folder)
         try:
-            for step in _steps(demo):
-                print(f"\n== {(step.__doc__ or '').strip()}", flush=True)
-                step()
+            if stays:
+                _stay(demo)
+            else:
+                _show(demo)
         except fleet_lib.FleetError as error:
             print(f"\nThe demo failed: {error}", file=sys.stderr)
             for process in fleet.processes:
                 print(f"--- {process.name}\n{process.tail()}", file=sys.stderr)
             return 1
-    print("\nAll steps held; every process has been stopped.")
+    print("\nEvery step held, and every process has been stopped.")
     return 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(stays="--stay" in sys.argv[1:]))
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -299,4 +299,16 @@
         except BaseException:
             for process in fleet.processes:
                 print(f"--- {process.name}\n{process.tail()}")
+            _print_limits(deployment)
             raise
+
+
+def _print_limits(deployment: deployment_lib.Deployment) -> None:
+    headers = deployment_lib.bearer(deployment_lib.OPERATOR_TOKEN)
+    for daemon in deployment.daemons:
+        answer = deployment.call(
+            "GET", daemon.operators, "/v1/dump", headers=headers
+        )
+        if answer.status == 200:
+            limits = answer.value()["limits"]
+            print(f"--- limits of {daemon.vm}\n{json.dumps(limits)[:4000]}")
