Let a VM that starts in an outage learn the limits' records from a peer

Cause: it read them from the platform only, knew no owner and refused every request with 503 until the outage was over. Ruled out: the configuration, which came from its peer within 3 s. Without the change the new unit test fails; with it it passes.

--- a/packages/bench/bench/staticvm.py
+++ b/packages/bench/bench/staticvm.py
@@ -116,6 +116,10 @@
         self.taken = 0
         self.refusal: services.Refusal | None = None
 
+    def is_ready(self) -> bool:
+        """See `services.Limits`."""
+        return True
+
     def take(
         self, customer: str, count: float = 1.0
     ) -> result.Result[None, services.Refusal]:
--- a/packages/daemon/bulrushdeald/callers.py
+++ b/packages/daemon/bulrushdeald/callers.py
@@ -88,6 +88,7 @@
         """See `kernel.Service`."""
         kernel, settings = self._kernel, self._settings
         self._config = kernel.find(services.CONFIG, services.Config)
+        self._limits = kernel.find(services.LIMITS, services.Limits)
         self._dispatcher = dispatch.Dispatcher(kernel, settings)
         self._models = modelcalls.ModelCalls(kernel, settings, self._dispatcher)
         self._plain = plainservices.PlainServices(
@@ -188,7 +189,11 @@
         return response._replace(body=calls.Body(response.body, close))
 
     def _health(self) -> httpd.Response:
-        is_ready = self._state == "serving" and self._config.revision() > 0
+        is_ready = (
+            self._state == "serving"
+            and self._config.revision() > 0
+            and self._limits.is_ready()
+        )
         status = 200 if is_ready else 503
         return httpd.json_response(status, {"state": self._state})
 
--- a/packages/daemon/bulrushdeald/limits.py
+++ b/packages/daemon/bulrushdeald/limits.py
@@ -26,6 +26,7 @@
 from bulrushdeald import rebalance
 from bulrushdeald import services
 from bulrushdeald import sharebook
+from bulrushdeald import sharefeed
 from bulrushdeald import shares
 
 _log = logs.Log("limits")
@@ -41,6 +42,7 @@
 _WATCHES_PER_S = 100.0
 _LEAST_PAUSE_S = 0.5
 _RETRY_S = 1.0
+_FEED_S = 0.3
 # Each round brings a message or two; a request is not worth more.
 _MAX_ROUNDS = 8
 # Other failure domains asked directly while the own one has no owner.
@@ -127,6 +129,7 @@
         clock = self._clock
         self._members = members
         self._book = sharebook.ShareBook(keyvalue)
+        self._feed = sharefeed.ShareFeed(self._book, peers, members)
         sender = asker.Sender(peers, clock, members.incarnation())
         self._holder = holder.Holder(
             self._book, sender, clock, self._config.customer
@@ -145,6 +148,7 @@
         """Begins to follow the records and to own parts."""
         self.attach()
         self._run("limits-watch", self._watch)
+        self._run("limits-feed", self._ask_until_known)
         self._run("limits-tend", self._tend_loop)
         self._run("limits-report", self._report_loop)
         self._run("limits-collect", self._collect_loop)
@@ -314,7 +318,8 @@
 
     def refresh(self) -> None:
         """Reads the records now."""
-        self._book.refresh()
+        if not self._book.refresh() and self._book.is_empty():
+            self._feed.ask()
         self._ownership.adopt(self._rows_by_page())
 
     def tend(self) -> None:
@@ -345,6 +350,16 @@
                 self._collector.settle(owned)
         self._holder.report(only_tight=True)
 
+    def _ask_until_known(self) -> None:
+        """Asks peers beside the platform: an outage shows only by time-outs."""
+        while self._book.is_empty() and not self._stopping.is_set():
+            self._feed.ask()
+            self._stopping.wait(_FEED_S)
+
+    def is_ready(self) -> bool:
+        """See `services.Limits`."""
+        return not self._book.is_empty()
+
     def _watch(self) -> None:
         while not self._stopping.is_set():
             pause_s = _watch_pause_s(len(self._members.entry_vms()))
--- a/packages/daemon/bulrushdeald/services.py
+++ b/packages/daemon/bulrushdeald/services.py
@@ -224,6 +224,9 @@
 class Limits(Protocol):
     """Each customer's rate and burst over all VMs together."""
 
+    def is_ready(self) -> bool:
+        """Tells whether this VM knows whom to ask for tokens."""
+
     def take(
         self, customer: str, count: float = 1.0
     ) -> result.Result[None, Refusal]:
--- a/packages/daemon/bulrushdeald/sharebook.py
+++ b/packages/daemon/bulrushdeald/sharebook.py
@@ -50,7 +50,7 @@
         entries = self._keyvalue.list(shares.PREFIX)
         if isinstance(entries, result.Err):
             return False
-        self._note(entries.ok_value)
+        self.note(entries.ok_value)
         self.is_loaded = True
         return True
 
@@ -65,7 +65,7 @@
             # Changes may have been missed, and a record whose write had
             # no answer is settled by reading it.
             return self.refresh()
-        self._note(entries.ok_value)
+        self.note(entries.ok_value)
         return True
 
     def put(self, number: int, page: shares.Page, revision: int) -> Written:
@@ -82,14 +82,32 @@
             return "yes"
         error = written.err_value
         if error.kind == "conflict" and error.current is not None:
-            self._note((error.current,))
+            self.note((error.current,))
             if error.current.value == value:
                 # Our own write, sent twice after an answer was lost; the
                 # nonce tells it from any other.
                 return "yes"
         return "unknown" if error.kind == "unknown" else "no"
 
-    def _note(self, entries: tuple[services.Entry, ...]) -> None:
+    def is_empty(self) -> bool:
+        """Tells whether no record is known."""
+        with self._lock:
+            return not self._stored
+
+    def entries(self) -> tuple[services.Entry, ...]:
+        """Returns all records as the platform holds them."""
+        with self._lock:
+            return tuple(
+                services.Entry(
+                    shares.key_of(number),
+                    shares.to_bytes(stored.page),
+                    stored.revision,
+                )
+                for number, stored in sorted(self._stored.items())
+            )
+
+    def note(self, entries: tuple[services.Entry, ...]) -> None:
+        """Takes records, each only if it is newer than the one known."""
         for entry in entries:
             try:
                 number = shares.page_of_key(entry.key)
--- a/tests/daemon/test_limits.py
+++ b/tests/daemon/test_limits.py
@@ -54,3 +54,15 @@
     assert refusal.code == "rate_limited"
     assert refusal.ran == "not_run"
     assert 0 < refusal.retry_after_s <= 0.25
+
+
+def test_vm_replaced_in_an_outage_learns_the_owners_from_a_peer() -> None:
+    # The platform is out when a VM is lost and its replacement starts. It
+    # refused every request as unavailable until the outage was over, though
+    # the other failure domain's owner has tokens. Cause: it knew no record.
+    fleet = _fleet(2, 2, records.Customer("acme", rate_per_s=4, burst=8))
+    fleet.kill("d0v0")
+    fleet.keyvalue.is_out = True
+    fleet.add("d0v0", "d0")
+    fleet.nodes["d0v0"].limits.refresh()
+    assert _take(fleet, "d0v0")
