--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,8 @@
 up: setup
 	$(BIN)/python -m standins.demo --stay
 
+fuzz: setup
+	HYPOTHESIS_PROFILE=fuzz $(BIN)/python -m pytest tests/core tests/daemon
+
 clean:
 	rm -rf $(VENV) .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- a/packages/bench/bench/__main__.py
+++ b/packages/bench/bench/__main__.py
@@ -10,6 +10,7 @@
 from bench import harm
 from bench import load
 from bench import noisy
+from bench import online
 from bench import site as site_lib
 from bulrushdeal import codec
 from standins import fleet as fleet_lib
@@ -44,13 +45,7 @@
         return harm.run(site, shape, flags.seconds, flags.seed)
     if flags.experiment == "noisy":
         return noisy.run(site, shape, flags.seconds, flags.seed, flags.factor)
-    run = load.Run(
-        load.plan(
-            site.callers, site.addresses, shape, flags.seconds, flags.seed
-        )
-    )
-    run.run()
-    return run.all.seen()
+    return online.run(site, shape, flags.seconds, flags.seed)
 
 
 def _rows(value: Any, name: str = "") -> list[str]:
--- a/packages/bench/bench/site.py
+++ b/packages/bench/bench/site.py
@@ -61,6 +61,22 @@
     running: int
 
 
+class Control(NamedTuple):
+    """What the daemons spent so far, all together.
+
+    Attributes:
+        messages: Sent between VMs.
+        size_bytes: Of these messages, without frames and headers.
+        processor_s: Processor time of the daemons, serving included.
+        platform_calls: Calls of the platform's service.
+    """
+
+    messages: int
+    size_bytes: int
+    processor_s: float
+    platform_calls: int
+
+
 class Site:
     """A running deployment with customers, and the way to load it."""
 
@@ -166,6 +182,24 @@
         )
         return str(json.loads(job.data)["id"])
 
+    def control(self) -> Control:
+        """Returns what the daemons spent so far."""
+        messages = size_bytes = 0
+        processor_s = 0.0
+        headers = deployment_lib.bearer(deployment_lib.OPERATOR_TOKEN)
+        for daemon in self.deployment.daemons:
+            dump = self.deployment.call(
+                "GET", daemon.operators, "/v1/dump", headers=headers
+            ).value()
+            messages += dump["peers"]["sent_messages"]
+            size_bytes += dump["peers"]["sent_bytes"]
+            processor_s += daemon.process.processor_s()
+        stats = self.deployment.must(
+            "GET", self.deployment.platform, "/v1/stats"
+        ).value()
+        calls = sum(stats["calls"].values())
+        return Control(messages, size_bytes, processor_s, calls)
+
     def totals(self) -> Totals:
         """Returns what the engines did so far."""
         sums = [0, 0, 0, 0]
--- a/packages/standins/standins/fleet.py
+++ b/packages/standins/standins/fleet.py
@@ -76,6 +76,15 @@
         """Tells whether it has not ended yet."""
         return self._child.poll() is None
 
+    def processor_s(self) -> float:
+        """Returns the processor time it has used so far."""
+        stat = pathlib.Path(f"/proc/{self.pid}/stat").read_text()
+        # The fields after the name in parentheses; user and system time are
+        # the 12th and 13th of them.
+        fields = stat.rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
     def output(self) -> str:
         """Returns what it has written so far."""
         return self.log.read_text(errors="replace")
