Give a frozen owner's upstreams to another VM; forget VMs that are gone

Cause: ownership followed from the platform's list alone, which keeps a frozen VM, so no batch item ran on its upstreams until the list dropped it; and what a VM had reported was kept for ever after it was gone. Ruled out: taking over by a write to the platform, which is not needed since a wrong belief costs only time. Change: an owner that has not answered a VM for 5 s is passed over by that VM until it answers again. Reports expire; a silent VM that leaves the list is forgotten. Without the change the first new test finds e1 not owned; without pruning the second finds the gone VM still silent.

--- a/packages/daemon/bulrushdeald/inflight.py
+++ b/packages/daemon/bulrushdeald/inflight.py
@@ -111,9 +111,14 @@
         online = {count.upstream: count.online for count in report.counts}
         self._reports[vm] = _Report(self._clock.monotonic_s(), online)
 
-    def forget(self, vm: str) -> None:
-        """Drops the report of a VM that is gone."""
-        self._reports.pop(vm, None)
+    def prune(self) -> None:
+        """Drops what is too old to count, of VMs that are gone."""
+        for vm, report in list(self._reports.items()):
+            if self._is_old(report.at_s):
+                del self._reports[vm]
+        for vm, others in list(self._others.items()):
+            if self._is_old(others.at_s):
+                del self._others[vm]
 
     def set_external(self, upstream: str, count: int) -> None:
         """Notes, as owner, what runs beyond all reports.
@@ -130,11 +135,10 @@
 
     def known_online(self, upstream: str) -> int:
         """Returns, as owner, the sum over this VM and those reporting."""
-        oldest_s = self._clock.monotonic_s() - self.expiry_s
         others = sum(
             report.online.get(upstream, 0)
             for report in self._reports.values()
-            if report.at_s >= oldest_s
+            if not self._is_old(report.at_s)
         )
         return self.own_online(upstream) + others
 
--- a/packages/daemon/bulrushdeald/inflightreports.py
+++ b/packages/daemon/bulrushdeald/inflightreports.py
@@ -9,6 +9,7 @@
 import threading
 from typing import Protocol
 
+from bulrushdeal import clock as clock_lib
 from bulrushdeal import logs
 from bulrushdeald import inflight
 from bulrushdeald import services
@@ -24,6 +25,8 @@
 # VM sends in a second stay bounded by its own placements.
 OWNERS_AT_FULL_PACE = 8
 _HEARTBEATS_TO_EXPIRY = 5
+# An owner that brings no answer for this long does nothing for its upstreams.
+SILENT_AFTER_S = 5.0
 _CALL_TIMEOUT_S = 1.0
 _LOOK_S = 0.5
 
@@ -34,6 +37,12 @@
     def topology(self) -> topology_lib.Topology:
         """Returns who owns which upstream now."""
 
+    def set_silent(self, vm: str, is_silent: bool) -> None:
+        """Notes whether an owner answers."""
+
+    def is_silent(self, vm: str) -> bool:
+        """Tells whether an owner is noted as silent."""
+
     def took_report(self, upstreams: Iterable[str]) -> None:
         """Acts on changed counts of owned upstreams, with the lock held."""
 
@@ -55,11 +64,14 @@
         counts: inflight.Inflight,
         lock: threading.Lock,
         router: Owner,
+        clock: clock_lib.Clock,
     ) -> None:
         self._peers = peers
         self._counts = counts
         self._lock = lock
         self._router = router
+        self._clock = clock
+        self._failing_since_s: dict[str, float] = {}
         self._channels: dict[str, _Channel] = {}
         self._stopping = threading.Event()
         self._relaxed_delay_s = RELAXED_DELAY_S
@@ -102,6 +114,7 @@
         while not self._stopping.wait(_LOOK_S):
             with self._lock:
                 self._set_pace()
+                self._counts.prune()
                 for owner in self._router.topology().near_owners:
                     if owner not in self._channels:
                         self._open(owner)
@@ -134,17 +147,31 @@
             channel.urgent.clear()
             is_idle = not self.send(owner).counts
             with self._lock:
-                near = self._router.topology().near_owners
-                # The last report of an owner elsewhere said that nothing
+                # The last report to an owner elsewhere said that nothing
                 # runs any more; the next request there opens it again.
-                if (
-                    is_idle
-                    and owner not in near
-                    and not channel.changed.is_set()
-                ):
+                if is_idle and not self._is_needed(owner, channel):
+                    self._failing_since_s.pop(owner, None)
                     del self._channels[owner]
                     return
 
+    def _is_needed(self, owner: str, channel: _Channel) -> bool:
+        """Tells whether an owner is to be reported to with nothing to say."""
+        if owner in self._router.topology().near_owners:
+            return True
+        # A silent one is asked on, or it would count as silent for ever.
+        return channel.changed.is_set() or self._router.is_silent(owner)
+
+    def _note_failure(self, owner: str) -> None:
+        now_s = self._clock.monotonic_s()
+        since_s = self._failing_since_s.setdefault(owner, now_s)
+        if now_s - since_s < SILENT_AFTER_S:
+            return
+        with self._lock:
+            if self._router.is_silent(owner):
+                return
+            _log.warning("VM %s is silent; others own its upstreams.", owner)
+            self._router.set_silent(owner, True)
+
     def _gather(self, channel: _Channel) -> None:
         """Waits a moment, so that one message tells of several changes."""
         if channel.urgent.wait(self._relaxed_delay_s):
@@ -159,10 +186,12 @@
             )
         answer = self._peers.call(owner, report, _CALL_TIMEOUT_S)
         if answer.is_err():
-            _log.debug("No totals from %s.", owner)
+            self._note_failure(owner)
             return report
         totals = answer.unwrap()
+        self._failing_since_s.pop(owner, None)
         with self._lock:
+            self._router.set_silent(owner, False)
             self._counts.take_totals(owner, report, totals)
             self._router.took_report(total.upstream for total in totals.totals)
         return report
--- a/packages/daemon/bulrushdeald/placement.py
+++ b/packages/daemon/bulrushdeald/placement.py
@@ -1,6 +1,7 @@
 """Which upstream a request goes to, by what is believed to run where."""
 
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from bulrushdeal import clock as clock_lib
 from bulrushdeal import records
@@ -13,6 +14,13 @@
 from bulrushdeald import topology as topology_lib
 
 
+class _Sources(NamedTuple):
+    """What a topology was built from."""
+
+    upstreams: tuple[records.Upstream, ...]
+    vms: tuple[records.Vm, ...]
+
+
 class Placement:
     """Places requests; not thread-safe by itself.
 
@@ -32,7 +40,9 @@
         self._window = loadpoll.Window(clock)
         self._suspects: dict[str, int] = {}
         self._entry_vms: tuple[records.Vm, ...] = ()
+        self._silent: frozenset[str] = frozenset()
         self._topology = topology_lib.build((), (), records.Vm("", "", "entry"))
+        self._sources = _Sources((), ())
         self._is_stale = True
         self.health = health_lib.Health(clock)
         self.inflight = inflight_lib.Inflight(clock)
@@ -50,6 +60,23 @@
     def _note_change(self) -> None:
         self._is_stale = True
 
+    def set_silent(self, vm: str, is_silent: bool) -> None:
+        """Notes whether an owner answers this VM.
+
+        The failure: a frozen VM stays on the platform's list, and no batch
+        item runs on the upstreams that it owns. It shows as reports without
+        an answer. Its upstreams go to the next VM in order; if that is a
+        mistake two VMs place batch items there, which yield all the same.
+        """
+        if (vm in self._silent) == is_silent:
+            return
+        self._silent = self._silent ^ {vm}
+        self._is_stale = True
+
+    def is_silent(self, vm: str) -> bool:
+        """Tells whether an owner has not answered this VM for a while."""
+        return vm in self._silent
+
     def topology(self) -> topology_lib.Topology:
         """Returns who serves what and who owns which upstream.
 
@@ -63,13 +90,16 @@
         # Cleared first: a change that comes meanwhile sets it again.
         self._is_stale = False
         upstreams = self._config.upstreams()
-        known = self._topology
+        # A VM that is gone is not silent any more; names are never used again.
+        self._silent &= frozenset(vm.vm for vm in entry_vms)
+        answering = tuple(vm for vm in entry_vms if vm.vm not in self._silent)
         # Most changes are to customers and leave the upstreams as they are.
-        if upstreams != known.rows or entry_vms is not self._entry_vms:
-            known = topology_lib.build(upstreams, entry_vms, self._own)
-            self._topology = known
+        sources = _Sources(upstreams, answering)
+        if sources != self._sources:
+            self._topology = topology_lib.build(upstreams, answering, self._own)
+            self._sources = sources
         self._entry_vms = entry_vms
-        return known
+        return self._topology
 
     def serving(self, work: services.Work) -> topology_lib.Serving:
         """Returns all upstreams that serve what a request asks for."""
--- a/packages/daemon/bulrushdeald/router.py
+++ b/packages/daemon/bulrushdeald/router.py
@@ -76,7 +76,7 @@
             peers, membership, self._quarantine, self._lock
         )
         self._reports = inflightreports.Reports(
-            peers, self._placement.inflight, self._lock, self
+            peers, self._placement.inflight, self._lock, self, self._clock
         )
         self._notices.start()
         self._reports.start()
@@ -117,12 +117,24 @@
     def send_reports(self) -> None:
         """Tells each other owner what runs here, now and not soon."""
         for owner in self.topology().near_owners:
-            self._reports.send(owner)
+            self.send_report_to(owner)
+
+    def send_report_to(self, owner: str) -> None:
+        """Tells one owner what runs here."""
+        self._reports.send(owner)
 
     def topology(self) -> topology_lib.Topology:
         """Returns who serves what and who owns which upstream."""
         return self._placement.topology()
 
+    def set_silent(self, vm: str, is_silent: bool) -> None:
+        """Notes whether an owner answers; called with the lock."""
+        self._placement.set_silent(vm, is_silent)
+
+    def is_silent(self, vm: str) -> bool:
+        """Tells whether an owner is noted as silent."""
+        return self._placement.is_silent(vm)
+
     def batch_slots(self, model: str) -> int:
         """See `services.Router`."""
         with self._lock:
--- a/packages/daemon/bulrushdeald/topology.py
+++ b/packages/daemon/bulrushdeald/topology.py
@@ -65,7 +65,6 @@
     """What follows from the configuration and the list of VMs.
 
     Attributes:
-        rows: The upstreams that it was built from.
         upstreams: All upstreams by name.
         by_model: The engines that serve a model.
         by_service: The plain services of a name.
@@ -75,7 +74,6 @@
         vms: How many entry VMs take new requests, at least 1.
     """
 
-    rows: tuple[records.Upstream, ...]
     upstreams: Mapping[str, records.Upstream]
     by_model: Mapping[str, Serving]
     by_service: Mapping[str, Serving]
@@ -118,7 +116,6 @@
         or upstream.failure_domain not in served
     }
     return Topology(
-        upstreams,
         by_name,
         {model: _split(found, domain) for model, found in by_model.items()},
         {name: _split(found, domain) for name, found in by_service.items()},
--- a/tests/daemon/test_router.py
+++ b/tests/daemon/test_router.py
@@ -7,7 +7,9 @@
 from hypothesis import strategies as st
 import result
 
+from bulrushdeal import clock as clock_lib
 from bulrushdeal import records
+from bulrushdeald import inflightreports
 from bulrushdeald import router as router_lib
 from bulrushdeald import services
 from bulrushdeald import slots
@@ -40,16 +42,20 @@
         self.network = fakes.Network()
         self.leaving: set[str] = set()
         self.config = fakes.Config((engine("e1"), engine("e2")))
+        self.memberships: list[fakes.Membership] = []
+        self.clock = clock_lib.FakeClock()
         self.routers: dict[str, router_lib.UpstreamRouter] = {}
         for vm in (VM_A, VM_B):
             membership = fakes.Membership(vm, (VM_A, VM_B))
             membership.leaving = self.leaving
+            self.memberships.append(membership)
             kernel = fakes.kernel(
                 membership, fakes.Peers(self.network, vm.vm), self.config
             )
             router = router_lib.UpstreamRouter(
                 kernel,
                 fakes.settings(vm=vm.vm, batch_reserve_fraction="0.25"),
+                self.clock,
             )
             router.start()
             self.routers[vm.vm] = router
@@ -263,3 +269,44 @@
     assert yielded.acquire(timeout=5.0)
     assert not yielded.acquire(blocking=False)
     fleet.stop()
+
+
+def test_upstreams_of_a_frozen_owner_go_to_another_vm_and_back() -> None:
+    # A VM freezes but stays on the platform's list. All other VMs serve on,
+    # yet no batch item ran on the engines that it owns until the list
+    # dropped it. Cause: ownership followed from the list alone.
+    fleet = Fleet()
+    owner = fleet.routers["vm-a"].topology().owners.of("e1")
+    other = "vm-b" if owner == "vm-a" else "vm-a"
+    router = fleet.routers[other]
+    fleet.network.cut.add(frozenset((owner, other)))
+    router.send_reports()
+    assert "e1" not in router.topology().owned
+    fleet.clock.sleep_s(inflightreports.SILENT_AFTER_S)
+    router.send_reports()
+    assert "e1" in router.topology().owned
+    placed = [take(router, work("batch")) for _ in range(2 * SLOTS)]
+    assert any(s and s.upstream.upstream == "e1" for s in placed)
+    fleet.network.cut.clear()
+    router.send_report_to(owner)
+    assert "e1" not in router.topology().owned
+    fleet.stop()
+
+
+def test_vm_that_is_gone_leaves_nothing_behind() -> None:
+    # VMs are replaced all day under new names. Each left a thread and what
+    # it had reported, until the daemon ran out of memory.
+    fleet = Fleet()
+    owner = fleet.routers["vm-a"].topology().owners.of("e1")
+    other = "vm-b" if owner == "vm-a" else "vm-a"
+    router = fleet.routers[other]
+    fleet.network.cut.add(frozenset((owner, other)))
+    router.send_reports()
+    fleet.clock.sleep_s(inflightreports.SILENT_AFTER_S)
+    router.send_reports()
+    assert router.is_silent(owner)
+    for membership in fleet.memberships:
+        membership.vms = tuple(vm for vm in membership.vms if vm.vm != owner)
+    assert router.topology().near_owners == frozenset()
+    assert not router.is_silent(owner)
+    fleet.stop()
