Order upstreams and list models once a change, not once a request

Cause: found in the read-through: each online request sorted all upstreams and gathered all models, 6,400 rows at the design size, several times. Change: the set of pages keeps both; the router's topology goes by it.

--- a/packages/bench/bench/staticvm.py
+++ b/packages/bench/bench/staticvm.py
@@ -98,6 +98,16 @@
         """See `services.Config`."""
         return self.rows
 
+    def models(self) -> frozenset[str]:
+        """See `services.Config`."""
+        return frozenset(
+            model for row in self.upstreams() for model in row.models
+        )
+
+    def plain_services(self) -> frozenset[str]:
+        """See `services.Config`."""
+        return frozenset(row.service for row in self.upstreams())
+
     def on_change(self, callback: Callable[[], None]) -> None:
         """See `services.Config`."""
         self._callbacks.append(callback)
--- a/packages/daemon/bulrushdeald/config.py
+++ b/packages/daemon/bulrushdeald/config.py
@@ -140,8 +140,15 @@
 
     def upstreams(self) -> tuple[records.Upstream, ...]:
         """See `services.Config`."""
-        rows = self._held.upstreams.copy()
-        return tuple(rows[name] for name in sorted(rows))
+        return self._held.upstream_rows
+
+    def models(self) -> frozenset[str]:
+        """See `services.Config`."""
+        return self._held.models
+
+    def plain_services(self) -> frozenset[str]:
+        """See `services.Config`."""
+        return self._held.plain_services
 
     def authenticate(
         self, key: str
--- a/packages/daemon/bulrushdeald/modelcalls.py
+++ b/packages/daemon/bulrushdeald/modelcalls.py
@@ -53,7 +53,7 @@
         del request, call
         data = [
             {"id": name, "object": "model", "created": 0, "owned_by": ""}
-            for name in sorted(self._models())
+            for name in sorted(self._config.models())
         ]
         return httpd.json_response(_OK, {"object": "list", "data": data})
 
@@ -94,7 +94,7 @@
         checked = completions.read(request.path, body.ok_value)
         if isinstance(checked, result.Err):
             return checked
-        if checked.ok_value.model not in self._models():
+        if checked.ok_value.model not in self._config.models():
             return result.Err(
                 services.Refusal(
                     404,
@@ -105,13 +105,6 @@
             )
         return checked
 
-    def _models(self) -> set[str]:
-        return {
-            model
-            for upstream in self._config.upstreams()
-            for model in upstream.models
-        }
-
     def _answer(
         self,
         request: httpd.Request,
--- a/packages/daemon/bulrushdeald/pageset.py
+++ b/packages/daemon/bulrushdeald/pageset.py
@@ -32,6 +32,9 @@
         customers: Rows by name.
         keys: Keys by hash, withdrawn ones too.
         upstreams: Rows by name.
+        upstream_rows: The same rows in the order of their names.
+        models: What some engine serves.
+        plain_services: The plain services that there are.
     """
 
     def __init__(self) -> None:
@@ -44,6 +47,9 @@
         self.customers: dict[str, records.Customer] = {}
         self.keys: dict[str, records.Key] = {}
         self.upstreams: dict[str, records.Upstream] = {}
+        self.upstream_rows: tuple[records.Upstream, ...] = ()
+        self.models: frozenset[str] = frozenset()
+        self.plain_services: frozenset[str] = frozenset()
 
     def offer(self, key: str, revision: int, page: pages.Page) -> PageAt | None:
         """Puts a page in force if it is later than the one held.
@@ -82,6 +88,19 @@
         for upstream in old.upstreams:
             if upstream.upstream not in kept_upstreams:
                 self.upstreams.pop(upstream.upstream, None)
+        if old.upstreams != new.upstreams:
+            self._order_upstreams()
+
+    def _order_upstreams(self) -> None:
+        # Once a change and not once a request: there are thousands.
+        rows = sorted(self.upstreams.items())
+        self.upstream_rows = tuple(row for _, row in rows)
+        self.models = frozenset(
+            model for row in self.upstream_rows for model in row.models
+        )
+        self.plain_services = frozenset(
+            row.service for row in self.upstream_rows if row.service
+        )
 
     def change(self, change: pages.Change) -> PageAt | None:
         """Applies a change if it is later and fits what is held.
--- a/packages/daemon/bulrushdeald/plainservices.py
+++ b/packages/daemon/bulrushdeald/plainservices.py
@@ -102,7 +102,10 @@
         path, mark, query = request.target.partition("?")
         segment, _, rest = path.removeprefix(PREFIX).partition("/")
         service = urllib.parse.unquote(segment)
-        if not path.startswith(PREFIX) or service not in self._services():
+        if (
+            not path.startswith(PREFIX)
+            or service not in self._config.plain_services()
+        ):
             return result.Err(
                 refusals.not_found(f"There is no service {service!r}.")
             )
@@ -157,13 +160,6 @@
             )
         return result.Ok(_Body(body.ok_value, body.ok_value))
 
-    def _services(self) -> set[str]:
-        return {
-            upstream.service
-            for upstream in self._config.upstreams()
-            if upstream.service
-        }
-
     def _work(self, plain: _Request, call: calls.Call) -> services.Work:
         work_class: records.WorkClass = "online"
         return services.Work(
--- a/packages/daemon/bulrushdeald/services.py
+++ b/packages/daemon/bulrushdeald/services.py
@@ -191,7 +191,13 @@
         """Tells whether a key has been withdrawn."""
 
     def upstreams(self) -> tuple[records.Upstream, ...]:
-        """Returns all upstreams by name."""
+        """Returns all upstreams by name; the same tuple until a change."""
+
+    def models(self) -> frozenset[str]:
+        """Returns the models that some engine serves."""
+
+    def plain_services(self) -> frozenset[str]:
+        """Returns the names of the plain services that there are."""
 
     def on_change(self, callback: Callable[[], None]) -> None:
         """Calls back, on the feed's thread, after each change in force.
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -142,6 +142,14 @@
     def upstreams(self) -> tuple[records.Upstream, ...]:
         return self.all_upstreams
 
+    def models(self) -> frozenset[str]:
+        return frozenset(
+            model for row in self.upstreams() for model in row.models
+        )
+
+    def plain_services(self) -> frozenset[str]:
+        return frozenset(row.service for row in self.upstreams())
+
     def set_upstreams(self, *upstreams: records.Upstream) -> None:
         self.all_upstreams = upstreams
         for callback in self.callbacks:
