Count the prompt tokens of streams

Change: a stream is asked to tell its usage, and the event is taken out again if the caller did not ask. Answers kept for an idempotency key stay as they came. Without the change the new test finds 0 tokens; with it the prompt's and the answer's are those of the engine.

--- a/packages/daemon/bulrushdeald/completions.py
+++ b/packages/daemon/bulrushdeald/completions.py
@@ -30,6 +30,7 @@
         is_stream: Whether the caller wants server-sent events.
         prompt_prefix: The beginning of the prompt.
         expected_tokens: A guess of prompt and answer together.
+        asks_usage: Whether the caller wants its stream to tell the usage.
     """
 
     path: str
@@ -38,6 +39,7 @@
     is_stream: bool
     prompt_prefix: bytes
     expected_tokens: int
+    asks_usage: bool = False
 
 
 def read(path: str, body: bytes) -> result.Result[Call, services.Refusal]:
@@ -85,10 +87,27 @@
             stream,
             text[:PREFIX_BYTES],
             len(text) // _BYTES_PER_TOKEN + max_tokens,
+            bool(_stream_options(value).get("include_usage")),
         )
     )
 
 
+def _stream_options(value: dict[str, Any]) -> dict[str, Any]:
+    options = value.get("stream_options")
+    return options if isinstance(options, dict) else {}
+
+
+def with_usage(call: Call) -> bytes:
+    """Returns the body that makes a stream tell its usage at the end.
+
+    Without it an engine does not say how many tokens a stream's prompt had,
+    and the reports would show none.
+    """
+    value = json.loads(call.body)
+    options = {**_stream_options(value), "include_usage": True}
+    return json.dumps({**value, "stream_options": options}).encode()
+
+
 def _prompt_bytes(prompt: Any) -> bytes:
     if isinstance(prompt, str):
         return prompt.encode(errors="replace")
--- a/packages/daemon/bulrushdeald/modelcalls.py
+++ b/packages/daemon/bulrushdeald/modelcalls.py
@@ -116,11 +116,15 @@
             model_call, call.customer, "online", self._deadline_s
         )
         key = headers_lib.bearer(request.headers)
+        # An answer that is kept for an idempotency key is kept as it came.
+        hides = model_call.is_stream and not (
+            model_call.asks_usage or guard.is_keyed
+        )
         sending = dispatch.Sending(
             "POST",
             model_call.path,
             headers_lib.for_upstream(request.headers, key),
-            model_call.body,
+            completions.with_usage(model_call) if hides else model_call.body,
             # Its caller asked for one run at most.
             is_idempotent=not guard.is_keyed,
         )
@@ -135,7 +139,8 @@
             if self._is_tried_elsewhere(relay, call, guard):
                 relay.refuse()
                 continue
-            answered = _answer(relay, tokens, model_call.is_stream)
+            answering = _Answering(relay, tokens, hides)
+            answered = answering.answer(model_call.is_stream)
             if isinstance(answered, result.Ok):
                 return answered
             failure = answered.err_value
@@ -189,23 +194,25 @@
         )
 
 
-def _answer(
-    relay: relays.Relay, tokens: "_Tokens", is_stream: bool
-) -> result.Result[httpd.Response, dispatch.Failure]:
-    answering = _Answering(relay, tokens)
-    if is_stream and relay.answer.status == _OK:
-        return answering.stream()
-    return answering.whole()
-
-
 class _Answering:
     """Answers one call from one upstream's answer."""
 
-    def __init__(self, relay: relays.Relay, tokens: "_Tokens") -> None:
+    def __init__(
+        self, relay: relays.Relay, tokens: "_Tokens", hides_usage: bool
+    ) -> None:
         self._relay = relay
         self._tokens = tokens
+        self._hides_usage = hides_usage
+
+    def answer(
+        self, is_stream: bool
+    ) -> result.Result[httpd.Response, dispatch.Failure]:
+        """Returns a stream, or a whole answer."""
+        if is_stream and self._relay.answer.status == _OK:
+            return self._stream()
+        return self._whole()
 
-    def whole(self) -> result.Result[httpd.Response, dispatch.Failure]:
+    def _whole(self) -> result.Result[httpd.Response, dispatch.Failure]:
         """Returns a whole answer once all of it is there."""
         parts: list[bytes] = []
         size_bytes = 0
@@ -223,7 +230,7 @@
         headers = _with_length(answer.headers, len(body))
         return result.Ok(httpd.Response(answer.status, headers, (body,)))
 
-    def stream(self) -> result.Result[httpd.Response, dispatch.Failure]:
+    def _stream(self) -> result.Result[httpd.Response, dispatch.Failure]:
         """Returns a stream once its first event is there."""
         events = streams.whole_events(self._relay.items)
         first = next(events)
@@ -240,14 +247,19 @@
         first: bytes,
         events: Iterator[result.Result[bytes, services.UpstreamError]],
     ) -> Iterator[bytes]:
-        self._tokens.note(first)
-        yield first
+        if shown := self._shown(first):
+            yield shown
         for item in events:
             if isinstance(item, result.Err):
                 yield streams.error_event(self._relay.fail(item.err_value))
                 return
-            self._tokens.note(item.ok_value)
-            yield item.ok_value
+            if shown := self._shown(item.ok_value):
+                yield shown
+
+    def _shown(self, data: bytes) -> bytes:
+        """Counts a run of events; returns those that the caller asked for."""
+        self._tokens.note(data)
+        return streams.without_usage(data) if self._hides_usage else data
 
 
 class _Tokens:
--- a/packages/daemon/bulrushdeald/streams.py
+++ b/packages/daemon/bulrushdeald/streams.py
@@ -10,6 +10,8 @@
 
 _DONE = b"data: [DONE]"
 _MAX_EVENT_BYTES = 4_000_000
+# How an event without choices looks, whether or not spaces are written.
+_NO_CHOICES = (b'"choices":[]', b'"choices": []')
 _ENDS = (b"\n\n", b"\r\n\r\n")
 
 
@@ -47,6 +49,33 @@
         yield result.Err(_cut("The stream has no end."))
 
 
+def without_usage(data: bytes) -> bytes:
+    """Returns whole events without those that tell only the usage.
+
+    The caller did not ask for them, and some clients expect a choice in
+    each event.
+    """
+    if not any(mark in data for mark in _NO_CHOICES):
+        return data
+    kept = [event for event in _split(data) if not _tells_usage(event)]
+    return b"".join(kept)
+
+
+def _split(data: bytes) -> list[bytes]:
+    end = b"\r\n\r\n" if b"\r\n\r\n" in data else b"\n\n"
+    return [event + end for event in data.split(end) if event]
+
+
+def _tells_usage(event: bytes) -> bool:
+    try:
+        value = json.loads(event.strip().removeprefix(b"data:"))
+    except ValueError:
+        return False
+    if not isinstance(value, dict) or value.get("choices") != []:
+        return False
+    return isinstance(value.get("usage"), dict)
+
+
 def _last_end(data: bytes) -> int:
     return max(
         data.rfind(end) + len(end) if end in data else 0 for end in _ENDS
--- a/tests/daemon/test_openai.py
+++ b/tests/daemon/test_openai.py
@@ -65,3 +65,23 @@
 MESSAGES: list[openai.types.chat.ChatCompletionMessageParam] = [
     {"role": "user", "content": "hello"}
 ]
+
+
+def test_stream_counts_its_prompt_without_showing_the_usage() -> None:
+    # The parent asks what was spent on prompts, and the report shows none
+    # for streams. Cause: an engine tells a stream's usage only if asked, and
+    # most callers do not ask; those must not see it either.
+    server = engine.Engine(timing=pathfakes.FAST)
+    server.start()
+    row = pathfakes.engine_row(server.address)
+    with pathfakes.running(row) as vm, connect(vm) as client:
+        stream = client.chat.completions.create(
+            model="textbook", messages=MESSAGES, max_tokens=5, stream=True
+        )
+        events = list(stream)
+        pathfakes.wait_until(lambda: bool(vm.usage.events))
+        event = vm.usage.events[0]
+    server.stop()
+    assert all(shown.choices and not shown.usage for shown in events)
+    assert event.prompt_tokens == len(json.dumps(MESSAGES)) // 4 + 1
+    assert event.completion_tokens == 5
