--- a/packages/bench/bench/routecost.py
+++ b/packages/bench/bench/routecost.py
@@ -7,6 +7,7 @@
 """
 
 import time
+import tracemalloc
 from typing import Any, NamedTuple
 
 import result
@@ -43,6 +44,7 @@
         topology_ms: Processor time of building the topology once.
         report_bytes: One VM's report to one owner that it uses.
         answer_bytes: The owner's answer.
+        state_mb: Memory of the rows of upstreams and VMs and the topology.
     """
 
     size: Size
@@ -50,6 +52,7 @@
     topology_ms: float
     report_bytes: int
     answer_bytes: int
+    state_mb: float
 
 
 SIZES = (
@@ -168,18 +171,33 @@
         topology_s * 1e3,
         len(codec.pack(inflight.CountsReport(counts))),
         len(codec.pack(inflight.CountsTotals(counts))),
+        _state_mb(size),
     )
 
 
+def _state_mb(size: Size) -> float:
+    tracemalloc.start()
+    vms = _vms(size)
+    kept = topology.build(_upstreams(size), vms, vms[0])
+    used_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return used_bytes / 1e6
+
+
 def main() -> None:
     """Prints a line for each size."""
-    print("upstreams vms domains acquire_us topology_ms report_B answer_B")
+    print(
+        "upstreams vms domains acquire_us topology_ms report_B answer_B"
+        " state_MB"
+    )
     for size in SIZES:
         cost = measure(size)
         print(
             f"{size.upstreams:9} {size.vms:4} {size.failure_domains:7}"
             f" {cost.acquire_us:10.1f} {cost.topology_ms:11.1f}"
             f" {cost.report_bytes:8} {cost.answer_bytes:8}"
+            f" {cost.state_mb:8.2f}"
         )
 
 
