Test of a full server: wait until the first connection is being served

Cause: seen once in a full run on a loaded machine, the 17th connection got 503: the one thread had not yet taken the first, so it still held a place in the queue of 16. Ruled out: the server, which keeps its bound either way. The test now waits for the first to be served; what it asserts is the same.

--- a/tests/core/test_httpd.py
+++ b/tests/core/test_httpd.py
@@ -108,9 +108,11 @@
     All threads are taken and the bounded queue is full; the next caller is
     told at once to come back.
     """
+    entered = threading.Event()
     go_on = threading.Event()
 
     def block(request: httpd.Request) -> httpd.Response:
+        entered.set()
         go_on.wait()
         return httpd.json_response(200, {})
 
@@ -122,6 +124,8 @@
         sock = socket.create_connection(("127.0.0.1", server.port), 10)
         sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
         opened.append(sock)
+        # Until the thread has taken the first one, it waits in the queue too.
+        assert entered.wait(30)
     # 1 is served and 16 wait; the kernel's queue hands over in order.
     refused = opened[-1].recv(65536)
     assert refused.startswith(b"HTTP/1.1 503")
