Limits: requests that share a message ask again; new customers begin with their burst

Three causes, each seen in a test that failed before: - A request whose want went out in another request's message was told that the owner gave nothing, whatever it gave, and was refused at once. Found on the way: a part seen as vacant and a record or list of VMs that changed before the claim was written could make the fractions of a page 1.5.

Change: a shared message's answer goes to all who share it; direct asks go on while tokens come; claims check the part that they were made for, begin at different pages and are tried again at once; readiness waits for owners, 5 s at most; a customer is made with an opening that names the epochs which may fill its bucket.

The machine of openings fails when the epoch is not compared or a raised burst counts; a move of fractions needs its scripted test.

--- a/packages/bench/bench/limitfakes.py
+++ b/packages/bench/bench/limitfakes.py
@@ -279,6 +279,7 @@
 
     def __init__(self, rows: dict[str, records.Customer]) -> None:
         self.rows = dict(rows)
+        self.openings: dict[str, records.Opening] = {}
         self._callbacks: list[Callable[[], None]] = []
 
     def customer(self, customer: str) -> records.Customer | None:
@@ -289,12 +290,20 @@
         """See `services.Config`."""
         return tuple(self.rows[name] for name in sorted(self.rows))
 
+    def opening(self, customer: str) -> records.Opening | None:
+        """See `services.Config`."""
+        return self.openings.get(customer)
+
     def on_change(self, callback: Callable[[], None]) -> None:
         """See `services.Config`."""
         self._callbacks.append(callback)
 
-    def apply(self, row: records.Customer) -> None:
-        """Puts a row in force."""
+    def apply(
+        self, row: records.Customer, opening: records.Opening | None = None
+    ) -> None:
+        """Puts a row in force, with what it begins with if it is new."""
+        if opening is not None:
+            self.openings[row.customer] = opening
         self.rows[row.customer] = row
         for callback in self._callbacks:
             callback()
--- a/packages/core/bulrushdeal/records.py
+++ b/packages/core/bulrushdeal/records.py
@@ -46,6 +46,37 @@
     batch_weight: float = 1.0
 
 
+class OpeningPart(NamedTuple):
+    """What one failure domain has of an opening.
+
+    Attributes:
+        failure_domain: Whose part.
+        epoch: Of the only owner of the part that may give it.
+        fraction: Of the row's burst.
+    """
+
+    failure_domain: str
+    epoch: int
+    fraction: float
+
+
+class Opening(NamedTuple):
+    """The tokens that a customer begins with, one burst in all.
+
+    Attributes:
+        customer: The customer.
+        burst: The row's burst when it was made.
+        made_s: When, by the wall clock; some minutes later every owner has
+            seen it, and it may go.
+        parts: How the limits were split at that time.
+    """
+
+    customer: str
+    burst: float
+    made_s: float
+    parts: tuple[OpeningPart, ...]
+
+
 class Key(NamedTuple):
     """A caller's key, stored as its hash.
 
--- a/packages/daemon/bulrushdeald/asker.py
+++ b/packages/daemon/bulrushdeald/asker.py
@@ -115,21 +115,19 @@
         self._is_busy = False
         self._next = Round()
 
-    def join(self, customer: str, need: float, want: float) -> Round | None:
+    def join(self, customer: str, need: float, want: float) -> Round:
         """Adds a want and waits for a turn.
 
         Returns:
-            The round that the caller has to send, then `finish`; `None` if
-            another thread has sent the want.
+            The round that the want is in. If it has not been asked, the
+            caller has to send it and then `finish`.
         """
         with self._changed:
             mine = self._next
             mine.add(customer, need, want)
             while self._is_busy and mine.asked is None:
                 self._changed.wait()
-            if mine.asked is not None:
-                return None
-            return self._begin()
+            return mine if mine.asked is not None else self._begin()
 
     def enter(self) -> Round:
         """Waits for a turn with nothing to add."""
--- a/packages/daemon/bulrushdeald/bucket.py
+++ b/packages/daemon/bulrushdeald/bucket.py
@@ -44,7 +44,8 @@
     def __init__(self, terms: Terms, now_s: float) -> None:
         self.terms = terms
         self.capacity = shares.capacity(terms.burst, terms.takeovers)
-        # An earlier owner may have granted everything just before.
+        # An earlier owner may have granted everything just before; `fill`
+        # is for what certainly nobody has granted.
         self.level = 0.0
         self.outstanding: dict[Hashable, float] = {}
         self.debts: dict[Hashable, float] = {}
@@ -80,6 +81,10 @@
         gained = elapsed_s * self.terms.rate_per_s * (1 - CLOCK_DRIFT)
         self.level += max(0.0, min(gained, self.room))
 
+    def fill(self, count: float) -> None:
+        """Adds tokens that a new row begins with, as far as there is room."""
+        self.level += max(0.0, min(count, self.room))
+
     def change(self, terms: Terms, now_s: float) -> None:
         """Puts other terms in force; tokens over them are dropped."""
         self.accrue(now_s)
--- a/packages/daemon/bulrushdeald/config.py
+++ b/packages/daemon/bulrushdeald/config.py
@@ -177,6 +177,10 @@
         age_s = self.gossip.age_s()
         return age_s < 0 or age_s > self._max_age_s
 
+    def opening(self, customer: str) -> records.Opening | None:
+        """See `services.Config`."""
+        return self._held.openings.get(customer)
+
     def is_withdrawn(self, key_hash: str) -> bool:
         """See `services.Config`; a key that is gone counts as withdrawn."""
         row = self._held.keys.get(key_hash)
--- a/packages/daemon/bulrushdeald/configroutes.py
+++ b/packages/daemon/bulrushdeald/configroutes.py
@@ -33,9 +33,13 @@
     """Serves the configuration to operators; see docs/operators."""
 
     def __init__(
-        self, keyvalue: services.KeyValue, config: config_lib.ConfigService
+        self,
+        keyvalue: services.KeyValue,
+        config: config_lib.ConfigService,
+        limits: services.Limits | None,
     ) -> None:
         self._keyvalue = keyvalue
+        self._limits = limits
         self._config = config
         self._editor = edits.Editor(keyvalue, config)
 
@@ -69,10 +73,16 @@
         revision = replies.revision(expected, "expected_revision")
         edited = self._editor.edit(
             pages.customer_key(row.customer),
-            rewrites.put_customer(row, revision),
+            rewrites.put_customer(row, revision, self._opening(row)),
         )
         return _answer(edited, row._asdict())
 
+    def _opening(self, row: records.Customer) -> records.Opening | None:
+        is_known = self._config.customer(row.customer) is not None
+        if is_known or self._limits is None:
+            return None
+        return self._limits.opening(row)
+
     def patch_customer(self, request: httpd.Request) -> httpd.Response:
         """Changes one cell if it still is as the operator saw it."""
         body = replies.body_object(request)
@@ -237,8 +247,10 @@
             by_page.setdefault(pages.customer_key(row.customer), []).append(row)
         problems: list[dict[str, Any]] = []
         for key, page_rows in sorted(by_page.items()):
+            found = [self._opening(row) for row in page_rows]
+            openings = tuple(opening for opening in found if opening)
             edited = self._editor.edit(
-                key, rewrites.put_rows(tuple(page_rows), expected)
+                key, rewrites.put_rows(tuple(page_rows), expected, openings)
             )
             if edited.is_err():
                 error = edited.unwrap_err()
@@ -295,7 +307,10 @@
     """Adds the routes to the operators' server."""
     keyvalue = kernel.find(services.KEYVALUE, services.KeyValue)
     config = kernel.find(services.CONFIG, config_lib.ConfigService)
-    routes = ConfigRoutes(keyvalue, config)
+    limits = None
+    if kernel.has(services.LIMITS):
+        limits = kernel.find(services.LIMITS, services.Limits)
+    routes = ConfigRoutes(keyvalue, config, limits)
     server.route("GET", _CUSTOMERS, routes.list_customers)
     server.route("PUT", _CUSTOMERS + "/", routes.put_customer)
     server.route("PATCH", _CUSTOMERS + "/", routes.patch_customer)
--- a/packages/daemon/bulrushdeald/holder.py
+++ b/packages/daemon/bulrushdeald/holder.py
@@ -93,15 +93,16 @@
             want += self._ahead(customer)
         turnstile = self._turnstile(page, failure_domain)
         joined = turnstile.join(customer, need, want)
-        if joined is None:
-            # Sent by another thread: look into the wallet again.
-            return Answer(True, credit.Grant(0, 0))
+        if joined.asked is not None:
+            # Sent by another thread, which may have spent what it brought;
+            # what the owner said tells whether to ask again.
+            return _answer(joined.asked, customer)
         asked = asker.Asked(False, {})
         try:
             asked = self._send(page, failure_domain, joined)
         finally:
             turnstile.finish(joined, asked)
-        return Answer(asked.is_answered, asked.grants.get(customer))
+        return _answer(asked, customer)
 
     def _missing(self, customer: str) -> float:
         return max(0.0, 1.0 - self.in_hand(customer))
@@ -290,3 +291,7 @@
                 for name, wallet in self._wallets.items()
                 if wallet.total() > 0
             }
+
+
+def _answer(asked: asker.Asked, customer: str) -> Answer:
+    return Answer(asked.is_answered, asked.grants.get(customer))
--- a/packages/daemon/bulrushdeald/limits.py
+++ b/packages/daemon/bulrushdeald/limits.py
@@ -45,8 +45,15 @@
 _FEED_S = 0.3
 # Each round brings a message or two; a request is not worth more.
 _MAX_ROUNDS = 8
-# Other failure domains asked directly while the own one has no owner.
+# Other failure domains asked directly while the own one has no owner, and
+# how often each: a token that came may go to another request of this VM.
 _MAX_DIRECT = 3
+_DIRECT_ROUNDS = 3
+# Until the records are read for the first time, each look costs nothing.
+_FIRST_LOOK_S = 0.05
+# A VM that starts says that it is ready without its part of each page, if
+# nobody comes to own them in this time: the platform may be out.
+_READY_S = 5.0
 # A refused customer is refused here without asking for at most this long.
 _MAX_PAUSE_S = 0.1
 _LEAST_WAIT_S = 0.001
@@ -118,6 +125,8 @@
         self._short = threading.Event()
         self._pauses: dict[str, Pause] = {}
         self._rows: _Rows | None = None
+        self._is_ready = False
+        self._ready_by_s: float | None = None
 
     def attach(self) -> None:
         """Finds the other services; `start` runs the threads as well."""
@@ -135,7 +144,9 @@
             self._book, sender, clock, self._config.customer
         )
         self._collector = collector.Collector(self._book, sender)
-        self._ownership = ownership.Ownership(self._book, members, peers, clock)
+        self._ownership = ownership.Ownership(
+            self._book, members, peers, clock, self._config.opening
+        )
         self._rebalancer = rebalance.Rebalancer(
             self._book, clock, self._ownership.nonce
         )
@@ -177,6 +188,24 @@
         )
         return Dump(owned, self._holder.dump(), pages)
 
+    def opening(self, row: records.Customer) -> records.Opening | None:
+        """See `services.Limits`."""
+        parts = self._ownership.parts(shares.page_of(row.customer))
+        if not parts:
+            return None
+        # A part without an owner is given by its next one.
+        given = tuple(
+            records.OpeningPart(
+                part.failure_domain,
+                part.epoch if part.vm else part.epoch + 1,
+                part.fraction,
+            )
+            for part in parts
+        )
+        return records.Opening(
+            row.customer, row.burst, self._clock.wall_s(), given
+        )
+
     def take(
         self, customer: str, count: float = 1.0
     ) -> result.Result[None, services.Refusal]:
@@ -268,14 +297,18 @@
         others = shares.rank(f"{self._domain}/{customer}", others)
         refusal = _UNAVAILABLE
         for failure_domain in others[:_MAX_DIRECT]:
-            need = max(0.0, count - self._holder.in_hand(customer))
-            answer = self._holder.ask(
-                failure_domain, customer, need, ahead=False
-            )
-            if self._holder.spend(customer, count):
-                return None
-            if answer.grant is not None:
+            for _ in range(_DIRECT_ROUNDS):
+                need = max(0.0, count - self._holder.in_hand(customer))
+                answer = self._holder.ask(
+                    failure_domain, customer, need, ahead=False
+                )
+                if self._holder.spend(customer, count):
+                    return None
+                if answer.grant is None:
+                    break
                 refusal = _refusal(answer.grant.wait_s or _RETRY_S)
+                if answer.grant.granted <= 0:
+                    break
         return refusal
 
     def _on_ask(self, vm: str, ask: credit.CreditAsk) -> credit.CreditGrants:
@@ -357,8 +390,23 @@
             self._stopping.wait(_FEED_S)
 
     def is_ready(self) -> bool:
-        """See `services.Limits`."""
-        return not self._book.is_empty()
+        """See `services.Limits`.
+
+        Once ready it stays so: an owner that is lost later is replaced, and
+        to leave the balancer meanwhile would help nobody.
+        """
+        if self._is_ready or self._book.is_empty():
+            return self._is_ready
+        now_s = self._clock.monotonic_s()
+        if self._ready_by_s is None:
+            self._ready_by_s = now_s + _READY_S
+        # The failure: a fleet starts, and a VM that has no part to take from
+        # refuses its first callers. Each part has an owner within a second
+        # or two, unless the platform is out; then other parts have to do.
+        self._is_ready = (
+            self._book.is_owned(self._domain) or now_s >= self._ready_by_s
+        )
+        return self._is_ready
 
     def _watch(self) -> None:
         while not self._stopping.is_set():
@@ -368,8 +416,13 @@
             self._stopping.wait(pause_s)
 
     def _tend_loop(self) -> None:
-        while not self._stopping.wait(TEND_S):
+        looks = int(TEND_S / _FIRST_LOOK_S)
+        while looks and not self._book.is_loaded:
+            self._stopping.wait(_FIRST_LOOK_S)
+            looks -= 1
+        while not self._stopping.is_set():
             self._guarded(self.tend)
+            self._stopping.wait(TEND_S)
 
     def _report_loop(self) -> None:
         while not self._stopping.wait(REPORT_S):
--- a/packages/daemon/bulrushdeald/owner.py
+++ b/packages/daemon/bulrushdeald/owner.py
@@ -39,11 +39,22 @@
     fraction: float
 
 
+OpeningOf = Callable[[str], records.Opening | None]
+
+
+def _no_opening(customer: str) -> None:
+    del customer
+
+
 class OwnedPart:
     """The ledgers of one page in one failure domain."""
 
     def __init__(
-        self, page: int, part: shares.Part, clock: clock_lib.Clock
+        self,
+        page: int,
+        part: shares.Part,
+        clock: clock_lib.Clock,
+        opening_of: OpeningOf = _no_opening,
     ) -> None:
         self.page = page
         self.part = part
@@ -51,6 +62,7 @@
         # A donor lowers itself before the record says so.
         self.fraction_cap = part.fraction
         self._clock = clock
+        self._opening_of = opening_of
         self._lock = threading.Lock()
         self._rows: Mapping[str, records.Customer] = {}
         self._ledgers: dict[str, bucket.Ledger] = {}
@@ -165,10 +177,32 @@
             terms = self._terms(self._rows.get(name))
             ledger = self._ledgers.get(name)
             if ledger is None:
-                self._ledgers[name] = bucket.Ledger(terms, now_s)
+                ledger = self._ledgers[name] = bucket.Ledger(terms, now_s)
+                ledger.fill(self._opening_tokens(name))
             elif ledger.terms != terms:
                 ledger.change(terms, now_s)
 
+    def _opening_tokens(self, customer: str) -> float:
+        """Returns what this part of a new customer's row begins with.
+
+        The failure: an owner takes a row that is not new to the fleet for a
+        new one and fills its bucket, though others have granted its tokens.
+        So the row says itself which epoch of each part may fill it, as of
+        before it was made: an earlier owner was gone by then, a later one
+        has another epoch, and this one fills only a ledger it never had.
+        The fractions are those of one record, so all parts together begin
+        with one burst at most, however fractions move meanwhile.
+        """
+        opening = self._opening_of(customer)
+        row = self._rows.get(customer)
+        if opening is None or row is None:
+            return 0.0
+        own = (self.part.failure_domain, self.part.epoch)
+        for part in opening.parts:
+            if (part.failure_domain, part.epoch) == own:
+                return part.fraction * min(opening.burst, row.burst)
+        return 0.0
+
     def _terms(self, row: records.Customer | None) -> bucket.Terms:
         if row is None:
             return bucket.Terms(0.0, 0.0)
--- a/packages/daemon/bulrushdeald/ownership.py
+++ b/packages/daemon/bulrushdeald/ownership.py
@@ -24,6 +24,7 @@
 # The next candidate claims this much later, if the first does not.
 CLAIM_STEP_S = 2.0
 _DROP_TIMEOUT_S = 0.5
+_CLAIM_TRIES = 4
 
 
 class Vacancy(NamedTuple):
@@ -42,11 +43,13 @@
         membership: services.Membership,
         peers: services.Peers,
         clock: clock_lib.Clock,
+        opening_of: owner.OpeningOf,
     ) -> None:
         self._book = book
         self._membership = membership
         self._peers = peers
         self._clock = clock
+        self._opening_of = opening_of
         self._own = membership.own()
         self._incarnation = membership.incarnation()
         self._nonces = itertools.count(1)
@@ -56,6 +59,11 @@
         self._seen: set[str] = set()
         self._unclean: dict[tuple[int, str], str] = {}
         self._is_closed = False
+        # Failure domains that start together begin at different pages, so
+        # that their claims seldom meet.
+        first = shares.page_of(self._own.failure_domain)
+        pages = list(range(shares.PAGES))
+        self._order = pages[first:] + pages[:first]
 
     def owned(self) -> tuple[owner.OwnedPart, ...]:
         """Returns the parts that this VM owns."""
@@ -98,7 +106,7 @@
                     del self._owned[key]
             return
         if owned is None or owned.part.epoch < part.epoch:
-            owned = owner.OwnedPart(number, part, self._clock)
+            owned = owner.OwnedPart(number, part, self._clock, self._opening_of)
             owned.set_rows(rows)
             with self._lock:
                 self._owned[key] = owned
@@ -111,30 +119,35 @@
         if not self._book.is_loaded or self._is_closed:
             return
         waiting: set[Vacancy] = set()
-        for number in range(shares.PAGES):
+        for number in self._order:
             for vacancy in self._vacancies(number):
                 waiting.add(vacancy)
                 if self._is_due(vacancy):
-                    self._claim(vacancy)
+                    self._claim_part(vacancy)
         for vacancy in set(self._since_s) - waiting:
             del self._since_s[vacancy]
 
+    def _claim_part(self, vacancy: Vacancy) -> None:
+        # Another failure domain's claim on the same page wins the write
+        # when a fleet starts; to wait for the next round each time would
+        # leave a part without an owner for as many seconds as domains.
+        for _ in range(_CLAIM_TRIES):
+            if self._claim(vacancy) != "no":
+                return
+            if vacancy not in self._vacancies(vacancy.page):
+                return
+
     def _vacancies(self, number: int) -> list[Vacancy]:
-        stored = self._book.get(number)
-        if stored is None:
-            domains = {vm.failure_domain for vm in self._candidates("")}
-            domains.add(self._own.failure_domain)
-            parts = tuple(
-                shares.Part(name, 1.0 / len(domains))
-                for name in sorted(domains)
-            )
-            stored = sharebook.Stored(shares.Page(parts), 0)
-        parts = stored.page.parts
-        if stored.page.part(self._own.failure_domain) is None:
+        parts = self._stored(number).page.parts
+        own = self._own.failure_domain
+        if all(part.failure_domain != own for part in parts):
             # A failure domain that is new: it begins by borrowing.
-            parts = (*parts, shares.Part(self._own.failure_domain, 0.0))
+            parts = (*parts, shares.Part(own, 0.0))
         return [Vacancy(number, p) for p in parts if self._is_vacant(p)]
 
+    def _stored(self, number: int) -> sharebook.Stored:
+        return self._book.get(number) or sharebook.Stored(self._first_page(), 0)
+
     def _is_vacant(self, part: shares.Part) -> bool:
         if part.vm == self._own.vm:
             # The peer port is bound exclusively, so an earlier process of
@@ -167,9 +180,15 @@
             delay_s += MISSING_S
         return now_s - since_s >= delay_s
 
-    def _claim(self, vacancy: Vacancy) -> None:
-        stored = self._book.get(vacancy.page)
+    def _claim(self, vacancy: Vacancy) -> sharebook.Written:
+        stored = self._stored(vacancy.page)
         part = vacancy.part
+        name = part.failure_domain
+        if (stored.page.part(name) or shares.Part(name, 0.0)) != part:
+            # The record or the list of VMs changed since the part was seen
+            # to be vacant. Its fraction as of then, written beside the
+            # others as of now, could make them more than the row.
+            return "no"
         mine = part._replace(
             vm=self._own.vm,
             incarnation=self._incarnation,
@@ -177,13 +196,8 @@
             # What the lost owner had granted may still be in hands.
             takeovers=part.takeovers + (1 if part.vm else 0),
         )
-        if stored is None:
-            page, revision = self._first_page(), 0
-        else:
-            page, revision = stored
-        self._book.put(
-            vacancy.page, page.with_part(mine, self.nonce()), revision
-        )
+        page = stored.page.with_part(mine, self.nonce())
+        return self._book.put(vacancy.page, page, stored.revision)
 
     def _first_page(self) -> shares.Page:
         domains = {vm.failure_domain for vm in self._candidates("")}
@@ -193,6 +207,18 @@
         )
         return shares.Page(parts)
 
+    def parts(self, number: int) -> tuple[shares.Part, ...]:
+        """Returns a page's parts; makes its record if there is none.
+
+        Returns:
+            Nothing if there is no record and none can be written.
+        """
+        if self._book.get(number) is None:
+            page = self._first_page()._replace(nonce=self.nonce())
+            self._book.put(number, page, 0)
+        stored = self._book.get(number)
+        return () if stored is None else stored.page.parts
+
     def nonce(self) -> str:
         """Returns a name for one write."""
         return f"{self._incarnation}/{next(self._nonces)}"
--- a/packages/daemon/bulrushdeald/pages.py
+++ b/packages/daemon/bulrushdeald/pages.py
@@ -31,11 +31,13 @@
         keys: The customers' keys by hash, withdrawn ones too: a withdrawn
             key stays, so that nothing can bring it back.
         upstreams: Rows by name; empty in a customers' page.
+        openings: Of customers made lately, by name.
     """
 
     customers: tuple[records.Customer, ...] = ()
     keys: tuple[records.Key, ...] = ()
     upstreams: tuple[records.Upstream, ...] = ()
+    openings: tuple[records.Opening, ...] = ()
 
 
 class Change(NamedTuple):
@@ -50,6 +52,7 @@
         gone_customers: Names of rows that are no longer there.
         gone_keys: Hashes of keys that are no longer there.
         gone_upstreams: Names of rows that are no longer there.
+        gone_openings: Names of customers whose opening is no longer there.
     """
 
     key: str
@@ -60,6 +63,7 @@
     gone_customers: tuple[str, ...] = ()
     gone_keys: tuple[str, ...] = ()
     gone_upstreams: tuple[str, ...] = ()
+    gone_openings: tuple[str, ...] = ()
 
 
 def all_keys() -> tuple[str, ...]:
@@ -115,6 +119,7 @@
         tuple(sorted(set(new.customers) - set(old.customers))),
         tuple(sorted(set(new.keys) - set(old.keys))),
         tuple(sorted(set(new.upstreams) - set(old.upstreams))),
+        tuple(sorted(set(new.openings) - set(old.openings))),
     )
     return Change(
         key,
@@ -134,6 +139,10 @@
             [row.upstream for row in old.upstreams],
             [row.upstream for row in new.upstreams],
         ),
+        _gone(
+            [row.customer for row in old.openings],
+            [row.customer for row in new.openings],
+        ),
     )
 
 
@@ -149,25 +158,32 @@
     keys.update({row.key_hash: row for row in change.rows.keys})
     upstreams = {row.upstream: row for row in page.upstreams}
     upstreams.update({row.upstream: row for row in change.rows.upstreams})
+    openings = {row.customer: row for row in page.openings}
+    openings.update({row.customer: row for row in change.rows.openings})
     for name in change.gone_customers:
         customers.pop(name, None)
     for key_hash in change.gone_keys:
         keys.pop(key_hash, None)
     for name in change.gone_upstreams:
         upstreams.pop(name, None)
-    return make(customers, keys, upstreams)
+    for name in change.gone_openings:
+        openings.pop(name, None)
+    return make(customers, keys, upstreams, openings)
 
 
 def make(
     customers: dict[str, records.Customer],
     keys: dict[str, records.Key],
     upstreams: dict[str, records.Upstream],
+    openings: dict[str, records.Opening] | None = None,
 ) -> Page:
     """Returns a page with its rows in order."""
+    opened = openings or {}
     return Page(
         tuple(customers[name] for name in sorted(customers)),
         tuple(keys[key_hash] for key_hash in sorted(keys)),
         tuple(upstreams[name] for name in sorted(upstreams)),
+        tuple(opened[name] for name in sorted(opened)),
     )
 
 
--- a/packages/daemon/bulrushdeald/pageset.py
+++ b/packages/daemon/bulrushdeald/pageset.py
@@ -31,6 +31,7 @@
         is_ready: Whether every page has come, so that this VM may serve.
         customers: Rows by name.
         keys: Keys by hash, withdrawn ones too.
+        openings: Of customers made lately, by name.
         upstreams: Rows by name.
         upstream_rows: The same rows in the order of their names.
         models: What some engine serves.
@@ -46,6 +47,7 @@
         self.is_ready = False
         self.customers: dict[str, records.Customer] = {}
         self.keys: dict[str, records.Key] = {}
+        self.openings: dict[str, records.Opening] = {}
         self.upstreams: dict[str, records.Upstream] = {}
         self.upstream_rows: tuple[records.Upstream, ...] = ()
         self.models: frozenset[str] = frozenset()
@@ -73,6 +75,8 @@
 
     def _index(self, old: pages.Page, new: pages.Page) -> None:
         # New rows first: a reader in between never misses a row that stays.
+        # An opening comes before its row: who sees the row looks for it.
+        self.openings.update({row.customer: row for row in new.openings})
         self.customers.update({row.customer: row for row in new.customers})
         self.keys.update({row.key_hash: row for row in new.keys})
         self.upstreams.update({row.upstream: row for row in new.upstreams})
@@ -80,6 +84,10 @@
         for customer in old.customers:
             if customer.customer not in kept_customers:
                 self.customers.pop(customer.customer, None)
+        kept_openings = {row.customer for row in new.openings}
+        for opening in old.openings:
+            if opening.customer not in kept_openings:
+                self.openings.pop(opening.customer, None)
         kept_keys = {row.key_hash for row in new.keys}
         for key in old.keys:
             if key.key_hash not in kept_keys:
--- a/packages/daemon/bulrushdeald/rewrites.py
+++ b/packages/daemon/bulrushdeald/rewrites.py
@@ -13,11 +13,16 @@
 _ADDRESS = re.compile(r"^[0-9a-zA-Z_.\-]+:[0-9]{1,5}$")
 _SEGMENT = re.compile(r"^[A-Za-z0-9][A-Za-z0-9_.\-]{0,99}$")
 
+# Long after every VM has a row; an owner that sees it later begins empty.
+_OPENING_KEPT_S = 600.0
+
 _Rewritten = result.Result[pages.Page, edits.EditError]
 
 
 def put_customer(
-    row: records.Customer, expected_revision: int | None
+    row: records.Customer,
+    expected_revision: int | None,
+    opening: records.Opening | None = None,
 ) -> edits.Rewrite:
     """Adds a row or replaces it whole.
 
@@ -25,7 +30,9 @@
         row: The checked row.
         expected_revision: The page's revision seen, 0 if the row is to be
             new; `None` to replace whatever is stored.
+        opening: What the row begins with if it is new.
     """
+    openings = () if opening is None else (opening,)
 
     def rewrite(stored: edits.Stored) -> _Rewritten:
         rows = _customers(stored.page)
@@ -42,7 +49,8 @@
             )
             return result.Err(problem)
         rows[row.customer] = row
-        return result.Ok(_with_customers(stored.page, rows))
+        page = _with_openings(stored.page, openings)
+        return result.Ok(_with_customers(page, rows))
 
     return rewrite
 
@@ -100,14 +108,21 @@
             key._replace(withdrawn=True) if key.customer == customer else key
             for key in stored.page.keys
         )
-        page = stored.page._replace(keys=keys)
+        openings = tuple(
+            opening
+            for opening in stored.page.openings
+            if opening.customer != customer
+        )
+        page = stored.page._replace(keys=keys, openings=openings)
         return result.Ok(_with_customers(page, rows))
 
     return rewrite
 
 
 def put_rows(
-    changed: tuple[records.Customer, ...], expected_revision: int | None
+    changed: tuple[records.Customer, ...],
+    expected_revision: int | None,
+    openings: tuple[records.Opening, ...] = (),
 ) -> edits.Rewrite:
     """Adds or replaces rows of one page, all or none.
 
@@ -115,6 +130,7 @@
         changed: The checked rows.
         expected_revision: The revision that the operator's table stood at;
             `None` to replace whatever is stored.
+        openings: What rows that are new begin with.
     """
 
     def rewrite(stored: edits.Stored) -> _Rewritten:
@@ -133,7 +149,8 @@
                     "conflict", message, "", expected_revision, stored.revision
                 )
             )
-        return result.Ok(_with_customers(stored.page, rows))
+        page = _with_openings(stored.page, openings)
+        return result.Ok(_with_customers(page, rows))
 
     return rewrite
 
@@ -220,6 +237,32 @@
     return page._replace(customers=tuple(rows[name] for name in sorted(rows)))
 
 
+def _with_openings(
+    page: pages.Page, made: tuple[records.Opening, ...]
+) -> pages.Page:
+    """Adds the openings of names that are new; drops those long known.
+
+    The failure: a customer is deleted and made again, and has its burst a
+    second time. A deleted customer's keys stay, so a name that ever had a
+    key is not new; one that had none has spent nothing.
+    """
+    if not made:
+        return page
+    newest_s = max(opening.made_s for opening in made)
+    known = {row.customer for row in page.customers}
+    known |= {key.customer for key in page.keys}
+    openings = {
+        opening.customer: opening
+        for opening in page.openings
+        if opening.made_s > newest_s - _OPENING_KEPT_S
+    }
+    for opening in made:
+        if opening.customer not in known:
+            openings[opening.customer] = opening
+    rows = tuple(openings[name] for name in sorted(openings))
+    return page._replace(openings=rows)
+
+
 def _with_keys(page: pages.Page, rows: dict[str, records.Key]) -> pages.Page:
     return page._replace(keys=tuple(rows[name] for name in sorted(rows)))
 
--- a/packages/daemon/bulrushdeald/services.py
+++ b/packages/daemon/bulrushdeald/services.py
@@ -184,6 +184,9 @@
     def customers(self) -> tuple[records.Customer, ...]:
         """Returns all rows by name."""
 
+    def opening(self, customer: str) -> records.Opening | None:
+        """Returns what a customer made lately begins with."""
+
     def authenticate(self, key: str) -> result.Result[Principal, ConfigError]:
         """Returns whom a caller's key belongs to."""
 
@@ -233,6 +236,13 @@
     def is_ready(self) -> bool:
         """Tells whether this VM knows whom to ask for tokens."""
 
+    def opening(self, row: records.Customer) -> records.Opening | None:
+        """Returns what a row that is about to be made may begin with.
+
+        Only for a name that never had a key. `None` if the record that it
+        depends on cannot be read or written now: the row begins empty.
+        """
+
     def take(
         self, customer: str, count: float = 1.0
     ) -> result.Result[None, Refusal]:
--- a/packages/daemon/bulrushdeald/sharebook.py
+++ b/packages/daemon/bulrushdeald/sharebook.py
@@ -94,6 +94,16 @@
         with self._lock:
             return not self._stored
 
+    def is_owned(self, failure_domain: str) -> bool:
+        """Tells whether a failure domain's part of each page has an owner."""
+        return all(
+            part is not None and bool(part.vm)
+            for part in (
+                self.part(number, failure_domain)
+                for number in range(shares.PAGES)
+            )
+        )
+
     def entries(self) -> tuple[services.Entry, ...]:
         """Returns all records as the platform holds them."""
         with self._lock:
--- a/tests/daemon/test_edits.py
+++ b/tests/daemon/test_edits.py
@@ -156,3 +156,32 @@
     held = store.keyspace.get(KEY)
     assert held is not None
     assert held.value == b"from the future"
+
+
+def test_a_customer_made_again_does_not_begin_with_its_burst_again() -> None:
+    # A customer has spent its burst; its row is deleted, made again in the
+    # same minute, and it has the whole burst once more. Cause: the second
+    # row is as new as the first.
+    store = platformfakes.Store()
+    desk = Desk(store, "v1")
+    row = records.Customer(NAMES[0])
+    opening = records.Opening(NAMES[0], 20.0, 0.0, ())
+    later = opening._replace(made_s=1.0)
+
+    def openings() -> tuple[records.Opening, ...]:
+        held = store.keyspace.get(KEY)
+        assert held is not None
+        return pages.decode(held.value).openings
+
+    make = rewrites.put_customer(row, 0, opening)
+    assert desk.editor.edit(KEY, make).is_ok()
+    assert openings() == (opening,)
+    key = rewrites.add_key(records.Key("hash", NAMES[0], ""))
+    assert desk.editor.edit(KEY, key).is_ok()
+    assert desk.config.opening(NAMES[0]) == opening
+    gone = rewrites.delete_customer(NAMES[0])
+    assert desk.editor.edit(KEY, gone).is_ok()
+    again = rewrites.put_rows((row,), None, (later,))
+    assert desk.editor.edit(KEY, again).is_ok()
+    assert openings() == ()
+    assert desk.config.opening(NAMES[0]) is None
--- a/tests/daemon/test_limits_faults.py
+++ b/tests/daemon/test_limits_faults.py
@@ -194,6 +194,7 @@
             return
         self.fleet.rows["a"] = self.row
         node = self.fleet.add(name, name[:2], next(self.drifts))
+        self.put_in_force(node)
         node.keyvalue.is_cut = node.vm.failure_domain in self.cut
 
     @stateful.rule(
@@ -235,16 +236,19 @@
     def apply_row(self, data: st.DataObject) -> None:
         name = self.pick(data, self.running())
         if name is not None:
-            self.fleet.nodes[name].config.apply(self.row)
+            self.put_in_force(self.fleet.nodes[name])
             self.allow()
 
     @stateful.precondition(lambda self: self.is_row_pending())
     @stateful.rule()
     def apply_row_everywhere(self) -> None:
         for node in self.fleet.running():
-            node.config.apply(self.row)
+            self.put_in_force(node)
         self.allow()
 
+    def put_in_force(self, node: limitfakes.Node) -> None:
+        node.config.apply(self.row)
+
     @stateful.invariant()
     def fractions_are_at_most_one(self) -> None:
         for entry in self.fleet.keyvalue.entries.values():
@@ -277,5 +281,62 @@
         assert admitted >= int(self.row.burst * 0.97), "tokens were lost"
 
 
+class OpeningMachine(LimitsMachine):
+    """A new customer is served more than its burst in its first seconds.
+
+    The same faults, on a row that is made only now: it comes to some VMs
+    later than to others, while owners change and fractions move.
+    """
+
+    @stateful.initialize(
+        names=st.lists(
+            st.sampled_from(_NAMES), min_size=3, max_size=7, unique=True
+        ),
+        rate_per_s=st.sampled_from([0.5, 5.0]),
+        burst=st.sampled_from([2.5, 6.0, 20.0]),
+        is_early=st.booleans(),
+    )
+    def begin(
+        self,
+        names: list[str],
+        rate_per_s: float,
+        burst: float,
+        is_early: bool,
+    ) -> None:
+        # A row without a rate lets nothing pass and owns no ledger's tokens.
+        super().begin(names, rate_per_s, burst)
+        for name in names:
+            self.fleet.kill(name)
+        self.fleet.listed.clear()
+        self.fleet.keyvalue.entries.clear()
+        self.fleet.rows.clear()
+        for name in names:
+            self.fleet.add(name, name[:2], next(self.drifts))
+        if not is_early:
+            self.fleet.settle(5)
+        maker = self.fleet.nodes[names[0]].limits
+        self.opening = maker.opening(self.row)
+        self.bucket = limitoracle.Bucket(self.row, self.fleet.world.now_s)
+
+    def allow(self) -> None:
+        rows = [
+            node.config.rows.get("a", self.row)
+            for node in self.fleet.nodes.values()
+        ]
+        self.bucket.allow([self.row, *rows], self.fleet.world.now_s)
+
+    def is_row_pending(self) -> bool:
+        return any(
+            node.config.rows.get("a") != self.row
+            for node in self.fleet.nodes.values()
+        )
+
+    def put_in_force(self, node: limitfakes.Node) -> None:
+        node.config.apply(self.row, self.opening)
+
+
+TestOpening = OpeningMachine.TestCase
+TestOpening.settings = hypothesis.settings(stateful_step_count=50)
+
 TestLimits = LimitsMachine.TestCase
 TestLimits.settings = hypothesis.settings(stateful_step_count=50)
--- a/tests/daemon/test_limits_guards.py
+++ b/tests/daemon/test_limits_guards.py
@@ -451,3 +451,29 @@
     for _ in range(3):
         scene.fleet.work()
     assert lent() == 0
+
+
+def test_claim_of_a_part_that_changed_meanwhile_is_not_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # A fleet starts, and a second failure domain is listed between two looks
+    # of the first VM. The first record gave it the whole of each row beside
+    # the other's half: a customer gets half as much again as its row allows.
+    # Cause: a part as seen before, written beside the others as of now.
+    fleet = limitfakes.Fleet((_ROW,))
+    looks: list[int] = []
+    entry_vms = limitfakes.ListedMembership.entry_vms
+
+    def look(self: limitfakes.ListedMembership) -> tuple[records.Vm, ...]:
+        looks.append(1)
+        if len(looks) > 1:
+            fleet.listed["d1v0"] = records.Vm("d1v0", "d1", "entry", "x:1")
+        return entry_vms(self)
+
+    fleet.add("d0v0", "d0")
+    monkeypatch.setattr(limitfakes.ListedMembership, "entry_vms", look)
+    fleet.settle(5)
+    entry = fleet.keyvalue.entries["limits/00"]
+    parts = shares.from_bytes(entry.value).parts
+    assert [part.failure_domain for part in parts] == ["d0", "d1"]
+    assert sum(part.fraction for part in parts) <= 1
--- a/tests/daemon/test_owner.py
+++ b/tests/daemon/test_owner.py
@@ -85,3 +85,30 @@
     assert owned.answer("x", _ask(want, 2)).grants[0].again_s > 0
     owned.collection_ended()
     assert owned.answer("x", _ask(want, 3)).grants[0].again_s == 0
+
+
+def _new_customer(fraction: float, epoch: int) -> float:
+    """Returns what a part, now half of the page, fills a new row with."""
+    opening = records.Opening(
+        "a", 20, 0.0, (records.OpeningPart("d0", epoch, fraction),)
+    )
+    part = shares.Part("d0", 0.25, "v", "run", epoch=2)
+    owned = owner.OwnedPart(0, part, clock_lib.FakeClock(), lambda _: opening)
+    owned.set_part(part._replace(fraction=0.5))
+    owned.set_rows({"a": _ROW})
+    owned.set_rows({"a": _ROW})
+    return owned.totals()["a"][0]
+
+
+def test_new_row_begins_with_the_fraction_it_was_made_under() -> None:
+    # A customer gets more than its burst: another part filled its bucket,
+    # and moved a fraction here before the new row came, so that this part
+    # fills what the other has granted already.
+    assert _new_customer(fraction=0.25, epoch=2) == 5
+    assert _new_customer(fraction=0.75, epoch=2) == 10
+
+
+def test_later_owner_does_not_fill_a_new_row_again() -> None:
+    # A customer gets its burst twice: the owner that filled its bucket is
+    # lost, and the next one takes the row for a new one.
+    assert _new_customer(fraction=0.25, epoch=1) == 0
