--- a/packages/bench/bench/limitcost.py
+++ b/packages/bench/bench/limitcost.py
@@ -31,7 +31,9 @@
 _FLOOD = 5.0
 _TOLERANCE = 1e-6
 
-CONDITIONS = ("steady", "moving", "lost", "cut", "out")
+CONDITIONS = ("steady", "moving", "lost", "cut", "out", "replaced")
+# Between two VMs that are replaced as planned, one after the other.
+_REPLACE_S = 3.0
 
 
 class Profile(NamedTuple):
@@ -136,6 +138,13 @@
         """See `limitpolicies.Policy`."""
         fleet = self.fleet
         fleet.world.now_s = self._scene.now_s + self._offset_s
+        for vm in self._scene.replaced:
+            fleet.nodes[vm].limits.stop(0.0)
+            fleet.kill(vm)
+            fleet.add(vm, self._scene.domain_of[vm])
+        # The balancer sends nothing to a VM that says it is not ready.
+        self._scene.unready = set(self._scene.replaced)
+        self._scene.replaced.clear()
         for vm in self._scene.dead & set(fleet.nodes):
             fleet.kill(vm)
         for vm in self._scene.unlisted & set(fleet.listed):
@@ -147,6 +156,11 @@
             if (index + self._ticks) % _TICKS_PER_TEND == 0:
                 node.limits.refresh()
                 node.limits.tend()
+        self._scene.unready = {
+            vm
+            for vm, node in fleet.nodes.items()
+            if not node.limits.is_ready()
+        }
         self._ticks += 1
 
     def _is_owned(self) -> bool:
@@ -230,6 +244,7 @@
         self._flooding = "c0001"
         self._begin_s = self.scene.now_s
         self._places: dict[str, str] = {}
+        self._replaced = 0
 
     def go(self) -> Report:
         """Runs to the end."""
@@ -285,12 +300,22 @@
             scene.cut = {"d00"} if is_faulty else set()
         if condition == "out":
             scene.is_platform_out = is_faulty
+        if condition == "replaced" and is_faulty:
+            self._replace((progress - _FAULT_BEGIN) * self._args.seconds)
         if condition == "lost" and is_faulty:
             scene.dead = {"d00v0"}
             fault_s = (progress - _FAULT_BEGIN) * self._args.seconds
             if fault_s >= _LISTED_FOR_S:
                 scene.unlisted = {"d00v0"}
 
+    def _replace(self, fault_s: float) -> None:
+        due = int(fault_s / _REPLACE_S) + 1
+        if due <= self._replaced:
+            return
+        self._replaced = due
+        names = list(self.scene.domain_of)
+        self.scene.replaced.append(names[due % len(names)])
+
     def _report(self, tallies: dict[str, Tally]) -> Report:
         flood = tallies[self._flooding]
         inside = [t for n, t in tallies.items() if n != self._flooding]
