Tests: one key-value service in memory, one membership, one set of flags

Change: support/keyvalues.py; fakes.Membership and fakes.settings are used by all. No check changed. Measured: the daemon tests that use them, tests/ui and tests/standins pass.

--- a/tests/daemon/test_usage.py
+++ b/tests/daemon/test_usage.py
@@ -10,30 +10,18 @@
 from bulrushdeal import clock as clock_lib
 from bulrushdeal import httpd
 from bulrushdeal import kernel as kernel_lib
-from bulrushdeald import defaults
 from bulrushdeald import ledger
 from bulrushdeald import report
 from bulrushdeald import services
 from bulrushdeald import usage
+from support import fakes
 from support import usagefakes
 
 VMS = ("a", "b", "c")
 START_S = 1_000_000.0
 vms = st.sampled_from(VMS)
 _NO_FAULT: usagefakes.Fault = ""
-SETTINGS = defaults.read(
-    {
-        "vm": "a",
-        "failure-domain": "north",
-        "callers-address": "127.0.0.1:1",
-        "operators-address": "127.0.0.1:2",
-        "peers-address": "127.0.0.1:3",
-        "platform-address": "127.0.0.1:4",
-        "operator-token": "t",
-        "usage-bucket-s": "60",
-    },
-    {},
-)
+SETTINGS = fakes.settings(vm="a", failure_domain="north", usage_bucket_s="60")
 
 
 class Vm(NamedTuple):
--- a/tests/daemon/test_vmlist.py
+++ b/tests/daemon/test_vmlist.py
@@ -69,7 +69,7 @@
     network = platformfakes.Network()
     source = records.Vm("reader", "d", "entry", "h:1")
     reader, reading = make(network, "reader", [])
-    reader.listed = [source]
+    reader.vms = [source]
     asker, asking = make(network, "asker", [source])
     for rows, is_asked in told:
         reader.platform = tuple(rows)
@@ -90,7 +90,7 @@
     network = platformfakes.Network()
     source = records.Vm("reader", "d", "entry", "h:1")
     reader, reading = make(network, "reader", [])
-    reader.listed = [source]
+    reader.vms = [source]
     reader.learn((records.Vm("old", "d", "entry"),), 60.0)
     reading.attach()
     asker, asking = make(network, "asker", [source])
--- a/tests/support/batchfakes.py
+++ b/tests/support/batchfakes.py
@@ -25,75 +25,13 @@
 from bulrushdeald import services
 from bulrushdeald import store
 from bulrushdeald import worker
+from support import fakes
+from support import keyvalues
 
 ENGINE = records.Upstream("engine", "engine", "127.0.0.1:1", "u", "d0", ("m",))
 
 
-class FakeKeyValue:
-    """The platform's service in memory, with outages and lost answers."""
-
-    def __init__(self) -> None:
-        self.entries: dict[str, services.Entry] = {}
-        self.revision = 0
-        self.has_outage = False
-        self.lose_answers = 0
-        self.reads = 0
-        self.writes = 0
-
-    def _out(self) -> result.Err[services.KeyValueError]:
-        return result.Err(services.KeyValueError("unavailable", "outage"))
-
-    def get(
-        self, key: str
-    ) -> result.Result[services.Entry | None, services.KeyValueError]:
-        self.reads += 1
-        return (
-            self._out() if self.has_outage else result.Ok(self.entries.get(key))
-        )
-
-    def list(
-        self, prefix: str
-    ) -> result.Result[tuple[services.Entry, ...], services.KeyValueError]:
-        self.reads += 1
-        if self.has_outage:
-            return self._out()
-        names = sorted(key for key in self.entries if key.startswith(prefix))
-        return result.Ok(tuple(self.entries[name] for name in names))
-
-    def put(
-        self, key: str, value: bytes, expected_revision: int
-    ) -> result.Result[int, services.KeyValueError]:
-        self.writes += 1
-        if self.has_outage:
-            return self._out()
-        held = self.entries.get(key)
-        if (held.revision if held else 0) != expected_revision:
-            error = services.KeyValueError("conflict", "held", held)
-            return result.Err(error)
-        self.revision += 1
-        self.entries[key] = services.Entry(key, value, self.revision)
-        if self.lose_answers:
-            self.lose_answers -= 1
-            return result.Err(services.KeyValueError("unknown", "lost"))
-        return result.Ok(self.revision)
-
-    def delete(
-        self, key: str, expected_revision: int
-    ) -> result.Result[None, services.KeyValueError]:
-        self.writes += 1
-        if self.has_outage:
-            return self._out()
-        held = self.entries.get(key)
-        if (held.revision if held else 0) != expected_revision:
-            error = services.KeyValueError("conflict", "held", held)
-            return result.Err(error)
-        self.entries.pop(key, None)
-        return result.Ok(None)
-
-    def watch(
-        self, prefix: str, after_revision: int, timeout_s: float
-    ) -> result.Result[tuple[services.Entry, ...], services.KeyValueError]:
-        raise NotImplementedError
+FakeKeyValue = keyvalues.MemoryKeyValue
 
 
 class Network:
@@ -139,17 +77,12 @@
         return result.Ok(self._registry.unpack(codec.pack(answer)))
 
 
-class FakeMembership:
+class FakeMembership(fakes.Membership):
+    """The network's VMs, and always the own one."""
+
     def __init__(self, network: Network, own: records.Vm, incarnation: str):
+        super().__init__(own, (), incarnation)
         self._network = network
-        self._own = own
-        self._incarnation = incarnation
-
-    def own(self) -> records.Vm:
-        return self._own
-
-    def incarnation(self) -> str:
-        return self._incarnation
 
     def entry_vms(self) -> tuple[records.Vm, ...]:
         listed = {**self._network.vms, self._own.vm: self._own}
@@ -158,9 +91,6 @@
     def is_listed(self, vm: str) -> bool:
         return vm in self._network.vms
 
-    def is_leaving(self, vm: str) -> bool:
-        return False
-
 
 class FakeSlot:
     def __init__(self) -> None:
@@ -255,7 +185,7 @@
         return result.Ok(FakeAnswer(200, json.dumps(body).encode()))
 
 
-class FakeRest:
+class FakeRest(fakes.Inert):
     """Configuration, limits, usage and routes in one."""
 
     def __init__(self) -> None:
@@ -292,12 +222,6 @@
         ]
         return self.routes[max(fits, key=len)][method](*rest)
 
-    def start(self) -> None: ...
-
-    def stop(self, grace_s: float) -> None: ...
-
-    def dump(self) -> Any: ...
-
 
 class Reply:
     """A whole response."""
@@ -313,17 +237,7 @@
 
 
 def settings(vm: str, domain: str, folder: str) -> defaults.Settings:
-    flags = {
-        "vm": vm,
-        "failure-domain": domain,
-        "callers-address": "127.0.0.1:0",
-        "operators-address": "127.0.0.1:0",
-        "peers-address": "127.0.0.1:0",
-        "platform-address": "127.0.0.1:0",
-        "operator-token": "t",
-        "data-folder": folder,
-    }
-    return defaults.read(flags, {})
+    return fakes.settings(vm=vm, failure_domain=domain, data_folder=folder)
 
 
 class FakeVm:
--- a/tests/support/controlplane.py
+++ b/tests/support/controlplane.py
@@ -20,6 +20,7 @@
 from bulrushdeald import services
 from bulrushdeald import vmlist
 from standins import platform
+from support import fakes
 
 TOKEN = "operator-token"
 _WAIT_S = 30.0
@@ -33,17 +34,15 @@
 def settings(platform_address: str, **given: Any) -> defaults.Settings:
     flags = {
         "vm": "vm-1",
-        "failure-domain": "domain-1",
-        "callers-address": "127.0.0.1:0",
-        "operators-address": "127.0.0.1:0",
-        "peers-address": free_address(),
-        "platform-address": platform_address,
-        "operator-token": TOKEN,
-        "platform-timeout-s": "0.5",
-        "vm-list-poll-s": "0.1",
+        "failure_domain": "domain-1",
+        "peers_address": free_address(),
+        "platform_address": platform_address,
+        "operator_token": TOKEN,
+        "platform_timeout_s": "0.5",
+        "vm_list_poll_s": "0.1",
     }
-    flags.update({name.replace("_", "-"): str(v) for name, v in given.items()})
-    return defaults.read(flags, {})
+    flags.update({name: str(value) for name, value in given.items()})
+    return fakes.settings(**flags)
 
 
 def wait_until(condition: Callable[[], object]) -> None:
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -1,6 +1,6 @@
 """Fakes of the services that others depend on, for tests of one service."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import result
@@ -42,22 +42,25 @@
 class Membership(Inert):
     """A fixed list of VMs."""
 
-    def __init__(self, own: records.Vm, vms: tuple[records.Vm, ...]) -> None:
+    def __init__(
+        self, own: records.Vm, vms: Sequence[records.Vm], run: str = "1"
+    ) -> None:
         self.vms = vms
         self.leaving: set[str] = set()
         self._own = own
+        self._run = run
 
     def own(self) -> records.Vm:
         return self._own
 
     def incarnation(self) -> str:
-        return "1"
+        return self._run
 
     def entry_vms(self) -> tuple[records.Vm, ...]:
-        return self.vms
+        return tuple(self.vms)
 
     def is_listed(self, vm: str) -> bool:
-        return any(row.vm == vm for row in self.vms)
+        return any(row.vm == vm for row in self.entry_vms())
 
     def is_leaving(self, vm: str) -> bool:
         return vm in self.leaving
--- a/tests/support/pathfakes.py
+++ b/tests/support/pathfakes.py
@@ -14,7 +14,7 @@
 from bulrushdeal import records
 from bulrushdeald import services
 from standins import engine
-from support import batchfakes
+from support import keyvalues
 
 KEY = staticvm.KEY
 OTHER_KEY = staticvm.OTHER_KEY
@@ -23,7 +23,7 @@
 settings = staticvm.settings
 
 
-class FakeKeyValue(batchfakes.FakeKeyValue, staticvm.StaticService):
+class FakeKeyValue(keyvalues.MemoryKeyValue, staticvm.StaticService):
     """Shared by the VMs of a test, whose threads call it at once."""
 
     def __init__(self) -> None:
--- a/tests/support/platformfakes.py
+++ b/tests/support/platformfakes.py
@@ -10,6 +10,7 @@
 from bulrushdeal import records
 from bulrushdeald import services
 from standins import keyspace
+from support import fakes
 
 
 class InlineExecutor(futures.Executor):
@@ -149,27 +150,12 @@
         return self._network.deliver(sent)
 
 
-class FixedMembership:
+class FixedMembership(fakes.Membership):
     """A `services.Membership` with a list set by the test."""
 
     def __init__(self, vm: str, rows: list[records.Vm]) -> None:
-        self._vm = vm
-        self.listed = rows
-
-    def own(self) -> records.Vm:
-        return next(row for row in self.listed if row.vm == self._vm)
-
-    def incarnation(self) -> str:
-        return f"run of {self._vm}"
-
-    def entry_vms(self) -> tuple[records.Vm, ...]:
-        return tuple(self.listed)
-
-    def is_listed(self, vm: str) -> bool:
-        return any(row.vm == vm for row in self.listed)
-
-    def is_leaving(self, vm: str) -> bool:
-        return False
+        own = next(row for row in rows if row.vm == vm)
+        super().__init__(own, rows, f"run of {vm}")
 
 
 def kernel(**found: Any) -> kernel_lib.Kernel:
--- a/tests/support/usagefakes.py
+++ b/tests/support/usagefakes.py
@@ -7,11 +7,13 @@
 
 from bulrushdeal import records
 from bulrushdeald import services
+from support import fakes
+from support import keyvalues
 
 Fault = Literal["", "applied", "dropped", "late", "unavailable"]
 
 
-class FaultyKeyValue:
+class FaultyKeyValue(keyvalues.MemoryKeyValue):
     """A key-value service in memory that loses answers as told.
 
     Attributes:
@@ -22,8 +24,7 @@
     """
 
     def __init__(self) -> None:
-        self.entries: dict[str, services.Entry] = {}
-        self.revision = 0
+        super().__init__()
         self.faults: list[Fault] = []
         self.late: list[tuple[str, bytes, int]] = []
         self.on_call: Callable[[], None] = lambda: None
@@ -32,19 +33,13 @@
         self, key: str
     ) -> result.Result[services.Entry | None, services.KeyValueError]:
         self.on_call()
-        return result.Ok(self.entries.get(key))
+        return super().get(key)
 
     def list(
         self, prefix: str
     ) -> result.Result[tuple[services.Entry, ...], services.KeyValueError]:
         self.on_call()
-        return result.Ok(
-            tuple(
-                self.entries[key]
-                for key in sorted(self.entries)
-                if key.startswith(prefix)
-            )
-        )
+        return super().list(prefix)
 
     def put(
         self, key: str, value: bytes, expected_revision: int
@@ -52,12 +47,12 @@
         self.on_call()
         fault = self.faults.pop(0) if self.faults else ""
         if fault == "unavailable":
-            return result.Err(services.KeyValueError("unavailable", "out"))
+            return self._out()
         if fault == "late":
             self.late.append((key, value, expected_revision))
         if fault in ("late", "dropped"):
             return result.Err(services.KeyValueError("unknown", "lost"))
-        done = self._apply(key, value, expected_revision)
+        done = super().put(key, value, expected_revision)
         if fault == "applied":
             return result.Err(services.KeyValueError("unknown", "lost"))
         return done
@@ -66,30 +61,13 @@
         """Lets the writes that are late take effect, if they still may."""
         late, self.late = self.late, []
         for key, value, expected_revision in late:
-            self._apply(key, value, expected_revision)
-
-    def _apply(
-        self, key: str, value: bytes, expected_revision: int
-    ) -> result.Result[int, services.KeyValueError]:
-        current = self.entries.get(key)
-        if (current.revision if current else 0) != expected_revision:
-            return result.Err(
-                services.KeyValueError("conflict", "changed", current)
-            )
-        self.revision += 1
-        self.entries[key] = services.Entry(key, value, self.revision)
-        return result.Ok(self.revision)
+            super().put(key, value, expected_revision)
 
     def delete(
         self, key: str, expected_revision: int
     ) -> result.Result[None, services.KeyValueError]:
         raise NotImplementedError
 
-    def watch(
-        self, prefix: str, after_revision: int, timeout_s: float
-    ) -> result.Result[tuple[services.Entry, ...], services.KeyValueError]:
-        raise NotImplementedError
-
 
 class Network:
     """Hands messages between the VMs of one failure domain.
@@ -113,10 +91,11 @@
         return tuple(records.Vm(vm, "north", "entry") for vm in self.vms)
 
 
-class FakePeers:
+class FakePeers(fakes.Membership):
     """`services.Peers` and `services.Membership` of one VM."""
 
     def __init__(self, network: Network, vm: str, incarnation: str) -> None:
+        super().__init__(records.Vm(vm, "north", "entry"), (), incarnation)
         self.network = network
         self.vm = vm
         self.name = incarnation
@@ -145,26 +124,8 @@
             return result.Err(services.PeerError("timeout", "silence"))
         return result.Ok(answer)
 
-    def own(self) -> records.Vm:
-        return records.Vm(self.vm, "north", "entry")
-
-    def incarnation(self) -> str:
-        return self.name
-
     def entry_vms(self) -> tuple[records.Vm, ...]:
         return self.network.rows()
 
-    def is_listed(self, vm: str) -> bool:
-        return vm in self.network.vms
-
     def is_leaving(self, vm: str) -> bool:
         return vm in self.network.leaving
-
-    def start(self) -> None:
-        """See `kernel.Service`."""
-
-    def stop(self, grace_s: float) -> None:
-        """See `kernel.Service`."""
-
-    def dump(self) -> Any:
-        return {}
