--- a/tests/daemon/test_atmostonce.py
+++ b/tests/daemon/test_atmostonce.py
@@ -23,14 +23,6 @@
 )
 
 
-@pytest.fixture
-def booking() -> Iterator[plain.PlainService]:
-    server = plain.PlainService()
-    server.start()
-    yield server
-    server.stop()
-
-
 @pytest.fixture
 def two_vms(
     booking: plain.PlainService,
--- a/tests/daemon/test_batchfailures.py
+++ b/tests/daemon/test_batchfailures.py
@@ -91,8 +91,7 @@
     frozen.seal()
     fleet.run(3)
     assert outcome(fleet, job) == before
-    counted = [event for event in fleet.events if event.outcome == "ok"]
-    assert len(counted) == len(PROMPTS)
+    assert fleet.counted("ok") == len(PROMPTS)
 
 
 def hold(fleet: batchfakes.Fleet, name: str) -> batchfakes.FakeVm:
@@ -339,8 +338,7 @@
     shown = fleet.vms["vm0"].show("c", job).json
     assert shown["status"] == "completed"
     assert len(fleet.upstreams.prompts) == len(PROMPTS)
-    counted = [event for event in fleet.events if event.outcome == "ok"]
-    assert len(counted) == len(PROMPTS)
+    assert fleet.counted("ok") == len(PROMPTS)
 
 
 def test_result_whose_answer_was_lost_stays_readable(
@@ -363,8 +361,7 @@
     slow.seal()
     fleet.run(3)
     assert outcome(fleet, job) == before
-    counted = [event for event in fleet.events if event.outcome == "ok"]
-    assert len(counted) == len(PROMPTS)
+    assert fleet.counted("ok") == len(PROMPTS)
 
 
 def test_cancelling_keeps_what_a_leaving_vm_answered(
--- a/tests/daemon/test_callers.py
+++ b/tests/daemon/test_callers.py
@@ -22,14 +22,6 @@
     server.stop()
 
 
-@pytest.fixture
-def booking() -> Iterator[plain.PlainService]:
-    server = plain.PlainService()
-    server.start()
-    yield server
-    server.stop()
-
-
 @pytest.fixture
 def vm(
     standin: engine.Engine, booking: plain.PlainService
--- a/tests/daemon/test_router.py
+++ b/tests/daemon/test_router.py
@@ -60,6 +60,13 @@
             router.start()
             self.routers[vm.vm] = router
 
+    def cut_owner_off(self, upstream: str) -> tuple[str, str]:
+        """Cuts the owner of an upstream off; returns it and the other VM."""
+        owner = self.routers["vm-a"].topology().owners.of(upstream)
+        other = "vm-b" if owner == "vm-a" else "vm-a"
+        self.network.cut.add(frozenset((owner, other)))
+        return owner, other
+
     def report(self) -> None:
         for router in self.routers.values():
             router.send_reports()
@@ -285,10 +292,8 @@
     # yet no batch item ran on the engines that it owns until the list
     # dropped it. Cause: ownership followed from the list alone.
     fleet = Fleet()
-    owner = fleet.routers["vm-a"].topology().owners.of("e1")
-    other = "vm-b" if owner == "vm-a" else "vm-a"
+    owner, other = fleet.cut_owner_off("e1")
     router = fleet.routers[other]
-    fleet.network.cut.add(frozenset((owner, other)))
     router.send_reports()
     assert "e1" not in router.topology().owned
     fleet.clock.sleep_s(inflightreports.SILENT_AFTER_S)
@@ -306,10 +311,8 @@
     # VMs are replaced all day under new names. Each left a thread and what
     # it had reported, until the daemon ran out of memory.
     fleet = Fleet()
-    owner = fleet.routers["vm-a"].topology().owners.of("e1")
-    other = "vm-b" if owner == "vm-a" else "vm-a"
+    owner, other = fleet.cut_owner_off("e1")
     router = fleet.routers[other]
-    fleet.network.cut.add(frozenset((owner, other)))
     router.send_reports()
     fleet.clock.sleep_s(inflightreports.SILENT_AFTER_S)
     router.send_reports()
--- a/tests/support/batchfakes.py
+++ b/tests/support/batchfakes.py
@@ -411,6 +411,9 @@
         del self.network.vms[name]
         del self.network.handlers[name]
 
+    def counted(self, outcome: str) -> int:
+        return sum(event.outcome == outcome for event in self.events)
+
     def awake(self) -> list[FakeVm]:
         silent = self.network.silent
         return [vm for name, vm in self.vms.items() if name not in silent]
