--- a/packages/daemon/bulrushdeald/usage.py
+++ b/packages/daemon/bulrushdeald/usage.py
@@ -7,12 +7,14 @@
 and the report says up to when each VM's sums are in.
 """
 
+import collections
 import threading
 from typing import Any
 
 from bulrushdeal import clock as clock_lib
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import logs
+from bulrushdeal import metrics as metrics_lib
 from bulrushdeald import defaults
 from bulrushdeald import folding
 from bulrushdeald import ledger
@@ -45,6 +47,7 @@
         self._flush_s = settings.usage_flush_s
         self._bucket_s = settings.usage_bucket_s
         self._clock = clock or clock_lib.SystemClock()
+        self._metrics = metrics_lib.connect(settings.statsd_address)
         self._lock = threading.Lock()
         self._sums: dict[ledger.Group, list[int]] = {}
         self._uncounted = 0
@@ -205,6 +208,20 @@
                 rows,
                 self._uncounted,
             )
+        self._send_metrics(rows)
+
+    def _send_metrics(self, rows: tuple[ledger.Row, ...]) -> None:
+        """Sends the sums of a batch: a few packets, however many requests."""
+        counts: collections.Counter[str] = collections.Counter()
+        for row in rows:
+            if row.kind != "customer":
+                continue
+            work_class = row.work_class
+            counts[f"requests.{work_class}.{row.outcome}"] += row.requests
+            counts[f"tokens.{work_class}.prompt"] += row.prompt_tokens
+            counts[f"tokens.{work_class}.completion"] += row.completion_tokens
+        for name, count in counts.items():
+            self._metrics.increment(name, count)
 
     def _chosen(self, head: str, is_last: bool) -> str:
         own = self._membership.own()
--- a/tests/daemon/test_usage.py
+++ b/tests/daemon/test_usage.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import socket
 from typing import Any, NamedTuple
 
 from hypothesis import stateful
@@ -10,6 +11,7 @@
 from bulrushdeal import clock as clock_lib
 from bulrushdeal import httpd
 from bulrushdeal import kernel as kernel_lib
+from bulrushdeald import defaults
 from bulrushdeald import ledger
 from bulrushdeald import report
 from bulrushdeald import services
@@ -32,7 +34,8 @@
 class World:
     """Three VMs of one failure domain, and what was recorded on each."""
 
-    def __init__(self) -> None:
+    def __init__(self, settings: defaults.Settings = SETTINGS) -> None:
+        self.settings = settings
         self.clock = clock_lib.FakeClock(START_S)
         self.keyvalue = usagefakes.FaultyKeyValue()
         self.network = usagefakes.Network()
@@ -51,7 +54,7 @@
         kernel.register(services.PEERS, peers)
         kernel.register(services.MEMBERSHIP, peers)
         kernel.register(services.KEYVALUE, self.keyvalue)  # type: ignore[arg-type]
-        service = usage.UsageService(kernel, SETTINGS, self.clock)
+        service = usage.UsageService(kernel, self.settings, self.clock)
         service.connect()
         self.vms[name] = Vm(service, peers)
 
@@ -321,6 +324,24 @@
     assert sum(row.requests for row in counted) == 4 * ledger.MAX_BATCH_ROWS
 
 
+def test_metrics_are_sent_where_the_setting_says() -> None:
+    # An operator sets the address of a statsd server and sees nothing there.
+    # Cause: the setting was checked and read by nobody.
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+        server.bind(("127.0.0.1", 0))
+        server.settimeout(30)
+        port = server.getsockname()[1]
+        world = World(SETTINGS._replace(statsd_address=f"127.0.0.1:{port}"))
+        for _ in range(2):
+            world.record("a")
+        world.vms["a"].usage.flush()
+        assert {server.recv(1000) for _ in range(3)} == {
+            b"bulrushdeal.requests.online.ok:2|c",
+            b"bulrushdeal.tokens.online.prompt:6|c",
+            b"bulrushdeal.tokens.online.completion:10|c",
+        }
+
+
 def test_unknown_models_cannot_fill_the_memory() -> None:
     world = World()
     service = world.vms["a"].usage
