--- a/tests/daemon/test_operatordocs.py
+++ b/tests/daemon/test_operatordocs.py
@@ -3,6 +3,7 @@
 import ast
 from collections.abc import Iterator
 import pathlib
+import re
 
 import pytest
 
@@ -16,6 +17,9 @@
     *(ROOT / "packages/core/bulrushdeal").glob("*.py"),
 ]
 ALARM_LEVELS = ("error", "exception")
+_STATUS_AND_CODE = 2
+# Of a caller that has gone, and of batch items that are run again.
+UNSEEN = {"caller_left", "yielded", "cancelled", "upstream_error"}
 
 
 def test_settings_page_is_what_the_daemon_prints() -> None:
@@ -32,6 +36,35 @@
     assert missing == []
 
 
+def test_each_alarm_on_the_page_is_still_in_the_code() -> None:
+    page = (PAGES / "alarms.md").read_text()
+    listed = re.findall(r"^\| `(\w+: .*?)` \|", page, re.MULTILINE)
+    known = {line for path in SOURCES for line in _alarms(path)}
+    assert set(listed) == known
+
+
+def test_each_code_that_a_caller_may_see_is_explained() -> None:
+    # A customer's developer asks what an error's code means, and no page
+    # has it. Cause: a refusal was added in the code alone.
+    told = "".join(
+        (PAGES / name).read_text() for name in ("callers.md", "batch.md")
+    )
+    codes = {code for path in SOURCES for code in _codes(path)}
+    assert "rate_limited" in codes
+    assert sorted(c for c in codes - UNSEEN if f"`{c}`" not in told) == []
+
+
+def _codes(path: pathlib.Path) -> Iterator[str]:
+    """Yields the codes of refusals that a module writes out."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.Call) or len(node.args) < _STATUS_AND_CODE:
+            continue
+        name = getattr(node.func, "attr", getattr(node.func, "id", ""))
+        code = node.args[1]
+        if name == "Refusal" and isinstance(code, ast.Constant):
+            yield code.value
+
+
 def _alarms(path: pathlib.Path) -> Iterator[str]:
     tree = ast.parse(path.read_text())
     calls = [node for node in ast.walk(tree) if isinstance(node, ast.Call)]
