--- a/tests/daemon/test_operatordocs.py
+++ b/tests/daemon/test_operatordocs.py
@@ -60,9 +60,9 @@
         if not isinstance(node, ast.Call) or len(node.args) < _STATUS_AND_CODE:
             continue
         name = getattr(node.func, "attr", getattr(node.func, "id", ""))
-        code = node.args[1]
-        if name == "Refusal" and isinstance(code, ast.Constant):
-            yield code.value
+        code = getattr(node.args[1], "value", None)
+        if name == "Refusal" and isinstance(code, str):
+            yield code
 
 
 def _alarms(path: pathlib.Path) -> Iterator[str]:
