--- a/packages/daemon/bulrushdeald/main.py
+++ b/packages/daemon/bulrushdeald/main.py
@@ -110,6 +110,13 @@
     app = application.Application("bulrushdeald", "0.1.0")
     app.add(ServeCommand())
     app.add(SettingsCommand())
-    if len(sys.argv) < 2 or sys.argv[1].startswith("--vm"):  # noqa: PLR2004
-        sys.argv.insert(1, "serve")
+    sys.argv[1:] = _with_command(sys.argv[1:])
     sys.exit(app.run())
+
+
+def _with_command(words: list[str]) -> list[str]:
+    flags = {f"--{row.flag}" for row in defaults.TABLE}
+    if not words or words[0].partition("=")[0] in flags:
+        return ["serve", *words]
+    # The library would explain its command `list` instead of listing.
+    return ["list"] if words in (["--help"], ["-h"]) else words
--- a/packages/ui/bulrushdealui/main.py
+++ b/packages/ui/bulrushdealui/main.py
@@ -61,6 +61,9 @@
 
 def run() -> int:
     """Runs the command and returns the exit code."""
+    if sys.argv[1:] in (["--help"], ["-h"]):
+        # The library would explain its command `list` instead of listing.
+        sys.argv[1:] = ["list"]
     try:
         return build().run()
     except exceptions.CleoError as error:
--- a/tests/ui/test_commands.py
+++ b/tests/ui/test_commands.py
@@ -36,6 +36,17 @@
     return main.run()
 
 
+@pytest.mark.parametrize("word", ["--help", "-h"])
+def test_help_lists_the_commands(
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+    word: str,
+) -> None:
+    # A newcomer asks for help and is told of a command `list` alone.
+    assert run(monkeypatch, word) == 0
+    assert "customer create" in capsys.readouterr().out
+
+
 def test_list_shows_columns_and_presents_the_credential(
     routes: routes_lib.Routes,
     monkeypatch: pytest.MonkeyPatch,
