Tests: one network of peers in memory for router, configuration and batch

Cause: a network with a peer's end stood three times, and the router's fake configuration had parts that no test used. Change: fakes.Network and fakes.Peers; holding messages back, VMs that stand still and the codec are added where they are needed. No check changed. Left: usage has its own, whose faults differ by call.

--- a/tests/daemon/test_config.py
+++ b/tests/daemon/test_config.py
@@ -15,6 +15,7 @@
 from bulrushdeald import pages
 from bulrushdeald import rewrites
 from support import controlplane
+from support import fakes
 from support import platformfakes
 
 VMS = ("a", "b", "c")
@@ -41,7 +42,7 @@
                 platformfakes.kernel(
                     keyvalue=self.clients[vm],
                     membership=platformfakes.FixedMembership(vm, rows),
-                    peers=platformfakes.NetworkPeers(self.network, vm),
+                    peers=fakes.Peers(self.network, vm),
                 ),
                 controlplane.settings("x:1", config_max_age_s=max_age_s),
                 self.clock,
@@ -135,7 +136,7 @@
             platformfakes.kernel(
                 keyvalue=platformfakes.StoreClient(platformfakes.Store()),
                 membership=platformfakes.FixedMembership(row.vm, rows),
-                peers=platformfakes.NetworkPeers(network, row.vm),
+                peers=fakes.Peers(network, row.vm),
             ),
             controlplane.settings("x:1"),
             clock,
--- a/tests/daemon/test_config_machine.py
+++ b/tests/daemon/test_config_machine.py
@@ -20,6 +20,7 @@
 from bulrushdeald import pages
 from bulrushdeald import rewrites
 from support import controlplane
+from support import fakes
 from support import machines
 from support import platformfakes
 
@@ -58,7 +59,7 @@
         kernel = platformfakes.kernel(
             keyvalue=self.clients[vm],
             membership=platformfakes.FixedMembership(vm, self.rows),
-            peers=platformfakes.NetworkPeers(self.network, vm),
+            peers=fakes.Peers(self.network, vm),
         )
         settings = controlplane.settings("x:1", vm=vm, failure_domain=vm[0])
         made = config.ConfigService(
@@ -135,7 +136,7 @@
     def deliver_late(self, data: Any, again: bool) -> None:
         held = self.network.held
         index = data.draw(st.integers(0, len(held) - 1))
-        self.network.deliver(held[index] if again else held.pop(index))
+        self.network.deliver(*(held[index] if again else held.pop(index)))
 
     @stateful.rule(vm=vms)
     def watch(self, vm: str) -> None:
--- a/tests/daemon/test_edits.py
+++ b/tests/daemon/test_edits.py
@@ -18,6 +18,7 @@
 from bulrushdeald import pages
 from bulrushdeald import rewrites
 from support import controlplane
+from support import fakes
 from support import platformfakes
 
 NAMES = ("customer-15", "customer-20")
@@ -34,7 +35,7 @@
         kernel = platformfakes.kernel(
             keyvalue=self.client,
             membership=platformfakes.FixedMembership(vm, rows),
-            peers=platformfakes.NetworkPeers(platformfakes.Network(), vm),
+            peers=fakes.Peers(platformfakes.Network(), vm),
         )
         self.config = config.ConfigService(
             kernel,
--- a/tests/daemon/test_router.py
+++ b/tests/daemon/test_router.py
@@ -64,7 +64,7 @@
         """Cuts the owner of an upstream off; returns it and the other VM."""
         owner = self.routers["vm-a"].topology().owners.of(upstream)
         other = "vm-b" if owner == "vm-a" else "vm-a"
-        self.network.cut.add(frozenset((owner, other)))
+        self.network.cuts.add(frozenset((owner, other)))
         return owner, other
 
     def report(self) -> None:
@@ -301,7 +301,7 @@
     assert "e1" in router.topology().owned
     placed = [take(router, work("batch")) for _ in range(2 * SLOTS)]
     assert any(s and s.upstream.upstream == "e1" for s in placed)
-    fleet.network.cut.clear()
+    fleet.network.cuts.clear()
     router.send_report_to(owner)
     assert "e1" not in router.topology().owned
     fleet.stop()
--- a/tests/daemon/test_vmlist.py
+++ b/tests/daemon/test_vmlist.py
@@ -8,6 +8,7 @@
 from bulrushdeal import records
 from bulrushdeald import vmlist
 from support import controlplane
+from support import fakes
 from support import platformfakes
 
 VMS = tuple("abcdef")
@@ -47,7 +48,7 @@
     own = records.Vm(vm, "d", "entry", "h:1", "leaving")
     held = FakeMembership(vm, [own, *sources])
     kernel = platformfakes.kernel(
-        membership=held, peers=platformfakes.NetworkPeers(network, vm)
+        membership=held, peers=fakes.Peers(network, vm)
     )
     feed = vmlist.VmListFeed(kernel, controlplane.settings("x:1", vm=vm))
     feed.attach()
--- a/tests/support/batchfakes.py
+++ b/tests/support/batchfakes.py
@@ -34,29 +34,31 @@
 FakeKeyValue = keyvalues.MemoryKeyValue
 
 
-class Network:
+class Network(fakes.Network):
     """All VMs' message handlers, and which VMs answer."""
 
     def __init__(self) -> None:
-        self.handlers: dict[str, dict[str, Callable[[str, Any], Any]]] = {}
+        super().__init__()
         self.silent: set[str] = set()
         self.vms: dict[str, records.Vm] = {}
         self.log: Callable[[str, Any], None] = lambda vm, message: None
 
+    def is_cut(self, one: str, other: str) -> bool:
+        return other in self.silent
 
-class FakePeers:
+    def deliver(
+        self, source: str, target: str, message: Any
+    ) -> result.Result[Any, services.PeerError]:
+        self.log(target, message)
+        return super().deliver(source, target, message)
+
+
+class FakePeers(fakes.Peers):
     """Calls the handlers of other VMs through the codec."""
 
     def __init__(self, network: Network, vm: str) -> None:
-        self._network = network
-        self._vm = vm
+        super().__init__(network, vm)
         self._registry = codec.Registry()
-        network.handlers[vm] = {}
-
-    def handle(
-        self, kind: type[Any], handler: Callable[[str, Any], Any]
-    ) -> None:
-        self._network.handlers[self._vm][kind.__name__] = handler
 
     def understand(self, *kinds: type[Any]) -> None:
         self._registry.add(*kinds)
@@ -64,17 +66,11 @@
     def call(
         self, vm: str, message: Any, timeout_s: float
     ) -> result.Result[Any, services.PeerError]:
-        handlers = self._network.handlers.get(vm)
-        if handlers is None or vm in self._network.silent:
-            return result.Err(services.PeerError("unreachable", f"no {vm}"))
-        handler = handlers.get(type(message).__name__)
-        if handler is None:
-            return result.Err(services.PeerError("refused", "no handler"))
-        self._network.log(vm, message)
         registry = codec.Registry()
         registry.add(type(message))
-        answer = handler(self._vm, registry.unpack(codec.pack(message)))
-        return result.Ok(self._registry.unpack(codec.pack(answer)))
+        sent = registry.unpack(codec.pack(message))
+        answer = super().call(vm, sent, timeout_s)
+        return answer.map(lambda got: self._registry.unpack(codec.pack(got)))
 
 
 class FakeMembership(fakes.Membership):
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -70,16 +70,25 @@
     """Delivers calls between `Peers` in one process; links can be cut."""
 
     def __init__(self) -> None:
-        self.peers: dict[str, Peers] = {}
-        self.cut: set[frozenset[str]] = set()
+        self.handlers: dict[str, dict[type, Callable[[str, Any], Any]]] = {}
+        self.cuts: set[frozenset[str]] = set()
 
-    def deliver(
+    def is_cut(self, one: str, other: str) -> bool:
+        return frozenset((one, other)) in self.cuts
+
+    def call(
         self, source: str, target: str, message: Any
     ) -> result.Result[Any, services.PeerError]:
-        handlers = self.peers[target].handlers if target in self.peers else {}
-        handler = handlers.get(type(message))
-        if handler is None or frozenset((source, target)) in self.cut:
+        if target not in self.handlers or self.is_cut(source, target):
             return result.Err(services.PeerError("unreachable", "cut"))
+        return self.deliver(source, target, message)
+
+    def deliver(
+        self, source: str, target: str, message: Any
+    ) -> result.Result[Any, services.PeerError]:
+        handler = self.handlers.get(target, {}).get(type(message))
+        if handler is None:
+            return result.Err(services.PeerError("refused", "nobody"))
         return result.Ok(handler(source, message))
 
 
@@ -87,15 +96,14 @@
     """One VM's end of a `Network`."""
 
     def __init__(self, network: Network, vm: str) -> None:
-        self.handlers: dict[type[Any], Callable[[str, Any], Any]] = {}
         self._network = network
         self._vm = vm
-        network.peers[vm] = self
+        network.handlers[vm] = {}
 
     def handle(
         self, kind: type[Any], handler: Callable[[str, Any], Any]
     ) -> None:
-        self.handlers[kind] = handler
+        self._network.handlers[self._vm][kind] = handler
 
     def understand(self, *kinds: type[Any]) -> None:
         pass
@@ -103,56 +111,22 @@
     def call(
         self, vm: str, message: Any, timeout_s: float
     ) -> result.Result[Any, services.PeerError]:
-        return self._network.deliver(self._vm, vm, message)
+        return self._network.call(self._vm, vm, message)
 
 
 class Config(Inert):
     """A configuration that tests set by hand."""
 
-    def __init__(
-        self,
-        upstreams: tuple[records.Upstream, ...] = (),
-        customers: tuple[records.Customer, ...] = (),
-    ) -> None:
-        self.rows = {row.customer: row for row in customers}
+    def __init__(self, upstreams: tuple[records.Upstream, ...] = ()) -> None:
         self.all_upstreams = upstreams
-        self.keys: dict[str, str] = {}
-        self.withdrawn: set[str] = set()
         self.callbacks: list[Callable[[], None]] = []
 
-    def revision(self) -> int:
-        return 1
-
     def customer(self, customer: str) -> records.Customer | None:
-        return self.rows.get(customer)
-
-    def customers(self) -> tuple[records.Customer, ...]:
-        return tuple(self.rows.values())
-
-    def authenticate(
-        self, key: str
-    ) -> result.Result[services.Principal, services.ConfigError]:
-        row = self.rows.get(self.keys.get(key, ""))
-        if row is None or key in self.withdrawn:
-            return result.Err(
-                services.ConfigError("unknown_key", "No such key.")
-            )
-        return result.Ok(services.Principal(row, key))
-
-    def is_withdrawn(self, key_hash: str) -> bool:
-        return key_hash in self.withdrawn
+        return None
 
     def upstreams(self) -> tuple[records.Upstream, ...]:
         return self.all_upstreams
 
-    def models(self) -> frozenset[str]:
-        return frozenset(
-            model for row in self.upstreams() for model in row.models
-        )
-
-    def plain_services(self) -> frozenset[str]:
-        return frozenset(row.service for row in self.upstreams())
-
     def set_upstreams(self, *upstreams: records.Upstream) -> None:
         self.all_upstreams = upstreams
         for callback in self.callbacks:
--- a/tests/support/platformfakes.py
+++ b/tests/support/platformfakes.py
@@ -105,49 +105,20 @@
     message: Any
 
 
-class Network:
+class Network(fakes.Network):
     """Calls between VMs; some cut, some pushes held back for later."""
 
     def __init__(self) -> None:
-        self.handlers: dict[str, dict[type, Any]] = {}
-        self.cuts: set[frozenset[str]] = set()
+        super().__init__()
         self.holds: tuple[type, ...] = ()
         self.held: list[Held] = []
 
-    def is_cut(self, one: str, other: str) -> bool:
-        return frozenset((one, other)) in self.cuts
-
-    def deliver(self, message: Held) -> Any:
-        handler = self.handlers.get(message.target, {}).get(
-            type(message.message)
-        )
-        if handler is None:
-            return result.Err(services.PeerError("refused", "nobody"))
-        return result.Ok(handler(message.source, message.message))
-
-
-class NetworkPeers:
-    """One VM's `services.Peers` on the network."""
-
-    def __init__(self, network: Network, vm: str) -> None:
-        self._network = network
-        self._vm = vm
-        network.handlers[vm] = {}
-
-    def handle(self, kind: type[Any], handler: Any) -> None:
-        self._network.handlers[self._vm][kind] = handler
-
-    def understand(self, *kinds: type[Any]) -> None:
-        return None
-
-    def call(self, vm: str, message: Any, timeout_s: float) -> Any:
-        if self._network.is_cut(self._vm, vm):
-            return result.Err(services.PeerError("unreachable", "cut"))
-        sent = Held(self._vm, vm, message)
-        if isinstance(message, self._network.holds):
-            self._network.held.append(sent)
-            return result.Err(services.PeerError("timeout", "held"))
-        return self._network.deliver(sent)
+    def call(self, source: str, target: str, message: Any) -> Any:
+        is_held = isinstance(message, self.holds)
+        if not is_held or self.is_cut(source, target):
+            return super().call(source, target, message)
+        self.held.append(Held(source, target, message))
+        return result.Err(services.PeerError("timeout", "held"))
 
 
 class FixedMembership(fakes.Membership):
