Test two guards of the callers' path that no test needed

Cause (review, with guards taken out on a scratch copy, trial): the test of a booking over a kept connection makes only calls of a plain service, which leave no connection, so 'never take a kept one for what may run once' was tested by nothing; nor was the second look at a key that is withdrawn while its request comes in. Change: a keyed call of a model after one without a key, which leaves a connection; and a key withdrawn just after it was found in force. Ruled out: reading the plain service first (a failed try): its calls never leave a connection, whatever the method. Alive without failing a test, and left, as another guard holds alone: a connection whose request was not taken whole, and one of a call that runs once, are not kept (the socket is broken; 'close' was sent).

--- a/tests/daemon/test_atmostonce.py
+++ b/tests/daemon/test_atmostonce.py
@@ -96,6 +96,23 @@
         assert book(two_vms[0], run) == (200, "ran")
 
 
+def test_keyed_model_call_takes_no_kept_connection() -> None:
+    """Story: a call that its caller wants run once is "unknown" for nothing.
+
+    As above, but here calls that may be repeated left a connection.
+    """
+    server = engine.Engine(timing=pathfakes.FAST)
+    server.start()
+    server.faults = web.Faults(drop_at="head", drop_reused=True)
+    path = "/v1/chat/completions"
+    with pathfakes.running(pathfakes.engine_row(server.address)) as vm:
+        assert vm.ask("POST", path, pathfakes.chat()).status == 200
+        keyed = vm.ask("POST", path, pathfakes.chat(), Idempotency_Key="k")
+        assert keyed.status == 200
+        assert vm.router.outcomes == ["ok", "ok"]
+    server.stop()
+
+
 def test_resent_while_running_and_after(
     two_vms: tuple[pathfakes.SmallVm, pathfakes.SmallVm],
     booking: plain.PlainService,
--- a/tests/daemon/test_cutstreams.py
+++ b/tests/daemon/test_cutstreams.py
@@ -192,6 +192,31 @@
         connection.close()
 
 
+def test_key_withdrawn_while_its_request_comes_in(
+    vm: pathfakes.SmallVm,
+    standins: tuple[engine.Engine, Any],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Story: a thief's long stream goes on after the key is withdrawn.
+
+    The key was found in force, then withdrawn, and only then the request
+    stood among the open ones that the withdrawal ends.
+    """
+    find = vm.config.authenticate
+
+    def find_and_withdraw(key: str) -> Any:
+        found = find(key)
+        vm.config.withdraw(key)
+        return found
+
+    monkeypatch.setattr(vm.config, "authenticate", find_and_withdraw)
+    call = pathfakes.chat(stream=True, max_tokens=50)
+    reply = vm.ask("POST", PATH, call)
+    assert (reply.status, reply.error["code"]) == (401, "key_withdrawn")
+    assert reply.error["ran"] == "not_run"
+    assert standins[0].counts["started"] == 0
+
+
 def test_no_upstream_sees_the_key(
     vm: pathfakes.SmallVm,
     standins: tuple[engine.Engine, plain.PlainService],
