--- a/packages/daemon/bulrushdeald/ownership.py
+++ b/packages/daemon/bulrushdeald/ownership.py
@@ -65,6 +65,11 @@
         pages = list(range(shares.PAGES))
         self._order = pages[first:] + pages[:first]
 
+    @property
+    def failure_domain(self) -> str:
+        """Where this VM stands."""
+        return self._own.failure_domain
+
     def owned(self) -> tuple[owner.OwnedPart, ...]:
         """Returns the parts that this VM owns."""
         with self._lock:
