Give a part that comes to be owned the rows of that moment; cut links

The rows were read at the beginning of a round, the parts claimed, and then given those rows; a customer made in between met no part to tell, and was refused there until the next edit. Ruled out: empty buckets (the customer had an opening, and 20 s to fill).

Change: a part gets its rows and is published under one lock with a change of rows. The new test of it in test_limits.py fails without.

Logs name the number of owned parts, not each of 64.

--- a/packages/daemon/bulrushdeald/limits.py
+++ b/packages/daemon/bulrushdeald/limits.py
@@ -24,6 +24,7 @@
 from bulrushdeald import defaults
 from bulrushdeald import holder
 from bulrushdeald import ownership
+from bulrushdeald import pagerows
 from bulrushdeald import rebalance
 from bulrushdeald import services
 from bulrushdeald import sharebook
@@ -32,8 +33,6 @@
 
 _log = logs.Log("limits")
 
-_Rows = dict[int, dict[str, records.Customer]]
-
 TEND_S = 1.0
 REPORT_S = 0.1
 _WATCH_S = 20.0
@@ -94,7 +93,6 @@
         self._threads: list[threading.Thread] = []
         self._stopping = threading.Event()
         self._short = threading.Event()
-        self._rows: _Rows | None = None
         self._is_ready = False
         self._ready_by_s: float | None = None
 
@@ -114,8 +112,14 @@
             self._book, sender, clock, self._config.customer
         )
         self._collector = collector.Collector(self._book, sender)
+        self._rows = pagerows.PageRows(self._config)
         self._ownership = ownership.Ownership(
-            self._book, members, peers, clock, self._config.opening
+            self._book,
+            members,
+            peers,
+            clock,
+            self._rows,
+            self._config.opening,
         )
         self._admission = admission.Admission(
             self._config,
@@ -211,42 +215,27 @@
         return credit.CreditDropped(is_clean)
 
     def _on_rows(self) -> None:
-        self._rows = None
         self._holder.rows_changed()
-        rows = self._rows_by_page()
-        for owned in self._ownership.owned():
-            owned.set_rows(rows.get(owned.page, {}))
-
-    def _rows_by_page(self) -> _Rows:
-        rows = self._rows
-        if rows is not None:
-            return rows
-        rows = {}
-        for row in self._config.customers():
-            page = rows.setdefault(shares.page_of(row.customer), {})
-            page[row.customer] = row
-        self._rows = rows
-        return rows
+        self._rows.change(self._ownership.owned)
 
     def refresh(self) -> None:
         """Reads the records now."""
         if not self._book.refresh() and self._book.is_empty():
             self._feed.ask()
-        self._ownership.adopt(self._rows_by_page())
+        self._ownership.adopt()
 
     def tend(self) -> None:
         """Does what is due about once a second."""
-        rows = self._rows_by_page()
-        self._ownership.adopt(rows)
+        self._ownership.adopt()
         self._ownership.claim()
-        self._ownership.adopt(rows)
+        self._ownership.adopt()
         self._ownership.sweep()
         for owned in self._ownership.owned():
             self._collector.settle(owned)
             self._rebalancer.move(owned)
         self._holder.report(only_tight=False)
         self._ownership.clear()
-        self._ownership.adopt(rows)
+        self._ownership.adopt()
 
     def work(self) -> None:
         """Does what is due at once: collections and urgent reports."""
--- a/packages/daemon/bulrushdeald/ownership.py
+++ b/packages/daemon/bulrushdeald/ownership.py
@@ -1,6 +1,6 @@
 """Which parts this VM owns: claims, takeovers, hand-over, clearing."""
 
-from collections.abc import Mapping
+import functools
 import itertools
 import threading
 from typing import NamedTuple
@@ -12,6 +12,7 @@
 from bulrushdeal import records
 from bulrushdeald import credit
 from bulrushdeald import owner
+from bulrushdeald import pagerows
 from bulrushdeald import services
 from bulrushdeald import sharebook
 from bulrushdeald import shares
@@ -43,12 +44,14 @@
         membership: services.Membership,
         peers: services.Peers,
         clock: clock_lib.Clock,
+        rows: pagerows.PageRows,
         opening_of: owner.OpeningOf,
     ) -> None:
         self._book = book
         self._membership = membership
         self._peers = peers
         self._clock = clock
+        self._rows = rows
         self._opening_of = opening_of
         self._own = membership.own()
         self._incarnation = membership.incarnation()
@@ -59,6 +62,7 @@
         self._seen: set[str] = set()
         self._unclean: dict[tuple[int, str], str] = {}
         self._is_closed = False
+        self._told_parts = 0
         # Failure domains that start together begin at different pages, so
         # that their claims seldom meet.
         first = shares.page_of(self._own.failure_domain)
@@ -84,21 +88,20 @@
         """Returns this VM's parts of a page."""
         return [owned for owned in self.owned() if owned.page == page]
 
-    def adopt(self, rows: Mapping[int, Mapping[str, records.Customer]]) -> None:
+    def adopt(self) -> None:
         """Begins to own what the records say, and nothing else."""
         if self._is_closed:
             return
         for number in range(shares.PAGES):
             stored = self._book.get(number)
             for part in stored.page.parts if stored else ():
-                self._adopt(number, part, rows.get(number, {}))
+                self._adopt(number, part)
+        parts = len(self.owned())
+        if parts != self._told_parts:
+            self._told_parts = parts
+            _log.info("Owns %d parts.", parts)
 
-    def _adopt(
-        self,
-        number: int,
-        part: shares.Part,
-        rows: Mapping[str, records.Customer],
-    ) -> None:
+    def _adopt(self, number: int, part: shares.Part) -> None:
         key = (number, part.failure_domain)
         is_mine = (
             part.vm == self._own.vm and part.incarnation == self._incarnation
@@ -112,13 +115,15 @@
             return
         if owned is None or owned.part.epoch < part.epoch:
             owned = owner.OwnedPart(number, part, self._clock, self._opening_of)
-            owned.set_rows(rows)
-            with self._lock:
-                self._owned[key] = owned
-            _log.info("Owns page %d for %s.", number, part.failure_domain)
+            self._rows.publish(owned, functools.partial(self._keep, owned))
         elif owned.part != part:
             owned.set_part(part)
 
+    def _keep(self, owned: owner.OwnedPart) -> None:
+        part = owned.part
+        with self._lock:
+            self._owned[(owned.page, part.failure_domain)] = owned
+
     def claim(self) -> None:
         """Takes parts that nobody owns, and makes records that lack."""
         if not self._book.is_loaded or self._is_closed:
--- a/packages/standins/standins/deployment.py
+++ b/packages/standins/standins/deployment.py
@@ -10,6 +10,7 @@
 import urllib3.exceptions
 
 from bulrushdeal import records
+from standins import cutlink
 from standins import fleet as fleet_lib
 
 OPERATOR_TOKEN = "demo-operator"
@@ -30,6 +31,23 @@
         return json.loads(self.body)
 
 
+class Links(NamedTuple):
+    """How a daemon is reached by others, and reaches the platform."""
+
+    peers: cutlink.CutLink
+    platform: cutlink.CutLink
+
+    def cut(self) -> None:
+        """Cuts the daemon off, but from its callers and upstreams."""
+        for link in self:
+            link.cut()
+
+    def heal(self) -> None:
+        """Joins the daemon to the others and the platform again."""
+        for link in self:
+            link.heal()
+
+
 class Daemon(NamedTuple):
     """One `bulrushdeald` and where it listens."""
 
@@ -54,6 +72,9 @@
     def __init__(self, fleet: fleet_lib.Fleet) -> None:
         self.fleet = fleet
         self.daemons: list[Daemon] = []
+        # Set before the daemons start, if they are to be cut off.
+        self.has_links = False
+        self.links: dict[str, Links] = {}
         # The default of urllib3 sends a request again by itself.
         self._pools = urllib3.PoolManager(retries=False, maxsize=50)
         self.platform = ""
@@ -100,10 +121,18 @@
         """Starts a daemon with a data folder; it may not be ready yet."""
         addresses = tuple(fleet_lib.free_address() for _ in range(3))
         peers = addresses[-1]
+        given = dict(settings or {})
+        if self.has_links:
+            links = Links(
+                cutlink.CutLink(peers), cutlink.CutLink(self.platform)
+            )
+            self.links[vm] = links
+            peers = links.peers.address
+            given["platform-address"] = links.platform.address
         self.list_vm(
             records.Vm(vm, failure_domain, "entry", peers, has_disk=True)
         )
-        return self._run_daemon(vm, failure_domain, addresses, settings or {})
+        return self._run_daemon(vm, failure_domain, addresses, given)
 
     def restart_daemon(
         self, daemon: Daemon, settings: Mapping[str, str] | None = None
--- a/tests/daemon/test_limits.py
+++ b/tests/daemon/test_limits.py
@@ -169,6 +169,27 @@
     assert len(limits.dump().owned) == shares.PAGES
 
 
+def test_customer_made_while_a_part_is_claimed_is_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # A customer is created in the second in which a VM comes to own its
+    # limits, and is refused there with 429 until the table is next edited.
+    # Cause: the rows were read before the claim and given to the part after
+    # it, and the change that came between met no part to tell.
+    fleet = limitfakes.Fleet(())
+    node = fleet.add("d0v0", "d0")
+    put = limitfakes.MemoryKeyValue.put
+
+    def put_late(*arguments: Any) -> Any:
+        if not node.config.rows:
+            node.config.apply(records.Customer("acme", rate_per_s=2, burst=12))
+        return put(*arguments)
+
+    monkeypatch.setattr(limitfakes.MemoryKeyValue, "put", put_late)
+    fleet.settle(10)
+    assert _take(fleet, "d0v0")
+
+
 def test_refusal_says_when_to_come_back() -> None:
     fleet = _fleet(2, 2, records.Customer("acme", rate_per_s=4, burst=4))
     while _take(fleet, "d0v0"):
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -176,11 +176,19 @@
 
         That it need not be waited for is the matter of `test_customers`.
         """
-        fleet_lib.poll(
-            lambda: self.complete(daemon, "first").status == 200,
-            20.0,
-            f"{daemon.vm} admits the customer",
-        )
+        answers: list[deployment_lib.Answer] = []
+
+        def is_admitted() -> bool:
+            answers.append(self.complete(daemon, "first"))
+            return answers[-1].status == 200
+
+        try:
+            fleet_lib.poll(
+                is_admitted, 20.0, f"{daemon.vm} admits the customer"
+            )
+        except fleet_lib.FleetError:
+            print(f"--- {daemon.vm} said {answers[-3:]}")
+            raise
 
     def dump(self, daemon: deployment_lib.Daemon) -> Any:
         """Returns the state of a daemon's services."""
@@ -288,10 +296,12 @@
     engines: int = 2,
     engine_arguments: Sequence[str] = (),
     settings: dict[str, str] | None = None,
+    has_links: bool = False,
 ) -> Iterator[System]:
     """Runs a daemon in each failure domain, and engines in turn."""
     with fleet_lib.Fleet(folder) as fleet:
         deployment = deployment_lib.Deployment(fleet)
+        deployment.has_links = has_links
         try:
             deployment.start_platform()
             for domain in failure_domains:
