Split the fake VM of batch tests into its services and its fakes

Cause: a machine over the whole path needs the same batch services over real ones. Change: BatchVm holds the services and the client's calls, FakeVm what they lean on.

--- a/tests/support/batchfakes.py
+++ b/tests/support/batchfakes.py
@@ -326,61 +326,37 @@
     return defaults.read(flags, {})
 
 
-class FakeVm:
-    """The real batch services of one VM over fakes, moved by hand."""
+class BatchVm:
+    """The real batch services of one VM, moved by hand."""
 
-    def __init__(
-        self,
-        fleet: "Fleet",
-        name: str,
-        domain: str,
-        folder: str,
-        incarnation: str,
-    ) -> None:
-        self.name = name
-        row = records.Vm(name, domain, "entry", "", "live", bool(folder))
-        fleet.network.vms[name] = row
-        self.rest = FakeRest()
-        self.rest.weights = fleet.weights
-        self.rest.events = fleet.events
-        kernel = kernel_lib.Kernel()
+    name: str
+    clock: clock_lib.Clock
+    keyvalue: services.KeyValue
+    membership: services.Membership
+    settings: defaults.Settings
+
+    def add_batch(self, kernel: kernel_lib.Kernel) -> None:
+        """Adds the batch services to those that they lean on."""
         register: Any = kernel.register
-        peers = FakePeers(fleet.network, name)
-        register(services.KEYVALUE, fleet.keyvalue)
-        register(services.PEERS, peers)
-        self.keyvalue = fleet.keyvalue
-        self.clock = fleet.clock
-        self.membership = FakeMembership(fleet.network, row, incarnation)
-        register(services.MEMBERSHIP, self.membership)
-        for known in (
-            services.CONFIG,
-            services.LIMITS,
-            services.USAGE,
-            services.CALLERS,
-            services.OPERATORS,
-        ):
-            register(known, self.rest)
-        register(services.ROUTER, fleet.router)
-        register(services.UPSTREAMS, fleet.upstreams)
-        values = self.settings = settings(name, domain, folder)
-        if folder:
-            disk = store.DiskStore(kernel, values, fleet.clock)
+        values, clock = self.settings, self.clock
+        self.repair = None
+        if values.data_folder:
+            disk = store.DiskStore(kernel, values, clock)
             disk.start()
             register(services.STORE, disk)
-        self.replicas = replicas.Replicas(kernel, values, fleet.clock)
+        self.replicas = replicas.Replicas(kernel, values, clock)
         register(replicas.NAME, self.replicas)
         self.replicas.start()
-        self.repair = None
-        if folder:
-            self.repair = repair.Repair(kernel, values, fleet.clock)
+        if values.data_folder:
+            self.repair = repair.Repair(kernel, values, clock)
             self.repair.connect()
-        self.files = files.Files(kernel, values, fleet.clock)
+        self.files = files.Files(kernel, values, clock)
         self.files.start()
-        self.worker = worker.Worker(kernel, values, fleet.clock)
+        self.worker = worker.Worker(kernel, values, clock)
         self.worker.connect()
-        self.coordinator = coordinator.Coordinator(kernel, values, fleet.clock)
+        self.coordinator = coordinator.Coordinator(kernel, values, clock)
         self.coordinator.connect()
-        self.jobs = jobs.Jobs(kernel, values, fleet.clock)
+        self.jobs = jobs.Jobs(kernel, values, clock)
         self.jobs.start()
 
     def request(
@@ -391,16 +367,8 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
     ) -> Reply:
-        path, _, query = path.partition("?")
-        request = httpd.Request(
-            method, path, query, headers or {}, io.BytesIO(body), len(body)
-        )
-        principal = services.Principal(records.Customer(customer), "hash")
-        return Reply(self.rest.call(method, path, request, principal))
-
-    def operate(self, method: str, path: str) -> Reply:
-        request = httpd.Request(method, path, "", {}, io.BytesIO(b""), 0)
-        return Reply(self.rest.call(method, path, request))
+        """Sends a customer's request to this VM."""
+        raise NotImplementedError
 
     def upload(
         self, customer: str, prompts: Mapping[str, str], key: str = ""
@@ -471,6 +439,65 @@
         return self.request(customer, "POST", f"/v1/batches/{job}/cancel")
 
 
+class FakeVm(BatchVm):
+    """The batch services of one VM over fakes alone."""
+
+    def __init__(
+        self,
+        fleet: "Fleet",
+        name: str,
+        domain: str,
+        folder: str,
+        incarnation: str,
+    ) -> None:
+        self.name = name
+        row = records.Vm(name, domain, "entry", "", "live", bool(folder))
+        fleet.network.vms[name] = row
+        self.rest = FakeRest()
+        self.rest.weights = fleet.weights
+        self.rest.events = fleet.events
+        kernel = kernel_lib.Kernel()
+        register: Any = kernel.register
+        peers = FakePeers(fleet.network, name)
+        register(services.KEYVALUE, fleet.keyvalue)
+        register(services.PEERS, peers)
+        self.keyvalue = fleet.keyvalue
+        self.clock = fleet.clock
+        self.membership = FakeMembership(fleet.network, row, incarnation)
+        register(services.MEMBERSHIP, self.membership)
+        for known in (
+            services.CONFIG,
+            services.LIMITS,
+            services.USAGE,
+            services.CALLERS,
+            services.OPERATORS,
+        ):
+            register(known, self.rest)
+        register(services.ROUTER, fleet.router)
+        register(services.UPSTREAMS, fleet.upstreams)
+        self.settings = settings(name, domain, folder)
+        self.add_batch(kernel)
+
+    def request(
+        self,
+        customer: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+    ) -> Reply:
+        path, _, query = path.partition("?")
+        request = httpd.Request(
+            method, path, query, headers or {}, io.BytesIO(body), len(body)
+        )
+        principal = services.Principal(records.Customer(customer), "hash")
+        return Reply(self.rest.call(method, path, request, principal))
+
+    def operate(self, method: str, path: str) -> Reply:
+        request = httpd.Request(method, path, "", {}, io.BytesIO(b""), 0)
+        return Reply(self.rest.call(method, path, request))
+
+
 class Fleet:
     """Some VMs over one fake platform and one fake engine."""
 
