Say what ran of all tries, not of the last one alone

Cause: a model call's first try broke off at its engine and may have run; its second found no upstream, and the caller was told "not_run". Found by the new machine over the whole path: the engine took the call, broke off, and the router refused the second try. Each try's failure was told by itself. Ruled out: the router, whose refusal is true for its own part. Change: the open call keeps the most that is known of its tries, and each refusal after a try tells that. A try that an upstream answered with 503 counts as run, as elsewhere once a head has come. Before: the new test got (503, not_run) for (503, unknown). After: it passes, and test_atmostonce.py with it.

--- a/packages/daemon/bulrushdeald/calls.py
+++ b/packages/daemon/bulrushdeald/calls.py
@@ -26,6 +26,9 @@
 }
 
 
+_RAN: tuple[services.Ran, ...] = ("not_run", "unknown", "ran")
+
+
 class BrokenAnswerError(ConnectionResetError):
     """Ends a connection whose answer cannot be made whole."""
 
@@ -55,6 +58,7 @@
         key_hash: The key it came with.
         upstream: Where it was sent last; empty if it was not.
         tries: How often it was placed at an upstream.
+        ran: Whether any of the tries ran.
     """
 
     def __init__(
@@ -65,6 +69,7 @@
         self.key_hash = principal.key_hash
         self.upstream = ""
         self.tries = 0
+        self.ran: services.Ran = "not_run"
         self._path = path
         self._since_s = time.monotonic()
         self._lock = threading.Lock()
@@ -88,6 +93,10 @@
         if cancel is not None:
             cancel()
 
+    def note_ran(self, ran: services.Ran) -> None:
+        """Notes whether a try ran; what is known of those before stays."""
+        self.ran = max(self.ran, ran, key=_RAN.index)
+
     def outlive_caller(self) -> None:
         """Lets the request run to its end even if the caller leaves."""
         with self._lock:
--- a/packages/daemon/bulrushdeald/dispatch.py
+++ b/packages/daemon/bulrushdeald/dispatch.py
@@ -82,14 +82,26 @@
     error: services.UpstreamError, call: calls.Call
 ) -> services.Refusal:
     """Returns what a caller is told of an upstream's failure."""
+    call.note_ran(error.ran)
     if call.reason:
-        return calls.REFUSALS[call.reason]._replace(ran=error.ran)
-    refusal = _REFUSALS[error.kind]._replace(ran=error.ran)
+        return calls.REFUSALS[call.reason]._replace(ran=call.ran)
+    refusal = _REFUSALS[error.kind]._replace(ran=call.ran)
     if error.kind == "cancelled":
         return refusal
     return refusal._replace(retry_after_s=_RETRY_AFTER_S)
 
 
+def _refused(refusal: services.Refusal, call: calls.Call) -> Failure:
+    """Returns a try that was not placed, after others that may have run.
+
+    The failure: a first try breaks off at its engine and the second finds
+    no upstream. It shows as "not run" for a request that ran. The guard
+    holds because each try's end is noted in the call before the next.
+    """
+    call.note_ran(refusal.ran)
+    return Failure(refusal._replace(ran=call.ran))
+
+
 def outcome_of(error: services.UpstreamError) -> services.Outcome:
     """Returns how a slot went whose request failed."""
     return _OUTCOMES[error.kind]
@@ -163,14 +175,14 @@
     ) -> result.Result[Started, Failure]:
         acquired = self._router.acquire(work)
         if isinstance(acquired, result.Err):
-            return result.Err(Failure(acquired.err_value))
+            return result.Err(_refused(acquired.err_value, call))
         slot = acquired.ok_value
         refusal = calls.REFUSALS[call.reason] if call.reason else None
         if refusal is None:
             refusal = guard.before_send()
         if refusal is not None:
             slot.release("cancelled")
-            return result.Err(Failure(refusal))
+            return result.Err(_refused(refusal, call))
         upstream = slot.upstream
         call.upstream = upstream.upstream
         call.tries += 1
--- a/packages/daemon/bulrushdeald/relays.py
+++ b/packages/daemon/bulrushdeald/relays.py
@@ -77,6 +77,7 @@
 
     def refuse(self) -> None:
         """Closes unread, since another upstream is tried instead."""
+        self._call.note_ran("ran")
         self._is_closed = True
         self.answer.close()
         self._slot.release("refused")
--- a/tests/daemon/test_atmostonce.py
+++ b/tests/daemon/test_atmostonce.py
@@ -284,3 +284,29 @@
         reply = vm.ask("POST", "/v1/chat/completions", pathfakes.chat())
         assert (reply.status, reply.error["ran"]) == (503, "not_run")
     server.stop()
+
+
+def test_second_try_does_not_hide_that_the_first_may_have_run() -> None:
+    """Story: a translator is told that a request did not run, and it did.
+
+    An engine breaks off after it took the call. The call changes nothing, so
+    it is sent once more; the second engine cannot be reached, or says that
+    it is full, and only its part was told. Cause: each try's own end.
+    """
+    server = engine.Engine(timing=pathfakes.FAST)
+    server.start()
+    # The slots are given in turn from the second row on.
+    rows = (
+        pathfakes.engine_row("127.0.0.1:1", "gone"),
+        pathfakes.engine_row(server.address),
+    )
+    for faults, ran in (
+        (web.Faults(drop_at="after_body"), "unknown"),
+        (web.Faults(refuse_status=503), "ran"),
+    ):
+        server.faults = faults
+        with pathfakes.running(*rows) as vm:
+            reply = vm.ask("POST", "/v1/chat/completions", pathfakes.chat())
+            assert (reply.status, reply.error["ran"]) == (503, ran)
+            assert len(vm.router.outcomes) == 2
+    server.stop()
