--- a/tests/daemon/test_mixed.py
+++ b/tests/daemon/test_mixed.py
@@ -235,7 +235,7 @@
             if what == "lose":
                 self.lose_active()
             elif what == "resend":
-                self.book(number, index, True, "a", False)
+                self.resend(number, booking)
             elif what == "withdraw":
                 self.withdraw(number, booking.customer)
             else:
@@ -244,6 +244,15 @@
         place = self.fleet.keyvalue if is_write else self.fleet.upstreams
         place.meanwhile = happen
 
+    def resend(self, number: int, other: mixedclients.Booking) -> None:
+        """A client sends the booking under way again, or another one."""
+        vm, booking = self.awake(number), self.clients.sending
+        if booking is None or not booking.key:
+            booking = other
+        if vm is not None:
+            secret = self.fleet.secrets_of(booking.customer)[-1]
+            self.clients.book(vm, secret, booking, "a")
+
     def lose_active(self) -> None:
         vm = self.fleet.active
         if vm is None:
--- a/tests/support/mixedclients.py
+++ b/tests/support/mixedclients.py
@@ -48,10 +48,12 @@
 
     Attributes:
         open: Bookings whose answer is still being read.
+        sending: The booking sent last.
     """
 
     def __init__(self, fleet: mixedfleet.Fleet) -> None:
         self.open: list[Open] = []
+        self.sending: Booking | None = None
         self._fleet = fleet
         self._tries = 0
 
@@ -93,6 +95,7 @@
     ) -> str:
         """Returns `open`, `answered`, `lost` or the refusal's code."""
         booking.tried.add(variant)
+        self.sending = booking
         text = booking.text(variant)
         response = self.ask(vm, secret, BOOKINGS, text, booking.key)
         if response is None:
--- a/tests/support/mixedvm.py
+++ b/tests/support/mixedvm.py
@@ -25,6 +25,7 @@
 from bulrushdeald import config
 from bulrushdeald import intents
 from bulrushdeald import limits
+from bulrushdeald import pages
 from bulrushdeald import rebalance
 from bulrushdeald import router
 from bulrushdeald import services
@@ -76,7 +77,7 @@
     """The platform's service, which can also be watched.
 
     Attributes:
-        meanwhile: Runs once while the next write is on its way.
+        meanwhile: Runs once while the next intent or page is on its way.
     """
 
     def __init__(self) -> None:
@@ -86,9 +87,10 @@
     def put(
         self, key: str, value: bytes, expected_revision: int
     ) -> result.Result[int, services.KeyValueError]:
-        meanwhile, self.meanwhile = self.meanwhile, None
-        if meanwhile is not None:
-            meanwhile()
+        if key.startswith((intents.PREFIX, pages.PREFIX)):
+            meanwhile, self.meanwhile = self.meanwhile, None
+            if meanwhile is not None:
+                meanwhile()
         return super().put(key, value, expected_revision)
 
     def watch(
