--- a/tests/daemon/test_mixed.py
+++ b/tests/daemon/test_mixed.py
@@ -28,6 +28,7 @@
 
 CUSTOMERS = test_batchmachine.KEYS
 FINAL = {"answered", "outcome_unknown", "idempotency_key_reused"}
+HAPPENINGS = ("lose", "resend", "withdraw", "outage")
 VMS = test_batchmachine.VMS
 customers = st.sampled_from(CUSTOMERS)
 variants = st.sampled_from(test_batchmachine.VARIANTS)
@@ -220,7 +221,7 @@
         self.fleet.upstreams.leaving ^= {vm}
 
     @stateful.rule(
-        what=st.sampled_from(("lose", "resend", "withdraw", "outage")),
+        what=st.sampled_from(HAPPENINGS),
         number=VMS,
         index=st.integers(0, 3),
         is_write=st.booleans(),
@@ -244,6 +245,18 @@
         place = self.fleet.keyvalue if is_write else self.fleet.upstreams
         place.meanwhile = happen
 
+    @stateful.rule(
+        what=st.sampled_from(HAPPENINGS),
+        numbers=st.permutations(range(4)),
+        index=st.integers(0, 3),
+        is_write=st.booleans(),
+    )
+    def book_meanwhile(
+        self, what: str, numbers: list[int], index: int, is_write: bool
+    ) -> None:
+        self.meanwhile(what, numbers[0], index, is_write)
+        self.book(numbers[1], index, True, "a", False)
+
     def resend(self, number: int, other: mixedclients.Booking) -> None:
         """A client sends the booking under way again, or another one."""
         vm, booking = self.awake(number), self.clients.sending
