--- a/tests/daemon/test_mixed.py
+++ b/tests/daemon/test_mixed.py
@@ -126,6 +126,13 @@
             return
         self.clients.complete(vm, customer, text)
 
+    @stateful.rule(customer=customers, count=st.sampled_from((3, 30)))
+    def demand(self, customer: str, count: int) -> None:
+        """Many requests that are refused after they were counted."""
+        for vm in self.fleet.awake():
+            for _ in range(count):
+                vm.counted.take(customer)
+
     @stateful.rule(number=VMS, key=customers)
     def look(self, number: int, key: str) -> None:
         vm, secret = self.awake(number), self.fleet.secrets_of(key)[-1]
@@ -191,6 +198,8 @@
     @stateful.precondition(lambda self: self.is_joined())
     @stateful.rule()
     def repair(self) -> None:
+        # One that loses messages is not over, and a second loss may come.
+        self.lose_messages(0, 0, 0)
         super().repair()
 
     @stateful.rule(has_outage=st.sampled_from((False, False, True)))
