--- a/packages/daemon/bulrushdeald/limits.py
+++ b/packages/daemon/bulrushdeald/limits.py
@@ -17,6 +17,7 @@
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import logs
 from bulrushdeal import records
+from bulrushdeald import admission
 from bulrushdeald import asker
 from bulrushdeald import collector
 from bulrushdeald import credit
@@ -43,20 +44,11 @@
 _LEAST_PAUSE_S = 0.5
 _RETRY_S = 1.0
 _FEED_S = 0.3
-# Each round brings a message or two; a request is not worth more.
-_MAX_ROUNDS = 8
-# Other failure domains asked directly while the own one has no owner.
-_MAX_DIRECT = 3
-# A refused customer is refused here without asking for at most this long.
-_MAX_PAUSE_S = 0.1
-_LEAST_WAIT_S = 0.001
-
-_UNAVAILABLE = services.Refusal(
-    503,
-    "limits_unavailable",
-    "No VM that keeps this customer's limits can be reached.",
-    retry_after_s=_RETRY_S,
-)
+# Until the records are read for the first time, each look costs nothing.
+_FIRST_LOOK_S = 0.05
+# A VM that starts says that it is ready without its part of each page, if
+# nobody comes to own them in this time: the platform may be out.
+_READY_S = 5.0
 
 
 class DumpedPart(NamedTuple):
@@ -87,20 +79,6 @@
     pages: int
 
 
-class Pause(NamedTuple):
-    """A customer that is refused without asking for a moment.
-
-    Attributes:
-        until_s: When that ends.
-        pause_s: How long it lasts.
-        refusal: What the last request was told.
-    """
-
-    until_s: float
-    pause_s: float
-    refusal: services.Refusal
-
-
 class EscrowLimits:
     """The service `limits`; needs keyvalue, membership, peers and config."""
 
@@ -116,8 +94,9 @@
         self._threads: list[threading.Thread] = []
         self._stopping = threading.Event()
         self._short = threading.Event()
-        self._pauses: dict[str, Pause] = {}
         self._rows: _Rows | None = None
+        self._is_ready = False
+        self._ready_by_s: float | None = None
 
     def attach(self) -> None:
         """Finds the other services; `start` runs the threads as well."""
@@ -135,7 +114,17 @@
             self._book, sender, clock, self._config.customer
         )
         self._collector = collector.Collector(self._book, sender)
-        self._ownership = ownership.Ownership(self._book, members, peers, clock)
+        self._ownership = ownership.Ownership(
+            self._book, members, peers, clock, self._config.opening
+        )
+        self._admission = admission.Admission(
+            self._config,
+            self._book,
+            self._holder,
+            self._collector,
+            self._ownership,
+            clock,
+        )
         self._rebalancer = rebalance.Rebalancer(
             self._book, clock, self._ownership.nonce
         )
@@ -177,106 +166,29 @@
         )
         return Dump(owned, self._holder.dump(), pages)
 
+    def opening(self, row: records.Customer) -> records.Opening | None:
+        """See `services.Limits`."""
+        parts = self._ownership.parts(shares.page_of(row.customer))
+        if not parts:
+            return None
+        # A part without an owner is given by its next one.
+        given = tuple(
+            records.OpeningPart(
+                part.failure_domain,
+                part.epoch if part.vm else part.epoch + 1,
+                part.fraction,
+            )
+            for part in parts
+        )
+        return records.Opening(
+            row.customer, row.burst, self._clock.wall_s(), given
+        )
+
     def take(
         self, customer: str, count: float = 1.0
     ) -> result.Result[None, services.Refusal]:
         """See `services.Limits`."""
-        row = self._config.customer(customer)
-        if row is None:
-            return result.Err(
-                services.Refusal(403, "unknown_customer", "No such customer.")
-            )
-        if count > row.burst:
-            return result.Err(
-                services.Refusal(
-                    429,
-                    "rate_limited",
-                    f"The request counts {count:g}, more than the customer's"
-                    f" burst of {row.burst:g}.",
-                )
-            )
-        self._holder.note_demand(customer, count)
-        if self._holder.spend(customer, count):
-            return result.Ok(None)
-        paused = self._paused(customer)
-        if paused is not None:
-            return result.Err(paused)
-        refusal = self._collect_for(customer, count)
-        if refusal is None:
-            return result.Ok(None)
-        self._pause(customer, refusal)
-        return result.Err(refusal)
-
-    def _paused(self, customer: str) -> services.Refusal | None:
-        pause = self._pauses.get(customer)
-        if pause is None:
-            return None
-        left_s = pause.until_s - self._clock.monotonic_s()
-        if left_s <= 0:
-            return None
-        passed_s = pause.pause_s - left_s
-        wait_s = pause.refusal.retry_after_s - passed_s
-        return pause.refusal._replace(retry_after_s=max(wait_s, _LEAST_WAIT_S))
-
-    def _pause(self, customer: str, refusal: services.Refusal) -> None:
-        pause_s = min(refusal.retry_after_s, _MAX_PAUSE_S)
-        until_s = self._clock.monotonic_s() + pause_s
-        self._pauses[customer] = Pause(until_s, pause_s, refusal)
-
-    def _collect_for(
-        self, customer: str, count: float
-    ) -> services.Refusal | None:
-        """Asks owners for credit and spends it.
-
-        Returns:
-            `None` if the tokens were spent.
-        """
-        wait_s = _RETRY_S
-        for _ in range(_MAX_ROUNDS):
-            need = max(0.0, count - self._holder.in_hand(customer))
-            answer = self._holder.ask(self._domain, customer, need, ahead=True)
-            if self._holder.spend(customer, count):
-                return None
-            if not answer.is_answered:
-                return self._ask_directly(customer, count)
-            if answer.grant is None:
-                continue
-            wait_s = answer.grant.wait_s or wait_s
-            if answer.grant.again_s > 0:
-                self._await_collection(customer, answer.grant.again_s)
-            elif answer.grant.granted <= 0:
-                break
-        return _refusal(wait_s)
-
-    def _await_collection(self, customer: str, again_s: float) -> None:
-        owned = self._ownership.find(shares.page_of(customer), self._domain)
-        if owned is not None:
-            self._collector.collect(owned)
-            return
-        self._clock.sleep_s(again_s)
-
-    def _ask_directly(
-        self, customer: str, count: float
-    ) -> services.Refusal | None:
-        stored = self._book.get(shares.page_of(customer))
-        parts = () if stored is None else stored.page.parts
-        others = [
-            part.failure_domain
-            for part in parts
-            if part.failure_domain != self._domain and part.vm
-        ]
-        others = shares.rank(f"{self._domain}/{customer}", others)
-        refusal = _UNAVAILABLE
-        for failure_domain in others[:_MAX_DIRECT]:
-            need = max(0.0, count - self._holder.in_hand(customer))
-            answer = self._holder.ask(
-                failure_domain, customer, need, ahead=False
-            )
-            if self._holder.spend(customer, count):
-                return None
-            if answer.grant is not None:
-                refusal = _refusal(answer.grant.wait_s or _RETRY_S)
-        return refusal
+        return self._admission.take(customer, count)
 
     def _on_ask(self, vm: str, ask: credit.CreditAsk) -> credit.CreditGrants:
         owned = self._ownership.find(ask.page, ask.failure_domain)
@@ -357,8 +269,23 @@
             self._stopping.wait(_FEED_S)
 
     def is_ready(self) -> bool:
-        """See `services.Limits`."""
-        return not self._book.is_empty()
+        """See `services.Limits`.
+
+        Once ready it stays so: an owner that is lost later is replaced, and
+        to leave the balancer meanwhile would help nobody.
+        """
+        if self._is_ready or self._book.is_empty():
+            return self._is_ready
+        now_s = self._clock.monotonic_s()
+        if self._ready_by_s is None:
+            self._ready_by_s = now_s + _READY_S
+        # The failure: a fleet starts, and a VM that has no part to take from
+        # refuses its first callers. Each part has an owner within a second
+        # or two, unless the platform is out; then other parts have to do.
+        self._is_ready = (
+            self._book.is_owned(self._domain) or now_s >= self._ready_by_s
+        )
+        return self._is_ready
 
     def _watch(self) -> None:
         while not self._stopping.is_set():
@@ -368,8 +295,13 @@
             self._stopping.wait(pause_s)
 
     def _tend_loop(self) -> None:
-        while not self._stopping.wait(TEND_S):
+        looks = int(TEND_S / _FIRST_LOOK_S)
+        while looks and not self._book.is_loaded:
+            self._stopping.wait(_FIRST_LOOK_S)
+            looks -= 1
+        while not self._stopping.is_set():
             self._guarded(self.tend)
+            self._stopping.wait(TEND_S)
 
     def _report_loop(self) -> None:
         while not self._stopping.wait(REPORT_S):
@@ -391,12 +323,3 @@
 
 def _watch_pause_s(vms: int) -> float:
     return max(_LEAST_PAUSE_S, vms / _WATCHES_PER_S)
-
-
-def _refusal(wait_s: float) -> services.Refusal:
-    return services.Refusal(
-        429,
-        "rate_limited",
-        "The customer's rate and burst are used up.",
-        retry_after_s=max(wait_s, _LEAST_WAIT_S),
-    )
