--- /dev/null
+++ b/tests/daemon/test_mixed.py
@@ -0,0 +1,400 @@
+"""All failures together on the whole path, against a few simple oracles.
+
+Story: a domain is cut off while the platform is out, a VM is lost with
+bookings under way, their callers send them again elsewhere, a key is
+withdrawn and a batch job goes on. A user sees a booking made twice, another's
+answer, a withdrawn key work again, more served than the row allows, or an
+item that never completes. Cause: guards that each hold alone rest on each
+other when two things fail at once, or one fails twice.
+"""
+
+from typing import Any
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+import result
+
+from bulrushdeal import records
+from bulrushdeald import config
+from bulrushdeald import pages
+from bulrushdeald import rewrites
+from daemon import test_batchmachine
+from support import machines
+from support import mixedclients
+from support import mixedfleet
+from support import mixedupstreams
+from support import mixedvm
+
+CUSTOMERS = test_batchmachine.KEYS
+FINAL = {"answered", "outcome_unknown", "idempotency_key_reused"}
+HAPPENINGS = ("lose", "resend", "withdraw", "outage")
+WHATS = st.sampled_from((*HAPPENINGS, *mixedupstreams.FAULTS))
+FAULTY_STEPS = 16
+VMS = test_batchmachine.VMS
+customers = st.sampled_from(CUSTOMERS)
+variants = st.sampled_from(test_batchmachine.VARIANTS)
+# None is cut off in half of the draws.
+domains = st.sampled_from(("", "", "", "d0", "d1", "d2"))
+counts = st.integers(0, 2)
+
+
+class MixedMachine(test_batchmachine.BatchMachine):
+    """Batch work as in `BatchMachine`, beside all else and more faults."""
+
+    refused = (401, 429, 503)
+
+    def __init__(self) -> None:
+        self.bookings = [
+            mixedclients.Booking(customer, key)
+            for customer in CUSTOMERS
+            for key in ("b1", "b2")
+        ]
+        self.steps = 0
+        self.withdrawn_s: dict[str, float] = {}
+        self.revisions: dict[Any, tuple[int, ...]] = {}
+        super().__init__()
+        self.clients = mixedclients.Clients(self.fleet)
+        self.fleet.run(5)
+
+    def make_fleet(self, patch: pytest.MonkeyPatch) -> mixedfleet.Fleet:
+        mixedvm.patch(patch)
+        rows = tuple(
+            records.Customer(name, rate_per_s=20.0, burst=30.0)
+            for name in CUSTOMERS
+        )
+        fleet = mixedfleet.Fleet(rows)
+        stored = {"config/upstreams": pages.Page(upstreams=mixedupstreams.ROWS)}
+        for row in rows:
+            name = pages.customer_key(row.customer)
+            page = stored.get(name, pages.Page())
+            keys = (*page.keys, fleet.new_key(row.customer))
+            stored[name] = pages.Page((*page.customers, row), keys)
+        for name, page in stored.items():
+            fleet.keyvalue.put(name, pages.encode(page), 0)
+        return fleet
+
+    def is_joined(self) -> bool:
+        """Whether each VM reaches each other and the platform."""
+        vms = self.fleet.vms.values()
+        is_cut = self.fleet.cut or any(vm.platform.is_cut for vm in vms)
+        return not (is_cut or self.fleet.net.paused)
+
+    def is_well(self) -> bool:
+        net = self.fleet.net
+        is_lossy = net.lose_next_answers or net.lose_next_messages
+        is_late = net.delay_next_messages
+        return (
+            super().is_well() and self.is_joined() and not (is_lossy or is_late)
+        )
+
+    # What clients do online.
+
+    @stateful.rule(
+        number=VMS,
+        index=st.integers(0, 3),
+        is_keyed=st.sampled_from((True, True, False)),
+        variant=variants,
+        is_first=st.booleans(),
+    )
+    def book(
+        self,
+        number: int,
+        index: int,
+        is_keyed: bool,
+        variant: str,
+        is_first: bool,
+    ) -> None:
+        vm, booking = self.awake(number), self.bookings[index]
+        if vm is None:
+            return
+        if not is_keyed:
+            booking = mixedclients.Booking(booking.customer, "")
+        secret = self.fleet.secrets_of(booking.customer)[0 if is_first else -1]
+        self.clients.book(vm, secret, booking, variant)
+
+    @stateful.precondition(lambda self: self.clients.open)
+    @stateful.rule(index=st.integers(0, 9))
+    def finish(self, index: int) -> None:
+        opened = self.clients.open[index % len(self.clients.open)]
+        if opened.vm in self.fleet.awake():
+            self.clients.finish(opened)
+
+    @stateful.rule(
+        number=VMS,
+        customer=customers,
+        words=st.sampled_from(("hello", "hello", "poison")),
+    )
+    def complete(self, number: int, customer: str, words: str) -> None:
+        vm, text = self.awake(number), f"{customer} {words}"
+        if vm is None:
+            return
+        self.clients.complete(vm, customer, text)
+
+    @stateful.rule(customer=customers, count=st.sampled_from((3, 30)))
+    def demand(self, customer: str, count: int) -> None:
+        """Many requests that are refused after they were counted."""
+        for vm in self.fleet.awake():
+            for _ in range(count):
+                vm.counted.take(customer)
+
+    @stateful.rule(number=VMS, key=customers)
+    def look(self, number: int, key: str) -> None:
+        vm, secret = self.awake(number), self.fleet.secrets_of(key)[-1]
+        # A new key is not known everywhere at once.
+        if vm is not None and vm.config.authenticate(secret).is_ok():
+            super().look(number, key)
+
+    # What operators do.
+
+    @stateful.rule(
+        number=VMS,
+        customer=customers,
+        rate_per_s=st.sampled_from((2.0, 20.0)),
+        burst=st.sampled_from((6.0, 30.0)),
+    )
+    def change_row(
+        self, number: int, customer: str, rate_per_s: float, burst: float
+    ) -> None:
+        vm = self.awake(number)
+        if vm is None:
+            return
+        row = records.Customer(customer, rate_per_s=rate_per_s, burst=burst)
+        self.fleet.edit(vm, customer, rewrites.put_customer(row, None))
+
+    @stateful.rule(number=VMS, customer=customers)
+    def withdraw(self, number: int, customer: str) -> None:
+        vm, old = self.awake(number), self.fleet.secrets_of(customer)[-1]
+        if vm is None:
+            return
+        added = rewrites.add_key(self.fleet.new_key(customer))
+        if self.fleet.edit(vm, customer, added) != "ok":
+            self.fleet.keys.popitem()
+            return
+        withdrawn = rewrites.withdraw_key(config.hash_key(old))
+        if self.fleet.edit(vm, customer, withdrawn) == "ok":
+            self.withdrawn_s[old] = self.fleet.world.now_s
+
+    # What fails, beside what fails in `BatchMachine`.
+
+    @stateful.rule()
+    def thaw(self) -> None:
+        for name in list(self.fleet.net.paused):
+            self.fleet.net.resume(name)
+
+    @stateful.rule(number=VMS)
+    def lose(self, number: int) -> None:
+        super().lose(number)
+        self.clients.forget_lost()
+
+    @stateful.rule(number=VMS)
+    def leave(self, number: int) -> None:
+        vm = self.awake(number)
+        if vm is None or vm.platform.is_cut:
+            return
+        for opened in [one for one in self.clients.open if one.vm is vm]:
+            self.clients.finish(opened)
+        super().leave(number)
+
+    @stateful.rule()
+    def unlist_dead(self) -> None:
+        self.fleet.unlist_dead()
+
+    @stateful.precondition(lambda self: self.is_joined())
+    @stateful.rule()
+    def repair(self) -> None:
+        # One that loses messages is not over, and a second loss may come.
+        self.lose_messages(0, 0, 0)
+        super().repair()
+
+    @stateful.rule(has_outage=st.sampled_from((False, False, True)))
+    def outage(self, has_outage: bool) -> None:
+        super().outage(has_outage)
+
+    @stateful.rule(domain=domains, from_peers=st.booleans())
+    def cut(self, domain: str, from_peers: bool) -> None:
+        """Cuts off one domain at most, from all others or the platform."""
+        if from_peers:
+            self.fleet.cut = {domain}
+            return
+        for vm in self.fleet.vms.values():
+            vm.platform.is_cut = vm.row.failure_domain == domain
+
+    @stateful.invariant()
+    def recover(self) -> None:
+        """From time to time all that fails ends, or little would be done."""
+        self.steps += 1
+        if self.steps % FAULTY_STEPS == 0:
+            self.heal()
+            self.fleet.run(5)
+
+    @stateful.rule(answers=counts, messages=counts, late=counts)
+    def lose_messages(self, answers: int, messages: int, late: int) -> None:
+        self.fleet.net.lose_next_answers = answers
+        self.fleet.net.lose_next_messages = messages
+        self.fleet.net.delay_next_messages = late
+
+    @stateful.precondition(lambda self: self.fleet.net.delayed)
+    @stateful.rule()
+    def deliver_late(self) -> None:
+        self.fleet.net.deliver_late()
+
+    @stateful.rule(vm=st.sampled_from(("up0", "up1")))
+    def toggle_leaving(self, vm: str) -> None:
+        self.fleet.upstreams.leaving ^= {vm}
+
+    @stateful.rule(
+        what=WHATS,
+        number=VMS,
+        index=st.integers(0, 3),
+        is_write=st.booleans(),
+    )
+    def meanwhile(
+        self, what: str, number: int, index: int, is_write: bool
+    ) -> None:
+        """While the next write, or request, is under way, this happens."""
+        booking = self.bookings[index]
+        if what not in HAPPENINGS:
+            self.fleet.upstreams.faults = [what]
+            return
+
+        def happen() -> None:
+            if what == "lose":
+                self.lose_active()
+            elif what == "resend":
+                self.resend(number, booking)
+            elif what == "withdraw":
+                self.withdraw(number, booking.customer)
+            else:
+                self.fleet.keyvalue.has_outage = True
+
+        place = self.fleet.keyvalue if is_write else self.fleet.upstreams
+        place.meanwhile = happen
+
+    @stateful.rule(
+        what=WHATS,
+        numbers=st.permutations(range(4)),
+        index=st.integers(0, 3),
+        is_write=st.booleans(),
+    )
+    def book_meanwhile(
+        self, what: str, numbers: list[int], index: int, is_write: bool
+    ) -> None:
+        self.meanwhile(what, numbers[0], index, is_write)
+        self.book(numbers[1], index, True, "a", False)
+
+    def resend(self, number: int, other: mixedclients.Booking) -> None:
+        """A client sends the booking under way again, or another one."""
+        vm, booking = self.awake(number), self.clients.sending
+        if booking is None or not booking.key:
+            booking = other
+        if vm is not None:
+            secret = self.fleet.secrets_of(booking.customer)[-1]
+            self.clients.book(vm, secret, booking, "a")
+
+    def lose_active(self) -> None:
+        vm = self.fleet.active
+        if vm is None:
+            return
+        self.lose(self.names.index(vm.name))
+        if vm.name not in self.fleet.vms:
+            raise mixedupstreams.VmLostError
+
+    @stateful.rule(number=VMS, items=st.integers(0, 4))
+    def work(self, number: int, items: int) -> None:
+        vm = self.awake(number)
+        if vm is not None:
+            vm.worker.ask()
+            self.fleet.act(vm, lambda: vm.run_items(items))
+
+    # What always holds.
+
+    @stateful.invariant()
+    def all_holds(self) -> None:
+        assert not self.fleet.upstreams.problems
+        prompts = self.fleet.upstreams.prompts
+        for booking in self.bookings:
+            texts = {booking.text(v) for v in test_batchmachine.VARIANTS}
+            runs = sum(text in texts for text in prompts)
+            assert runs <= 1, "a booking ran twice"
+        for vm in self.fleet.vms.values():
+            held = vm.config.revisions()
+            before = self.revisions.get(vm, held)
+            assert all(a <= b for a, b in zip(before, held, strict=True))
+            self.revisions[vm] = held
+            self.check_withdrawn(vm)
+
+    def check_withdrawn(self, vm: mixedvm.MixedVm) -> None:
+        """What a VM calls confirmed is in force there."""
+        age_s = vm.config.gossip.age_s()
+        if age_s < 0:
+            return
+        known, since_s = vm.withdrawn(), self.fleet.world.now_s - age_s
+        for secret, at_s in self.withdrawn_s.items():
+            assert at_s >= since_s or config.hash_key(secret) in known
+
+    # In the end.
+
+    def teardown(self) -> None:
+        self.heal()
+        self.fleet.run(60)
+        for opened in list(self.clients.open):
+            self.clients.finish(opened)
+        for booking in self.bookings:
+            self.check_booking(booking)
+        self.check_config()
+        for customer in CUSTOMERS:
+            self.check_limits(customer)
+        super().teardown()
+        for vm in self.fleet.vms.values():
+            vm.close()
+
+    def heal(self) -> None:
+        self.fleet.heal()
+        self.thaw()
+        self.deliver_late()
+        self.fleet.run(2)
+        self.repair()
+
+    def check_booking(self, booking: mixedclients.Booking) -> None:
+        """Each VM gives the same final answer."""
+        for variant in sorted(booking.tried):
+            codes = set()
+            for vm in self.fleet.vms.values():
+                self.fleet.run(2)
+                secret = self.fleet.secrets_of(booking.customer)[-1]
+                code = self.clients.book(vm, secret, booking, variant)
+                if self.clients.open:
+                    code = self.clients.finish(self.clients.open[0])
+                codes.add(code)
+            assert len(codes) == 1, codes
+            assert codes <= FINAL
+
+    def check_line(self, prompt: str, line: Any) -> None:
+        if "poison" not in prompt and not line["error"]:
+            super().check_line(prompt, line)
+            return
+        assert line["error"]["code"] in ("upstream_failed", "quarantined")
+        assert self.fleet.upstreams.breaks[prompt] > 1
+
+    def check_config(self) -> None:
+        vms = self.fleet.vms.values()
+        revisions = {vm.config.revisions() for vm in vms}
+        assert len(revisions) == 1, "a change is not in force everywhere"
+        for secret in self.withdrawn_s:
+            assert all(vm.config.authenticate(secret).is_err() for vm in vms)
+
+    def check_limits(self, customer: str) -> None:
+        vms = list(self.fleet.vms.values())
+        row = vms[0].config.customer(customer)
+        self.fleet.run(10)
+        self.fleet.world.now_s += row.burst / row.rate_per_s + 1
+        admitted = 0
+        for vm in vms + vms:
+            while isinstance(vm.counted.take(customer), result.Ok):
+                admitted += 1
+        assert admitted >= int(row.burst * 0.97), "tokens were lost"
+
+
+TestMixed = MixedMachine.TestCase
+TestMixed.settings = machines.settings(examples=55, steps=80)
