--- /dev/null
+++ b/packages/bench/bench/peercost.py
@@ -0,0 +1,185 @@
+"""Measures what calls between VMs cost: `python -m bench.peercost`.
+
+Runs one VM's peers and those of its partners in this process, each calling
+the first and called by it at a fixed pace. Prints processor time a call, both
+ends together, and what a connection takes in memory and threads.
+"""
+
+import argparse
+import os
+import pathlib
+import threading
+import time
+from typing import Any, cast, NamedTuple
+
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeal import logs
+from bulrushdeal import records
+from bulrushdeald import defaults
+from bulrushdeald import peers
+from bulrushdeald import services
+from standins import fleet as fleet_lib
+
+_TIMEOUT_S = 5.0
+
+
+class Ask(NamedTuple):
+    """About as large as a report of counts."""
+
+    counts: tuple[tuple[str, int, int], ...]
+
+
+class Answer(NamedTuple):
+    """About as large as the sums that answer it."""
+
+    counts: tuple[tuple[str, int, int], ...]
+
+
+class Row(NamedTuple):
+    """One line of the table.
+
+    Attributes:
+        partners: VMs that call the first and are called by it.
+        connections: Between them, each way one.
+        calls_per_s: That were made.
+        failed: Calls without an answer.
+        ms_a_call: Processor time of both ends.
+        kb_an_end: Memory that one end of a connection takes.
+        threads_an_end: Threads of one end.
+    """
+
+    partners: int
+    connections: int
+    calls_per_s: float
+    failed: int
+    ms_a_call: float
+    kb_an_end: float
+    threads_an_end: float
+
+
+class _Membership:
+    """A list of VMs that stays as it is."""
+
+    def __init__(self, own: records.Vm, rows: list[records.Vm]) -> None:
+        self._own = own
+        self._rows = tuple(rows)
+
+    def start(self) -> None:
+        """See `kernel.Service`."""
+
+    def stop(self, grace_s: float) -> None:
+        """See `kernel.Service`."""
+
+    def dump(self) -> Any:
+        """See `kernel.Service`."""
+
+    def own(self) -> records.Vm:
+        """See `services.Membership`."""
+        return self._own
+
+    def incarnation(self) -> str:
+        """See `services.Membership`."""
+        return f"run-of-{self._own.vm}"
+
+    def entry_vms(self) -> tuple[records.Vm, ...]:
+        """See `services.Membership`."""
+        return self._rows
+
+
+def _make(own: records.Vm, rows: list[records.Vm]) -> peers.WebsocketPeers:
+    flags = {
+        "vm": own.vm,
+        "failure-domain": own.failure_domain,
+        "callers-address": "127.0.0.1:0",
+        "operators-address": "127.0.0.1:0",
+        "peers-address": own.peer_address,
+        "platform-address": "127.0.0.1:1",
+        "operator-token": "bench",
+    }
+    kernel = kernel_lib.Kernel()
+    membership = _Membership(own, rows)
+    kernel.register(services.MEMBERSHIP, cast(kernel_lib.Service, membership))
+    made = peers.WebsocketPeers(kernel, defaults.read(flags, {}))
+    made.understand(Answer)
+    made.handle(Ask, lambda vm, message: Answer(message.counts))
+    return made
+
+
+def _free_addresses(count: int) -> list[str]:
+    found: set[str] = set()
+    while len(found) < count:
+        found.add(fleet_lib.free_address())
+    return sorted(found)
+
+
+def _rss_kb() -> int:
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") // 1024
+
+
+def measure(partners: int, calls_per_s: float, duration_s: float) -> Row:
+    """Measures one size."""
+    rows = [
+        records.Vm(f"vm-{number}", "domain-0", "entry", address)
+        for number, address in enumerate(_free_addresses(partners + 1))
+    ]
+    all_peers = [_make(row, rows) for row in rows]
+    for one in all_peers:
+        one.start()
+    hub, others = all_peers[0], all_peers[1:]
+    message = Ask(tuple((f"engine-{number}", 3, 2) for number in range(5)))
+    rss_kb, threads = _rss_kb(), threading.active_count()
+    for row, other in zip(rows[1:], others, strict=True):
+        hub.call(row.vm, message, _TIMEOUT_S).unwrap()
+        other.call("vm-0", message, _TIMEOUT_S).unwrap()
+    made = failed = 0
+    began_s, spent_s = time.monotonic(), time.process_time()
+    while time.monotonic() - began_s < duration_s:
+        turn = made % partners
+        if made // partners % 2:
+            answer = others[turn].call("vm-0", message, _TIMEOUT_S)
+        else:
+            answer = hub.call(rows[turn + 1].vm, message, _TIMEOUT_S)
+        failed += answer.is_err()
+        made += 1
+        due_s = began_s + made / calls_per_s
+        time.sleep(max(0.0, due_s - time.monotonic()))
+    spent_s = time.process_time() - spent_s
+    took_s = time.monotonic() - began_s
+    ends = 4 * partners
+    found = Row(
+        partners,
+        2 * partners,
+        made / took_s,
+        failed,
+        1000 * spent_s / made,
+        (_rss_kb() - rss_kb) / ends,
+        (threading.active_count() - threads) / ends,
+    )
+    for one in all_peers:
+        one.stop(1.0)
+    return found
+
+
+def main() -> None:
+    """Measures each size and prints a table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--partners", default="4,16,75")
+    parser.add_argument("--calls-per-s", type=float, default=100.0)
+    parser.add_argument("--duration-s", type=float, default=10.0)
+    flags = parser.parse_args()
+    logs.configure("error")
+    print(f"load of the machine {os.getloadavg()[0]:.1f}")
+    print("| " + " | ".join(Row._fields) + " |")
+    print("|" + "---|" * len(Row._fields))
+    for partners in map(int, flags.partners.split(",")):
+        row = measure(partners, flags.calls_per_s, flags.duration_s)
+        cells = [
+            str(value) if isinstance(value, int) else f"{value:.3f}"
+            for value in row
+        ]
+        print("| " + " | ".join(cells) + " |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/standins/standins/deployment.py
+++ b/packages/standins/standins/deployment.py
@@ -15,6 +15,7 @@
 OPERATOR_TOKEN = "demo-operator"
 _START_S = 30.0
 _CALL_S = 10.0
+_DAEMON_PROGRAM = "from bulrushdeald import main; main.main()"
 _FIRST_ERROR = 400
 
 
@@ -49,7 +50,11 @@
 
 
 class Deployment:
-    """The platform, upstreams and daemons of one demo or test."""
+    """The platform, upstreams and daemons of one demo or test.
+
+    Attributes:
+        daemon_program: What runs a daemon, as Python source.
+    """
 
     def __init__(self, fleet: fleet_lib.Fleet) -> None:
         self.fleet = fleet
@@ -57,6 +62,7 @@
         # The default of urllib3 sends a request again by itself.
         self._pools = urllib3.PoolManager(retries=False, maxsize=50)
         self.platform = ""
+        self.daemon_program = _DAEMON_PROGRAM
 
     def start_platform(self) -> None:
         """Starts the stand-in of the platform."""
@@ -141,7 +147,7 @@
             [
                 sys.executable,
                 "-c",
-                "from bulrushdeald import main; main.main()",
+                self.daemon_program,
                 "serve",
                 *arguments,
             ],
