--- a/packages/core/bulrushdeal/codec.py
+++ b/packages/core/bulrushdeal/codec.py
@@ -8,7 +8,9 @@
 """
 
 import collections.abc
+from collections.abc import Callable, Iterable
 import functools
+import itertools
 import types
 import typing
 from typing import Any, Protocol, TypeVar
@@ -20,6 +22,24 @@
     """The bytes or values do not have the shape that the message asks."""
 
 
+class _WrongError(Exception):
+    """A value has another shape; knows the way to it from the message.
+
+    Attributes:
+        where: The fields and indices on the way.
+        problem: What is wrong there.
+    """
+
+    def __init__(self, where: str, problem: str) -> None:
+        super().__init__(where, problem)
+        self.where = where
+        self.problem = problem
+
+    def inside(self, outer: str) -> "_WrongError":
+        """Returns the same as seen from further out."""
+        return _WrongError(outer + self.where, self.problem)
+
+
 class Message(Protocol):
     """Any `NamedTuple`."""
 
@@ -30,11 +50,16 @@
 
 
 M = TypeVar("M")
+_Builder = Callable[[Any], Any]
+_SCALARS = frozenset((str, int, float, bool, bytes, types.NoneType))
 
 
 def to_array(value: Any) -> Any:
     """Returns `value` with each message in it turned into an array."""
-    if isinstance(value, tuple | list):
+    # Most are scalars, and a test for an abstract type takes far longer.
+    if type(value) in _SCALARS:
+        return value
+    if isinstance(value, (tuple, list)):
         return [to_array(item) for item in value]
     if isinstance(value, collections.abc.Mapping):
         return {name: to_array(item) for name, item in value.items()}
@@ -52,11 +77,6 @@
     return value
 
 
-@functools.cache
-def _hints(kind: type) -> dict[str, Any]:
-    return typing.get_type_hints(kind)
-
-
 def from_plain(kind: type[M], value: Any) -> M:
     """Builds a `kind` from an array or an object, checking each field.
 
@@ -67,91 +87,166 @@
     Raises:
         CodecError: A field is missing or has another type.
     """
-    return typing.cast(M, _build(kind, value, kind.__name__))
+    try:
+        return typing.cast(M, _builder(typing.cast(Any, kind))(value))
+    except _WrongError as wrong:
+        raise CodecError(
+            f"{kind.__name__}{wrong.where}: {wrong.problem}"
+        ) from None
 
 
-def _build(hint: Any, value: Any, where: str) -> Any:
+@functools.cache
+def _builder(hint: Any) -> _Builder:
+    """Returns what builds values of a type, worked out once for each type."""
     if hint is Any or hint is object:
-        return value
+        return lambda value: value
     if isinstance(hint, type) and hasattr(hint, "_fields"):
-        return _build_message(hint, value, where)
+        return _message_builder(hint)
     origin = typing.get_origin(hint)
+    arguments = typing.get_args(hint)
     if origin is typing.Union or origin is types.UnionType:
-        return _build_union(hint, value, where)
+        return _union_builder(arguments)
     if origin is tuple:
-        return _build_tuple(typing.get_args(hint), value, where)
+        if len(arguments) == 2 and arguments[1] is Ellipsis:  # noqa: PLR2004
+            return _array_builder(_builder(arguments[0]))
+        return _tuple_builder(tuple(map(_builder, arguments)))
     if origin in (dict, collections.abc.Mapping):
-        return _build_mapping(typing.get_args(hint), value, where)
+        return _mapping_builder(*map(_builder, arguments))
     if origin is typing.Literal:
-        if value in typing.get_args(hint):
+        return _literal_builder(arguments)
+    if hint is float:
+        return _build_float
+    return _exact_builder(hint)
+
+
+def _exact_builder(kind: Any) -> _Builder:
+    def build(value: Any) -> Any:
+        if type(value) is kind:
             return value
-        raise CodecError(f"{where}: {value!r} is not allowed")
-    if hint is float and type(value) is int:
-        return float(value)
-    if type(value) is hint:
+        raise _WrongError("", f"expected {getattr(kind, '__name__', kind)}")
+
+    return build
+
+
+def _build_float(value: Any) -> Any:
+    if type(value) is float:
         return value
-    raise CodecError(f"{where}: expected {getattr(hint, '__name__', hint)}")
+    if type(value) is int:
+        return float(value)
+    raise _WrongError("", "expected float")
+
+
+def _literal_builder(choices: tuple[Any, ...]) -> _Builder:
+    def build(value: Any) -> Any:
+        if value in choices:
+            return value
+        raise _WrongError("", f"{value!r} is not allowed")
+
+    return build
 
 
-def _build_message(kind: Any, value: Any, where: str) -> Any:
-    hints = _hints(kind)
+def _message_builder(kind: Any) -> _Builder:
     names: tuple[str, ...] = kind._fields
-    if isinstance(value, collections.abc.Mapping):
-        given = {name: value[name] for name in names if name in value}
-    elif isinstance(value, list | tuple):
-        given = dict(zip(names, value, strict=False))
-    else:
-        raise CodecError(f"{where}: expected {kind.__name__}")
-    for name in names:
-        if name not in given and name not in kind._field_defaults:
-            raise CodecError(f"{where}.{name}: missing")
-    built = {
-        name: _build(hints[name], item, f"{where}.{name}")
-        for name, item in given.items()
-    }
-    return kind(**built)
+    hints = typing.get_type_hints(kind)
+    builders = tuple(_builder(hints[name]) for name in names)
+    least = len(names) - len(kind._field_defaults)
+
+    def build(value: Any) -> Any:
+        if isinstance(value, collections.abc.Mapping):
+            return _build_named(kind, builders, value)
+        if not isinstance(value, (list, tuple)):
+            raise _WrongError("", f"expected {kind.__name__}")
+        if len(value) < least:
+            raise _WrongError(f".{names[len(value)]}", "missing")
+        built: list[Any] = []
+        try:
+            for builder, item in zip(builders, value, strict=False):
+                built.append(builder(item))
+        except _WrongError as wrong:
+            raise wrong.inside(f".{names[len(built)]}") from None
+        return kind(*built)
+
+    return build
 
 
-def _build_union(hint: Any, value: Any, where: str) -> Any:
-    choices = typing.get_args(hint)
-    if value is None and types.NoneType in choices:
-        return None
-    problem = CodecError(f"{where}: no choice fits")
-    for choice in choices:
-        if choice is types.NoneType:
+def _build_named(kind: Any, builders: tuple[_Builder, ...], value: Any) -> Any:
+    built: dict[str, Any] = {}
+    for name, builder in zip(kind._fields, builders, strict=True):
+        if name not in value:
+            if name not in kind._field_defaults:
+                raise _WrongError(f".{name}", "missing")
             continue
         try:
-            return _build(choice, value, where)
-        except CodecError as error:
-            problem = error
-    raise problem
-
-
-def _build_tuple(choices: tuple[Any, ...], value: Any, where: str) -> Any:
-    if not isinstance(value, list | tuple):
-        raise CodecError(f"{where}: expected an array")
-    if len(choices) == 2 and choices[1] is Ellipsis:  # noqa: PLR2004
-        return tuple(
-            _build(choices[0], item, f"{where}[{index}]")
-            for index, item in enumerate(value)
-        )
-    if len(value) != len(choices):
-        raise CodecError(f"{where}: expected {len(choices)} items")
-    return tuple(
-        _build(choice, item, f"{where}[{index}]")
-        for index, (choice, item) in enumerate(zip(choices, value, strict=True))
-    )
+            built[name] = builder(value[name])
+        except _WrongError as wrong:
+            raise wrong.inside(f".{name}") from None
+    return kind(**built)
 
 
-def _build_mapping(choices: tuple[Any, ...], value: Any, where: str) -> Any:
-    if not isinstance(value, collections.abc.Mapping):
-        raise CodecError(f"{where}: expected an object")
-    return {
-        _build(choices[0], name, where): _build(
-            choices[1], item, f"{where}.{name}"
-        )
-        for name, item in value.items()
-    }
+def _union_builder(choices: tuple[Any, ...]) -> _Builder:
+    builders = tuple(
+        _builder(choice) for choice in choices if choice is not types.NoneType
+    )
+    has_none = types.NoneType in choices
+
+    def build(value: Any) -> Any:
+        if value is None and has_none:
+            return None
+        problem = _WrongError("", "no choice fits")
+        for builder in builders:
+            try:
+                return builder(value)
+            except _WrongError as wrong:
+                problem = wrong
+        raise problem
+
+    return build
+
+
+def _array_builder(builder: _Builder) -> _Builder:
+    def build(value: Any) -> Any:
+        if not isinstance(value, (list, tuple)):
+            raise _WrongError("", "expected an array")
+        return tuple(_build_items(itertools.repeat(builder), value))
+
+    return build
+
+
+def _tuple_builder(builders: tuple[_Builder, ...]) -> _Builder:
+    def build(value: Any) -> Any:
+        if not isinstance(value, (list, tuple)):
+            raise _WrongError("", "expected an array")
+        if len(value) != len(builders):
+            raise _WrongError("", f"expected {len(builders)} items")
+        return tuple(_build_items(builders, value))
+
+    return build
+
+
+def _build_items(builders: Iterable[_Builder], value: Any) -> list[Any]:
+    built: list[Any] = []
+    try:
+        for builder, item in zip(builders, value, strict=False):
+            built.append(builder(item))
+    except _WrongError as wrong:
+        raise wrong.inside(f"[{len(built)}]") from None
+    return built
+
+
+def _mapping_builder(build_name: _Builder, build_item: _Builder) -> _Builder:
+    def build(value: Any) -> Any:
+        if not isinstance(value, collections.abc.Mapping):
+            raise _WrongError("", "expected an object")
+        built: dict[Any, Any] = {}
+        for name, item in value.items():
+            key = build_name(name)
+            try:
+                built[key] = build_item(item)
+            except _WrongError as wrong:
+                raise wrong.inside(f".{name}") from None
+        return built
+
+    return build
 
 
 def pack(message: Any) -> bytes:
