Answer quick requests on the thread that reads them

Change: a handler can be a QuickHandler. Reports of counts, comparisons of configurations and reads of the list of VMs are: they compute under locks that are held for computations only. All others stay on threads of their own, so a slow one holds up none of them; there is a test for both together.

The load polls close their connections when they stop.

--- a/packages/bench/bench/peercost.py
+++ b/packages/bench/bench/peercost.py
@@ -101,7 +101,9 @@
     kernel.register(services.MEMBERSHIP, cast(kernel_lib.Service, membership))
     made = peers.WebsocketPeers(kernel, defaults.read(flags, {}))
     made.understand(Answer)
-    made.handle(Ask, lambda vm, message: Answer(message.counts))
+    made.handle(
+        Ask, services.QuickHandler(lambda vm, message: Answer(message.counts))
+    )
     return made
 
 
--- a/packages/core/bulrushdeal/codec.py
+++ b/packages/core/bulrushdeal/codec.py
@@ -56,11 +56,12 @@
 
 def to_array(value: Any) -> Any:
     """Returns `value` with each message in it turned into an array."""
-    # Most are scalars, and a test for an abstract type takes far longer.
-    if type(value) in _SCALARS:
-        return value
+    # Most items are scalars: a call for each, or a test for an abstract
+    # type, takes far longer than to look at their types here.
     if isinstance(value, (tuple, list)):
-        return [to_array(item) for item in value]
+        return [
+            item if type(item) in _SCALARS else to_array(item) for item in value
+        ]
     if isinstance(value, collections.abc.Mapping):
         return {name: to_array(item) for name, item in value.items()}
     return value
@@ -152,9 +153,9 @@
     least = len(names) - len(kind._field_defaults)
 
     def build(value: Any) -> Any:
-        if isinstance(value, collections.abc.Mapping):
-            return _build_named(kind, builders, value)
         if not isinstance(value, (list, tuple)):
+            if isinstance(value, collections.abc.Mapping):
+                return _build_named(kind, builders, value)
             raise _WrongError("", f"expected {kind.__name__}")
         if len(value) < least:
             raise _WrongError(f".{names[len(value)]}", "missing")
--- a/packages/daemon/bulrushdeald/configgossip.py
+++ b/packages/daemon/bulrushdeald/configgossip.py
@@ -64,7 +64,10 @@
     def attach(self) -> None:
         """Answers peers from now on."""
         self._peers.handle(configsync.PushChanges, self._on_push)
-        self._peers.handle(configsync.CompareRevisions, self._on_compare)
+        self._peers.handle(
+            configsync.CompareRevisions,
+            services.QuickHandler(self._on_compare),
+        )
         self._peers.handle(configsync.FetchPages, self._on_fetch)
         self._peers.handle(configsync.ReadStatus, self._on_status)
         self._peers.understand(
--- a/packages/daemon/bulrushdeald/inflightreports.py
+++ b/packages/daemon/bulrushdeald/inflightreports.py
@@ -95,8 +95,9 @@
         """Begins to answer and to look for owners."""
         self._peers.understand(inflight.CountsTotals)
         self._peers.understand(countlists.ListedTotals)
-        self._peers.handle(inflight.CountsReport, self._take)
-        self._peers.handle(countlists.ListedReport, self._take_listed)
+        quick = services.QuickHandler
+        self._peers.handle(inflight.CountsReport, quick(self._take))
+        self._peers.handle(countlists.ListedReport, quick(self._take_listed))
         threading.Thread(
             target=self._watch_owners, name="count-owners", daemon=True
         ).start()
--- a/packages/daemon/bulrushdeald/loadpoll.py
+++ b/packages/daemon/bulrushdeald/loadpoll.py
@@ -91,6 +91,13 @@
     def _poll(self) -> None:
         while not self._stopping.wait(POLL_S):
             self.poll()
+        self.close()
+
+    def close(self) -> None:
+        """Closes what is kept; only the thread that polls may do so."""
+        for connection in self._connections.values():
+            connection.close()
+        self._connections.clear()
 
     def poll(self) -> None:
         """Asks each engine once."""
--- a/packages/daemon/bulrushdeald/peers.py
+++ b/packages/daemon/bulrushdeald/peers.py
@@ -309,7 +309,10 @@
             self._traffic.received(len(data))
             request = wire.unpack(data)
             job = functools.partial(self._reply, connection, hello.vm, request)
-            if not turns.take(job):
+            handler = self._handlers.get(request.kind)
+            if isinstance(handler, services.QuickHandler):
+                job()
+            elif not turns.take(job):
                 busy = wire.Refused("too many requests wait")
                 self._send(connection, hello.vm, -request.request_id, busy)
 
--- a/packages/daemon/bulrushdeald/services.py
+++ b/packages/daemon/bulrushdeald/services.py
@@ -130,6 +130,21 @@
     message: str
 
 
+class QuickHandler:
+    """A handler that only computes, for no longer than it takes to read.
+
+    It runs on the thread that reads its connection and saves the way to
+    another, a sixth of a call's processor time.
+    """
+
+    def __init__(self, handler: Callable[[str, Any], Any]) -> None:
+        self._handler = handler
+
+    def __call__(self, vm: str, message: Any) -> Any:
+        """Returns the answer."""
+        return self._handler(vm, message)
+
+
 class Peers(Protocol):
     """Typed calls between entry VMs; see `peers` for the wire."""
 
@@ -140,7 +155,8 @@
 
         The handler gets the calling VM's name and the message, and returns
         the answer, a `NamedTuple`. A few run at once for each connection,
-        so it must not wait for other peers.
+        so it must not wait for other peers. A `QuickHandler` holds up all
+        that comes over its connection.
         """
 
     def understand(self, *kinds: type[Any]) -> None:
--- a/packages/daemon/bulrushdeald/vmlist.py
+++ b/packages/daemon/bulrushdeald/vmlist.py
@@ -90,7 +90,7 @@
         self._peers = self._kernel.find(
             services.PEERS, peers_lib.WebsocketPeers
         )
-        self._peers.handle(ReadVmList, self._on_read)
+        self._peers.handle(ReadVmList, services.QuickHandler(self._on_read))
         self._peers.understand(VmListChange)
         self._note()
 
--- a/tests/daemon/test_loadpoll.py
+++ b/tests/daemon/test_loadpoll.py
@@ -90,6 +90,7 @@
         polls.poll()
     assert router.took == [1, 2, 3, 4, 5]
     assert engine.connections == (5 if ends_each else 1)
+    polls.close()
     engine.server.shutdown()
     engine.server.server_close()
 
@@ -104,6 +105,7 @@
     for _ in range(6):
         polls.poll()
     assert router.took == [3, 3]
+    polls.close()
     engine.server.shutdown()
     engine.server.server_close()
 
--- a/tests/daemon/test_peers.py
+++ b/tests/daemon/test_peers.py
@@ -16,6 +16,7 @@
 from bulrushdeal import records
 from bulrushdeald import links
 from bulrushdeald import peers
+from bulrushdeald import services
 from bulrushdeald import wire
 from support import controlplane
 from support import platformfakes
@@ -161,6 +162,39 @@
         assert a.peers.call("a", Ask(1), 1.0).unwrap_err().kind == "refused"
 
 
+def test_quick_handlers_answer_beside_slow_ones() -> None:
+    listed = rows("a", "b")
+
+    class Slow(NamedTuple):
+        number: int
+
+    with PeerVm("a", listed) as a, PeerVm("b", listed) as b:
+        go_on = threading.Event()
+
+        def wait(vm: str, message: Slow) -> Any:
+            go_on.wait(_LONG_S)
+            return Reply(vm, message.number)
+
+        def fail(vm: str, message: Ask) -> Any:
+            raise ValueError("broken")
+
+        b.peers.handle(Slow, wait)
+        b.peers.handle(Ask, services.QuickHandler(b.answer))
+        with futures.ThreadPoolExecutor() as pool:
+            slow = [
+                pool.submit(a.peers.call, "b", Slow(number), _LONG_S)
+                for number in range(9)
+            ]
+            # More than run at once are under way.
+            assert a.peers.call("b", Ask(1), _LONG_S).unwrap().number == 1
+            b.peers.handle(Ask, services.QuickHandler(fail))
+            error = a.peers.call("b", Ask(2), _LONG_S).unwrap_err()
+            assert error.kind == "refused"
+            go_on.set()
+            answers = [call.result().unwrap().number for call in slow]
+        assert answers == list(range(9))
+
+
 def test_traffic_is_counted_alike_at_both_ends() -> None:
     listed = rows("a", "b")
     with PeerVm("a", listed) as a, PeerVm("b", listed) as b:
--- a/tests/daemon/test_websocket.py
+++ b/tests/daemon/test_websocket.py
@@ -86,8 +86,12 @@
     with accepted() as (near, far):
         near.be_open()
         far.be_open()
-        answers = threading.Thread(target=far.receive, daemon=True)
-        answers.start()
+
+        def read() -> None:
+            with contextlib.suppress(websocket.BrokenError):
+                far.receive()
+
+        threading.Thread(target=read, daemon=True).start()
         wait = threading.Timer(10 * _SHORT_S, far.send, (b"still here",))
         wait.start()
         assert near.receive() == b"still here"
