--- a/packages/bench/bench/routecost.py
+++ b/packages/bench/bench/routecost.py
@@ -17,6 +17,7 @@
 from bulrushdeal import codec
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import records
+from bulrushdeald import countlists
 from bulrushdeald import inflight
 from bulrushdeald import router as router_lib
 from bulrushdeald import services
@@ -164,13 +165,14 @@
     start_s = time.process_time()
     built = topology.build(_upstreams(size), _vms(size), _vms(size)[0])
     topology_s = time.process_time() - start_s
-    counts = tuple(inflight.Count(name, 3) for name in sorted(built.owned))
+    names = countlists.Names(tuple(sorted(built.owned)))
+    counts = tuple(inflight.Count(name, 3) for name in names.names)
     return Cost(
         size,
         acquire_s * 1e6,
         topology_s * 1e3,
-        len(codec.pack(inflight.CountsReport(counts))),
-        len(codec.pack(inflight.CountsTotals(counts))),
+        len(codec.pack(names.listed(inflight.CountsReport(counts)))),
+        len(codec.pack(names.listed_totals(inflight.CountsTotals(counts)))),
         _state_mb(size),
     )
 
