Select one FIFO for all customers in place of the fair queue

Change: the setting `queue_discipline`, `fair` or `fifo`, selects the order in which waiting requests get their turn; both stand behind the protocol `queues.Queue`, which also tells after how many turns a customer's next request comes. Online, batch and resumed items keep queues of their own, so only the order between customers differs.

--- a/packages/daemon/bulrushdeald/defaults.py
+++ b/packages/daemon/bulrushdeald/defaults.py
@@ -141,6 +141,14 @@
         "How an upstream is chosen among those with room.",
         choices=("affinity", "least_load", "random"),
     ),
+    settings.Setting(
+        "queue_discipline",
+        "choice",
+        "fair",
+        "How waiting requests of several customers take turns; `fifo` to"
+        " compare.",
+        choices=("fair", "fifo"),
+    ),
     settings.Setting(
         "unready_s",
         "number",
@@ -257,6 +265,7 @@
     batch_reserve_fraction: float
     batch_yields: str
     upstream_policy: str
+    queue_discipline: str
     unready_s: float
     online_deadline_s: float
     upstream_connect_timeout_s: float
--- a/packages/daemon/bulrushdeald/router.py
+++ b/packages/daemon/bulrushdeald/router.py
@@ -22,11 +22,11 @@
 from bulrushdeald import choice
 from bulrushdeald import crashnotices
 from bulrushdeald import defaults
-from bulrushdeald import fairqueue
 from bulrushdeald import inflightreports
 from bulrushdeald import loadpoll
 from bulrushdeald import placement
 from bulrushdeald import quarantine
+from bulrushdeald import queues
 from bulrushdeald import services
 from bulrushdeald import slots
 from bulrushdeald import topology as topology_lib
@@ -54,6 +54,9 @@
         self._clock = clock or clock_lib.SystemClock()
         self._lock = threading.Lock()
         self._pools: dict[str, slots.Pool] = {}
+        self._make_queue: Callable[[], queues.Queue[slots.Waiter]] = (
+            queues.maker(settings.queue_discipline)
+        )
         self._quarantine = quarantine.Quarantine(self._clock)
         self._placement = placement.Placement(
             choice.policy(settings.upstream_policy, random.Random(settings.vm)),
@@ -165,7 +168,7 @@
         self._counters[name] = self._counters.get(name, 0) + 1
 
     def _pool(self, name: str) -> slots.Pool:
-        return self._pools.setdefault(name, slots.Pool())
+        return self._pools.setdefault(name, slots.Pool(self._make_queue))
 
     def _refuse(self, work: services.Work) -> services.Refusal | None:
         """Returns the refusal of what cannot run wherever there is room."""
@@ -351,7 +354,7 @@
                 self._drain(pool, pool.batch)
 
     def _drain(
-        self, pool: slots.Pool, queue: fairqueue.FairQueue[slots.Waiter]
+        self, pool: slots.Pool, queue: queues.Queue[slots.Waiter]
     ) -> None:
         while (waiter := queue.peek()) is not None:
             waiter.slot = self._place(waiter.work)
--- a/packages/daemon/bulrushdeald/slots.py
+++ b/packages/daemon/bulrushdeald/slots.py
@@ -6,7 +6,7 @@
 
 from bulrushdeal import records
 from bulrushdeald import batchslots
-from bulrushdeald import fairqueue
+from bulrushdeald import queues
 from bulrushdeald import services
 
 # A first guess of how long a request holds a slot, until some have ended.
@@ -91,13 +91,13 @@
         hold_s: How long an online request holds a slot, smoothed.
     """
 
-    def __init__(self) -> None:
-        self.online: fairqueue.FairQueue[Waiter] = fairqueue.FairQueue()
-        self.batch: fairqueue.FairQueue[Waiter] = fairqueue.FairQueue()
-        self.resumed: fairqueue.FairQueue[Waiter] = fairqueue.FairQueue()
+    def __init__(self, make_queue: Callable[[], queues.Queue[Waiter]]) -> None:
+        self.online = make_queue()
+        self.batch = make_queue()
+        self.resumed = make_queue()
         self.hold_s = _FIRST_HOLD_S
 
-    def queue(self, work: services.Work) -> fairqueue.FairQueue[Waiter]:
+    def queue(self, work: services.Work) -> queues.Queue[Waiter]:
         """Returns the queue that a request waits in."""
         if work.work_class == "online":
             return self.online
@@ -128,5 +128,4 @@
             slots: The part of all slots that this VM's queue gets.
         """
         per_s = max(1e-6, slots / self.hold_s)
-        share = self.online.share(customer, weight)
-        return (self.online.queued(customer) + 1) / (per_s * share)
+        return self.online.turns(customer, weight) / per_s
