Tell the engines' own pace, the way and the processors apart in the bench

Change: the stand-in engine stamps tokens when asked to (when due by its own pace, when made); the load tool reads the stamps after a stream is over and gives the engines' pace, their lateness and the way from them beside the aim's ratio, which stays as it was. `online` tells prefix reuse and the busiest engine; `noisy` the worst-served customer's tail, and a row that allows the flood (`--row-factor`); `--busy N` fills the machine; profile `crowd` has many VMs over few engines.

--- a/packages/bench/bench/__main__.py
+++ b/packages/bench/bench/__main__.py
@@ -27,6 +27,13 @@
     parser.add_argument("--burst-factor", type=float, default=2.0)
     parser.add_argument("--prefixes", type=int, default=0)
     parser.add_argument("--factor", type=float, default=5.0)
+    parser.add_argument("--row-factor", type=float, default=1.0)
+    parser.add_argument(
+        "--busy",
+        type=int,
+        default=0,
+        help="processes that only take the machine's processors",
+    )
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument(
         "--daemon",
@@ -41,10 +48,18 @@
 def _run(flags: argparse.Namespace, site: site_lib.Site) -> Any:
     shape = load.Shape(prefixes=flags.prefixes, burst_factor=flags.burst_factor)
     site.start(flags.rate_per_s)
+    site.keep_busy(flags.busy)
     if flags.experiment == "harm":
         return harm.run(site, shape, flags.seconds, flags.seed)
     if flags.experiment == "noisy":
-        return noisy.run(site, shape, flags.seconds, flags.seed, flags.factor)
+        return noisy.run(
+            site,
+            shape,
+            flags.seconds,
+            flags.seed,
+            flags.factor,
+            flags.row_factor,
+        )
     return online.run(site, shape, flags.seconds, flags.seed)
 
 
--- a/packages/bench/bench/harm.py
+++ b/packages/bench/bench/harm.py
@@ -9,6 +9,7 @@
 
 from bench import load
 from bench import site as site_lib
+from bench import spent
 
 ITEM_TOKENS = 40
 _SETTLE_S = 3.0
@@ -21,6 +22,7 @@
     batch_per_s: float
     cancelled_per_s: float
     online_slots: float
+    processor: spent.Processor
 
 
 class Harm(NamedTuple):
@@ -32,6 +34,7 @@
         batch_alone: Third phase.
         first_token_ratio: `both` to `online_alone`, by percentile.
         between_tokens_ratio: The same for the time between tokens.
+        engines_pace_ratio: The part of it that is the engines' own pace.
         batch_ratio: Items a second in `both`, to what batch alone gets
             from as many slots as online leaves.
         ceiling_ratio: Items a second of batch alone, to the ceiling of the
@@ -44,6 +47,7 @@
     batch_alone: Phase
     first_token_ratio: dict[str, float]
     between_tokens_ratio: dict[str, float]
+    engines_pace_ratio: dict[str, float]
     batch_ratio: float
     ceiling_ratio: float
     lost_ratio: float
@@ -75,6 +79,7 @@
         batch,
         load.ratios(_first(both), _first(alone)),
         load.ratios(_between(both), _between(alone)),
+        load.ratios(_pace(both), _pace(alone)),
         both.batch_per_s
         / (batch.batch_per_s * (1 - both.online_slots / site.slots)),
         batch.batch_per_s / (site.slots / _item_s(site)),
@@ -99,6 +104,7 @@
 def _phase(
     site: site_lib.Site, online: load.Run | None, duration_s: float
 ) -> Phase:
+    meter = site.meter()
     before = site.totals()
     start_s = time.monotonic()
     if online is None:
@@ -107,6 +113,7 @@
         online.run()
     after = site.totals()
     span_s = time.monotonic() - start_s
+    processor = meter.read()
     seen = online.all.seen() if online else None
     finished = after.finished - before.finished - (seen.ok if seen else 0)
     return Phase(
@@ -114,6 +121,7 @@
         finished / span_s,
         (after.cancelled - before.cancelled) / span_s,
         seen.busy_s / span_s if seen else 0.0,
+        processor,
     )
 
 
@@ -123,3 +131,7 @@
 
 def _between(phase: Phase) -> dict[str, float]:
     return phase.online.between_tokens_ms if phase.online else {}
+
+
+def _pace(phase: Phase) -> dict[str, float]:
+    return phase.online.engines_pace_ms if phase.online else {}
--- a/packages/bench/bench/load.py
+++ b/packages/bench/bench/load.py
@@ -3,6 +3,9 @@
 Arrivals are planned from a seeded generator before the run and are not held
 back by slow answers; the time to the first token counts from the planned
 start, so that a stalled system cannot hide its own delay.
+
+The engines stamp their tokens, so that what they take themselves can be told
+from what is added on the way from them to here.
 """
 
 from collections.abc import Sequence
@@ -14,17 +17,14 @@
 import time
 from typing import NamedTuple
 
-from hdrh import histogram
 import urllib3
 import urllib3.exceptions
 
+from bench import spent
+
 _THREADS = 400
 _TIMEOUT_S = 30.0
-_US = 1_000_000
-_LONGEST_US = 60 * _US
-_DIGITS = 3
 _OK = 200
-PERCENTILES = (50.0, 95.0, 99.0)
 
 
 class Caller(NamedTuple):
@@ -68,14 +68,43 @@
     body: bytes
 
 
+class Token(NamedTuple):
+    """One token, by the machine's monotonic clock.
+
+    Attributes:
+        received_s: When it was read here.
+        due_s: When its engine was to make it by its own pace.
+        made_s: When it did.
+    """
+
+    received_s: float
+    due_s: float
+    made_s: float
+
+
 class Seen(NamedTuple):
-    """What the callers of one customer, or of all, saw."""
+    """What the callers of one customer, or of all, saw.
+
+    Attributes:
+        requests: How many were sent.
+        ok: How many were answered whole.
+        refused: The others, by code.
+        first_token_ms: From the planned start.
+        between_tokens_ms: Between two tokens of a stream.
+        engines_pace_ms: What that was to be by the engines' own pace.
+        engines_late_ms: How late engines made a token.
+        path_ms: From an engine's write to the load tool's read.
+        busy_s: The time of all streams together.
+    """
 
     requests: int
     ok: int
     refused: dict[str, int]
     first_token_ms: dict[str, float]
     between_tokens_ms: dict[str, float]
+    engines_pace_ms: dict[str, float]
+    engines_late_ms: dict[str, float]
+    path_ms: dict[str, float]
     busy_s: float
 
 
@@ -84,24 +113,32 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._first = histogram.HdrHistogram(1, _LONGEST_US, _DIGITS)
-        self._between = histogram.HdrHistogram(1, _LONGEST_US, _DIGITS)
+        self._first = spent.new_histogram()
+        self._between = spent.new_histogram()
+        self._pace = spent.new_histogram()
+        self._late = spent.new_histogram()
+        self._path = spent.new_histogram()
         self._refused: dict[str, int] = {}
         self._requests = 0
         self._ok = 0
         self._busy_s = 0.0
 
     def answered(
-        self, first_s: float, gaps_s: Sequence[float], busy_s: float
+        self, first_s: float, tokens: Sequence[Token], busy_s: float
     ) -> None:
         """Notes a whole answer."""
         with self._lock:
             self._requests += 1
             self._ok += 1
             self._busy_s += busy_s
-            self._first.record_value(max(1, int(first_s * _US)))
-            for gap_s in gaps_s:
-                self._between.record_value(max(1, int(gap_s * _US)))
+            spent.record_s(self._first, first_s)
+            for token in tokens:
+                spent.record_s(self._late, token.made_s - token.due_s)
+                spent.record_s(self._path, token.received_s - token.made_s)
+            for one, other in itertools.pairwise(tokens):
+                gap_s = other.received_s - one.received_s
+                spent.record_s(self._between, gap_s)
+                spent.record_s(self._pace, other.due_s - one.due_s)
 
     def refused(self, code: str) -> None:
         """Notes a refusal or a failure by its code."""
@@ -116,19 +153,15 @@
                 self._requests,
                 self._ok,
                 dict(self._refused),
-                _percentiles(self._first),
-                _percentiles(self._between),
+                spent.percentiles_ms(self._first),
+                spent.percentiles_ms(self._between),
+                spent.percentiles_ms(self._pace),
+                spent.percentiles_ms(self._late),
+                spent.percentiles_ms(self._path),
                 self._busy_s,
             )
 
 
-def _percentiles(recorded: histogram.HdrHistogram) -> dict[str, float]:
-    return {
-        f"p{percent:g}": recorded.get_value_at_percentile(percent) / 1000
-        for percent in PERCENTILES
-    }
-
-
 def ratios(one: dict[str, float], other: dict[str, float]) -> dict[str, float]:
     """Returns each percentile of one phase relative to another's."""
     return {name: one[name] / max(other[name], 0.001) for name in one}
@@ -254,16 +287,15 @@
             )
             if response.status != _OK:
                 return _code(response)
-            times_s = _token_times(response)
+            tokens = _tokens(response)
         except urllib3.exceptions.HTTPError as error:
             return type(error).__name__
-        if times_s is None:
+        if tokens is None:
             return "cut"
-        gaps_s = [
-            later - earlier for earlier, later in itertools.pairwise(times_s)
-        ]
+        first_s = tokens[0].received_s - due_s
+        busy_s = tokens[-1].received_s - sent_s
         for recorder in recorders:
-            recorder.answered(times_s[0] - due_s, gaps_s, times_s[-1] - sent_s)
+            recorder.answered(first_s, tokens, busy_s)
         return ""
 
 
@@ -274,18 +306,30 @@
         return str(response.status)
 
 
-def _token_times(response: urllib3.BaseHTTPResponse) -> list[float] | None:
-    """Returns when each token came, `None` if the stream was cut."""
-    times_s: list[float] = []
+class _Event(NamedTuple):
+    received_s: float
+    data: bytes
+
+    def token(self) -> Token:
+        """Reads the stamps; done once a stream is over, to delay none."""
+        value = json.loads(self.data.removeprefix(b"data: "))
+        return Token(self.received_s, value["due_s"], value["made_s"])
+
+
+def _tokens(response: urllib3.BaseHTTPResponse) -> list[Token] | None:
+    """Returns a stream's tokens, `None` if it was cut."""
+    events: list[_Event] = []
     is_done = False
     rest = b""
     for chunk in response.stream(65536):
         now_s = time.monotonic()
-        *events, rest = (rest + chunk).split(b"\n\n")
-        for event in events:
-            if event == b"data: [DONE]":
+        *parts, rest = (rest + chunk).split(b"\n\n")
+        for part in parts:
+            if part == b"data: [DONE]":
                 is_done = True
-            elif b'"text": "",' not in event and b'"error"' not in event:
-                times_s.append(now_s)
+            elif b'"text": "",' not in part and b'"error"' not in part:
+                events.append(_Event(now_s, part))
     response.release_conn()
-    return times_s if is_done and times_s else None
+    if not is_done or not events:
+        return None
+    return [event.token() for event in events]
--- a/packages/bench/bench/noisy.py
+++ b/packages/bench/bench/noisy.py
@@ -18,6 +18,7 @@
         loud: The customer that is noisy in the second phase.
         worst_served_ratio: The least part of its requests that one of the
             others had answered.
+        worst_first_token_ms: The slowest of the others, by percentile.
         ideal: Requests of the loud customer that one bucket over the whole
             fleet would have admitted.
         refused_inside: How many fewer were admitted.
@@ -26,6 +27,7 @@
     others: load.Seen
     loud: load.Seen
     worst_served_ratio: float
+    worst_first_token_ms: dict[str, float]
     ideal: int
     refused_inside: int
 
@@ -56,10 +58,22 @@
     duration_s: float,
     seed: int,
     factor: float,
+    row_factor: float,
 ) -> Noisy:
-    """Runs the two phases."""
+    """Runs the two phases.
+
+    Args:
+        site: The deployment.
+        shape: Of the requests.
+        duration_s: Of each phase.
+        seed: Of the arrivals.
+        factor: How many times its rate the loud customer sends.
+        row_factor: How many times its rate its row allows. With as much as
+            `factor` nothing but the queue protects the others.
+    """
     loud = site.callers[0]
-    site.set_row(loud.customer, loud.rate_per_s, loud.rate_per_s)
+    row_per_s = loud.rate_per_s * row_factor
+    site.set_row(loud.customer, row_per_s, row_per_s)
     louder = loud._replace(rate_per_s=loud.rate_per_s * factor)
 
     def phase(name: str, first: load.Caller) -> Phase:
@@ -71,11 +85,11 @@
             seed,
             name,
         )
-        return _phase(arrivals, loud)
+        return _phase(arrivals, loud.customer, row_per_s)
 
     calm = phase("calm", loud)
     noisy = phase("noisy", louder)
-    allowed = loud.rate_per_s * (1 + duration_s)
+    allowed = row_per_s * (1 + duration_s)
     return Noisy(
         calm,
         noisy,
@@ -88,18 +102,23 @@
     )
 
 
-def _phase(arrivals: list[load.Arrival], loud: load.Caller) -> Phase:
-    run = load.Run(arrivals, loud.customer)
+def _phase(arrivals: list[load.Arrival], loud: str, row_per_s: float) -> Phase:
+    run = load.Run(arrivals, loud)
     run.run()
     seen = {name: part.seen() for name, part in run.customers.items()}
-    mine = seen.pop(loud.customer)
-    ideal = load.admitted_by_one_bucket(
-        arrivals, loud.customer, loud.rate_per_s, loud.rate_per_s
-    )
+    mine = seen.pop(loud)
+    ideal = load.admitted_by_one_bucket(arrivals, loud, row_per_s, row_per_s)
     return Phase(
         run.others.seen(),
         mine,
         min(part.ok / part.requests for part in seen.values()),
+        _worst([part.first_token_ms for part in seen.values()]),
         ideal,
         max(0, ideal - mine.ok),
     )
+
+
+def _worst(percentiles: list[dict[str, float]]) -> dict[str, float]:
+    return {
+        name: max(one[name] for one in percentiles) for name in percentiles[0]
+    }
--- a/packages/bench/bench/online.py
+++ b/packages/bench/bench/online.py
@@ -5,6 +5,7 @@
 
 from bench import load
 from bench import site as site_lib
+from bench import spent
 
 
 class Online(NamedTuple):
@@ -19,6 +20,9 @@
         idle_processor: Part of a core that a VM takes without requests.
         processor: Part of a core that a VM takes with them.
         platform_calls_per_s: Of all VMs together.
+        prefix_reuse: Part of the prompts' tokens that engines had cached.
+        busiest_engine: Requests of the engine that had most, to the mean.
+        spent: Of all processes, under load.
     """
 
     seen: load.Seen
@@ -29,6 +33,9 @@
     idle_processor: float
     processor: float
     platform_calls_per_s: float
+    prefix_reuse: float
+    busiest_engine: float
+    spent: spent.Processor
 
 
 class _Spent(NamedTuple):
@@ -49,7 +56,11 @@
     sent = load.Run(
         load.plan(site.callers, site.addresses, shape, duration_s, seed)
     )
+    before = site.by_engine()
+    meter = site.meter()
     loaded = _spent(site, sent, duration_s)
+    processor = meter.read()
+    after = site.by_engine()
     seen = sent.all.seen()
     per_s = seen.requests / loaded.span_s
     vms = len(site.addresses)
@@ -62,9 +73,38 @@
         idle.processor / vms,
         loaded.processor / vms,
         loaded.platform_calls_per_s,
+        _reuse(before, after),
+        _busiest(before, after),
+        processor,
     )
 
 
+def _reuse(
+    before: list[site_lib.Totals], after: list[site_lib.Totals]
+) -> float:
+    cached = _sum_cached(after) - _sum_cached(before)
+    prompts = _sum_prompts(after) - _sum_prompts(before)
+    return cached / max(prompts, 1)
+
+
+def _sum_cached(engines: list[site_lib.Totals]) -> int:
+    return sum(engine.cached_tokens for engine in engines)
+
+
+def _sum_prompts(engines: list[site_lib.Totals]) -> int:
+    return sum(engine.prompt_tokens for engine in engines)
+
+
+def _busiest(
+    before: list[site_lib.Totals], after: list[site_lib.Totals]
+) -> float:
+    started = [
+        late.started - early.started
+        for early, late in zip(before, after, strict=True)
+    ]
+    return max(started) * len(started) / max(sum(started), 1)
+
+
 def _spent(
     site: site_lib.Site, sent: load.Run | None, duration_s: float
 ) -> _Spent:
--- a/packages/bench/bench/site.py
+++ b/packages/bench/bench/site.py
@@ -9,12 +9,14 @@
 from collections.abc import Mapping
 import json
 import pathlib
+import sys
 import time
 from typing import NamedTuple
 
 import urllib3
 
 from bench import load
+from bench import spent
 from standins import deployment as deployment_lib
 from standins import fleet as fleet_lib
 
@@ -22,11 +24,19 @@
     "--token-s=0.03",
     "--token-per-stream-s=0.0005",
     "--prefill-per-token-s=0.0002",
+    "--stamps=1",
 )
 # Parts of the load by customer: a few are large.
 _PARTS = (0.30, 0.25, 0.15, 0.10, 0.08, 0.05, 0.04, 0.03)
 _WARM_UP_S = 5.0
 _AMPLE_RATE_PER_S = 10_000.0
+# It ends by itself if nobody ends it.
+_COMPUTE = """
+import time
+end_s = time.monotonic() + 300
+while time.monotonic() < end_s:
+    pass
+"""
 
 
 class Profile(NamedTuple):
@@ -49,16 +59,20 @@
     "kenya": Profile(3, 2, 9),
     "taiwan": Profile(4, 2, 6),
     "small": Profile(2, 1, 2),
+    # Many VMs choose among the same engines, by counts that are all stale.
+    "crowd": Profile(1, 8, 6),
 }
 
 
 class Totals(NamedTuple):
-    """What the engines did so far, all together."""
+    """What one engine, or all together, did so far."""
 
     started: int
     finished: int
     cancelled: int
     running: int
+    prompt_tokens: int
+    cached_tokens: int
 
 
 class Control(NamedTuple):
@@ -87,6 +101,7 @@
         settings: Mapping[str, str],
     ) -> None:
         self.deployment = deployment_lib.Deployment(fleet)
+        self._fleet = fleet
         self.profile = profile
         self.callers: list[load.Caller] = []
         self._settings = settings
@@ -145,6 +160,17 @@
         )
         load.Run(arrivals).run()
 
+    def keep_busy(self, processes: int) -> None:
+        """Starts processes that compute until the run is over.
+
+        They make a full machine of a quiet one, for figures that are said
+        to depend on it.
+        """
+        for number in range(processes):
+            self._fleet.start(
+                f"busy-{number}", [sys.executable, "-c", _COMPUTE]
+            )
+
     def set_row(self, customer: str, rate_per_s: float, burst: float) -> None:
         """Sets a customer's rate and burst, and waits until in force."""
         for column, value in (("rate_per_s", rate_per_s), ("burst", burst)):
@@ -200,14 +226,22 @@
         calls = sum(stats["calls"].values())
         return Control(messages, size_bytes, processor_s, calls)
 
+    def meter(self) -> spent.Meter:
+        """Begins to measure what all processes spend."""
+        return spent.Meter(self._fleet)
+
     def totals(self) -> Totals:
-        """Returns what the engines did so far."""
-        sums = [0, 0, 0, 0]
+        """Returns what all engines did so far."""
+        columns = zip(*self.by_engine(), strict=True)
+        return Totals(*(sum(column) for column in columns))
+
+    def by_engine(self) -> list[Totals]:
+        """Returns what each engine did so far."""
+        found: list[Totals] = []
         for address in self._engines:
-            answer = self.deployment.must("GET", address, "/v1/stats")
-            for index, field in enumerate(Totals._fields):
-                sums[index] += int(answer.value()[field])
-        return Totals(*sums)
+            stats = self.deployment.must("GET", address, "/v1/stats").value()
+            found.append(Totals(*(int(stats[name]) for name in Totals._fields)))
+        return found
 
 
 def _item(index: int, max_tokens: int) -> str:
--- a/packages/standins/standins/engine.py
+++ b/packages/standins/standins/engine.py
@@ -37,6 +37,8 @@
         load_lag_s: How old the reported load is.
         paused_streams: Cancelled streams kept, to be resumed by their
             `X-Stream-Id`; 0 if the engine cannot.
+        stamps: 1 to tell in each event of a stream when its token was due
+            and when it was made, on the machine's monotonic clock.
     """
 
     token_s: float = 0.010
@@ -47,6 +49,14 @@
     cache_blocks: int = 4096
     load_lag_s: float = 1.0
     paused_streams: int = 64
+    stamps: int = 0
+
+
+class Token(NamedTuple):
+    """One word of an answer, and when it was to be made."""
+
+    text: str
+    due_s: float
 
 
 class Load(NamedTuple):
@@ -192,7 +202,13 @@
         """See `web.Server`."""
         with self._admitting:
             state = {"running": self._running, "queued": self._queued}
-        counts = {"started": 0, "finished": 0, "cancelled": 0}
+        counts = {
+            "started": 0,
+            "finished": 0,
+            "cancelled": 0,
+            "prompt_tokens": 0,
+            "cached_tokens": 0,
+        }
         return {**counts, **super().stats(), **state, "name": self._name}
 
     def _run(self, exchange: web.Exchange, call: dict[str, Any]) -> None:
@@ -236,6 +252,8 @@
         prompt = prompt_text(call)
         data = prompt.encode()
         cached = self._cache.take(data)
+        self.count("prompt_tokens", len(data) // _BYTES_PER_TOKEN)
+        self.count("cached_tokens", cached // _BYTES_PER_TOKEN)
         fresh_tokens = (len(data) - cached) / _BYTES_PER_TOKEN
         prefill_s = self._timing.prefill_per_token_s * fresh_tokens
         made = self._paused.resume(_stream_name(exchange))
@@ -252,20 +270,21 @@
         shape = _Shape(exchange.path == CHAT_PATH, str(call["model"]))
         tokens = self._tokens_in_time(exchange, words(prompt, count), made)
         if not call.get("stream"):
-            text = "".join(tokens)
+            text = "".join(token.text for token in tokens)
             exchange.answer_json(200, shape.whole(text, usage))
             return
         options = call.get("stream_options") or {}
         last = usage if options.get("include_usage") else None
-        _stream(exchange, shape, tokens, last)
+        _stream(exchange, shape, tokens, last, bool(self._timing.stamps))
 
     def _tokens_in_time(
         self, exchange: web.Exchange, answer: list[str], made: int
-    ) -> Iterator[str]:
-        yield from answer[:made]
+    ) -> Iterator[Token]:
         due_s = time.monotonic()
+        for word in answer[:made]:
+            yield Token(word, due_s)
         for number, word in enumerate(answer[made:], made + 1):
-            yield word
+            yield Token(word, due_s)
             # Reading a number needs no lock; an old one does no harm.
             self._tokens += 1
             due_s += (
@@ -339,12 +358,16 @@
 def _stream(
     exchange: web.Exchange,
     shape: _Shape,
-    tokens: Iterator[str],
+    tokens: Iterator[Token],
     usage: dict[str, Any] | None,
+    has_stamps: bool,
 ) -> None:
     exchange.begin(200, (("Content-Type", "text/event-stream"),))
-    for index, word in enumerate(tokens):
-        exchange.chunk(_event(shape.part(word, None)))
+    for index, token in enumerate(tokens):
+        event = shape.part(token.text, None)
+        if has_stamps:
+            event |= {"due_s": token.due_s, "made_s": time.monotonic()}
+        exchange.chunk(_event(event))
         if index == 0:
             exchange.middle()
     exchange.chunk(_event(shape.part("", "length")))
--- a/packages/standins/standins/web.py
+++ b/packages/standins/standins/web.py
@@ -147,10 +147,10 @@
         with self.lock:
             self.runs[name] += 1
 
-    def count(self, name: str) -> None:
-        """Counts one event."""
+    def count(self, name: str, number: int = 1) -> None:
+        """Counts one event, or several."""
         with self.lock:
-            self.counts[name] += 1
+            self.counts[name] += number
 
     def takes_drop(self, point: DropPoint, is_reused: bool) -> bool:
         """Tells whether a request is dropped here, and counts it."""
