--- /dev/null
+++ b/tests/daemon/test_vmqueues.py
@@ -0,0 +1,93 @@
+"""Tests of fairness between customers whose requests wait on several VMs."""
+
+import queue
+import threading
+
+import result
+
+from bulrushdeal import clock as clock_lib
+from bulrushdeal import records
+from bulrushdeald import router as router_lib
+from bulrushdeald import services
+from support import fakes
+
+VMS = (records.Vm("vm-a", "d1", "entry"), records.Vm("vm-b", "d1", "entry"))
+SLOTS = 4
+# As much as may wait: what would take over 5 s is refused at once.
+BACKLOG = 2 * SLOTS
+_LONGEST_S = 10.0
+ENGINE = records.Upstream(
+    "e1", "engine", "127.0.0.1:1", "host", "d1", ("m",), slots=SLOTS
+)
+
+
+def test_a_quiet_customer_is_not_behind_another_vms_backlog() -> None:
+    # One customer floods VM A: it holds all slots and more of its requests
+    # wait there. Another customer's only request waits on VM B. A fills each
+    # slot that it gives back with its own next request before B can hear of
+    # it, so B's waits until A's backlog is gone, or is refused after 5 s.
+    network = fakes.Network()
+    routers = [_router(network, vm) for vm in VMS]
+    loud, quiet = routers
+    held = [loud.acquire(_work("loud")).unwrap() for _ in range(SLOTS)]
+    placed: queue.Queue[services.Slot | None] = queue.Queue()
+    order: list[str] = []
+
+    def ask(router: router_lib.UpstreamRouter, customer: str) -> None:
+        answer = router.acquire(_work(customer))
+        if isinstance(answer, result.Ok):
+            order.append(customer)
+        placed.put(answer.ok())
+
+    threads = [
+        threading.Thread(target=ask, args=(loud, "loud"), daemon=True)
+        for _ in range(BACKLOG)
+    ]
+    threads.append(
+        threading.Thread(target=ask, args=(quiet, "quiet"), daemon=True)
+    )
+    _report(routers)
+    for thread in threads:
+        thread.start()
+    while _waiting(loud) < BACKLOG or _waiting(quiet) < 1:
+        assert placed.empty()
+    for _ in threads:
+        held.pop(0).release("ok")
+        _report(routers)
+        slot = placed.get(timeout=_LONGEST_S)
+        if slot is not None:
+            held.append(slot)
+    for thread in threads:
+        thread.join()
+    for router in routers:
+        router.stop(0)
+    assert "quiet" in order[:SLOTS]
+
+
+def _router(
+    network: fakes.Network, vm: records.Vm
+) -> router_lib.UpstreamRouter:
+    kernel = fakes.kernel(
+        fakes.Membership(vm, VMS),
+        fakes.Peers(network, vm.vm),
+        fakes.Config((ENGINE,)),
+    )
+    router = router_lib.UpstreamRouter(
+        kernel, fakes.settings(vm=vm.vm), clock_lib.SystemClock()
+    )
+    router.start()
+    return router
+
+
+def _report(routers: list[router_lib.UpstreamRouter]) -> None:
+    for router in routers:
+        router.send_reports()
+
+
+def _waiting(router: router_lib.UpstreamRouter) -> int:
+    queues = router.dump()["queues"]
+    return int(queues["m"]["online"]) if "m" in queues else 0
+
+
+def _work(customer: str) -> services.Work:
+    return services.Work(customer, "online", "m", "", b"", 10, "", 30.0)
