--- a/tests/daemon/test_vmlist.py
+++ b/tests/daemon/test_vmlist.py
@@ -8,6 +8,7 @@
 from bulrushdeal import records
 from bulrushdeald import vmlist
 from support import controlplane
+from support import fakes
 from support import platformfakes
 
 VMS = tuple("abcdef")
@@ -47,7 +48,7 @@
     own = records.Vm(vm, "d", "entry", "h:1", "leaving")
     held = FakeMembership(vm, [own, *sources])
     kernel = platformfakes.kernel(
-        membership=held, peers=platformfakes.NetworkPeers(network, vm)
+        membership=held, peers=fakes.Peers(network, vm)
     )
     feed = vmlist.VmListFeed(kernel, controlplane.settings("x:1", vm=vm))
     feed.attach()
@@ -69,7 +70,7 @@
     network = platformfakes.Network()
     source = records.Vm("reader", "d", "entry", "h:1")
     reader, reading = make(network, "reader", [])
-    reader.listed = [source]
+    reader.vms = [source]
     asker, asking = make(network, "asker", [source])
     for rows, is_asked in told:
         reader.platform = tuple(rows)
@@ -90,7 +91,7 @@
     network = platformfakes.Network()
     source = records.Vm("reader", "d", "entry", "h:1")
     reader, reading = make(network, "reader", [])
-    reader.listed = [source]
+    reader.vms = [source]
     reader.learn((records.Vm("old", "d", "entry"),), 60.0)
     reading.attach()
     asker, asking = make(network, "asker", [source])
