Look for events without choices without a generator

Cause: profile of one stream of 5,000 tokens through the callers' path (cProfile on the serving thread): of the project's own lines the search for usage events cost most for each token, 17 of 245 ms, most of it in `any` over a generator.

Change: two plain searches, in the same spellings.

`without_usage` of one token's event, best of 5 times 100,000, three runs each: 0.51, 0.52, 0.55 us before, 0.28, 0.29, 0.28 us after. Of some 20 us a token that is 1 in 100; no change of the relay's figures is claimed.

--- a/packages/daemon/bulrushdeald/streams.py
+++ b/packages/daemon/bulrushdeald/streams.py
@@ -11,7 +11,8 @@
 _DONE = b"data: [DONE]"
 _MAX_EVENT_BYTES = 4_000_000
 # How an event without choices looks, whether or not spaces are written.
-_NO_CHOICES = (b'"choices":[]', b'"choices": []')
+_NO_CHOICES = b'"choices":[]'
+_NO_CHOICES_SPACED = b'"choices": []'
 _ENDS = (b"\n\n", b"\r\n\r\n")
 
 
@@ -55,7 +56,8 @@
     The caller did not ask for them, and some clients expect a choice in
     each event.
     """
-    if not any(mark in data for mark in _NO_CHOICES):
+    # For each token, so no generator.
+    if _NO_CHOICES not in data and _NO_CHOICES_SPACED not in data:
         return data
     kept = [event for event in _split(data) if not _tells_usage(event)]
     return b"".join(kept)
