--- a/tests/daemon/test_router.py
+++ b/tests/daemon/test_router.py
@@ -38,7 +38,7 @@
 class Fleet:
     """Two VMs' routers over two engines, and what runs where."""
 
-    def __init__(self) -> None:
+    def __init__(self, by_hand: bool = True) -> None:
         self.network = fakes.Network()
         self.leaving: set[str] = set()
         self.config = fakes.Config((engine("e1"), engine("e2")))
@@ -58,6 +58,10 @@
                 self.clock,
             )
             router.start()
+            if by_hand:
+                # A router's own thread may have built a report before the
+                # next went by hand, and deliver it after that.
+                vars(router._reports)["_open"] = lambda owner: None
             self.routers[vm.vm] = router
 
     def cut_owner_off(self, upstream: str) -> tuple[str, str]:
@@ -216,6 +220,35 @@
     fleet.stop()
 
 
+def test_own_failure_domain_comes_first_and_others_take_the_rest() -> None:
+    # A glossary request crosses to another failure domain and waits there,
+    # though the engine beside it is idle.
+    fleet = Fleet()
+    far = engine("far")._replace(failure_domain="d2")
+    fleet.config.set_upstreams(far, engine("near"))
+    router = fleet.routers["vm-a"]
+    placed = [take(router, work("online")) for _ in range(2 * SLOTS)]
+    names = [slot.upstream.upstream if slot else "" for slot in placed]
+    assert names == ["near"] * SLOTS + ["far"] * SLOTS
+    fleet.stop()
+
+
+def test_resumed_item_goes_where_it_stood_though_others_are_idle() -> None:
+    # A batch item that yielded begins anew on an idle engine, and what the
+    # engine that ran it had kept is lost.
+    fleet = Fleet()
+    fleet.config.set_upstreams(*[engine(f"e{n}") for n in range(8)])
+    router = fleet.routers["vm-a"]
+    owned = sorted(router.topology().owned)
+    assert len(owned) > 1
+    for name in owned:
+        resumed = take(router, work("batch")._replace(resumes_at=name))
+        assert resumed is not None
+        assert resumed.upstream.upstream == name
+        resumed.release("ok")
+    fleet.stop()
+
+
 def test_unknown_model_is_not_found_and_full_engines_say_when() -> None:
     fleet = Fleet()
     router = fleet.routers["vm-a"]
@@ -287,6 +320,24 @@
     fleet.stop()
 
 
+def test_owner_is_told_of_others_requests_and_batch_yields() -> None:
+    # A burst of online requests comes to one VM and waits behind the batch
+    # items of another, which owns the engine and was not told.
+    fleet = Fleet(by_hand=False)
+    owner = fleet.routers["vm-a"].topology().owners.of("e1")
+    other = "vm-b" if owner == "vm-a" else "vm-a"
+    yielded = threading.Semaphore(0)
+    for _ in range(2 * SLOTS):
+        slot = take(fleet.routers[owner], work("batch"))
+        if slot is not None:
+            slot.on_yield(yielded.release)
+    for _ in range(2 * SLOTS):
+        assert take(fleet.routers[other], work("online")) is not None
+    for _ in range(SLOTS - RESERVE):
+        assert yielded.acquire(timeout=5.0)
+    fleet.stop()
+
+
 def test_upstreams_of_a_frozen_owner_go_to_another_vm_and_back() -> None:
     # A VM freezes but stays on the platform's list. All other VMs serve on,
     # yet no batch item ran on the engines that it owns until the list
