--- a/tests/daemon/test_usage.py
+++ b/tests/daemon/test_usage.py
@@ -177,7 +177,7 @@
     def deliver_again(self, vm: str, index: int) -> None:
         sent = self.world.network.sent
         if sent:
-            self.world.network.deliver(vm, sent[index % len(sent)])
+            self.world.network.deliver_again(vm, sent[index % len(sent)])
 
     @stateful.rule()
     def late_writes_arrive(self) -> None:
@@ -254,21 +254,21 @@
         world.heal()
     last = world.network.sent[-1]
     world.clock.sleep_s(8 * 86_400.0)
-    del world.network.vms["c"]
+    handlers = world.network.handlers.pop("c")
     del world.vms["c"]
     world.record("a")
     world.heal()
     world.clock.sleep_s(301.0)
     world.heal()
     assert "c" not in {key.split("/")[0] for key in _sources(world)}
-    world.network.deliver("a", last)
+    world.network.deliver_again("a", last)
     world.heal()
-    assert world.network.deliver("a", last).is_refused
+    assert world.network.deliver_again("a", last).is_refused
     assert world.durable() == world.recorded
     old.usage.record(
         services.UsageEvent(world.clock.wall_s(), "k", "online", "", "m", "ok")
     )
-    world.network.vms["c"] = old.peers
+    world.network.handlers["c"] = handlers
     world.vms["c"] = old
     world.heal()
     assert world.durable()["m"] in (0, 1)
--- a/tests/support/usagefakes.py
+++ b/tests/support/usagefakes.py
@@ -69,7 +69,7 @@
         raise NotImplementedError
 
 
-class Network:
+class Network(fakes.Network):
     """Hands messages between the VMs of one failure domain.
 
     Attributes:
@@ -79,53 +79,41 @@
     """
 
     def __init__(self) -> None:
-        self.vms: dict[str, FakePeers] = {}
+        super().__init__()
         self.leaving: set[str] = set()
         self.faults: list[Literal["", "unreachable", "timeout"]] = []
         self.sent: list[Any] = []
 
-    def deliver(self, vm: str, message: Any) -> Any:
-        return self.vms[vm].handlers[type(message).__name__]("again", message)
+    def call(
+        self, source: str, target: str, message: Any
+    ) -> result.Result[Any, services.PeerError]:
+        self.sent.append(message)
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "unreachable":
+            return result.Err(services.PeerError("unreachable", "cut off"))
+        answer = super().call(source, target, message)
+        if fault == "timeout":
+            return result.Err(services.PeerError("timeout", "silence"))
+        return answer
 
-    def rows(self) -> tuple[records.Vm, ...]:
-        return tuple(records.Vm(vm, "north", "entry") for vm in self.vms)
+    def deliver_again(self, vm: str, message: Any) -> Any:
+        return self.deliver("again", vm, message).unwrap()
 
 
-class FakePeers(fakes.Membership):
+class FakePeers(fakes.Peers, fakes.Membership):
     """`services.Peers` and `services.Membership` of one VM."""
 
     def __init__(self, network: Network, vm: str, incarnation: str) -> None:
-        super().__init__(records.Vm(vm, "north", "entry"), (), incarnation)
+        fakes.Peers.__init__(self, network, vm)
+        own = records.Vm(vm, "north", "entry")
+        fakes.Membership.__init__(self, own, (), incarnation)
         self.network = network
-        self.vm = vm
         self.name = incarnation
-        self.handlers: dict[str, Callable[[str, Any], Any]] = {}
-        network.vms[vm] = self
-
-    def handle(
-        self, kind: type[Any], handler: Callable[[str, Any], Any]
-    ) -> None:
-        self.handlers[kind.__name__] = handler
-
-    def understand(self, *kinds: type[Any]) -> None:
-        del kinds
-
-    def call(
-        self, vm: str, message: Any, timeout_s: float
-    ) -> result.Result[Any, services.PeerError]:
-        self.network.sent.append(message)
-        fault = self.network.faults.pop(0) if self.network.faults else ""
-        if fault == "unreachable" or vm not in self.network.vms:
-            return result.Err(services.PeerError("unreachable", "cut off"))
-        answer = self.network.vms[vm].handlers[type(message).__name__](
-            self.vm, message
-        )
-        if fault == "timeout":
-            return result.Err(services.PeerError("timeout", "silence"))
-        return result.Ok(answer)
 
     def entry_vms(self) -> tuple[records.Vm, ...]:
-        return self.network.rows()
+        return tuple(
+            records.Vm(vm, "north", "entry") for vm in self.network.handlers
+        )
 
     def is_leaving(self, vm: str) -> bool:
         return vm in self.network.leaving
