--- a/tests/daemon/test_batchfailures.py
+++ b/tests/daemon/test_batchfailures.py
@@ -162,6 +162,41 @@
     assert finisher.finish(queued, record, entry.revision) == "changed"
 
 
+def test_paused_holder_drops_a_chunk_that_is_anothers(
+    fleet: batchfakes.Fleet,
+) -> None:
+    # Engines run the items of a job twice for hours: a VM that was paused
+    # goes on with a chunk that another has claimed since.
+    job = start(fleet)
+    old, new = fleet.vms["vm1"], fleet.vms["vm2"]
+    first = old.claim(batchmessages.Offer(job, 1, 1, 0)).unwrap().holding
+    assert old.worker._claims.verify(first) == "held"
+    offer = batchmessages.Offer(job, 1, 2, first.revision)
+    second = new.claim(offer).unwrap().holding
+    assert old.worker._claims.verify(first) == "lost"
+    assert new.worker._claims.verify(second) == "held"
+
+
+@pytest.mark.parametrize("is_late", [False, True])
+def test_queue_entry_waits_for_its_job(
+    fleet: batchfakes.Fleet, is_late: bool
+) -> None:
+    # An accepted job never runs: its queue entry, which is written first,
+    # was taken for a leftover before the job's record was there.
+    job = start(fleet)
+    key = batchrecords.job_key(job)
+    record = fleet.keyvalue.entries.pop(key)
+    fleet.run(3)
+    if is_late:
+        fleet.clock.now_s += 600.0
+        fleet.run(3)
+        assert not [name for name in fleet.keyvalue.entries if job in name]
+        return
+    fleet.keyvalue.entries[key] = record
+    fleet.run(20)
+    assert outcome(fleet, job)[0] == "completed"
+
+
 def test_cancellation_that_is_not_known_is_not_confirmed(
     fleet: batchfakes.Fleet, monkeypatch: pytest.MonkeyPatch
 ) -> None:
