Test two answers of the key-value client that no test needed

Cause (review, ten guards of configuration and key-value taken out on a scratch copy, trial): a deletion whose answer was lost could be told as a conflict, and a write that another beat as unknown; no test failed. Of the other survivors two have a second guard (a change's base: its digest; a key without a row: rows and keys go together), and one is untested still: a peer that has all pages and was never confirmed must not confirm others. Change: both are tested.

--- a/tests/daemon/test_keyvalue.py
+++ b/tests/daemon/test_keyvalue.py
@@ -169,6 +169,24 @@
             assert count == 0, (value, outcome, said)
 
 
+def test_a_lost_write_that_another_beat_is_a_conflict() -> None:
+    # An operator whose edit came too late reads that its outcome is unknown,
+    # though what is held shows every write since and not this one.
+    space = RecordingKeyspace()
+    other = client(FlakyCaller(space, lambda: "answered"))
+    first = other.put(KEY, b"first", 0).unwrap()
+
+    def others_write() -> None:
+        other.put(KEY, b"other", first).unwrap()
+
+    fates = iter(("answered", "delayed", "others write"))
+    caller = FlakyCaller(space, lambda: next(fates))
+    caller.others = others_write
+    writer = client(caller)
+    assert writer.get(KEY).unwrap() is not None
+    assert writer.put(KEY, b"own", first).unwrap_err().kind == "conflict"
+
+
 def test_a_lost_answer_is_known_by_its_nonce_over_http() -> None:
     served = platform.Platform()
     served.start()
@@ -180,6 +198,11 @@
     assert held is not None
     assert (held.value, held.revision) == (b"first", revision)
     assert one.dump()["settled"] == {"known": 1}
+    # The same of a deletion: sent once more, it finds nothing to delete.
+    other = one.put("other", b"", 0).unwrap()
+    served.fault(lose_next_answers=1)
+    assert one.delete("other", other).is_ok()
+    assert one.get("other").unwrap() is None
     served.fault(kv_outage=True)
     assert one.get(KEY).unwrap_err().kind == "unavailable"
     # The bytes have left, so it may still take effect.
