Order engines to load and unload models, with fencing numbers

Cause: operators could name the models of an engine but not order it to load or drop one; `checks_fencing` was kept and used by nothing.

Change: one record for each engine in the platform's service holds its orders and the fencing number, which each sending takes by compare-and-swap. The sender reads its turn once more and looks at its clock before it sends. What became of an order without an answer is read back from the engine; one that does not check numbers is left alone for three order timeouts first. A model leaves the engine's row, and its requests end, before the engine is ordered to drop it. Loads take one of `weight_fetches` permits, which belong to the engine; a refusal of the weight store holds all VMs back.

Found by working out the sum while writing: a VM that steps each waiting order every two seconds reads thousands of times a second at the platform in a rollout to 6,400 engines.

Ruled out: a record of desired state alone (an operator could not be told that an order failed); permits with a time of expiry (a clock would decide).

--- a/packages/daemon/bulrushdeald/assembly.py
+++ b/packages/daemon/bulrushdeald/assembly.py
@@ -11,6 +11,7 @@
 from bulrushdeald import keyvalue
 from bulrushdeald import limits
 from bulrushdeald import membership
+from bulrushdeald import modelorders
 from bulrushdeald import operators
 from bulrushdeald import peers
 from bulrushdeald import repair
@@ -58,6 +59,7 @@
     add(services.JOBS, jobs.Jobs(kernel, settings))
     add(coordinator.NAME, coordinator.Coordinator(kernel, settings))
     add(worker.NAME, worker.Worker(kernel, settings))
+    add(modelorders.NAME, modelorders.ModelOrders(kernel, settings))
     add(services.OPERATORS, operators.OperatorsServer(kernel, settings))
     add(_CALLERS_LISTENER, callers.Listener(kernel, settings))
     return kernel
--- a/packages/daemon/bulrushdeald/defaults.py
+++ b/packages/daemon/bulrushdeald/defaults.py
@@ -229,6 +229,58 @@
         low=60,
         high=3600,
     ),
+    settings.Setting(
+        "order_timeout_s",
+        "number",
+        300.0,
+        "How long an engine may take to carry an order out; an orderer of an"
+        " engine that does not check fencing numbers waits three times as"
+        " long after another's.",
+        low=0.1,
+        high=7200,
+    ),
+    settings.Setting(
+        "order_settle_s",
+        "number",
+        12.0,
+        "How long an engine's changed row takes to be in force on all VMs;"
+        " orders that disturb a model wait so long.",
+        low=0,
+        high=600,
+    ),
+    settings.Setting(
+        "order_drain_s",
+        "number",
+        120.0,
+        "How long requests may run on before their model is unloaded.",
+        low=0,
+        high=86400,
+    ),
+    settings.Setting(
+        "order_deadline_s",
+        "number",
+        3600.0,
+        "How long after its acceptance an order may be sent; it fails then.",
+        low=1,
+        high=604800,
+    ),
+    settings.Setting(
+        "order_threads",
+        "integer",
+        8,
+        "Orders that this VM carries out at once.",
+        low=1,
+        high=500,
+    ),
+    settings.Setting(
+        "weight_fetches",
+        "integer",
+        8,
+        "Engines that may fetch weights at once, over all VMs; set it alike"
+        " on all.",
+        low=1,
+        high=10_000,
+    ),
 )
 
 
@@ -268,6 +320,12 @@
     batch_retention_s: float
     usage_flush_s: float
     usage_bucket_s: int
+    order_timeout_s: float
+    order_settle_s: float
+    order_drain_s: float
+    order_deadline_s: float
+    order_threads: int
+    weight_fetches: int
 
 
 def read(flags: Mapping[str, str], environment: Mapping[str, str]) -> Settings:
--- /dev/null
+++ b/packages/daemon/bulrushdeald/modelroutes.py
@@ -0,0 +1,197 @@
+"""The operators' routes to orders for engines."""
+
+import re
+from typing import Any
+
+import result
+
+from bulrushdeal import clock as clock_lib
+from bulrushdeal import codec
+from bulrushdeal import httpd
+from bulrushdeald import modelrecords
+from bulrushdeald import replies
+from bulrushdeald import services
+
+_UPSTREAMS = "/v1/upstreams/"
+_SUFFIX = "/orders"
+_ORDERS = "/v1/orders"
+_MAX_ATTEMPTS = 20
+_NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9_.:/\-]{0,199}$")
+_FIELDS = {
+    "load": ("model", "version", "base"),
+    "unload": ("model",),
+    "role": ("role",),
+}
+_REQUIRED = {"load": "model", "unload": "model", "role": "role"}
+_ROLES = ("mixed", "prefill", "decode")
+
+
+class ModelRoutes:
+    """Takes orders and shows what became of them."""
+
+    def __init__(
+        self,
+        keyvalue: services.KeyValue,
+        config: services.Config,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._keyvalue = keyvalue
+        self._config = config
+        self._clock = clock
+
+    def post(self, request: httpd.Request) -> httpd.Response:
+        """Accepts an order: from the answer on it is carried out or fails."""
+        upstream = _upstream(request)
+        if upstream is None:
+            return replies.error(404, "not_found", "Nothing is here.")
+        asked = _read_order(replies.body_object(request))
+        known = {row.upstream: row for row in self._config.upstreams()}
+        row = known.get(upstream)
+        if row is None:
+            message = f"There is no {upstream!r}."
+            return replies.error(404, "missing", message)
+        if row.kind != "engine":
+            message = f"{upstream!r} is a plain service and takes no orders."
+            return replies.error(400, "invalid_request", message)
+        return self._accept(
+            upstream, asked._replace(accepted_wall_s=self._clock.wall_s())
+        )
+
+    def _accept(
+        self, upstream: str, asked: modelrecords.Order
+    ) -> httpd.Response:
+        read = self._keyvalue.get(modelrecords.key(upstream))
+        if isinstance(read, result.Err):
+            return _unavailable(read.err_value)
+        entry = read.ok_value
+        for _ in range(_MAX_ATTEMPTS):
+            record = modelrecords.EngineOrders(upstream)
+            try:
+                if entry is not None:
+                    record = modelrecords.load(entry.value)
+            except codec.CodecError as error:
+                # Written over, its numbers would begin anew.
+                message = f"The orders of {upstream!r} are unreadable: {error}"
+                return replies.error(503, "unavailable", message)
+            same = modelrecords.same_open(record, asked)
+            if same is not None:
+                return _accepted(upstream, same)
+            count = sum(order.is_open for order in record.orders)
+            if count >= modelrecords.MAX_OPEN:
+                message = f"{upstream!r} has {count} open orders; wait."
+                return replies.error(409, "full", message)
+            changed = modelrecords.accept(record, asked)
+            put = self._keyvalue.put(
+                modelrecords.key(upstream),
+                modelrecords.dump(changed),
+                entry.revision if entry else 0,
+            )
+            if isinstance(put, result.Ok):
+                return _accepted(upstream, changed.orders[-1])
+            if put.err_value.kind != "conflict":
+                return _unavailable(put.err_value)
+            entry = put.err_value.current
+        message = f"{upstream!r} is being changed all the time; try again."
+        return replies.error(503, "unavailable", message)
+
+    def get(self, request: httpd.Request) -> httpd.Response:
+        """Answers one engine's orders, what it holds and is to hold."""
+        upstream = _upstream(request)
+        if upstream is None:
+            return replies.error(404, "not_found", "Nothing is here.")
+        read = self._keyvalue.get(modelrecords.key(upstream))
+        if isinstance(read, result.Err):
+            return _unavailable(read.err_value)
+        entries = () if read.ok_value is None else (read.ok_value,)
+        return _shown(entries)
+
+    def list(self, request: httpd.Request) -> httpd.Response:
+        """Answers the orders of all engines."""
+        del request
+        listed = self._keyvalue.list(modelrecords.PREFIX)
+        if isinstance(listed, result.Err):
+            return _unavailable(listed.err_value)
+        return _shown(listed.ok_value)
+
+
+def _upstream(request: httpd.Request) -> str | None:
+    if not request.path.endswith(_SUFFIX):
+        return None
+    return request.path.removeprefix(_UPSTREAMS).removesuffix(_SUFFIX)
+
+
+def _read_order(body: dict[str, Any]) -> modelrecords.Order:
+    action = body.get("action")
+    if action not in _FIELDS:
+        allowed = ", ".join(_FIELDS)
+        raise replies.BadRequestError(f"Allowed: {allowed}.", "action")
+    for field, value in body.items():
+        if field == "action":
+            continue
+        if field not in _FIELDS[action]:
+            message = f"An order to {action} has no field {field!r}."
+            raise replies.BadRequestError(message, field)
+        is_name = isinstance(value, str) and bool(_NAME.match(value))
+        if not is_name and value != "":
+            raise replies.BadRequestError("It is no name.", field)
+    required = _REQUIRED[action]
+    if not body.get(required):
+        raise replies.BadRequestError("It is required.", required)
+    if action == "role" and body["role"] not in _ROLES:
+        message = f"Allowed: {', '.join(_ROLES)}."
+        raise replies.BadRequestError(message, "role")
+    if body.get("base") == body.get("model") and body.get("base"):
+        message = "An adapter has another name than its model."
+        raise replies.BadRequestError(message, "base")
+    return codec.from_plain(modelrecords.Order, {**body, "number": 0})
+
+
+def _accepted(upstream: str, order: modelrecords.Order) -> httpd.Response:
+    return httpd.json_response(200, _order_row(upstream, order))
+
+
+def _shown(entries: tuple[services.Entry, ...]) -> httpd.Response:
+    rows: list[dict[str, Any]] = []
+    engines: list[dict[str, Any]] = []
+    for entry in entries:
+        try:
+            record = modelrecords.load(entry.value)
+        except codec.CodecError as error:
+            engines.append({"key": entry.key, "problem": str(error)})
+            continue
+        rows.extend(_order_row(record.upstream, o) for o in record.orders)
+        engines.append(
+            {
+                "upstream": record.upstream,
+                "fence": record.fence,
+                "vm": record.vm,
+                "holds": codec.to_object(record.engine),
+                "wanted": codec.to_object(modelrecords.wanted(record)),
+            }
+        )
+    return httpd.json_response(200, {"orders": rows, "engines": engines})
+
+
+def _order_row(upstream: str, order: modelrecords.Order) -> dict[str, Any]:
+    return {"upstream": upstream, **order._asdict()}
+
+
+def _unavailable(error: services.KeyValueError) -> httpd.Response:
+    if error.kind == "unknown":
+        message = "It is unknown whether the order was accepted; look."
+        return replies.error(503, "unknown", f"{message} {error.message}")
+    message = "The platform does not answer; no order was accepted."
+    return replies.error(503, "unavailable", f"{message} {error.message}")
+
+
+def add(
+    server: services.OperatorRoutes,
+    keyvalue: services.KeyValue,
+    config: services.Config,
+    clock: clock_lib.Clock,
+) -> None:
+    """Adds the routes to the operators' server."""
+    routes = ModelRoutes(keyvalue, config, clock)
+    server.route("POST", _UPSTREAMS, routes.post)
+    server.route("GET", _UPSTREAMS, routes.get)
+    server.route("GET", _ORDERS, routes.list)
--- /dev/null
+++ b/packages/daemon/bulrushdeald/orderer.py
@@ -0,0 +1,288 @@
+"""Carries out the orders of one engine, one step at a time.
+
+All VMs may call `Orderer.step` for the same engine: the compare-and-swap
+that marks an order `sent` gives out the next fencing number, and only the VM
+whose write took effect sends. See docs/design/orders.md.
+"""
+
+import math
+from typing import NamedTuple
+
+import result
+
+from bulrushdeal import clock as clock_lib
+from bulrushdeal import logs
+from bulrushdeal import metrics as metrics_lib
+from bulrushdeald import defaults
+from bulrushdeald import enginecalls
+from bulrushdeald import fetchpermits
+from bulrushdeald import modelrecords
+from bulrushdeald import orderends
+from bulrushdeald import ordertasks
+from bulrushdeald import rendezvous
+from bulrushdeald import services
+
+_log = logs.Log("orders")
+RETRY_S = 2.0
+_DRAIN_POLL_S = 5.0
+# An order lives at most so many timeouts from the write that announced it:
+# one until it is sent, one until its connection is closed, and one for the
+# engine to end what it took in at the last moment.
+FLIGHT_TIMEOUTS = 3
+# Among so many VMs the engines are shared out.
+ORDER_VMS = 4
+
+
+class _Sending(NamedTuple):
+    """A sending, known by its engine and its fencing number."""
+
+    upstream: str
+    fence: int
+
+
+class Orderer:
+    """Steps the orders of engines for one VM; keeps nothing that must last.
+
+    A step of an engine must not run twice at once within one VM.
+    """
+
+    def __init__(
+        self,
+        settings: defaults.Settings,
+        membership: services.Membership,
+        tasks: ordertasks.TaskStore,
+        calls: enginecalls.EngineCalls,
+        permits: fetchpermits.FetchPermits,
+        ends: orderends.OrderEnds,
+        metrics: metrics_lib.Metrics,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._timeout_s = settings.order_timeout_s
+        self._flight_s = FLIGHT_TIMEOUTS * settings.order_timeout_s
+        self._settle_s = settings.order_settle_s
+        self._drain_s = settings.order_drain_s
+        self._deadline_s = settings.order_deadline_s
+        self._membership = membership
+        self._tasks = tasks
+        self._calls = calls
+        self._permits = permits
+        self._ends = ends
+        self._metrics = metrics
+        self._clock = clock
+        # Since when a sending's orderer is known to send no more, by this
+        # VM's own monotonic clock; minus infinity if nothing is under way.
+        self._quiet_since_s: dict[_Sending, float] = {}
+        self._drained_since_s: dict[tuple[str, int], float] = {}
+
+    def step(self, upstream: str) -> float | None:
+        """Brings the engine's first open order one step on.
+
+        Returns:
+            Seconds until the next step; `None` if nothing is open.
+        """
+        read = self._tasks.read(upstream)
+        if isinstance(read, result.Err):
+            return RETRY_S
+        task = read.ok_value
+        if task is None:
+            self._forget(upstream)
+            return None
+        if not self._is_mine(task):
+            return RETRY_S
+        if not task.is_known:
+            reason = "There is no such engine any more."
+            return _next_s(self._ends.failed(task, reason, None))
+        if task.order.state == "sent":
+            return self._settle(task)
+        if task.order.state == "draining":
+            return self._drain(task)
+        return self._begin(task)
+
+    def _is_mine(self, task: ordertasks.Task) -> bool:
+        """Tells whether this VM should act; the writes decide who may."""
+        own = self._membership.own().vm
+        key = modelrecords.key(task.record.upstream)
+        is_picked = rendezvous.pick(key, order_vms(self._membership)) == own
+        if task.order.state != "sent":
+            return is_picked
+        # An order that may be on its way is its sender's to settle, as long
+        # as that VM is listed: the list may lag, but never runs ahead.
+        if task.record.vm == own:
+            return True
+        return is_picked and not self._membership.is_listed(task.record.vm)
+
+    def _begin(self, task: ordertasks.Task) -> float:
+        if self._is_late(task):
+            reason = task.order.reason or "It could not be begun in time."
+            return _next_s(self._ends.failed_now(task, reason))
+        state = self._calls.state(task.upstream)
+        if isinstance(state, result.Err):
+            return self._note(task, state.err_value.message)
+        engine = state.ok_value
+        if modelrecords.shows(engine, task.order):
+            return _next_s(self._ends.done(task, engine))
+        held = {loaded.model for loaded in engine.models}
+        # To load beside other models disturbs none; in another version's
+        # place it does.
+        is_served = task.order.model in held | set(task.upstream.models)
+        if task.order.action == "role" or not is_served:
+            return self._send(task)
+        draining = task.order._replace(state="draining", reason="")
+        return _next_s(self._tasks.put(task, draining, engine))
+
+    def _drain(self, task: ordertasks.Task) -> float:
+        """Waits until the engine runs nothing for the model any more.
+
+        The failure: an engine drops a model while it streams from it, and
+        callers see their answers cut. The state `draining` is stored before
+        the row is changed, so a successor drains too.
+        """
+        key = (task.record.upstream, task.order.number)
+        if key not in self._drained_since_s:
+            if not self._ends.set_served(task, task.names, False):
+                return RETRY_S
+            self._drained_since_s[key] = self._clock.monotonic_s()
+        elapsed_s = self._clock.monotonic_s() - self._drained_since_s[key]
+        # Until the row is in force everywhere, VMs go on sending.
+        if elapsed_s < self._settle_s:
+            return self._settle_s - elapsed_s
+        # An engine that does not say how much it runs is given all the time.
+        is_in_time = elapsed_s < self._drain_s
+        if is_in_time and self._calls.running(task.upstream) != 0:
+            return _DRAIN_POLL_S
+        return self._send(task)
+
+    def _send(self, task: ordertasks.Task) -> float:
+        if self._is_late(task):
+            reason = task.order.reason or "It could not be sent in time."
+            return _next_s(self._ends.failed_now(task, reason))
+        if task.order.action == "load":
+            permit = self._permits.take(task.record.upstream)
+            if isinstance(permit, result.Err):
+                self._note(task, permit.err_value.reason)
+                return permit.err_value.retry_s
+        began_s = self._clock.monotonic_s()
+        own = self._membership.own().vm
+        sent = self._tasks.announce(task, own, self._membership.incarnation())
+        if sent is None:
+            # Lost to another VM, or not known: the next step reads which.
+            return RETRY_S
+        # Frozen here for long, this VM may have been superseded. It reads
+        # once more that it was not, and its clock has to agree; only a
+        # freeze after that can still make it send too late.
+        is_current = self._tasks.is_same_turn(sent)
+        elapsed_s = self._clock.monotonic_s() - began_s
+        if not is_current or elapsed_s >= self._timeout_s:
+            self._quiet_since_s[_sending(sent)] = -math.inf
+            return RETRY_S
+        self._metrics.increment("orders.sent")
+        answer = self._calls.order(sent.upstream, sent.order, self._timeout_s)
+        return self._take_answer(sent, answer)
+
+    def _take_answer(
+        self,
+        sent: ordertasks.Task,
+        answer: result.Result[
+            modelrecords.EngineState, enginecalls.EngineError
+        ],
+    ) -> float:
+        is_unknown = answer.is_err() and answer.unwrap_err().kind == "unknown"
+        since_s = self._clock.monotonic_s() if is_unknown else -math.inf
+        self._quiet_since_s[_sending(sent)] = since_s
+        task = self._tasks.read_again(sent)
+        if isinstance(answer, result.Ok):
+            if task is None:
+                return RETRY_S
+            return self._judge(task, answer.ok_value)
+        error = answer.err_value
+        if is_unknown:
+            self._metrics.increment("orders.unknown")
+            _log.warning("Order to %s: %s", sent.record.upstream, error.message)
+        if task is None:
+            return RETRY_S
+        if error.kind == "later":
+            return self._put_off(task, error)
+        if error.kind in ("refused", "fenced"):
+            return _next_s(self._ends.failed_now(task, error.message))
+        return RETRY_S
+
+    def _judge(
+        self, task: ordertasks.Task, engine: modelrecords.EngineState
+    ) -> float:
+        if modelrecords.shows(engine, task.order):
+            return _next_s(self._ends.done(task, engine))
+        reason = "The engine agreed and yet does not hold it."
+        return _next_s(self._ends.failed(task, reason, engine))
+
+    def _put_off(
+        self, task: ordertasks.Task, error: enginecalls.EngineError
+    ) -> float:
+        """Waits as the weight store asks, and lets all other VMs wait."""
+        self._metrics.increment("orders.put_off")
+        self._permits.release(task.record.upstream, error.retry_after_s)
+        waiting = task.order._replace(state="waiting", reason=error.message)
+        self._tasks.put(task, waiting)
+        return max(error.retry_after_s, RETRY_S)
+
+    def _settle(self, task: ordertasks.Task) -> float:
+        """Finds out what became of an order that may have been sent.
+
+        An engine that checks fencing numbers refuses the earlier sending
+        once it has seen a later one, so it may be asked at once. With one
+        that does not, the earlier sending may still arrive; nothing is sent
+        until it cannot any more.
+        """
+        now_s = self._clock.monotonic_s()
+        since_s = self._quiet_since_s.setdefault(_sending(task), now_s)
+        left_s = since_s + self._flight_s - now_s
+        is_over = left_s <= 0
+        if not is_over and not task.upstream.checks_fencing:
+            return left_s
+        state = self._calls.state(task.upstream)
+        if isinstance(state, result.Err):
+            reason = state.err_value.message
+            if not (is_over and self._is_late(task)):
+                return self._note(task, reason)
+            reason = f"It is unknown whether it was carried out: {reason}"
+            return _next_s(self._ends.failed(task, reason, None))
+        engine = state.ok_value
+        if modelrecords.shows(engine, task.order):
+            return _next_s(self._ends.done(task, engine))
+        if not self._is_late(task):
+            return self._send(task)
+        # Nobody sends a later number now, so it could still arrive.
+        if not is_over:
+            return left_s
+        reason = "It was not carried out in time."
+        return _next_s(self._ends.failed(task, reason, engine))
+
+    def _note(self, task: ordertasks.Task, reason: str) -> float:
+        """Shows operators what an order waits for, once for each reason."""
+        if task.order.reason != reason:
+            self._tasks.put(task, task.order._replace(reason=reason))
+        return RETRY_S
+
+    def _is_late(self, task: ordertasks.Task) -> bool:
+        age_s = self._clock.wall_s() - task.order.accepted_wall_s
+        return age_s > self._deadline_s
+
+    def _forget(self, upstream: str) -> None:
+        """Drops what was kept for an engine's orders, all ended."""
+        for drained in [k for k in self._drained_since_s if k[0] == upstream]:
+            del self._drained_since_s[drained]
+        for sending in [k for k in self._quiet_since_s if k[0] == upstream]:
+            del self._quiet_since_s[sending]
+
+
+def order_vms(membership: services.Membership) -> tuple[str, ...]:
+    """Returns the VMs that order engines, as this VM sees them."""
+    names = [row.vm for row in membership.entry_vms() if row.state == "live"]
+    return tuple(rendezvous.rank(modelrecords.PREFIX, names)[:ORDER_VMS])
+
+
+def _sending(task: ordertasks.Task) -> _Sending:
+    return _Sending(task.record.upstream, task.record.fence)
+
+
+def _next_s(is_done: bool) -> float:
+    return 0.0 if is_done else RETRY_S
--- a/packages/standins/standins/engine.py
+++ b/packages/standins/standins/engine.py
@@ -13,6 +13,7 @@
 import time
 from typing import Any, NamedTuple
 
+from standins import orderdesk
 from standins import web
 
 CHAT_PATH = "/v1/chat/completions"
@@ -133,10 +134,13 @@
         name: str = "engine",
         models: tuple[str, ...] = ("textbook",),
         timing: Timing | None = None,
+        desk: orderdesk.DeskSettings | None = None,
     ) -> None:
         super().__init__(address)
         self._name = name
-        self._models = models
+        self.desk = orderdesk.OrderDesk(
+            models, desk or orderdesk.DeskSettings()
+        )
         self._timing = timing or Timing()
         self._cache = PrefixCache(self._timing.cache_blocks)
         self._paused = PausedStreams(self._timing.paused_streams)
@@ -154,9 +158,13 @@
             exchange.answer_json(200, self.load())
             return
         if exchange.path == "/v1/models":
-            data = [{"id": name, "object": "model"} for name in self._models]
+            names = self.desk.names()
+            data = [{"id": name, "object": "model"} for name in names]
             exchange.answer_json(200, {"object": "list", "data": data})
             return
+        if exchange.path in (orderdesk.STATE_PATH, orderdesk.ORDERS_PATH):
+            self.desk.serve(exchange)
+            return
         if exchange.path not in (CHAT_PATH, TEXT_PATH):
             exchange.answer_json(404, {"error": {"message": "no such path"}})
             return
@@ -165,7 +173,7 @@
         except ValueError:
             exchange.answer_json(400, {"error": {"message": "not JSON"}})
             return
-        if call.get("model") not in self._models:
+        if call.get("model") not in self.desk.names():
             exchange.answer_json(404, {"error": {"message": "no such model"}})
             return
         self._run(exchange, call)
@@ -364,18 +372,25 @@
     parser.add_argument("--address", default="127.0.0.1:0")
     parser.add_argument("--name", default="engine")
     parser.add_argument("--models", default="textbook", help="with commas")
-    for field, default in Timing()._asdict().items():
+    defaults = {
+        **Timing()._asdict(),
+        **orderdesk.DeskSettings()._asdict(),
+    }
+    for field, default in defaults.items():
         parser.add_argument(
             "--" + field.replace("_", "-"), type=type(default), default=default
         )
     flags = vars(parser.parse_args())
     timing = Timing(*(flags[field] for field in Timing._fields))
+    desk_fields = orderdesk.DeskSettings._fields
+    desk = orderdesk.DeskSettings(*(flags[field] for field in desk_fields))
     web.run(
         lambda: Engine(
             flags["address"],
             flags["name"],
             tuple(flags["models"].split(",")),
             timing,
+            desk,
         )
     )
 
--- a/packages/ui/bulrushdealui/main.py
+++ b/packages/ui/bulrushdealui/main.py
@@ -12,6 +12,7 @@
 from bulrushdealui.commands import dump
 from bulrushdealui.commands import job
 from bulrushdealui.commands import key
+from bulrushdealui.commands import order
 from bulrushdealui.commands import table
 from bulrushdealui.commands import upstream
 from bulrushdealui.commands import usage
@@ -31,6 +32,11 @@
     upstream.ListCommand,
     upstream.AddCommand,
     upstream.RemoveCommand,
+    order.LoadCommand,
+    order.UnloadCommand,
+    order.AdapterCommand,
+    order.RoleCommand,
+    order.OrdersCommand,
     vm.ListCommand,
     job.ListCommand,
     job.ShowCommand,
--- /dev/null
+++ b/tests/daemon/test_ordermachine.py
@@ -0,0 +1,177 @@
+"""Random faults against orders to engines, checked by the fake engines.
+
+The oracle is in `orderfakes.FakeEngine.carry_out` and `FakeCalls.order`: an
+engine's state never goes back to an older order, no two orders to an engine
+without a check overlap, no model is dropped that a row still names, and no
+more engines fetch weights than may. Here: every accepted order ends, and a
+row names what its engine holds.
+"""
+
+from typing import Any
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from bulrushdeald import modelrecords
+from support import orderfakes
+
+ENGINES = 2
+VMS = 3
+engines = st.integers(0, ENGINES - 1).map(lambda number: f"e{number}")
+vms = st.integers(0, VMS - 1)
+ASKED: tuple[dict[str, Any], ...] = (
+    {"action": "load", "model": "a", "version": "1"},
+    {"action": "load", "model": "a", "version": "2"},
+    {"action": "load", "model": "tuned", "base": "base"},
+    {"action": "unload", "model": "a"},
+    {"action": "unload", "model": "base"},
+    {"action": "role", "role": "decode"},
+    {"action": "role", "role": "mixed"},
+)
+FATES = ("", "late", "late", "lost_before", "lost_after", "busy", "refused")
+
+
+class _Orders(stateful.RuleBasedStateMachine):
+    checks_fencing = True
+    # Until its connection is closed and the engine had its time; an engine
+    # that checks fencing numbers may be reached at any time.
+    latest_s = 2 * orderfakes.TIMEOUT_S
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.site = orderfakes.Site(self.checks_fencing, ENGINES, VMS)
+
+    @stateful.rule(
+        engine=engines,
+        asked=st.sampled_from(ASKED),
+        fate=st.sampled_from(FATES),
+        late=st.floats(0, 1),
+        sender_goes=st.booleans(),
+    )
+    def accept(
+        self,
+        engine: str,
+        asked: dict[str, Any],
+        fate: orderfakes.Fate,
+        late: float,
+        sender_goes: bool,
+    ) -> None:
+        record = self.site.record(engine)
+        if sum(order.is_open for order in record.orders) < 4:
+            self.site.accept(engine, **asked)
+        self.site.engines[engine].fate = fate
+        self.site.engines[engine].late_s = late * self.latest_s
+        self.site.engines[engine].sender_goes = sender_goes
+
+    @stateful.rule(seconds=st.sampled_from((1, 4, 15, 40, 100)))
+    def go_on(self, seconds: int) -> None:
+        self.site.run(seconds)
+
+    @stateful.rule(
+        vm=vms,
+        engine=engines,
+        moments=st.integers(0, 20),
+        seconds=st.sampled_from((2, 9, 35, 120)),
+        is_unlisted=st.booleans(),
+    )
+    def freeze(
+        self,
+        vm: int,
+        engine: str,
+        moments: int,
+        seconds: int,
+        is_unlisted: bool,
+    ) -> None:
+        """Freezes a VM at a call to the platform, while the others go on."""
+        site = self.site
+        frozen = site.vms[vm]
+
+        def others_go_on() -> None:
+            if is_unlisted:
+                site.unlist(frozen.name)
+            site.run(seconds)
+
+        frozen.keyvalue.freeze = others_go_on
+        frozen.keyvalue.freeze_after = moments
+        site.run(15)
+        frozen.keyvalue.freeze = None
+        site.listed.add(frozen.name)
+
+    @stateful.rule(vm=vms, seconds=st.sampled_from((0, 35)))
+    def restart(self, vm: int, seconds: int) -> None:
+        """Replaces a VM's process; for a while it is not listed."""
+        self.site.vms[vm].restart()
+        self.site.unlist(f"v{vm}")
+        self.site.vms[vm].is_frozen = True
+        self.site.run(seconds)
+        self.site.vms[vm].is_frozen = False
+        self.site.listed.add(f"v{vm}")
+
+    @stateful.rule(engine=engines, seconds=st.sampled_from((2, 20)))
+    def lose_engine(self, engine: str, seconds: int) -> None:
+        self.site.engines[engine].is_up = False
+        self.site.run(seconds)
+        self.site.engines[engine].is_up = True
+
+    @stateful.rule(seconds=st.sampled_from((2, 20)))
+    def lose_platform(self, seconds: int) -> None:
+        self.site.keyvalue.has_outage = True
+        self.site.run(seconds)
+        self.site.keyvalue.has_outage = False
+
+    @stateful.rule(seconds=st.sampled_from((1, 20)))
+    def lose_answer(self, seconds: int) -> None:
+        self.site.keyvalue.lose_answers = 1
+        self.site.run(seconds)
+        self.site.keyvalue.lose_answers = 0
+
+    def teardown(self) -> None:
+        site = self.site
+        end_s = site.clock.now_s + 4 * orderfakes.DEADLINE_S
+        while site.has_open() and site.clock.now_s < end_s:
+            site.run(50)
+        # A late order may still land, and must do no harm.
+        site.run(20 * orderfakes.TIMEOUT_S)
+        for name, engine in site.engines.items():
+            self._check(name, engine)
+
+    def _check(self, name: str, engine: orderfakes.FakeEngine) -> None:
+        record = self.site.record(name)
+        for order in record.orders:
+            assert order.state in ("done", "failed")
+            assert order.state == "done" or order.reason
+        if record.orders and record.orders[-1].state == "done":
+            assert modelrecords.shows(engine.state, record.orders[-1])
+        held = {loaded.model for loaded in engine.state.models}
+        assert set(self.site.stored_row(engine.row).models) <= held
+
+
+class FencingOrders(_Orders):
+    checks_fencing = True
+    latest_s = 15 * orderfakes.TIMEOUT_S
+
+    @stateful.rule(
+        engine=engines, seconds=st.sampled_from((5, 60)), vm_goes=st.booleans()
+    )
+    def freeze_sending(self, engine: str, seconds: int, vm_goes: bool) -> None:
+        """Freezes a VM after its last check, before the order leaves."""
+        site = self.site
+
+        def others_go_on() -> None:
+            site.engines[engine].on_order = lambda: None
+            if vm_goes:
+                site.unlist(site.record(engine).vm)
+            site.run(seconds)
+
+        site.engines[engine].on_order = others_go_on
+        site.run(15)
+        site.engines[engine].on_order = lambda: None
+        site.listed.update(vm.name for vm in site.vms)
+
+
+class PlainOrders(_Orders):
+    checks_fencing = False
+
+
+TestFencingOrders = FencingOrders.TestCase
+TestPlainOrders = PlainOrders.TestCase
