--- a/packages/daemon/bulrushdeald/modelorders.py
+++ b/packages/daemon/bulrushdeald/modelorders.py
@@ -66,8 +66,8 @@
         self._watched_revision = 0
         self._has_listed = False
 
-    def start(self) -> None:
-        """See `kernel.Service`."""
+    def attach(self) -> None:
+        """Finds the other services and adds the routes; starts no thread."""
         find = self._kernel.find
         keyvalue = find(services.KEYVALUE, services.KeyValue)
         config = find(services.CONFIG, config_lib.ConfigService)
@@ -86,6 +86,10 @@
         )
         routes = find(services.OPERATORS, services.OperatorRoutes)
         modelroutes.add(routes, keyvalue, config, self._clock)
+
+    def start(self) -> None:
+        """Begins to watch and to step."""
+        self.attach()
         for target in (self._run_watch, self._run_steps):
             threading.Thread(target=target, name="orders", daemon=True).start()
 
@@ -147,12 +151,13 @@
 
     def _run_steps(self) -> None:
         while not self._stopping.wait(_TICK_S):
-            for name in self._take_due():
+            for name in self.take_due():
                 if not self._stopping.is_set():
                     self._pool.submit(self._step, name)
             self._metrics.gauge("orders.open", len(self._due_s))
 
-    def _take_due(self) -> list[str]:
+    def take_due(self) -> list[str]:
+        """Returns the engines to step now, and counts them as running."""
         now_s = self._clock.monotonic_s()
         with self._lock:
             due = sorted(
--- a/packages/ui/bulrushdealui/commands/order.py
+++ b/packages/ui/bulrushdealui/commands/order.py
@@ -9,7 +9,8 @@
 from bulrushdealui.commands import base
 
 _UPSTREAM = argument("upstream", description="The engine.")
-_VERSION = option("version", description="Which weights.", flag=False)
+# Every command has a `--version` already, which tells the program's.
+_VERSION = option("model-version", description="Which weights.", flag=False)
 _COLUMNS = (
     "upstream",
     "number",
@@ -47,7 +48,7 @@
         self.order(
             action="load",
             model=self.argument("model"),
-            version=self.option("version"),
+            version=self.option("model-version"),
         )
 
 
@@ -85,7 +86,7 @@
             action="load",
             model=self.argument("adapter"),
             base=self.option("base"),
-            version=self.option("version"),
+            version=self.option("model-version"),
         )
 
 
--- a/tests/daemon/test_modelorders.py
+++ b/tests/daemon/test_modelorders.py
@@ -9,14 +9,17 @@
 from bulrushdeal import httpd
 from bulrushdeal import records
 from bulrushdeald import enginecalls
+from bulrushdeald import modelorders
 from bulrushdeald import modelrecords
 from bulrushdeald import modelroutes
 from bulrushdeald import orderer
 from bulrushdeald import replies
+from bulrushdeald import services
 from bulrushdeald import upstreams
 from standins import engine as engine_lib
 from standins import orderdesk
 from standins import weights
+from support import batchfakes
 from support import orderfakes
 from support import pathfakes
 
@@ -302,6 +305,40 @@
         assert made == (reads, writes)
 
 
+class OneVm:
+    """A kernel in which a VM that takes orders finds its services."""
+
+    def __init__(self, site: orderfakes.Site) -> None:
+        self._found: dict[str, Any] = {
+            services.KEYVALUE: site.keyvalue,
+            services.MEMBERSHIP: site.vms[0].membership,
+            services.CONFIG: orderfakes.FakeConfig(site),
+            services.OPERATORS: batchfakes.FakeRest(),
+        }
+
+    def find(self, name: str, kind: Any) -> Any:
+        return self._found.get(name)
+
+
+def test_rollout_steps_few_engines_at_once_the_longest_due_first() -> None:
+    # An operator loads a version on all engines. Each step reads at the
+    # platform, which 6,400 engines stepped at once would overload.
+    site = orderfakes.Site(True, 40, 1)
+    kernel: Any = OneVm(site)
+    settings = pathfakes.settings(order_threads=6)
+    service = modelorders.ModelOrders(kernel, settings, site.clock)
+    service.attach()
+    for engine in site.engines:
+        site.accept(engine, **LOAD)
+    assert service.watch_once(0.0)
+    first = service.take_due()
+    assert len(first) == 4
+    # No more than there are threads.
+    assert len(service.take_due()) == 2
+    assert service.take_due() == []
+    assert len(service.dump()["open"]) == 40
+
+
 def served(desk: orderdesk.DeskSettings) -> engine_lib.Engine:
     engine = engine_lib.Engine(models=("base",), desk=desk)
     engine.start()
--- a/tests/ui/test_commands.py
+++ b/tests/ui/test_commands.py
@@ -206,3 +206,42 @@
     shown = capsys.readouterr().err
     assert "come back after 2 s" in shown
     assert "ran: not_run" in shown
+
+
+@pytest.mark.parametrize(
+    ("words", "body"),
+    [
+        (
+            ("load", "e0", "quiz", "--model-version", "2"),
+            {"action": "load", "model": "quiz", "version": "2"},
+        ),
+        (("unload", "e0", "quiz"), {"action": "unload", "model": "quiz"}),
+        (
+            ("adapter", "e0", "tuned", "--base", "quiz"),
+            {"action": "load", "model": "tuned", "base": "quiz"},
+        ),
+        (("role", "e0", "decode"), {"action": "role", "role": "decode"}),
+    ],
+)
+def test_orders_to_engines_are_sent_as_asked(
+    routes: routes_lib.Routes,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+    words: tuple[str, ...],
+    body: dict[str, str],
+) -> None:
+    order = {"upstream": "e0", "number": 3, "state": "waiting", **body}
+    routes.add("POST", "/v1/upstreams/e0/orders", 200, order)
+    assert run(monkeypatch, "upstream", *words) == 0
+    assert json.loads(routes.seen[-1].body) == body
+    assert "waiting" in capsys.readouterr().out
+    routes.add("GET", "/v1/upstreams/e0/orders", 200, {"orders": [order]})
+    assert run(monkeypatch, "upstream", "orders", "e0") == 0
+    assert "waiting" in capsys.readouterr().out
+
+
+def test_adapter_needs_its_model(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert run(monkeypatch, "upstream", "adapter", "e0", "tuned") == 2
+    assert "--base is required" in capsys.readouterr().err
