--- a/packages/daemon/bulrushdeald/modelorders.py
+++ b/packages/daemon/bulrushdeald/modelorders.py
@@ -4,7 +4,6 @@
 `orderer` carries the orders out, `modelroutes` takes them from operators.
 """
 
-from concurrent import futures
 import threading
 from typing import Any
 
@@ -57,12 +56,11 @@
         self._metrics = metrics_lib.connect(settings.statsd_address)
         self._lock = threading.Lock()
         self._stopping = threading.Event()
-        self._pool = futures.ThreadPoolExecutor(
-            settings.order_threads, "orders"
-        )
         # When each engine with an open order is to be stepped next.
         self._due_s: dict[str, float] = {}
         self._running: set[str] = set()
+        # Engines of which something was learned while they were stepped.
+        self._changed: set[str] = set()
         self._watched_revision = 0
         self._has_listed = False
 
@@ -94,10 +92,13 @@
             threading.Thread(target=target, name="orders", daemon=True).start()
 
     def stop(self, grace_s: float) -> None:
-        """Begins no more steps; an order that is out is settled later."""
+        """Begins no more steps.
+
+        An order that is out may take minutes and is not waited for: its
+        record says that it was sent, and whoever reads that settles it.
+        """
         del grace_s
         self._stopping.set()
-        self._pool.shutdown(wait=False, cancel_futures=True)
 
     def dump(self) -> Any:
         """See `kernel.Service`."""
@@ -137,6 +138,8 @@
                 # One that is known keeps its time: it may be waiting.
                 now_s = self._clock.monotonic_s()
                 self._due_s.setdefault(record.upstream, now_s)
+            if record.upstream in self._running:
+                self._changed.add(record.upstream)
 
     def _run_watch(self) -> None:
         while not self._stopping.is_set():
@@ -152,8 +155,9 @@
     def _run_steps(self) -> None:
         while not self._stopping.wait(_TICK_S):
             for name in self.take_due():
-                if not self._stopping.is_set():
-                    self._pool.submit(self._step, name)
+                threading.Thread(
+                    target=self.step, args=(name,), name="order", daemon=True
+                ).start()
             self._metrics.gauge("orders.open", len(self._due_s))
 
     def take_due(self) -> list[str]:
@@ -170,7 +174,8 @@
             self._running.update(taken)
         return taken
 
-    def _step(self, name: str) -> None:
+    def step(self, name: str) -> None:
+        """Steps an engine that `take_due` returned."""
         next_s: float | None = orderer_lib.RETRY_S
         try:
             next_s = self._orderer.step(name)
@@ -178,6 +183,12 @@
             _log.exception("A step failed; it is tried again.")
         with self._lock:
             self._running.discard(name)
+            # An order may have come after the step had read that there is
+            # none; nothing would ever look for it again.
+            is_changed = name in self._changed
+            self._changed.discard(name)
+            if next_s is None and is_changed:
+                next_s = 0.0
             if next_s is None:
                 self._due_s.pop(name, None)
             else:
--- a/packages/daemon/bulrushdeald/orderer.py
+++ b/packages/daemon/bulrushdeald/orderer.py
@@ -90,8 +90,7 @@
         if not self._is_mine(task):
             return RETRY_S
         if not task.is_known:
-            reason = "There is no such engine any more."
-            return _next_s(self._ends.failed(task, reason, None))
+            return self._give_up(task)
         if task.order.state == "sent":
             return self._settle(task)
         if task.order.state == "draining":
@@ -111,6 +110,20 @@
             return True
         return is_picked and not self._membership.is_listed(task.record.vm)
 
+    def _give_up(self, task: ordertasks.Task) -> float:
+        # Until it cannot be on its way, the engine may be fetching weights.
+        left_s = self._left_s(task) if task.order.state == "sent" else 0.0
+        if left_s > 0:
+            return left_s
+        reason = "There is no such engine any more."
+        return _next_s(self._ends.failed(task, reason, None))
+
+    def _left_s(self, task: ordertasks.Task) -> float:
+        """Returns how long a sent order may still be on its way."""
+        now_s = self._clock.monotonic_s()
+        since_s = self._quiet_since_s.setdefault(_sending(task), now_s)
+        return since_s + self._flight_s - now_s
+
     def _begin(self, task: ordertasks.Task) -> float:
         if self._is_late(task):
             reason = task.order.reason or "It could not be begun in time."
@@ -232,9 +245,7 @@
         that does not, the earlier sending may still arrive; nothing is sent
         until it cannot any more.
         """
-        now_s = self._clock.monotonic_s()
-        since_s = self._quiet_since_s.setdefault(_sending(task), now_s)
-        left_s = since_s + self._flight_s - now_s
+        left_s = self._left_s(task)
         is_over = left_s <= 0
         if not is_over and not task.upstream.checks_fencing:
             return left_s
