Orders: serve while waiting for weights, drain again, end in two steps

Cause and change: - A rollout of a version drained all engines and then waited for permits, so for hours nothing would have served the model. A load that has to drain takes its permit first, and an order that the weight store put off lets the engine serve what it still holds. Engines under way are stepped before the thousands that wait. - With that, the state machine found an engine that dropped a model that its row named: an order put off was taken for drained when its turn came again. It is drained anew. - Looked for after that: the row was set before the end of a failed order was stored, so an outage in between sent the order again to a serving engine. That it is failing is stored first. - A restarted VM that is no longer picked left its last run's order open for as long as it was listed. Each VM lists the orders once. - Two threads could change and walk the same dictionary: what a VM keeps of an engine is that engine's alone now.

--- a/packages/daemon/bulrushdeald/modelrecords.py
+++ b/packages/daemon/bulrushdeald/modelrecords.py
@@ -11,7 +11,7 @@
 
 Action = Literal["load", "unload", "role"]
 Role = Literal["", "mixed", "prefill", "decode"]
-OrderState = Literal["waiting", "draining", "sent", "done", "failed"]
+OrderState = Literal["waiting", "draining", "sent", "failing", "done", "failed"]
 
 
 class Loaded(NamedTuple):
@@ -46,7 +46,8 @@
         base: The model that an adapter is loaded beside.
         role: The role, for `role`.
         state: `draining`: the model is out of the engine's row, and the
-            requests that run end. `sent`: it may be on its way.
+            requests that run end. `sent`: it may be on its way. `failing`:
+            it is not sent any more, and its end is being stored.
         reason: Why it failed, or what it waits for.
         fence: The fencing number that it was sent with last.
         accepted_wall_s: When, for people and for the deadline.
--- a/packages/daemon/bulrushdeald/orderends.py
+++ b/packages/daemon/bulrushdeald/orderends.py
@@ -37,19 +37,39 @@
         """Ends an order that the engine's state shows."""
         return self._end(task, "done", "", engine)
 
-    def failed(
-        self,
-        task: ordertasks.Task,
-        reason: str,
-        engine: modelrecords.EngineState | None,
-    ) -> bool:
-        """Ends an order for a reason that operators are shown."""
-        return self._end(task, "failed", reason, engine)
+    def failed(self, task: ordertasks.Task, reason: str) -> bool:
+        """Ends an order for a reason that operators are shown.
+
+        That it failed is stored before the row names the model again. The
+        failure: the end could not be stored, and the order was sent again
+        to an engine that served its model.
+        """
+        failing = task.order._replace(state="failing", reason=reason)
+        stored = self._put(task, failing)
+        return stored is not None and self.finish(stored)
+
+    def finish(self, task: ordertasks.Task) -> bool:
+        """Ends an order that is stored as failing."""
+        engine: modelrecords.EngineState | None = None
+        if task.is_known:
+            engine = self._calls.state(task.upstream).ok()
+        return self._end(task, "failed", task.order.reason, engine)
+
+    def put_off(
+        self, task: ordertasks.Task, waiting: modelrecords.Order
+    ) -> None:
+        """Lets an order wait, and serves what the engine holds meanwhile."""
+        stored = self._put(task, waiting)
+        if stored is not None:
+            state = self._calls.state(stored.upstream)
+            self._bring_row_in_step(stored, state.ok())
 
-    def failed_now(self, task: ordertasks.Task, reason: str) -> bool:
-        """Ends an order after reading what the engine holds."""
-        state = self._calls.state(task.upstream)
-        return self.failed(task, reason, state.ok())
+    def _put(
+        self, task: ordertasks.Task, order: modelrecords.Order
+    ) -> ordertasks.Task | None:
+        if not self._tasks.put(task, order):
+            return None
+        return self._tasks.read_again(task._replace(order=order))
 
     def set_served(
         self,
--- a/packages/daemon/bulrushdeald/orderer.py
+++ b/packages/daemon/bulrushdeald/orderer.py
@@ -6,7 +6,6 @@
 """
 
 import math
-from typing import NamedTuple
 
 import result
 
@@ -19,25 +18,33 @@
 from bulrushdeald import modelrecords
 from bulrushdeald import orderends
 from bulrushdeald import ordertasks
-from bulrushdeald import rendezvous
+from bulrushdeald import ordervms
 from bulrushdeald import services
 
 _log = logs.Log("orders")
 RETRY_S = 2.0
 _DRAIN_POLL_S = 5.0
-# An order lives at most so many timeouts from the write that announced it:
-# one until it is sent, one until its connection is closed, and one for the
-# engine to end what it took in at the last moment.
+# How often it is looked whether another VM's engine is left to this one.
+_OTHERS_S = 10.0
+# From the write that announced it an order lives one timeout until it is
+# sent, one until its connection is closed, and one in the engine.
 FLIGHT_TIMEOUTS = 3
-# Among so many VMs the engines are shared out.
-ORDER_VMS = 4
 
 
-class _Sending(NamedTuple):
-    """A sending, known by its engine and its fencing number."""
+class _Kept:
+    """What one VM remembers of an engine whose orders are under way.
 
-    upstream: str
-    fence: int
+    Attributes:
+        drained_since_s: For each order's number, when its model was taken
+            out of the engine's row.
+        quiet_since_s: For each fencing number, since when its sender is
+            known to send no more; minus infinity if nothing is under way.
+            Both by this VM's own monotonic clock.
+    """
+
+    def __init__(self) -> None:
+        self.drained_since_s: dict[int, float] = {}
+        self.quiet_since_s: dict[int, float] = {}
 
 
 class Orderer:
@@ -69,10 +76,8 @@
         self._ends = ends
         self._metrics = metrics
         self._clock = clock
-        # Since when a sending's orderer is known to send no more, by this
-        # VM's own monotonic clock; minus infinity if nothing is under way.
-        self._quiet_since_s: dict[_Sending, float] = {}
-        self._drained_since_s: dict[tuple[str, int], float] = {}
+        # Engines are stepped on several threads, each engine on one.
+        self._kept: dict[str, _Kept] = {}
 
     def step(self, upstream: str) -> float | None:
         """Brings the engine's first open order one step on.
@@ -85,10 +90,13 @@
             return RETRY_S
         task = read.ok_value
         if task is None:
-            self._forget(upstream)
+            self._kept.pop(upstream, None)
             return None
-        if not self._is_mine(task):
-            return RETRY_S
+        if not ordervms.is_own(self._membership, task):
+            is_order_vm = ordervms.is_order_vm(self._membership)
+            return _OTHERS_S if is_order_vm else None
+        if task.order.state == "failing":
+            return _next_s(self._ends.finish(task))
         if not task.is_known:
             return self._give_up(task)
         if task.order.state == "sent":
@@ -97,18 +105,12 @@
             return self._drain(task)
         return self._begin(task)
 
-    def _is_mine(self, task: ordertasks.Task) -> bool:
-        """Tells whether this VM should act; the writes decide who may."""
-        own = self._membership.own().vm
-        key = modelrecords.key(task.record.upstream)
-        is_picked = rendezvous.pick(key, order_vms(self._membership)) == own
-        if task.order.state != "sent":
-            return is_picked
-        # An order that may be on its way is its sender's to settle, as long
-        # as that VM is listed: the list may lag, but never runs ahead.
-        if task.record.vm == own:
-            return True
-        return is_picked and not self._membership.is_listed(task.record.vm)
+    def is_under_way(self, upstream: str) -> bool:
+        """Tells whether an engine is drained or ordered by this VM now."""
+        return upstream in self._kept
+
+    def _keep(self, task: ordertasks.Task) -> _Kept:
+        return self._kept.setdefault(task.record.upstream, _Kept())
 
     def _give_up(self, task: ordertasks.Task) -> float:
         # Until it cannot be on its way, the engine may be fetching weights.
@@ -116,18 +118,19 @@
         if left_s > 0:
             return left_s
         reason = "There is no such engine any more."
-        return _next_s(self._ends.failed(task, reason, None))
+        return _next_s(self._ends.failed(task, reason))
 
     def _left_s(self, task: ordertasks.Task) -> float:
         """Returns how long a sent order may still be on its way."""
         now_s = self._clock.monotonic_s()
-        since_s = self._quiet_since_s.setdefault(_sending(task), now_s)
+        quiet = self._keep(task).quiet_since_s
+        since_s = quiet.setdefault(task.record.fence, now_s)
         return since_s + self._flight_s - now_s
 
     def _begin(self, task: ordertasks.Task) -> float:
         if self._is_late(task):
             reason = task.order.reason or "It could not be begun in time."
-            return _next_s(self._ends.failed_now(task, reason))
+            return _next_s(self._ends.failed(task, reason))
         state = self._calls.state(task.upstream)
         if isinstance(state, result.Err):
             return self._note(task, state.err_value.message)
@@ -140,6 +143,13 @@
         is_served = task.order.model in held | set(task.upstream.models)
         if task.order.action == "role" or not is_served:
             return self._send(task)
+        # Before the drain: in a rollout to all engines those that wait for
+        # weights go on serving, and only as many as may fetch are out.
+        wait = self._take_permit(task)
+        if wait is not None:
+            return wait.retry_s
+        # One that was put off was drained before, and served again since.
+        self._kept.pop(task.record.upstream, None)
         draining = task.order._replace(state="draining", reason="")
         return _next_s(self._tasks.put(task, draining, engine))
 
@@ -150,12 +160,13 @@
         callers see their answers cut. The state `draining` is stored before
         the row is changed, so a successor drains too.
         """
-        key = (task.record.upstream, task.order.number)
-        if key not in self._drained_since_s:
+        number = task.order.number
+        drained = self._keep(task).drained_since_s
+        if number not in drained:
             if not self._ends.set_served(task, task.names, False):
                 return RETRY_S
-            self._drained_since_s[key] = self._clock.monotonic_s()
-        elapsed_s = self._clock.monotonic_s() - self._drained_since_s[key]
+            drained[number] = self._clock.monotonic_s()
+        elapsed_s = self._clock.monotonic_s() - drained[number]
         # Until the row is in force everywhere, VMs go on sending.
         if elapsed_s < self._settle_s:
             return self._settle_s - elapsed_s
@@ -168,12 +179,10 @@
     def _send(self, task: ordertasks.Task) -> float:
         if self._is_late(task):
             reason = task.order.reason or "It could not be sent in time."
-            return _next_s(self._ends.failed_now(task, reason))
-        if task.order.action == "load":
-            permit = self._permits.take(task.record.upstream)
-            if isinstance(permit, result.Err):
-                self._note(task, permit.err_value.reason)
-                return permit.err_value.retry_s
+            return _next_s(self._ends.failed(task, reason))
+        wait = self._take_permit(task)
+        if wait is not None:
+            return wait.retry_s
         began_s = self._clock.monotonic_s()
         own = self._membership.own().vm
         sent = self._tasks.announce(task, own, self._membership.incarnation())
@@ -186,12 +195,21 @@
         is_current = self._tasks.is_same_turn(sent)
         elapsed_s = self._clock.monotonic_s() - began_s
         if not is_current or elapsed_s >= self._timeout_s:
-            self._quiet_since_s[_sending(sent)] = -math.inf
+            self._keep(sent).quiet_since_s[sent.record.fence] = -math.inf
             return RETRY_S
         self._metrics.increment("orders.sent")
         answer = self._calls.order(sent.upstream, sent.order, self._timeout_s)
         return self._take_answer(sent, answer)
 
+    def _take_permit(self, task: ordertasks.Task) -> fetchpermits.Wait | None:
+        if task.order.action != "load":
+            return None
+        permit = self._permits.take(task.record.upstream)
+        if isinstance(permit, result.Ok):
+            return None
+        self._note(task, permit.err_value.reason)
+        return permit.err_value
+
     def _take_answer(
         self,
         sent: ordertasks.Task,
@@ -201,7 +219,7 @@
     ) -> float:
         is_unknown = answer.is_err() and answer.unwrap_err().kind == "unknown"
         since_s = self._clock.monotonic_s() if is_unknown else -math.inf
-        self._quiet_since_s[_sending(sent)] = since_s
+        self._keep(sent).quiet_since_s[sent.record.fence] = since_s
         task = self._tasks.read_again(sent)
         if isinstance(answer, result.Ok):
             if task is None:
@@ -216,7 +234,7 @@
         if error.kind == "later":
             return self._put_off(task, error)
         if error.kind in ("refused", "fenced"):
-            return _next_s(self._ends.failed_now(task, error.message))
+            return _next_s(self._ends.failed(task, error.message))
         return RETRY_S
 
     def _judge(
@@ -225,7 +243,7 @@
         if modelrecords.shows(engine, task.order):
             return _next_s(self._ends.done(task, engine))
         reason = "The engine agreed and yet does not hold it."
-        return _next_s(self._ends.failed(task, reason, engine))
+        return _next_s(self._ends.failed(task, reason))
 
     def _put_off(
         self, task: ordertasks.Task, error: enginecalls.EngineError
@@ -234,7 +252,7 @@
         self._metrics.increment("orders.put_off")
         self._permits.release(task.record.upstream, error.retry_after_s)
         waiting = task.order._replace(state="waiting", reason=error.message)
-        self._tasks.put(task, waiting)
+        self._ends.put_off(task, waiting)
         return max(error.retry_after_s, RETRY_S)
 
     def _settle(self, task: ordertasks.Task) -> float:
@@ -255,7 +273,7 @@
             if not (is_over and self._is_late(task)):
                 return self._note(task, reason)
             reason = f"It is unknown whether it was carried out: {reason}"
-            return _next_s(self._ends.failed(task, reason, None))
+            return _next_s(self._ends.failed(task, reason))
         engine = state.ok_value
         if modelrecords.shows(engine, task.order):
             return _next_s(self._ends.done(task, engine))
@@ -265,7 +283,7 @@
         if not is_over:
             return left_s
         reason = "It was not carried out in time."
-        return _next_s(self._ends.failed(task, reason, engine))
+        return _next_s(self._ends.failed(task, reason))
 
     def _note(self, task: ordertasks.Task, reason: str) -> float:
         """Shows operators what an order waits for, once for each reason."""
@@ -277,23 +295,6 @@
         age_s = self._clock.wall_s() - task.order.accepted_wall_s
         return age_s > self._deadline_s
 
-    def _forget(self, upstream: str) -> None:
-        """Drops what was kept for an engine's orders, all ended."""
-        for drained in [k for k in self._drained_since_s if k[0] == upstream]:
-            del self._drained_since_s[drained]
-        for sending in [k for k in self._quiet_since_s if k[0] == upstream]:
-            del self._quiet_since_s[sending]
-
-
-def order_vms(membership: services.Membership) -> tuple[str, ...]:
-    """Returns the VMs that order engines, as this VM sees them."""
-    names = [row.vm for row in membership.entry_vms() if row.state == "live"]
-    return tuple(rendezvous.rank(modelrecords.PREFIX, names)[:ORDER_VMS])
-
-
-def _sending(task: ordertasks.Task) -> _Sending:
-    return _Sending(task.record.upstream, task.record.fence)
-
 
 def _next_s(is_done: bool) -> float:
     return 0.0 if is_done else RETRY_S
