Orders: test what a VM lists, with the guards taken out

Change: the decision stands in `watch_once`, which the test calls; it fails with the guard out. So does the listing anew of a VM that is picked later.

--- a/packages/daemon/bulrushdeald/modelorders.py
+++ b/packages/daemon/bulrushdeald/modelorders.py
@@ -114,6 +114,15 @@
 
     def watch_once(self, timeout_s: float) -> bool:
         """Learns which engines have open orders; false if it cannot."""
+        is_order_vm = ordervms.is_order_vm(self._membership)
+        if is_order_vm and not self._was_order_vm:
+            # Orders that did not change since are no news to a watch.
+            self._has_listed = False
+        self._was_order_vm = is_order_vm
+        # Each VM lists once: what its last run had sent is its to settle,
+        # also if it is no longer one of those that order.
+        if not is_order_vm and self._has_listed:
+            return True
         if not self._has_listed:
             entries = self._keyvalue.list(modelrecords.PREFIX)
         else:
@@ -145,16 +154,7 @@
 
     def _run_watch(self) -> None:
         while not self._stopping.is_set():
-            is_order_vm = ordervms.is_order_vm(self._membership)
-            if is_order_vm and not self._was_order_vm:
-                # Orders that did not change since are no news to a watch.
-                self._has_listed = False
-            self._was_order_vm = is_order_vm
-            is_ok = True
-            # Each VM lists once: what its last run had sent is its to
-            # settle, also if it is no longer one of those that order.
-            if is_order_vm or not self._has_listed:
-                is_ok = self.watch_once(_WATCH_S)
+            is_ok = self.watch_once(_WATCH_S)
             self._stopping.wait(_WATCH_GAP_S if is_ok else _RETRY_S)
 
     def _run_steps(self) -> None:
--- a/tests/daemon/test_modelorders.py
+++ b/tests/daemon/test_modelorders.py
@@ -48,6 +48,24 @@
     """Unwinds a step in the place of a VM that never comes back."""
 
 
+class OneVm:
+    """A kernel in which a VM that takes orders finds its services."""
+
+    def __init__(
+        self, site: orderfakes.Site, vm: orderfakes.OrderVm | None = None
+    ) -> None:
+        own = vm or site.vms[0]
+        self._found: dict[str, Any] = {
+            services.KEYVALUE: own.keyvalue,
+            services.MEMBERSHIP: own.membership,
+            services.CONFIG: orderfakes.FakeConfig(site),
+            services.OPERATORS: batchfakes.FakeRest(),
+        }
+
+    def find(self, name: str, kind: Any) -> Any:
+        return self._found.get(name)
+
+
 @pytest.mark.parametrize("checks_fencing", [True, False])
 @pytest.mark.parametrize(
     ("moment", "clock_stands"), [(9, False), (8, False), (8, True)]
@@ -440,11 +458,24 @@
     outside = next(vm for vm in site.vms if vm.name not in names)
     site.hand_over("e0", outside.name)
     outside.restart()
-    assert outside.step("e0") is not None
+    kernel: Any = OneVm(site, outside)
+    service = modelorders.ModelOrders(kernel, pathfakes.settings(), site.clock)
+    service.attach(orderfakes.FakeCalls(site))
+    assert service.watch_once(0.0)
+    assert service.take_due() == ["e0"]
+    service.step("e0")
     assert site.last("e0").state == "done"
-    # What is another's, it leaves alone.
+    # What is another's, it leaves alone until it is picked itself.
     site.accept("e0", **UNLOAD)
-    assert outside.step("e0") is None
+    service = modelorders.ModelOrders(kernel, pathfakes.settings(), site.clock)
+    service.attach(orderfakes.FakeCalls(site))
+    assert service.watch_once(0.0)
+    assert service.take_due() == ["e0"]
+    service.step("e0")
+    assert service.take_due() == []
+    site.listed = {outside.name}
+    assert service.watch_once(0.0)
+    assert service.take_due() == ["e0"]
 
 
 def test_calls_at_the_platform_of_one_order() -> None:
@@ -459,21 +490,6 @@
         assert made == (reads, writes)
 
 
-class OneVm:
-    """A kernel in which a VM that takes orders finds its services."""
-
-    def __init__(self, site: orderfakes.Site) -> None:
-        self._found: dict[str, Any] = {
-            services.KEYVALUE: site.vms[0].keyvalue,
-            services.MEMBERSHIP: site.vms[0].membership,
-            services.CONFIG: orderfakes.FakeConfig(site),
-            services.OPERATORS: batchfakes.FakeRest(),
-        }
-
-    def find(self, name: str, kind: Any) -> Any:
-        return self._found.get(name)
-
-
 def test_rollout_steps_few_engines_at_once_the_longest_due_first() -> None:
     # An operator loads a version on all engines. Each step reads at the
     # platform, which 6,400 engines stepped at once would overload.
