Orders: an unreadable record is reported once, not at each watch

Cause: the watch went on from the revision of the last record that could be read, so an unreadable one was returned, and logged, every second.

Change: the revision counts whether the record can be read or not.

--- a/packages/daemon/bulrushdeald/modelorders.py
+++ b/packages/daemon/bulrushdeald/modelorders.py
@@ -133,6 +133,8 @@
             return False
         self._has_listed = True
         for entry in entries.ok_value:
+            revision = max(self._watched_revision, entry.revision)
+            self._watched_revision = revision
             self._learn(entry)
         return True
 
@@ -143,8 +145,6 @@
             _log.error("Orders %s are unreadable: %s.", entry.key, error)
             return
         with self._lock:
-            revision = max(self._watched_revision, entry.revision)
-            self._watched_revision = revision
             if record.first_open is not None:
                 # One that is known keeps its time: it may be waiting.
                 now_s = self._clock.monotonic_s()
