Test that an unload cuts no stream, over real processes

Cause: the drain was tested with a count of requests, not with streams, and the stand-in engine went on streaming from a model that it had dropped.

Change: it drops such streams, as an engine would; two callers stream while their model is unloaded everywhere, and get whole answers.

--- a/packages/standins/standins/engine.py
+++ b/packages/standins/standins/engine.py
@@ -258,7 +258,9 @@
         }
         exchange.wait(self._timing.prefill_s + prefill_s)
         shape = _Shape(exchange.path == CHAT_PATH, str(call["model"]))
-        tokens = self._tokens_in_time(exchange, words(prompt, count), made)
+        tokens = self._tokens_in_time(
+            exchange, words(prompt, count), made, shape.model
+        )
         if not call.get("stream"):
             text = "".join(tokens)
             exchange.answer_json(200, shape.whole(text, usage))
@@ -268,12 +270,20 @@
         _stream(exchange, shape, tokens, last)
 
     def _tokens_in_time(
-        self, exchange: web.Exchange, answer: list[str], made: int
+        self,
+        exchange: web.Exchange,
+        answer: list[str],
+        made: int,
+        model: str,
     ) -> Iterator[str]:
         yield from answer[:made]
         due_s = time.monotonic()
         for number, word in enumerate(answer[made:], made + 1):
             yield word
+            if model not in self.desk.names():
+                # A model that is dropped takes its streams with it.
+                self.count("cut")
+                exchange.drop()
             # Reading a number needs no lock; an old one does no harm.
             self._tokens += 1
             due_s += (
@@ -302,7 +312,7 @@
 
     def __init__(self, is_chat: bool, model: str) -> None:
         self._is_chat = is_chat
-        self._model = model
+        self.model = model
 
     def whole(self, text: str, usage: dict[str, Any]) -> dict[str, Any]:
         """Returns a whole answer."""
@@ -336,7 +346,7 @@
             "id": "run-1",
             "object": kind or "text_completion",
             "created": int(time.time()),
-            "model": self._model,
+            "model": self.model,
             "choices": choices,
         }
         if usage is not None:
--- a/tests/process/test_orders.py
+++ b/tests/process/test_orders.py
@@ -11,7 +11,7 @@
 
 QUICK = {
     "order-settle-s": "1",
-    "order-drain-s": "2",
+    "order-drain-s": "30",
     "order-timeout-s": "20",
     "weight-fetches": "1",
 }
@@ -49,7 +49,8 @@
     # An operator loads a model on three engines; the weight store serves one
     # fetch at a time and never has to refuse. Callers use the new model when
     # the orders are done. Once it is unloaded they are told that there is no
-    # such model, and the engines' other model is served all the time.
+    # such model, and the engines' other model is served all the time. That
+    # is unloaded last, while callers stream from it; no stream is cut.
     store = weights.WeightStore(limits=weights.Limits(1, 0.3))
     store.start()
     arguments = ["--weights", store.address]
@@ -73,4 +74,19 @@
         wait_done(deployment, 6)
         assert ask(system, "quiz") == [404, 404]
         assert ask(system, "textbook") == [200, 200]
+        # Some 3 s long: the orders come while they run, and cut none.
+        streams = [
+            system.stream(daemon, f"book {daemon.vm}", 300)
+            for daemon in system.daemons
+        ]
+        for stream in streams:
+            fleet_lib.poll(stream.has_begun, WAIT_S, "the stream has begun")
+        for name in ENGINES:
+            deployment.check(
+                deployment.operate("upstream", "unload", name, "textbook")
+            )
+        for stream in streams:
+            stream.check()
+        wait_done(deployment, 9)
+        assert ask(system, "textbook") == [404, 404]
     store.stop()
