Orders: a drain is known by its order and its last fencing number

Ruled out: forgetting the drain where it begins, as before; the VM that begins it anew may be another one.

Change: what a VM remembers of a drain is kept under the order's number and the fencing number, which each sending raises. What a VM remembers has a module of its own.

--- a/packages/daemon/bulrushdeald/orderer.py
+++ b/packages/daemon/bulrushdeald/orderer.py
@@ -17,6 +17,7 @@
 from bulrushdeald import fetchpermits
 from bulrushdeald import modelrecords
 from bulrushdeald import orderends
+from bulrushdeald import ordermemory
 from bulrushdeald import ordertasks
 from bulrushdeald import ordervms
 from bulrushdeald import services
@@ -31,22 +32,6 @@
 FLIGHT_TIMEOUTS = 3
 
 
-class _Kept:
-    """What one VM remembers of an engine whose orders are under way.
-
-    Attributes:
-        drained_since_s: For each order's number, when its model was taken
-            out of the engine's row.
-        quiet_since_s: For each fencing number, since when its sender is
-            known to send no more; minus infinity if nothing is under way.
-            Both by this VM's own monotonic clock.
-    """
-
-    def __init__(self) -> None:
-        self.drained_since_s: dict[int, float] = {}
-        self.quiet_since_s: dict[int, float] = {}
-
-
 class Orderer:
     """Steps the orders of engines for one VM; keeps nothing that must last.
 
@@ -77,7 +62,7 @@
         self._metrics = metrics
         self._clock = clock
         # Engines are stepped on several threads, each engine on one.
-        self._kept: dict[str, _Kept] = {}
+        self._kept: dict[str, ordermemory.Kept] = {}
 
     def step(self, upstream: str) -> float | None:
         """Brings the engine's first open order one step on.
@@ -109,8 +94,8 @@
         """Tells whether an engine is drained or ordered by this VM now."""
         return upstream in self._kept
 
-    def _keep(self, task: ordertasks.Task) -> _Kept:
-        return self._kept.setdefault(task.record.upstream, _Kept())
+    def _keep(self, task: ordertasks.Task) -> ordermemory.Kept:
+        return self._kept.setdefault(task.record.upstream, ordermemory.Kept())
 
     def _give_up(self, task: ordertasks.Task) -> float:
         # Until it cannot be on its way, the engine may be fetching weights.
@@ -148,8 +133,6 @@
         wait = self._take_permit(task)
         if wait is not None:
             return wait.retry_s
-        # One that was put off was drained before, and served again since.
-        self._kept.pop(task.record.upstream, None)
         draining = task.order._replace(state="draining", reason="")
         return _next_s(self._tasks.put(task, draining, engine))
 
@@ -160,13 +143,15 @@
         callers see their answers cut. The state `draining` is stored before
         the row is changed, so a successor drains too.
         """
-        number = task.order.number
+        # Put off and served again, an order is drained anew, perhaps by
+        # another VM meanwhile; the number of the last sending tells.
+        draining = ordermemory.Draining(task.order.number, task.record.fence)
         drained = self._keep(task).drained_since_s
-        if number not in drained:
+        if draining not in drained:
             if not self._ends.set_served(task, task.names, False):
                 return RETRY_S
-            drained[number] = self._clock.monotonic_s()
-        elapsed_s = self._clock.monotonic_s() - drained[number]
+            drained[draining] = self._clock.monotonic_s()
+        elapsed_s = self._clock.monotonic_s() - drained[draining]
         # Until the row is in force everywhere, VMs go on sending.
         if elapsed_s < self._settle_s:
             return self._settle_s - elapsed_s
--- a/tests/daemon/test_modelorders.py
+++ b/tests/daemon/test_modelorders.py
@@ -356,6 +356,31 @@
     assert site.last("e0").state == "done"
 
 
+def test_vm_that_drained_before_drains_again_after_another() -> None:
+    # A VM has drained an engine when another takes over, which is put off,
+    # so the model is served again. The first VM takes over in turn, while
+    # the order is to be drained the second time. It must not think that it
+    # has drained it: the engine would drop a model that callers use.
+    site = orderfakes.Site(True, 1, 2)
+    site.accept("e0", **UNLOAD)
+    first = site.picked_for("e0")
+    other = next(vm for vm in site.vms if vm is not first)
+    first.step("e0")
+    first.step("e0")
+    first.is_frozen = True
+    site.unlist(first.name)
+    site.engines["e0"].fate = "busy"
+    while not site.record("e0").fence or site.last("e0").state != "draining":
+        site.advance(1.0)
+        other.step("e0")
+    assert site.stored_row(site.engines["e0"].row).models == ("base",)
+    other.is_frozen = True
+    first.is_frozen = False
+    site.listed = {first.name}
+    site.run(60.0)
+    assert site.last("e0").state == "done"
+
+
 def test_refused_unload_serves_the_model_again() -> None:
     site = orderfakes.Site(True, 1, 1)
     site.engines["e0"].fate = "refused"
