--- a/packages/standins/standins/engine.py
+++ b/packages/standins/standins/engine.py
@@ -13,6 +13,7 @@
 import time
 from typing import Any, NamedTuple
 
+from standins import orderdesk
 from standins import web
 
 CHAT_PATH = "/v1/chat/completions"
@@ -143,10 +144,13 @@
         name: str = "engine",
         models: tuple[str, ...] = ("textbook",),
         timing: Timing | None = None,
+        desk: orderdesk.DeskSettings | None = None,
     ) -> None:
         super().__init__(address)
         self._name = name
-        self._models = models
+        self.desk = orderdesk.OrderDesk(
+            models, desk or orderdesk.DeskSettings()
+        )
         self._timing = timing or Timing()
         self._cache = PrefixCache(self._timing.cache_blocks)
         self._paused = PausedStreams(self._timing.paused_streams)
@@ -164,9 +168,13 @@
             exchange.answer_json(200, self.load())
             return
         if exchange.path == "/v1/models":
-            data = [{"id": name, "object": "model"} for name in self._models]
+            names = self.desk.names()
+            data = [{"id": name, "object": "model"} for name in names]
             exchange.answer_json(200, {"object": "list", "data": data})
             return
+        if exchange.path in (orderdesk.STATE_PATH, orderdesk.ORDERS_PATH):
+            self.desk.serve(exchange)
+            return
         if exchange.path not in (CHAT_PATH, TEXT_PATH):
             exchange.answer_json(404, {"error": {"message": "no such path"}})
             return
@@ -175,7 +183,7 @@
         except ValueError:
             exchange.answer_json(400, {"error": {"message": "not JSON"}})
             return
-        if call.get("model") not in self._models:
+        if call.get("model") not in self.desk.names():
             exchange.answer_json(404, {"error": {"message": "no such model"}})
             return
         self._run(exchange, call)
@@ -268,7 +276,9 @@
         }
         exchange.wait(self._timing.prefill_s + prefill_s)
         shape = _Shape(exchange.path == CHAT_PATH, str(call["model"]))
-        tokens = self._tokens_in_time(exchange, words(prompt, count), made)
+        tokens = self._tokens_in_time(
+            exchange, words(prompt, count), made, shape.model
+        )
         if not call.get("stream"):
             text = "".join(token.text for token in tokens)
             exchange.answer_json(200, shape.whole(text, usage))
@@ -278,13 +288,21 @@
         _stream(exchange, shape, tokens, last, bool(self._timing.stamps))
 
     def _tokens_in_time(
-        self, exchange: web.Exchange, answer: list[str], made: int
+        self,
+        exchange: web.Exchange,
+        answer: list[str],
+        made: int,
+        model: str,
     ) -> Iterator[Token]:
         due_s = time.monotonic()
         for word in answer[:made]:
             yield Token(word, due_s)
         for number, word in enumerate(answer[made:], made + 1):
             yield Token(word, due_s)
+            if model not in self.desk.names():
+                # A model that is dropped takes its streams with it.
+                self.count("cut")
+                exchange.drop()
             # Reading a number needs no lock; an old one does no harm.
             self._tokens += 1
             due_s += (
@@ -313,7 +331,7 @@
 
     def __init__(self, is_chat: bool, model: str) -> None:
         self._is_chat = is_chat
-        self._model = model
+        self.model = model
 
     def whole(self, text: str, usage: dict[str, Any]) -> dict[str, Any]:
         """Returns a whole answer."""
@@ -347,7 +365,7 @@
             "id": "run-1",
             "object": kind or "text_completion",
             "created": int(time.time()),
-            "model": self._model,
+            "model": self.model,
             "choices": choices,
         }
         if usage is not None:
@@ -387,18 +405,25 @@
     parser.add_argument("--address", default="127.0.0.1:0")
     parser.add_argument("--name", default="engine")
     parser.add_argument("--models", default="textbook", help="with commas")
-    for field, default in Timing()._asdict().items():
+    defaults = {
+        **Timing()._asdict(),
+        **orderdesk.DeskSettings()._asdict(),
+    }
+    for field, default in defaults.items():
         parser.add_argument(
             "--" + field.replace("_", "-"), type=type(default), default=default
         )
     flags = vars(parser.parse_args())
     timing = Timing(*(flags[field] for field in Timing._fields))
+    desk_fields = orderdesk.DeskSettings._fields
+    desk = orderdesk.DeskSettings(*(flags[field] for field in desk_fields))
     web.run(
         lambda: Engine(
             flags["address"],
             flags["name"],
             tuple(flags["models"].split(",")),
             timing,
+            desk,
         )
     )
 
