Leave free slots to requests that wait at other VMs

Cause: a VM with a backlog filled each slot that it gave back with its own next request, so a customer whose only request waited at another VM came after the whole backlog (tests/daemon/test_vmqueues.py, a known red test). Ruled out: the fair queue itself, which orders what waits at one VM.

Change: VMs tell owners what waits and hear what waits elsewhere; one that runs its part of an upstream's slots leaves a free one to the others.

--- a/packages/daemon/bulrushdeald/fairqueue.py
+++ b/packages/daemon/bulrushdeald/fairqueue.py
@@ -50,6 +50,10 @@
         """Returns how many items leave until a customer's next one has."""
         return (self.queued(customer) + 1) / self.share(customer, weight)
 
+    def weight(self) -> float:
+        """Returns the weight of the customers who wait, together."""
+        return sum(self._weights.values())
+
     def push(self, customer: str, weight: float, cost: float, item: T) -> int:
         """Adds an item and returns the ticket to remove it by."""
         start = max(self._virtual_time, self._finish.get(customer, 0.0))
--- a/packages/daemon/bulrushdeald/placement.py
+++ b/packages/daemon/bulrushdeald/placement.py
@@ -12,6 +12,7 @@
 from bulrushdeald import loadpoll
 from bulrushdeald import services
 from bulrushdeald import topology as topology_lib
+from bulrushdeald import waits as waits_lib
 
 
 class _Sources(NamedTuple):
@@ -47,6 +48,7 @@
         self.health = health_lib.Health(clock)
         self.inflight = inflight_lib.Inflight(clock)
         self.batch = batch
+        self._waits: waits_lib.Waits | None = None
 
     def connect(
         self, config: services.Config, membership: services.Membership
@@ -57,6 +59,10 @@
         self._own = membership.own()
         config.on_change(self._note_change)
 
+    def heed(self, waits: waits_lib.Waits) -> None:
+        """Leaves slots to what waits elsewhere from now on."""
+        self._waits = waits
+
     def _note_change(self) -> None:
         self._is_stale = True
 
@@ -122,14 +128,24 @@
         return self.inflight.estimate(name, owner, self._own.vm)
 
     def online(
-        self, work: services.Work, is_suspect: bool
+        self, work: services.Work, is_suspect: bool, weight: float = 1.0
     ) -> records.Upstream | None:
         """Returns where an online request goes now, if there is room.
 
         The own failure domain comes first; others take what it cannot.
+
+        Args:
+            work: The request.
+            is_suspect: Whether it ran when an upstream crashed before.
+            weight: Of the customers who wait for the same here.
         """
         serving = self.serving(work)
-        candidates = self._with_room(serving.near, is_suspect)
+        pool = work.model or work.service
+        candidates = [
+            candidate
+            for candidate in self._with_room(serving.near, is_suspect)
+            if not self._is_left(candidate, pool, weight)
+        ]
         if not candidates:
             candidates = self._with_room(serving.far, is_suspect)
         if not candidates:
@@ -150,12 +166,37 @@
                 )
         return found
 
+    def _others(
+        self, upstream: records.Upstream, pool: str
+    ) -> waits_lib.Waiting:
+        if self._waits is None:
+            return waits_lib.Waiting(pool, 0, 0.0)
+        owner = self.topology().owners.of(upstream.upstream)
+        return self._waits.others(owner, self._own.vm, pool)
+
+    def _is_left(
+        self, candidate: choice.Candidate, pool: str, weight: float
+    ) -> bool:
+        upstream = candidate.upstream
+        return waits_lib.is_left(
+            upstream,
+            self.inflight.own_online(upstream.upstream),
+            upstream.slots - candidate.online,
+            weight,
+            self._others(upstream, pool),
+        )
+
     def free_batch_slots(self, upstream: records.Upstream) -> int:
         """Returns how many more batch items may run on an upstream."""
         if upstream.upstream not in self.topology().owned:
             return 0
         online = self.inflight.total_online(upstream.upstream)
         allowed = self.batch.allowed(upstream, online)
+        # A slot that another VM's online request waits for is not idle.
+        allowed -= max(
+            self._others(upstream, pool).requests
+            for pool in (*upstream.models, upstream.service)
+        )
         return max(0, allowed - self.batch.running(upstream.upstream))
 
     def batch_item(
--- a/packages/daemon/bulrushdeald/queues.py
+++ b/packages/daemon/bulrushdeald/queues.py
@@ -19,6 +19,9 @@
     def turns(self, customer: str, weight: float) -> float:
         """Returns how many items leave until a customer's next one has."""
 
+    def weight(self) -> float:
+        """Returns the weight of the customers who wait, together."""
+
     def push(self, customer: str, weight: float, cost: float, item: T) -> int:
         """Adds an item and returns the ticket to remove it by."""
 
@@ -48,6 +51,10 @@
         del customer, weight
         return len(self._items) + 1.0
 
+    def weight(self) -> float:
+        """See `Queue`; here each request counts as much as any other."""
+        return float(len(self._items))
+
     def push(self, customer: str, weight: float, cost: float, item: T) -> int:
         """See `Queue`."""
         del customer, weight, cost
--- a/packages/daemon/bulrushdeald/router.py
+++ b/packages/daemon/bulrushdeald/router.py
@@ -30,6 +30,8 @@
 from bulrushdeald import services
 from bulrushdeald import slots
 from bulrushdeald import topology as topology_lib
+from bulrushdeald import waitreports
+from bulrushdeald import waits as waits_lib
 
 # How long an online request waits for a slot at most; a longer wait is worse
 # for its caller than being told at once when to come back.
@@ -65,6 +67,7 @@
             ),
             self._clock,
         )
+        self._waits = waits_lib.Waits(self._clock, self._waiting)
         self._polls = loadpoll.LoadPolls(self)
         self._counters: dict[str, int] = {}
 
@@ -75,6 +78,10 @@
         membership = find(services.MEMBERSHIP, services.Membership)
         peers = find(services.PEERS, services.Peers)
         self._placement.connect(self._config, membership)
+        self._placement.heed(self._waits)
+        self._wait_reports = waitreports.WaitReports(
+            peers, self._waits, self._lock, self
+        )
         self._notices = crashnotices.CrashNotices(
             peers, membership, self._quarantine, self._lock
         )
@@ -83,6 +90,7 @@
         )
         self._notices.start()
         self._reports.start()
+        self._wait_reports.start()
         self._polls.start()
         self._config.on_change(self.wake)
 
@@ -90,6 +98,7 @@
         """Ends the reports; slots in use stay valid."""
         del grace_s
         self._polls.stop()
+        self._wait_reports.stop()
         self._reports.stop()
         self._notices.stop()
 
@@ -123,9 +132,23 @@
             self.send_report_to(owner)
 
     def send_report_to(self, owner: str) -> None:
-        """Tells one owner what runs here."""
+        """Tells one owner what waits and what runs here."""
+        self._wait_reports.send(owner)
         self._reports.send(owner)
 
+    def ask_counts(self, owner: str) -> None:
+        """Has an owner asked for its counts soon."""
+        with self._lock:
+            self._reports.changed(owner, is_urgent=True)
+
+    def _waiting(self) -> tuple[waits_lib.Waiting, ...]:
+        """Returns what online requests wait for; called with the lock."""
+        return tuple(
+            waits_lib.Waiting(name, len(pool.online), pool.online.weight())
+            for name, pool in self._pools.items()
+            if pool.online
+        )
+
     def topology(self) -> topology_lib.Topology:
         """Returns who serves what and who owns which upstream."""
         return self._placement.topology()
@@ -223,7 +246,9 @@
         if work.work_class == "batch":
             upstream = self._placement.batch_item(work, is_suspect)
         else:
-            upstream = self._placement.online(work, is_suspect)
+            upstream = self._placement.online(
+                work, is_suspect, self._weight(work)
+            )
         if upstream is None:
             return None
         running = self._placement.take(work, upstream, is_suspect)
@@ -233,6 +258,12 @@
         now_s = self._clock.monotonic_s()
         return slots.Slot(self, work, upstream, running, now_s, is_suspect)
 
+    def _weight(self, work: services.Work) -> float:
+        """Returns the weight of who waits here, or of who asks first."""
+        row = self._config.customer(work.customer) or records.Customer("")
+        pool = self._pool(work.model or work.service)
+        return max(row.weight, pool.online.weight())
+
     def _changed(self, upstream: records.Upstream, is_urgent: bool) -> None:
         """Tells the owner of an upstream, or acts as the owner."""
         topology = self.topology()
@@ -281,6 +312,8 @@
         waiter = slots.Waiter(work, self._lock)
         queue = pool.queue(work)
         ticket = queue.push(work.customer, weight, work.expected_tokens, waiter)
+        if work.work_class == "online":
+            self._wait_reports.began()
         until_s = self._clock.monotonic_s() + longest_s
         while waiter.slot is None and waiter.refusal is None:
             left_s = until_s - self._clock.monotonic_s()
