--- a/tests/support/mixedfleet.py
+++ b/tests/support/mixedfleet.py
@@ -115,6 +115,17 @@
         self.keys[secret] = customer
         return records.Key(config.hash_key(secret), customer, "")
 
+    def store_pages(self, rows: tuple[records.Customer, ...]) -> None:
+        """Stores the upstreams, and the customers with a key each."""
+        stored = {"config/upstreams": pages.Page(upstreams=mixedupstreams.ROWS)}
+        for row in rows:
+            name = pages.customer_key(row.customer)
+            page = stored.get(name, pages.Page())
+            keys = (*page.keys, self.new_key(row.customer))
+            stored[name] = pages.Page((*page.customers, row), keys)
+        for name, page in stored.items():
+            self.keyvalue.put(name, pages.encode(page), 0)
+
     def edit(
         self, vm: mixedvm.MixedVm, customer: str, rewrite: edits.Rewrite
     ) -> str:
