--- a/tests/daemon/test_mixed.py
+++ b/tests/daemon/test_mixed.py
@@ -6,6 +6,17 @@
 answer, a withdrawn key work again, more served than the row allows, or an
 item that never completes. Cause: guards that each hold alone rest on each
 other when two things fail at once, or one fails twice.
+
+Trials with one guard taken out, on scratch copies. It failed without: the
+claim of an intent before sending, and its compare-and-swap ("a booking ran
+twice"); the rule that only idempotent calls are tried again (the same);
+"unknown" as a final outcome (VMs disagree); the end of open answers, or the
+refusal, of a withdrawn key; the leaving mark of upstreams ("got work"); the
+tokens' leaving the owner's bucket ("admitted over the row"); later revisions
+only. Depending on the seeds it failed without: what ran of earlier tries,
+quarantine, copies made after a disk's loss. It did not without: the base of
+a change, the epoch of credit, room for a lost owner's credit, the revision
+of an older claim, asking a peer before giving up. Those have own tests.
 """
 
 from typing import Any
