--- a/tests/daemon/test_mixed.py
+++ b/tests/daemon/test_mixed.py
@@ -14,9 +14,11 @@
 refusal, of a withdrawn key; the leaving mark of upstreams ("got work"); the
 tokens' leaving the owner's bucket ("admitted over the row"); later revisions
 only. Depending on the seeds it failed without: what ran of earlier tries,
-quarantine, copies made after a disk's loss. It did not without: the base of
-a change, the epoch of credit, room for a lost owner's credit, the revision
-of an older claim, asking a peer before giving up. Those have own tests.
+quarantine, copies made after a disk's loss, stalled chunks given back,
+messages for credit taken once. It never did without: the base of a change,
+the epoch of credit, its void after a drop, what holders report, room for a
+lost owner's credit, the revision of an older claim, the list of VMs asked
+before an intent is given up.
 """
 
 from typing import Any
