--- a/packages/bench/bench/limitcost.py
+++ b/packages/bench/bench/limitcost.py
@@ -157,9 +157,7 @@
                 node.limits.refresh()
                 node.limits.tend()
         self._scene.unready = {
-            vm
-            for vm, node in fleet.nodes.items()
-            if not node.limits.is_ready()
+            vm for vm, node in fleet.nodes.items() if not node.limits.is_ready()
         }
         self._ticks += 1
 
--- a/packages/bench/bench/peercost.py
+++ b/packages/bench/bench/peercost.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+from collections.abc import Sequence
 import os
 import pathlib
 import threading
@@ -35,6 +36,9 @@
     counts: tuple[tuple[str, int, int], ...]
 
 
+MESSAGE = Ask(tuple((f"engine-{number}", 3, 2) for number in range(5)))
+
+
 class Row(NamedTuple):
     """One line of the table.
 
@@ -60,7 +64,7 @@
 class _Membership:
     """A list of VMs that stays as it is."""
 
-    def __init__(self, own: records.Vm, rows: list[records.Vm]) -> None:
+    def __init__(self, own: records.Vm, rows: Sequence[records.Vm]) -> None:
         self._own = own
         self._rows = tuple(rows)
 
@@ -86,7 +90,8 @@
         return self._rows
 
 
-def _make(own: records.Vm, rows: list[records.Vm]) -> peers.WebsocketPeers:
+def make(own: records.Vm, rows: Sequence[records.Vm]) -> peers.WebsocketPeers:
+    """Returns the peers of one VM, which answer `Ask`."""
     flags = {
         "vm": own.vm,
         "failure-domain": own.failure_domain,
@@ -114,40 +119,45 @@
     return sorted(found)
 
 
-def _rss_kb() -> int:
+def process_kb() -> int:
+    """Returns the memory that this process takes now."""
     pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
     return pages * os.sysconf("SC_PAGE_SIZE") // 1024
 
 
-def measure(
-    partners: int, listed: int, calls_per_s: float, duration_s: float
-) -> Row:
-    """Measures one size."""
+def rows_of(partners: int, listed: int) -> list[records.Vm]:
+    """Returns a list of VMs, of which the last ones are to run."""
     addresses = _free_addresses(partners + 1)
     # Those that do not run stand first, for a search from the front.
     addresses[:0] = ["127.0.0.1:1"] * max(0, listed - len(addresses))
-    all_rows = [
+    return [
         records.Vm(f"vm-{number}", "domain-0", "entry", address)
         for number, address in enumerate(addresses)
     ]
+
+
+def measure(
+    partners: int, listed: int, calls_per_s: float, duration_s: float
+) -> Row:
+    """Measures one size."""
+    all_rows = rows_of(partners, listed)
     rows = all_rows[-partners - 1 :]
-    all_peers = [_make(row, all_rows) for row in rows]
+    all_peers = [make(row, all_rows) for row in rows]
     for one in all_peers:
         one.start()
     hub, others = all_peers[0], all_peers[1:]
-    message = Ask(tuple((f"engine-{number}", 3, 2) for number in range(5)))
-    rss_kb, threads = _rss_kb(), threading.active_count()
+    rss_kb, threads = process_kb(), threading.active_count()
     for row, other in zip(rows[1:], others, strict=True):
-        hub.call(row.vm, message, _TIMEOUT_S).unwrap()
-        other.call(rows[0].vm, message, _TIMEOUT_S).unwrap()
+        hub.call(row.vm, MESSAGE, _TIMEOUT_S).unwrap()
+        other.call(rows[0].vm, MESSAGE, _TIMEOUT_S).unwrap()
     made = failed = 0
     began_s, spent_s = time.monotonic(), time.process_time()
     while time.monotonic() - began_s < duration_s:
         turn = made % partners
         if made // partners % 2:
-            answer = others[turn].call(rows[0].vm, message, _TIMEOUT_S)
+            answer = others[turn].call(rows[0].vm, MESSAGE, _TIMEOUT_S)
         else:
-            answer = hub.call(rows[turn + 1].vm, message, _TIMEOUT_S)
+            answer = hub.call(rows[turn + 1].vm, MESSAGE, _TIMEOUT_S)
         failed += answer.is_err()
         made += 1
         due_s = began_s + made / calls_per_s
@@ -161,7 +171,7 @@
         made / took_s,
         failed,
         1000 * spent_s / made,
-        (_rss_kb() - rss_kb) / ends,
+        (process_kb() - rss_kb) / ends,
         (threading.active_count() - threads) / ends,
     )
     for one in all_peers:
