--- a/tests/daemon/test_usage.py
+++ b/tests/daemon/test_usage.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import socket
 from typing import Any, NamedTuple
 
 from hypothesis import stateful
@@ -15,25 +16,14 @@
 from bulrushdeald import report
 from bulrushdeald import services
 from bulrushdeald import usage
+from support import fakes
 from support import usagefakes
 
 VMS = ("a", "b", "c")
 START_S = 1_000_000.0
 vms = st.sampled_from(VMS)
 _NO_FAULT: usagefakes.Fault = ""
-SETTINGS = defaults.read(
-    {
-        "vm": "a",
-        "failure-domain": "north",
-        "callers-address": "127.0.0.1:1",
-        "operators-address": "127.0.0.1:2",
-        "peers-address": "127.0.0.1:3",
-        "platform-address": "127.0.0.1:4",
-        "operator-token": "t",
-        "usage-bucket-s": "60",
-    },
-    {},
-)
+SETTINGS = fakes.settings(vm="a", failure_domain="north", usage_bucket_s="60")
 
 
 class Vm(NamedTuple):
@@ -44,7 +34,8 @@
 class World:
     """Three VMs of one failure domain, and what was recorded on each."""
 
-    def __init__(self) -> None:
+    def __init__(self, settings: defaults.Settings = SETTINGS) -> None:
+        self.settings = settings
         self.clock = clock_lib.FakeClock(START_S)
         self.keyvalue = usagefakes.FaultyKeyValue()
         self.network = usagefakes.Network()
@@ -63,7 +54,7 @@
         kernel.register(services.PEERS, peers)
         kernel.register(services.MEMBERSHIP, peers)
         kernel.register(services.KEYVALUE, self.keyvalue)  # type: ignore[arg-type]
-        service = usage.UsageService(kernel, SETTINGS, self.clock)
+        service = usage.UsageService(kernel, self.settings, self.clock)
         service.connect()
         self.vms[name] = Vm(service, peers)
 
@@ -179,6 +170,7 @@
         self._interleave(vm, at)
         during = self.world.durable()
         assert all(during[run] >= count for run, count in before.items())
+        self.check_at_most_once(during)
         self.world.keyvalue.on_call = lambda: None
 
     @stateful.rule(vm=vms, index=st.integers(0, 30))
@@ -205,7 +197,9 @@
 
     @stateful.invariant()
     def check(self) -> None:
-        durable = self.world.durable()
+        self.check_at_most_once(self.world.durable())
+
+    def check_at_most_once(self, durable: collections.Counter[str]) -> None:
         for run, count in durable.items():
             assert count <= self.world.recorded[run]
 
@@ -330,6 +324,24 @@
     assert sum(row.requests for row in counted) == 4 * ledger.MAX_BATCH_ROWS
 
 
+def test_metrics_are_sent_where_the_setting_says() -> None:
+    # An operator sets the address of a statsd server and sees nothing there.
+    # Cause: the setting was checked and read by nobody.
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+        server.bind(("127.0.0.1", 0))
+        server.settimeout(30)
+        port = server.getsockname()[1]
+        world = World(SETTINGS._replace(statsd_address=f"127.0.0.1:{port}"))
+        for _ in range(2):
+            world.record("a")
+        world.vms["a"].usage.flush()
+        assert {server.recv(1000) for _ in range(3)} == {
+            b"bulrushdeal.requests.online.ok:2|c",
+            b"bulrushdeal.tokens.online.prompt:6|c",
+            b"bulrushdeal.tokens.online.completion:10|c",
+        }
+
+
 def test_unknown_models_cannot_fill_the_memory() -> None:
     world = World()
     service = world.vms["a"].usage
