Process tests: a ready VM admits the first request; exact refusals

A stream that ended for any reason passed as withdrawn; any answer of 400 or more with 'upstream' in it passed as the final answer to a request that crashes engines; looking at a job passed over every error. Change: the first request has to get 200 on each VM that says it is ready; 'key_withdrawn' has to be the reason; the third to eighth tries have to get 422 quarantined; a job's look may meet 503 only.

--- a/tests/process/test_batchprocesses.py
+++ b/tests/process/test_batchprocesses.py
@@ -85,8 +85,8 @@
                 file=("quiz.jsonl", data), purpose="batch"
             )
         except openai.APIStatusError as error:
-            # A new customer's share may still be on its way to this VM.
-            assert error.status_code in (429, 503)
+            # This VM may not have seen a second failure domain's store yet.
+            assert error.status_code == 503
             return None
 
     uploaded = fleet_lib.poll(upload, WAIT_S, "the file is accepted")
@@ -104,7 +104,9 @@
     def is_far() -> Any:
         try:
             batch = client.batches.retrieve(job)
-        except openai.APIStatusError:
+        except openai.APIStatusError as error:
+            # In the outage a job cannot be read.
+            assert error.status_code == 503
             return False
         counts = batch.request_counts
         assert counts is not None
--- a/tests/process/test_customers.py
+++ b/tests/process/test_customers.py
@@ -59,6 +59,7 @@
         for stream in streams:
             fleet_lib.poll(stream.has_ended, IN_FORCE_S, "the stream is ended")
             assert not stream.is_whole
+            assert "key_withdrawn" in stream.error
         for daemon in system.daemons:
             assert thief.complete(daemon, "again").status == 401
             assert system.complete(daemon, "still mine").status == 200
@@ -166,7 +167,8 @@
         lost = [process for process in engines if not process.is_running()]
         assert 1 <= len(lost) <= 2
         assert all(answer.status >= 400 for answer in answers)
-        assert b"upstream" in answers[-1].body
+        finals = [(a.status, a.value()["error"]["code"]) for a in answers[2:]]
+        assert finals == [(422, "quarantined")] * 6
         for daemon in system.daemons:
             assert system.complete(daemon, "harmless").status == 200
 
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -171,16 +171,10 @@
         self.key = key
         self.headers = deployment_lib.bearer(key)
 
-    def wait_admitted(self, daemon: deployment_lib.Daemon) -> None:
-        """Waits until a VM that just started has tokens of the customer.
-
-        That it need not be waited for is the matter of `test_customers`.
-        """
-        fleet_lib.poll(
-            lambda: self.complete(daemon, "first").status == 200,
-            20.0,
-            f"{daemon.vm} admits the customer",
-        )
+    def check_admitted(self, daemon: deployment_lib.Daemon) -> None:
+        """Fails if a VM that says it is ready refuses a first request."""
+        answer = self.complete(daemon, "first")
+        assert answer.status == 200, (daemon.vm, answer.body)
 
     def dump(self, daemon: deployment_lib.Daemon) -> Any:
         """Returns the state of a daemon's services."""
@@ -226,10 +220,13 @@
         return str(json.loads(output[output.index("{") :])["id"])
 
     def job(self, daemon: deployment_lib.Daemon, job: str) -> Any:
-        """Returns a job as its customer sees it; empty without an answer."""
+        """Returns a job as its customer sees it; empty if not for now."""
         answer = self.deployment.call(
             "GET", daemon.callers, f"/v1/batches/{job}", headers=self.headers
         )
+        # A stop of a fleet's members may keep a record out of reach a while;
+        # that there is no such job, or an internal error, is never right.
+        assert answer.status in (200, 503), answer.body
         return answer.value() if answer.status == 200 else {}
 
     def done(self, daemon: deployment_lib.Daemon, job: str) -> int:
@@ -309,7 +306,7 @@
             deployment.wait_in_force()
             system = System(deployment, key)
             for daemon in deployment.daemons:
-                system.wait_admitted(daemon)
+                system.check_admitted(daemon)
             yield system
         except BaseException:
             for process in fleet.processes:
