--- a/packages/daemon/bulrushdeald/modelorders.py
+++ b/packages/daemon/bulrushdeald/modelorders.py
@@ -158,12 +158,15 @@
             self._stopping.wait(_WATCH_GAP_S if is_ok else _RETRY_S)
 
     def _run_steps(self) -> None:
+        reported = -1
         while not self._stopping.wait(_TICK_S):
             for name in self.take_due():
                 threading.Thread(
                     target=self.step, args=(name,), name="order", daemon=True
                 ).start()
-            self._metrics.gauge("orders.open", len(self._due_s))
+            if len(self._due_s) != reported:
+                reported = len(self._due_s)
+                self._metrics.gauge("orders.open", reported)
 
     def take_due(self) -> list[str]:
         """Returns the engines to step now, and counts them as running."""
