--- a/tests/support/orderfakes.py
+++ b/tests/support/orderfakes.py
@@ -124,6 +124,9 @@
         lost = result.Err(enginecalls.EngineError("unknown", "lost"))
         if fate == "lost_before":
             return lost
+        if fate in ("busy", "refused"):
+            # An engine that checks numbers notes also what it refuses.
+            engine.seen_fence = max(order.fence, engine.seen_fence)
         if fate == "busy":
             later = enginecalls.EngineError("later", "weights", 30.0)
             return result.Err(later)
