--- a/packages/standins/standins/demo.py
+++ b/packages/standins/standins/demo.py
@@ -240,7 +240,8 @@
             for process in fleet.processes:
                 print(f"--- {process.name}\n{process.tail()}", file=sys.stderr)
             return 1
-    print("\nEvery step held, and every process has been stopped.")
+    held = "" if stays else "Every step held. "
+    print(f"\n{held}Every process has been stopped.")
     return 0
 
 
