Send one report at a time to an owner

Two threads reported to one owner, the reports' own and the test's, and the report that was counted first came last, so the owner believed a request still ran. In the daemon only the reports' thread sends, so it was not seen there.

--- a/packages/daemon/bulrushdeald/inflightreports.py
+++ b/packages/daemon/bulrushdeald/inflightreports.py
@@ -83,6 +83,7 @@
         self._clock = clock
         self._failing_since_s: dict[str, float] = {}
         self._channels: dict[str, _Channel] = {}
+        self._turns: dict[str, threading.Lock] = {}
         self._unknown_lists: dict[str, _UnknownList] = {}
         self._lists: dict[str, countlists.Names] = {}
         self._own_list = countlists.Names(())
@@ -202,6 +203,7 @@
                 # runs any more; the next request there opens it again.
                 if is_idle and not self._is_needed(owner, channel):
                     self._failing_since_s.pop(owner, None)
+                    self._turns.pop(owner, None)
                     del self._channels[owner]
                     return
 
@@ -228,7 +230,19 @@
         channel.urgent.wait(self._relaxed_delay_s)
 
     def send(self, owner: str) -> inflight.CountsReport:
-        """Sends one report, takes the totals in its answer, returns it."""
+        """Sends one report, takes the totals in its answer, returns it.
+
+        One at a time to an owner: an older report that came after a newer
+        one would stay there as what this VM runs.
+        """
+        with self._turn(owner):
+            return self._send(owner)
+
+    def _turn(self, owner: str) -> threading.Lock:
+        with self._lock:
+            return self._turns.setdefault(owner, threading.Lock())
+
+    def _send(self, owner: str) -> inflight.CountsReport:
         with self._lock:
             names = self._names(owner)
             report = self._own_report(owner, names)
--- a/tests/daemon/test_countlists.py
+++ b/tests/daemon/test_countlists.py
@@ -6,9 +6,14 @@
 batch items.
 """
 
+from collections.abc import Iterable
+import threading
+from typing import Any
+
 from hypothesis import given
 from hypothesis import stateful
 from hypothesis import strategies as st
+import result
 
 from bulrushdeal import clock as clock_lib
 from bulrushdeal import records
@@ -17,8 +22,10 @@
 from bulrushdeald import inflightreports
 from bulrushdeald import router as router_lib
 from bulrushdeald import services
+from bulrushdeald import topology
 from support import fakes
 
+_LONG_S = 20.0
 _NAMES = st.lists(st.text(max_size=3), unique=True, max_size=4).map(
     lambda names: tuple(sorted(names))
 )
@@ -179,3 +186,74 @@
     assert not any(told().values())
     for router in routers.values():
         router.stop(0)
+
+
+class SlowNetwork:
+    """Delivers the first report only when it is told to."""
+
+    def __init__(self) -> None:
+        self.delivered: list[tuple[int, ...]] = []
+        self.began = threading.Event()
+        self.go_on = threading.Event()
+
+    def handle(self, kind: type[Any], handler: Any) -> None:
+        pass
+
+    def understand(self, *kinds: type[Any]) -> None:
+        pass
+
+    def call(self, vm: str, message: Any, timeout_s: float) -> Any:
+        del vm, timeout_s
+        if not self.began.is_set():
+            self.began.set()
+            self.go_on.wait(_LONG_S)
+        self.delivered.append(message.online)
+        online = message.online
+        return result.Ok(countlists.ListedTotals(True, online, (0,)))
+
+
+class OneOwner:
+    """The router of a VM that owns nothing beside one that owns all."""
+
+    def __init__(self) -> None:
+        own = records.Vm("vm-a", "d1", "entry")
+        owner = records.Vm("vm-b", "d1", "entry")
+        row = records.Upstream("e", "engine", "", "up", "d1")
+        self._topology = topology.build((row,), (owner,), own)
+
+    def topology(self) -> topology.Topology:
+        return self._topology
+
+    def set_silent(self, vm: str, is_silent: bool) -> None:
+        pass
+
+    def is_silent(self, vm: str) -> bool:
+        return False
+
+    def took_report(self, upstreams: Iterable[str]) -> None:
+        pass
+
+
+def test_an_older_report_does_not_come_after_a_newer_one() -> None:
+    # Two threads report to an owner, and the one that counted first is the
+    # slower one. The owner then believed that a request still ran, and left
+    # its slot free of batch items until the next report. The router's state
+    # machine found it in 2 of 22 runs.
+    network = SlowNetwork()
+    counts = inflight.Inflight(clock_lib.FakeClock())
+    reports = inflightreports.Reports(
+        network, counts, threading.Lock(), OneOwner(), clock_lib.FakeClock()
+    )
+    counts.add_online("e", 1)
+    older = threading.Thread(target=reports.send, args=("vm-b",))
+    older.start()
+    assert network.began.wait(_LONG_S)
+    counts.add_online("e", -1)
+    newer = threading.Thread(target=reports.send, args=("vm-b",))
+    newer.start()
+    # Time enough to overtake; if it is too short nothing fails wrongly.
+    newer.join(0.2)
+    network.go_on.set()
+    older.join(_LONG_S)
+    newer.join(_LONG_S)
+    assert network.delivered == [(1,), (0,)]
