Fill an upstream elsewhere only once its owner has told what runs there

Until an owner in another failure domain had answered a VM's first report, the VM took its upstreams for idle and sent them up to a whole backlog, each VM by itself; the sums grow old when nothing runs for 5 s.

Change: while an owner elsewhere has not told its sums, a VM runs one request at most on each of its upstreams. One test of the router lets the VMs report before it expects all far slots to be used; it checks the same.

--- a/packages/daemon/bulrushdeald/inflight.py
+++ b/packages/daemon/bulrushdeald/inflight.py
@@ -190,17 +190,22 @@
         }
         self._others[owner] = _Others(self._clock.monotonic_s(), others)
 
+    def is_known(self, owner: str) -> bool:
+        """Tells whether an owner's sums are here and not too old."""
+        others = self._others.get(owner)
+        return others is not None and not self._is_old(others.at_s)
+
     def estimate(self, upstream: str, owner: str, own_vm: str) -> Count:
         """Returns what is believed to run on an upstream now."""
         if owner == own_vm:
             return Count(
                 upstream, self.total_online(upstream), self.own_batch(upstream)
             )
-        others = self._others.get(owner)
-        if others is None or self._is_old(others.at_s):
+        if not self.is_known(owner):
             return Count(
                 upstream, self.own_online(upstream), self.own_batch(upstream)
             )
+        others = self._others[owner]
         other = others.counts.get(upstream, Count(upstream, 0))
         return Count(
             upstream, other.online + self.own_online(upstream), other.batch
--- a/packages/daemon/bulrushdeald/placement.py
+++ b/packages/daemon/bulrushdeald/placement.py
@@ -147,11 +147,27 @@
             if not self._is_left(candidate, pool, weight)
         ]
         if not candidates:
-            candidates = self._with_room(serving.far, is_suspect)
+            known = filter(self._is_known, serving.far)
+            candidates = self._with_room(tuple(known), is_suspect)
         if not candidates:
             return None
         return self._policy.choose(candidates, work.prompt_prefix).upstream
 
+    def _is_known(self, upstream: records.Upstream) -> bool:
+        """Tells whether this VM may send more to another domain's upstream.
+
+        The failure: a burst fills a failure domain, and each VM there sends
+        its whole backlog to the same upstream elsewhere, which it believes
+        to be idle since it has not heard from its owner. It shows as an
+        engine that runs three times its slots. One request goes; the report
+        of it brings the owner's sum, and the others follow by that.
+        """
+        name = upstream.upstream
+        if not self.inflight.own_online(name):
+            return True
+        owner = self.topology().owners.of(name)
+        return owner == self._own.vm or self.inflight.is_known(owner)
+
     def _with_room(
         self, upstreams: tuple[records.Upstream, ...], is_suspect: bool
     ) -> list[choice.Candidate]:
--- a/tests/daemon/test_router.py
+++ b/tests/daemon/test_router.py
@@ -227,6 +227,8 @@
     far = engine("far")._replace(failure_domain="d2")
     fleet.config.set_upstreams(far, engine("near"))
     router = fleet.routers["vm-a"]
+    # The owner of the far one has told what runs there: nothing.
+    fleet.report()
     placed = [take(router, work("online")) for _ in range(2 * SLOTS)]
     names = [slot.upstream.upstream if slot else "" for slot in placed]
     assert names == ["near"] * SLOTS + ["far"] * SLOTS
--- a/tests/daemon/test_vmqueues.py
+++ b/tests/daemon/test_vmqueues.py
@@ -64,13 +64,44 @@
     assert "quiet" in order[:SLOTS]
 
 
+def test_upstream_elsewhere_is_not_filled_before_its_owner_is_heard() -> None:
+    # A burst fills a failure domain, and its VM sends its whole backlog to
+    # an engine in another domain, which is full as well: the engine runs
+    # twice its slots and answers all of them late. Cause: what runs there
+    # for others was taken as nothing until its owner had answered.
+    far = records.Vm("vm-b", "d2", "entry")
+    engine = ENGINE._replace(failure_domain="d2")
+    network = fakes.Network()
+    near = _router(network, VMS[0], (VMS[0], far), engine)
+    owner = _router(network, far, (VMS[0], far), engine)
+    network.cuts.add(frozenset(("vm-a", "vm-b")))
+    held = [owner.acquire(_work("quiet")).unwrap() for _ in range(SLOTS)]
+    hurried = _work("loud")._replace(deadline_s=0.01)
+    placed = [near.acquire(hurried) for _ in range(SLOTS)]
+    assert sum(isinstance(each, result.Ok) for each in placed) == 1
+    network.cuts.clear()
+    near.send_report_to("vm-b")
+    held.pop().release("ok")
+    near.send_report_to("vm-b")
+    # All slots are taken again, by three of the one and one of the other.
+    assert isinstance(near.acquire(hurried), result.Err)
+    held.pop().release("ok")
+    near.send_report_to("vm-b")
+    assert isinstance(near.acquire(hurried), result.Ok)
+    for router in (near, owner):
+        router.stop(0)
+
+
 def _router(
-    network: fakes.Network, vm: records.Vm
+    network: fakes.Network,
+    vm: records.Vm,
+    vms: tuple[records.Vm, ...] = VMS,
+    engine: records.Upstream = ENGINE,
 ) -> router_lib.UpstreamRouter:
     kernel = fakes.kernel(
-        fakes.Membership(vm, VMS),
+        fakes.Membership(vm, vms),
         fakes.Peers(network, vm.vm),
-        fakes.Config((ENGINE,)),
+        fakes.Config((engine,)),
     )
     router = router_lib.UpstreamRouter(
         kernel, fakes.settings(vm=vm.vm), clock_lib.SystemClock()
