A VM that starts tells owners that its earlier process is gone

Replayed with the owners' counts printed: two of them counted one token as out at a VM of an earlier run; its stop's last message had been lost, and its next run had not asked for that page since. Ruled out: tokens lost by lenders, takeovers that are not cleared (none), the wait at the end (the counts stay).

Credit of other failure domains' owners, taken while the own one had none, is still found only by the next message there.

--- a/packages/daemon/bulrushdeald/holder.py
+++ b/packages/daemon/bulrushdeald/holder.py
@@ -55,6 +55,32 @@
         # drop brings credit of an owner that is gone, and is void.
         self._drops: dict[int, int] = {}
         self._is_closed = False
+        # Pages whose owner may count credit of an earlier process here.
+        self._unintroduced = set(range(shares.PAGES))
+
+    def introduce(self, failure_domain: str) -> None:
+        """Tells the owners of a failure domain's parts that this VM is new.
+
+        The failure: a VM stops, the message that returns its credit is lost,
+        and its next process has no customer of that page for long. It shows
+        as a customer that never gets its whole burst, since the owner counts
+        the credit as out. Any message of the new process ends that.
+        """
+        for page in sorted(self._unintroduced):
+            part = self._book.part(page, failure_domain)
+            if part is None or not part.vm:
+                continue
+            source = credit.Source(failure_domain, part.epoch)
+            turnstile = self._turnstile(page, failure_domain)
+            joined = turnstile.enter()
+            asked = asker.Asked(False, {})
+            try:
+                asked = self._sender.send(part.vm, page, source, ())
+            finally:
+                # Its wants, if any, were not sent: they are asked again.
+                turnstile.finish(joined, asked._replace(grants={}))
+            if asked.is_answered:
+                self._unintroduced.discard(page)
 
     def note_demand(self, customer: str, count: float) -> None:
         """Counts a request for the credit to get ahead."""
--- a/packages/daemon/bulrushdeald/limits.py
+++ b/packages/daemon/bulrushdeald/limits.py
@@ -233,6 +233,7 @@
         for owned in self._ownership.owned():
             self._collector.settle(owned)
             self._rebalancer.move(owned)
+        self._holder.introduce(self._domain)
         self._holder.report(only_tight=False)
         self._ownership.clear()
         self._ownership.adopt()
--- a/tests/daemon/test_limits_guards.py
+++ b/tests/daemon/test_limits_guards.py
@@ -477,3 +477,19 @@
     parts = shares.from_bytes(entry.value).parts
     assert [part.failure_domain for part in parts] == ["d0", "d1"]
     assert sum(part.fraction for part in parts) <= 1
+
+
+def test_credit_of_a_process_whose_last_words_were_lost_comes_back() -> None:
+    # A VM is replaced as planned and the message that returns its credit is
+    # lost. Its next process gets no request of that customer, and the
+    # customer never has its whole burst again. Found by the mixed machine.
+    scene = Scene(1, 2)
+    (other,) = scene.others()
+    scene.give_ahead(other)
+    scene.fleet.net.lose_next_messages = 1
+    scene.fleet.nodes[other].limits.stop(1.0)
+    scene.fleet.kill(other)
+    scene.fleet.add(other, "d0")
+    scene.fleet.settle(3)
+    scene.fleet.world.now_s += 100.0
+    assert scene.take(scene.part().vm, 150) == _ROW.burst
