--- a/tests/daemon/test_limits_guards.py
+++ b/tests/daemon/test_limits_guards.py
@@ -12,9 +12,9 @@
 from bulrushdeald import bucket
 from bulrushdeald import services
 from bulrushdeald import shares
-from support import limitoracle
+from support import limitscene
 
-_ROW = records.Customer("a", rate_per_s=100, burst=100)
+_ROW = limitscene.ROW
 
 
 @pytest.fixture(autouse=True)
@@ -23,65 +23,12 @@
     yield
 
 
-class Scene:
-    """A small fleet with its oracle."""
-
-    def __init__(
-        self, domains: int, vms: int, row: records.Customer = _ROW
-    ) -> None:
-        self.fleet = limitfakes.Fleet((row,))
-        for domain in range(domains):
-            for vm in range(vms):
-                self.fleet.add(f"d{domain}v{vm}", f"d{domain}")
-        self.fleet.settle(10)
-        self.fleet.world.now_s += 100.0
-        self.bucket = limitoracle.Bucket(row, self.fleet.world.now_s)
-
-    def part(self, domain: str = "d0") -> shares.Part:
-        entry = self.fleet.keyvalue.entries["limits/00"]
-        part = shares.from_bytes(entry.value).part(domain)
-        assert part is not None
-        return part
-
-    def others(self) -> list[str]:
-        """The VMs that own nothing."""
-        owners = {self.part(f"d{d}").vm for d in range(self.domains())}
-        return [vm for vm in sorted(self.fleet.nodes) if vm not in owners]
-
-    def domains(self) -> int:
-        entry = self.fleet.keyvalue.entries["limits/00"]
-        return len(shares.from_bytes(entry.value).parts)
-
-    def take(self, vm: str, count: int) -> int:
-        return self.bucket.take(self.fleet, [vm], count)
-
-    def drain(self) -> int:
-        vms = [node.vm.vm for node in self.fleet.running()]
-        return self.bucket.take(self.fleet, vms, 150)
-
-    def in_hand(self, vm: str) -> float:
-        dump = self.fleet.nodes[vm].limits.dump()
-        return float(dump.in_hand.get("a", 0.0))
-
-    def give_ahead(self, vm: str) -> None:
-        """Lets a VM take until it has credit ahead in hand."""
-        for _ in range(30):
-            self.take(vm, 1)
-            if self.in_hand(vm) >= 3:
-                return
-        raise AssertionError("no credit ahead")
-
-    def lose(self, vm: str) -> None:
-        self.fleet.kill(vm)
-        del self.fleet.listed[vm]
-
-
 def test_lost_owner_leaves_credit_with_a_paused_vm() -> None:
     # A customer gets more than its burst: a VM with credit in hand pauses,
     # the owner is lost and replaced, the new owner's bucket fills up, the
     # paused VM goes on. The new owner has to leave room for what it cannot
     # see, and may forget it only when every listed VM has dropped it.
-    scene = Scene(1, 3)
+    scene = limitscene.Scene(1, 3)
     paused, other = scene.others()
     scene.give_ahead(paused)
     scene.fleet.net.paused.add(paused)
@@ -102,7 +49,7 @@
     # A customer gets twice its burst: the owner pauses for longer than any
     # lease, another VM takes its part, and then the owner goes on with the
     # tokens in its memory. While the platform lists a VM it may still run.
-    scene = Scene(1, 3)
+    scene = limitscene.Scene(1, 3)
     owner = scene.part().vm
     scene.fleet.net.paused.add(owner)
     scene.fleet.settle(60)
@@ -116,7 +63,7 @@
     # A customer gets more than its burst: a message that was late says that
     # a VM holds nothing, but a newer one brought it credit. The owner fills
     # its bucket up to the burst, and the VM still has the credit.
-    scene = Scene(1, 2)
+    scene = limitscene.Scene(1, 2)
     vm = scene.others()[0]
     scene.fleet.net.delay_next_messages = 1
     scene.take(vm, 1)
@@ -131,7 +78,7 @@
     # A customer gets more than its burst: a VM's process ends and the next
     # one gets credit; then a message of the first one arrives, and looks to
     # the owner as if the VM had started again with nothing in hand.
-    scene = Scene(1, 2)
+    scene = limitscene.Scene(1, 2)
     vm = scene.others()[0]
     scene.take(vm, 1)
     scene.fleet.net.delay_next_messages = 1
@@ -151,7 +98,7 @@
     # A customer gets more than its burst: while an answer with credit is
     # under way its owner is lost, another takes over and hears from all VMs
     # that they have dropped everything; then the answer arrives.
-    scene = Scene(1, 3)
+    scene = limitscene.Scene(1, 3)
     vm, other = scene.others()
 
     def replace_owner() -> None:
@@ -172,7 +119,7 @@
     # another part that has no room for it. The lender is replaced, its
     # successor hears that no credit is left, and then the loan arrives.
     row = records.Customer("a", rate_per_s=1, burst=1.5)
-    scene = Scene(3, 2, row)
+    scene = limitscene.Scene(3, 2, row)
     borrower, lender = scene.part("d0").vm, scene.part("d1").vm
     heir = next(v for v in scene.others() if v.startswith("d1"))
 
@@ -193,7 +140,7 @@
 def test_lowered_row_counts_for_credit_in_hand(burst: float) -> None:
     # A customer whose burst was lowered still gets the old one: a VM has
     # credit in hand from before, more than the new row allows.
-    scene = Scene(2, 2)
+    scene = limitscene.Scene(2, 2)
     for vm in scene.others():
         scene.give_ahead(vm)
     row = _ROW._replace(burst=burst)
@@ -206,7 +153,7 @@
 def test_new_vm_that_is_not_listed_yet_keeps_its_credit() -> None:
     # A customer gets more than its burst: the lagging list does not show a
     # new VM yet, the owner takes that for a lost VM and its credit as gone.
-    scene = Scene(1, 1)
+    scene = limitscene.Scene(1, 1)
     scene.fleet.add("d0v9", "d0")
     del scene.fleet.listed["d0v9"]
     scene.fleet.nodes["d0v9"].limits.refresh()
@@ -229,7 +176,7 @@
 def test_graceful_stop_frees_the_part_at_once() -> None:
     # Requests are refused after each planned stop: the part waits until the
     # platform's list has lost the VM.
-    scene = Scene(1, 2)
+    scene = limitscene.Scene(1, 2)
     owner, other = scene.part().vm, scene.others()[0]
     scene.fleet.nodes[owner].limits.stop(1.0)
     scene.fleet.kill(owner)
@@ -259,7 +206,7 @@
     # A customer gets more than its burst, or requests hang: threads of
     # several VMs ask one owner at the same time.
     row = records.Customer("a", rate_per_s=0.001, burst=60)
-    scene = Scene(2, 2, row)
+    scene = limitscene.Scene(2, 2, row)
     scene.fleet.world.now_s += 1e6
     scene.bucket.accrue(scene.fleet.world.now_s)
     scene.fleet.world.on_sleep = lambda: None
@@ -286,7 +233,7 @@
     # A customer's burst stays smaller for good: an owner lent a token, the
     # answer was lost, and the borrower, which owes nothing, never tells.
     row = records.Customer("a", rate_per_s=50, burst=2.1)
-    scene = Scene(3, 2, row)
+    scene = limitscene.Scene(3, 2, row)
     asking = scene.part("d1").vm
     paused = scene.part("d2").vm
     scene.fleet.net.paused.add(paused)
@@ -300,7 +247,7 @@
 def test_returned_credit_is_given_up_before_it_is_sent() -> None:
     # A customer gets more than its burst: a VM returns idle credit, and
     # spends it while the message is under way.
-    scene = Scene(1, 2)
+    scene = limitscene.Scene(1, 2)
     vm = scene.others()[0]
     scene.give_ahead(vm)
     scene.fleet.world.now_s += 1.5
@@ -313,7 +260,7 @@
 def test_new_owner_begins_with_an_empty_bucket() -> None:
     # A customer gets its burst again each time an owner is lost.
     row = records.Customer("a", rate_per_s=1, burst=60)
-    scene = Scene(1, 3, row)
+    scene = limitscene.Scene(1, 3, row)
     scene.drain()
     scene.lose(scene.part().vm)
     scene.fleet.settle(12)
@@ -323,7 +270,7 @@
 def test_vm_lost_during_a_round_of_drops_starts_it_anew() -> None:
     # A customer gets more than its burst: a VM that was asked early gets
     # lent-on credit from one that is lost before it was asked.
-    scene = Scene(1, 4)
+    scene = limitscene.Scene(1, 4)
     scene.lose(scene.part().vm)
     scene.fleet.net.paused.update(sorted(scene.fleet.nodes)[:1])
     scene.fleet.settle(20)
@@ -342,7 +289,7 @@
 def test_grant_under_an_older_row_counts_by_the_newer() -> None:
     # A customer gets more than its lowered burst: VMs with the new row in
     # force take credit ahead from an owner that has the old one.
-    scene = Scene(1, 6)
+    scene = limitscene.Scene(1, 6)
     row = _ROW._replace(burst=5)
     for vm in scene.others():
         scene.fleet.nodes[vm].config.apply(row)
@@ -356,7 +303,7 @@
     # A failure domain that is cut off serves little, as its part is small
     # though nearly all of the customer's requests come there.
     row = records.Customer("a", rate_per_s=10, burst=20)
-    scene = Scene(2, 2, row)
+    scene = limitscene.Scene(2, 2, row)
     for _ in range(400):
         scene.take("d0v0", 8)
         scene.fleet.settle(1)
@@ -371,7 +318,7 @@
     # A customer gets more than its burst: a donor lowered itself, its write
     # had no answer, it took its fraction back, and then the write arrived.
     row = records.Customer("a", rate_per_s=10, burst=20)
-    scene = Scene(2, 2, row)
+    scene = limitscene.Scene(2, 2, row)
     donor = scene.part("d1").vm
     store = scene.fleet.keyvalue
     late: list[tuple[str, bytes, int]] = []
@@ -404,7 +351,7 @@
     # A customer's burst stays smaller for good: a message of a lost VM
     # arrives late, and the owner grants tokens that nobody will return.
     row = records.Customer("a", rate_per_s=10, burst=3)
-    scene = Scene(1, 2, row)
+    scene = limitscene.Scene(1, 2, row)
     vm = scene.others()[0]
     scene.fleet.net.delay_next_messages = 1
     scene.take(vm, 1)
@@ -439,7 +386,7 @@
     # A burst inside the row is refused: a token lent for a moment still
     # counts at its lender, whose bucket then grants less than it has.
     row = records.Customer("a", rate_per_s=100, burst=1.5)
-    scene = Scene(3, 1, row)
+    scene = limitscene.Scene(3, 1, row)
 
     def lent() -> float:
         dumps = [node.limits.dump() for node in scene.fleet.nodes.values()]
@@ -483,7 +430,7 @@
     # A VM is replaced as planned and the message that returns its credit is
     # lost. Its next process gets no request of that customer, and the
     # customer never has its whole burst again. Found by the mixed machine.
-    scene = Scene(1, 2)
+    scene = limitscene.Scene(1, 2)
     (other,) = scene.others()
     scene.give_ahead(other)
     scene.fleet.net.lose_next_messages = 1
