Bound what a VM tells of waiting requests at the size designed for

Cause: reckoned, not measured: with 17 owners of a model's upstreams the pace before made 80 calls a second and as many reports of counts while anything waited, 7% of a core. Now at most 20 of each.

--- a/packages/daemon/bulrushdeald/waitreports.py
+++ b/packages/daemon/bulrushdeald/waitreports.py
@@ -9,10 +9,12 @@
 from bulrushdeald import topology as topology_lib
 from bulrushdeald import waits as waits_lib
 
-# How long a free slot that is left to others stays empty at most, about;
-# with many owners it is longer, so that messages stay bounded.
+# How long a free slot that is left to others stays empty at most, about.
+# With many owners a VM tells each less often, so that its messages stay
+# bounded; then there are many VMs too, and one of them asks soon.
 PACE_S = 0.1
-_OWNERS_AT_FULL_PACE = 8
+_LONGEST_PACE_S = 1.0
+_OWNERS_AT_FULL_PACE = 2
 _CALL_TIMEOUT_S = 0.25
 
 
@@ -120,4 +122,5 @@
         return frozenset(owners & topology.near_owners)
 
     def _pace_s(self) -> float:
-        return PACE_S * max(1.0, len(self._told) / _OWNERS_AT_FULL_PACE)
+        factor = max(1.0, len(self._told) / _OWNERS_AT_FULL_PACE)
+        return min(_LONGEST_PACE_S, PACE_S * factor)
--- a/packages/daemon/bulrushdeald/waits.py
+++ b/packages/daemon/bulrushdeald/waits.py
@@ -17,7 +17,7 @@
 from bulrushdeal import records
 
 # What a VM said longer ago counts no more: it may be lost or cut off.
-EXPIRY_S = 2.0
+EXPIRY_S = 3.0
 
 
 class Waiting(NamedTuple):
