--- a/packages/core/bulrushdeal/kernel.py
+++ b/packages/core/bulrushdeal/kernel.py
@@ -38,6 +38,7 @@
 
     def __init__(self) -> None:
         self._services: dict[str, Service] = {}
+        self._offered: dict[str, object] = {}
         self._started: list[str] = []
         self._lock = threading.Lock()
 
@@ -47,6 +48,15 @@
             raise ValueError(f"service {name} is registered already")
         self._services[name] = service
 
+    def offer(self, name: str, value: object) -> None:
+        """Adds what is found like a service but is neither started nor stopped.
+
+        It must have been made ready by whoever offers it.
+        """
+        if name in self._services or name in self._offered:
+            raise ValueError(f"service {name} is registered already")
+        self._offered[name] = value
+
     def find(self, name: str, kind: Callable[..., T] | type[T]) -> T:
         """Returns the service `name`.
 
@@ -58,14 +68,14 @@
             MissingServiceError: Nothing is registered under the name.
         """
         del kind
-        service = self._services.get(name)
+        service = self._services.get(name, self._offered.get(name))
         if service is None:
             raise MissingServiceError(name)
         return cast(T, service)
 
     def has(self, name: str) -> bool:
         """Tells whether a service is registered under the name."""
-        return name in self._services
+        return name in self._services or name in self._offered
 
     def start(self) -> None:
         """Starts each service; on an error stops those started."""
--- a/packages/daemon/bulrushdeald/peers.py
+++ b/packages/daemon/bulrushdeald/peers.py
@@ -6,7 +6,7 @@
 import socket
 import threading
 import time
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import result
 
@@ -16,7 +16,6 @@
 from bulrushdeal import logs
 from bulrushdeal import records
 from bulrushdeald import answerpool
-from bulrushdeald import defaults
 from bulrushdeald import links
 from bulrushdeald import services
 from bulrushdeald import websocket
@@ -52,6 +51,14 @@
     by_vm: dict[str, str]
 
 
+class PeerSettings(Protocol):
+    """What is set for calls between VMs."""
+
+    @property
+    def peers_address(self) -> str:
+        """Where this VM listens, as `HOST:PORT`."""
+
+
 class WebsocketPeers:
     """See `services.Peers`.
 
@@ -60,7 +67,7 @@
     """
 
     def __init__(
-        self, kernel: kernel_lib.Kernel, settings: defaults.Settings
+        self, kernel: kernel_lib.Kernel, settings: PeerSettings
     ) -> None:
         self._kernel = kernel
         self._address = settings.peers_address
--- a/packages/daemon/bulrushdeald/upstreams.py
+++ b/packages/daemon/bulrushdeald/upstreams.py
@@ -6,7 +6,7 @@
 import http.client
 import socket
 import threading
-from typing import Any
+from typing import Any, Protocol
 
 import result
 import urllib3
@@ -17,7 +17,6 @@
 from bulrushdeal import records
 from bulrushdeald import bodies
 from bulrushdeald import connections
-from bulrushdeald import defaults
 from bulrushdeald import headers as headers_lib
 from bulrushdeald import services
 
@@ -156,6 +155,14 @@
         return int(text)
 
 
+class UpstreamSettings(Protocol):
+    """What is set for calls to upstreams."""
+
+    @property
+    def upstream_connect_timeout_s(self) -> float:
+        """How long a new connection may take."""
+
+
 class HttpUpstreams:
     """See `services.Upstreams`.
 
@@ -165,7 +172,7 @@
     """
 
     def __init__(
-        self, kernel: kernel_lib.Kernel, settings: defaults.Settings
+        self, kernel: kernel_lib.Kernel, settings: UpstreamSettings
     ) -> None:
         del kernel
         self._connect_timeout_s = settings.upstream_connect_timeout_s
--- /dev/null
+++ b/packages/gateway/gateway/jobfront.py
@@ -0,0 +1,80 @@
+"""Batch jobs over the callers' HTTP."""
+
+import result
+
+from bulrushdeal import eventlog
+from bulrushdeal import httpd
+from bulrushdeal import kernel as kernel_lib
+from gateway import dialect as dialect_lib
+from gateway import jobs
+from gateway import names
+from gateway import records
+from gateway import replies
+
+_events = eventlog.Events("jobs")
+
+_STATUSES: dict[jobs.ErrorKind, int] = {
+    "missing": 404,
+    "unavailable": 503,
+    # Not 503: that would promise that no item runs.
+    "unknown": 504,
+    "too_large": 413,
+}
+_RETRY_S = 0.4
+
+
+class JobFront:
+    """Turns calls about jobs into answers."""
+
+    def __init__(self, kernel: kernel_lib.Kernel) -> None:
+        self._jobs = kernel.find(names.JOBS, jobs.Jobs)
+        self._dialect = kernel.find(names.DIALECT, dialect_lib.Dialect)
+
+    def submit(
+        self,
+        job: str,
+        customer: str,
+        route: records.Route,
+        path: str,
+        body: bytes,
+    ) -> httpd.Response:
+        """Accepts a job."""
+        if not job or "/" in job:
+            return replies.refusal(replies.Refusal(400, "the job has no id"))
+        try:
+            submission = self._dialect.submission(body)
+        except dialect_lib.BadInputError as error:
+            return replies.refusal(replies.Refusal(400, str(error)))
+        accepted = self._jobs.submit(job, customer, route, path, submission)
+        if isinstance(accepted, result.Err):
+            return _refuse(job, accepted.err_value)
+        return httpd.json_response(202, {"id": job})
+
+    def call(
+        self, call: dialect_lib.JobCall, customer: str
+    ) -> httpd.Response:
+        """Answers a call about a job."""
+        if call.kind == "end":
+            ended = self._jobs.end(call.job, customer)
+            if isinstance(ended, result.Err):
+                return _refuse(call.job, ended.err_value)
+            return httpd.json_response(200, {})
+        if call.kind == "input":
+            body = self._jobs.input(call.job, customer, call.item)
+            if isinstance(body, result.Err):
+                return _refuse(call.job, body.err_value)
+            return replies.whole(
+                200, "application/octet-stream", body.ok_value
+            )
+        page = self._jobs.read(call.job, customer, call.after, call.wait_s)
+        if isinstance(page, result.Err):
+            return _refuse(call.job, page.err_value)
+        data = self._dialect.job_page(page.ok_value)
+        return replies.whole(200, "application/json", data)
+
+
+def _refuse(job: str, error: jobs.JobError) -> httpd.Response:
+    status = _STATUSES[error.kind]
+    _events.warning("refused", job=job, status=status, why=error.message)
+    retry_s = _RETRY_S if error.kind == "unavailable" else 0.0
+    return replies.refusal(replies.Refusal(status, error.message, retry_s))
--- /dev/null
+++ b/packages/gateway/gateway/members.py
@@ -0,0 +1,339 @@
+"""Which VMs run this system, who of them leads what, and who is reachable."""
+
+import json
+import random
+import secrets
+import threading
+import time
+from typing import Any, NamedTuple
+
+from bulrushdeal import eventlog
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeal import records as core_records
+from bulrushdeald import rendezvous
+from bulrushdeald import services
+from gateway import configuration
+from gateway import dialect as dialect_lib
+from gateway import listing
+from gateway import names
+from gateway import records
+
+_events = eventlog.Events("members")
+
+# A VM that died is missed after the lease; a renewal costs a tenth of a read.
+_LEASE_S = 4.0
+_RENEW_S = 1.2
+_CALL_S = 0.8
+_PING_S = 0.5
+_PING_TIMEOUT_S = 0.35
+# Two pings in a row to different VMs of a failure domain that fail.
+_MAX_MISSED_PINGS = 2
+# A VM that did not answer leads nothing for so long.
+SUSPECT_S = 1.5
+_FETCH_TIMEOUT_S = 0.8
+_MAX_SUSPECTS = 1000
+
+
+class Ping(NamedTuple):
+    """Asks whether a VM is there, and tells the version in force."""
+
+    version: int
+
+
+class Pong(NamedTuple):
+    """The answer: the version in force at the other VM."""
+
+    version: int
+
+
+class FetchConfiguration(NamedTuple):
+    """Asks for the configuration in force."""
+
+    version: int
+
+
+class Members:
+    """Holds this VM's entry in the store and the list of all.
+
+    It is also the `services.Membership` that the peers' calls go by.
+    """
+
+    def __init__(
+        self, kernel: kernel_lib.Kernel, settings: records.Settings
+    ) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._own = core_records.Vm(
+            settings.vm,
+            settings.failure_domain,
+            "entry",
+            settings.peers_address,
+        )
+        self._incarnation = secrets.token_hex(8)
+        self._listing: listing.Listing[core_records.Vm] = listing.Listing(
+            lambda row: True
+        )
+        self._rows: tuple[core_records.Vm, ...] = (self._own,)
+        self._lock = threading.Lock()
+        self._lease = 0
+        self._suspects: dict[str, float] = {}
+        self._ranks: dict[str, list[str]] = {}
+        self._missed: dict[str, int] = {}
+        self._stopping = threading.Event()
+
+    def start(self) -> None:
+        """Begins to renew the entry and to follow the list."""
+        self._store = self._kernel.find(names.STORE, dialect_lib.Store)
+        self._dialect = self._kernel.find(names.DIALECT, dialect_lib.Dialect)
+        self._prefix = f"{self._dialect.names.own}members/"
+        threading.Thread(
+            target=self._run, name="members", daemon=True
+        ).start()
+
+    def stop(self, grace_s: float) -> None:
+        """Ends the lease, so that the others know at once."""
+        del grace_s
+        self._stopping.set()
+        if self._lease:
+            self._store.end(self._lease, _CALL_S)
+
+    def dump(self) -> Any:
+        """Returns the list, and whom this VM does not reach."""
+        return {
+            "vms": [row.vm for row in self._rows],
+            "suspects": sorted(self._suspects),
+            "missed_pings": dict(self._missed),
+        }
+
+    def own(self) -> core_records.Vm:
+        """See `services.Membership`."""
+        return self._own
+
+    def incarnation(self) -> str:
+        """See `services.Membership`."""
+        return self._incarnation
+
+    def entry_vms(self) -> tuple[core_records.Vm, ...]:
+        """See `services.Membership`."""
+        return self._rows
+
+    def is_listed(self, vm: str) -> bool:
+        """See `services.Membership`."""
+        return any(row.vm == vm for row in self._rows)
+
+    def is_leaving(self, vm: str) -> bool:
+        """See `services.Membership`."""
+        del vm
+        return False
+
+    def lease(self) -> int:
+        """Returns this VM's lease in the store, 0 if there is none now."""
+        return self._lease
+
+    def rank(self, key: str) -> list[str]:
+        """Returns the VMs that may lead a thing, the first choice first.
+
+        Those that did not answer lately are left out, but never this VM.
+        """
+        ranked = self._ranks.get(key)
+        if ranked is None:
+            ranked = rendezvous.rank(key, (row.vm for row in self._rows))
+            self._ranks[key] = ranked
+        now_s = time.monotonic()
+        return [
+            vm
+            for vm in ranked
+            if vm == self._own.vm or self._suspects.get(vm, 0.0) <= now_s
+        ]
+
+    def suspect(self, vm: str) -> None:
+        """Notes that a VM did not answer: it leads nothing for a while."""
+        with self._lock:
+            if len(self._suspects) >= _MAX_SUSPECTS:
+                self._suspects.clear()
+            is_new = self._suspects.get(vm, 0.0) <= time.monotonic()
+            self._suspects[vm] = time.monotonic() + SUSPECT_S
+        if is_new:
+            _events.warning("suspected", peer=vm, for_s=SUSPECT_S)
+
+    def reached_fraction(self) -> float:
+        """Returns which part of all VMs this one reaches, itself included.
+
+        A failure domain counts as cut off when pings to it fail in a row;
+        this VM itself is always reached.
+        """
+        rows = self._rows
+        reached = sum(
+            row.vm == self._own.vm
+            or self._missed.get(row.failure_domain, 0) < _MAX_MISSED_PINGS
+            for row in rows
+        )
+        return reached / len(rows)
+
+    def note_ping(self, domain: str, vm: str, was_answered: bool) -> None:
+        """Notes whether a VM of a failure domain answered a ping."""
+        before = self._missed.get(domain, 0)
+        self._missed[domain] = 0 if was_answered else before + 1
+        if not was_answered:
+            self.suspect(vm)
+        if before + 1 == _MAX_MISSED_PINGS and not was_answered:
+            _events.warning("domain_lost", failure_domain=domain)
+        if was_answered and before >= _MAX_MISSED_PINGS:
+            _events.info("domain_back", failure_domain=domain)
+
+    def count(self) -> int:
+        """Returns how many VMs there are."""
+        return len(self._rows)
+
+    def _run(self) -> None:
+        was_refused = False
+        while not self._stopping.is_set():
+            is_kept = self._keep_entry()
+            was_refused = not self._read(was_refused) or not is_kept
+            self._stopping.wait(_RENEW_S * random.uniform(0.8, 1.0))
+
+    def _keep_entry(self) -> bool:
+        if self._lease:
+            renewed = self._store.renew(self._lease, _CALL_S)
+            if renewed.is_ok():
+                return True
+            if renewed.unwrap_err().kind != "no_lease":
+                return False
+            _events.warning("lease_ended", lease=self._lease)
+            self._lease = 0
+        ttl_s = max(_LEASE_S, self._settings.min_lease_s)
+        granted = self._store.grant(ttl_s, _CALL_S)
+        if granted.is_err():
+            return False
+        lease = granted.unwrap().lease
+        value = json.dumps(
+            {
+                "failure_domain": self._own.failure_domain,
+                "peers": self._own.peer_address,
+            }
+        ).encode()
+        write = dialect_lib.Write(self._prefix + self._own.vm, value, lease)
+        made = self._store.commit((), (write,), (), _CALL_S)
+        if made.is_err():
+            return False
+        self._lease = lease
+        _events.info("lease_made", lease=lease)
+        return True
+
+    def _read(self, was_refused: bool) -> bool:
+        rows: dict[str, core_records.Vm] = {}
+        after = ""
+        while True:
+            listed = self._store.list(self._prefix, after, _CALL_S, stale=True)
+            if listed.is_err():
+                return False
+            page = listed.unwrap()
+            for entry in page.entries:
+                row = self._decode(entry)
+                if row is not None:
+                    rows[row.vm] = row
+            if not page.has_more or not page.entries:
+                break
+            after = page.entries[-1].key
+        kept = self._listing.learn(rows, time.monotonic(), was_refused)
+        kept[self._own.vm] = self._own
+        fresh = tuple(kept[vm] for vm in sorted(kept))
+        if fresh != self._rows:
+            self._rows = fresh
+            self._ranks = {}
+            _events.info("listed", vms=[row.vm for row in fresh])
+        return True
+
+    def _decode(self, entry: dialect_lib.Entry) -> core_records.Vm | None:
+        try:
+            value = json.loads(entry.value or b"")
+            return core_records.Vm(
+                entry.key.removeprefix(self._prefix),
+                str(value["failure_domain"]),
+                "entry",
+                str(value["peers"]),
+            )
+        except (ValueError, KeyError, TypeError) as error:
+            _events.warning("bad_entry", key=entry.key, why=repr(error))
+            return None
+
+
+class Pings:
+    """Asks one VM of each failure domain whether it is there, and for news.
+
+    The failure: the store turns this VM away while it serves others, and a
+    key is withdrawn meanwhile; it would go on working here. The version in
+    force goes from VM to VM beside the store, in a few rounds.
+    """
+
+    def __init__(
+        self, kernel: kernel_lib.Kernel, settings: records.Settings
+    ) -> None:
+        self._kernel = kernel
+        self._domain = settings.failure_domain
+        self._newer = ""
+        self._stopping = threading.Event()
+
+    def start(self) -> None:
+        """Begins to ping."""
+        self._members = self._kernel.find(services.MEMBERSHIP, Members)
+        self._peers = self._kernel.find(services.PEERS, services.Peers)
+        self._feed = self._kernel.find(names.CONFIGURATION, configuration.Feed)
+        self._peers.handle(Ping, services.QuickHandler(self._on_ping))
+        self._peers.handle(
+            FetchConfiguration, services.QuickHandler(self._on_fetch)
+        )
+        self._peers.understand(Pong, configuration.Told)
+        threading.Thread(target=self._run, name="pings", daemon=True).start()
+
+    def stop(self, grace_s: float) -> None:
+        """Ends the thread."""
+        del grace_s
+        self._stopping.set()
+
+    def dump(self) -> Any:
+        """Returns nothing of interest."""
+        return {}
+
+    def _version(self) -> int:
+        held = self._feed.current()
+        return 0 if held is None else held.version
+
+    def _on_ping(self, vm: str, message: Ping) -> Pong:
+        if message.version > self._version():
+            self._newer = vm
+        return Pong(self._version())
+
+    def _on_fetch(
+        self, vm: str, message: FetchConfiguration
+    ) -> configuration.Told:
+        del vm, message
+        held = self._feed.current()
+        if held is None:
+            return configuration.Told(0, b"")
+        return configuration.Told(held.version, held.value)
+
+    def _run(self) -> None:
+        while not self._stopping.wait(_PING_S * random.uniform(0.8, 1.2)):
+            by_domain: dict[str, list[str]] = {}
+            own = self._members.own().vm
+            for row in self._members.entry_vms():
+                if row.vm != own:
+                    by_domain.setdefault(row.failure_domain, []).append(row.vm)
+            for domain, vms in by_domain.items():
+                self._ping(domain, random.choice(vms))
+            newer, self._newer = self._newer, ""
+            if newer:
+                self._fetch(newer)
+
+    def _ping(self, domain: str, vm: str) -> None:
+        answer = self._peers.call(vm, Ping(self._version()), _PING_TIMEOUT_S)
+        self._members.note_ping(domain, vm, answer.is_ok())
+        if answer.is_ok() and answer.unwrap().version > self._version():
+            self._newer = vm
+
+    def _fetch(self, vm: str) -> None:
+        request = FetchConfiguration(self._version())
+        answer = self._peers.call(vm, request, _FETCH_TIMEOUT_S)
+        if answer.is_ok() and answer.unwrap().version > self._version():
+            self._feed.learn(answer.unwrap().value, vm)
--- /dev/null
+++ b/packages/gateway/gateway/names.py
@@ -0,0 +1,12 @@
+"""The names that the gateway's services register under."""
+
+SETTINGS = "settings"
+STORE = "platform_store"
+DIALECT = "dialect"
+CONFIGURATION = "configuration"
+UPSTREAM_LIST = "upstream_list"
+PLACEMENT = "placement"
+RATES = "rates"
+JOBS = "batch_jobs"
+FORWARDER = "forwarder"
+FRONT = "front"
--- /dev/null
+++ b/packages/gateway/gateway/placement.py
@@ -0,0 +1,502 @@
+"""Chooses the upstream of each request, for engines through their leader."""
+
+from collections.abc import Callable, Iterable
+import itertools
+import queue
+import random
+import secrets
+import threading
+import time
+from typing import Any, NamedTuple
+
+import result
+
+from bulrushdeal import eventlog
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeald import services
+from gateway import configuration
+from gateway import health
+from gateway import members
+from gateway import names
+from gateway import records
+from gateway import slotledger
+from gateway import upstreamlist
+
+_events = eventlog.Events("placement")
+
+_TAKE_TIMEOUT_S = 0.25
+_TELL_TIMEOUT_S = 0.3
+# Leaders asked before a request is placed by what this VM knows alone.
+_MAX_LEADERS = 2
+_REPORT_S = 1.0
+# Releases wait so long for others that go in the same message.
+_GATHER_S = 0.02
+_NO_UPSTREAM_RETRY_S = 0.5
+# A leader's engine may have left by what this VM knows.
+_MAX_STALE_GRANTS = 2
+
+
+class Take(NamedTuple):
+    """Asks a service's leader for a slot for an online request."""
+
+    service: str
+    run: str
+    target_s: float
+    excluded: tuple[str, ...]
+    domain: str
+
+
+class Taken(NamedTuple):
+    """The engine; empty if there is no room before `retry_after_s`."""
+
+    instance: str
+    retry_after_s: float
+
+
+class TakeBatch(NamedTuple):
+    """Asks a service's leader for slots for batch items."""
+
+    service: str
+    runs: tuple[str, ...]
+    excluded: tuple[str, ...]
+
+
+class TakenBatch(NamedTuple):
+    """The engines of the first of the runs asked for."""
+
+    instances: tuple[str, ...]
+
+
+class Release(NamedTuple):
+    """Gives slots back."""
+
+    service: str
+    runs: tuple[str, ...]
+
+
+class Report(NamedTuple):
+    """All that a VM runs on the engines of a service."""
+
+    service: str
+    rows: tuple[slotledger.ReportRow, ...]
+
+
+class Yield(NamedTuple):
+    """Asks a VM to end batch runs, whose slots are given to others."""
+
+    runs: tuple[str, ...]
+
+
+class Done(NamedTuple):
+    """The answer to a message that asks nothing."""
+
+
+class NoSlot(NamedTuple):
+    """No upstream can be had now.
+
+    Attributes:
+        retry_after_s: When to come back.
+        why: For the log.
+    """
+
+    retry_after_s: float
+    why: str
+
+
+class Slot:
+    """A place on one upstream, held while a request runs there."""
+
+    def __init__(
+        self,
+        run: str,
+        upstream: records.Upstream,
+        is_batch: bool,
+        on_release: Callable[["Slot"], None],
+    ) -> None:
+        self.run = run
+        self.upstream = upstream
+        self.is_batch = is_batch
+        self.has_yielded = False
+        self._on_release = on_release
+        self._lock = threading.Lock()
+        self._is_released = False
+        self._cancel: Callable[[], None] | None = None
+
+    def on_yield(self, cancel: Callable[[], None]) -> None:
+        """Calls `cancel` once the slot has to be given up."""
+        with self._lock:
+            self._cancel = cancel
+            has_yielded = self.has_yielded
+        if has_yielded:
+            cancel()
+
+    def give_up(self) -> None:
+        """Ends what runs here, on another thread than the run's."""
+        with self._lock:
+            self.has_yielded = True
+            cancel = self._cancel
+        if cancel is not None:
+            cancel()
+
+    def release(self) -> None:
+        """Gives the slot back; idempotent."""
+        with self._lock:
+            if self._is_released:
+                return
+            self._is_released = True
+        self._on_release(self)
+
+
+class Placement:
+    """Finds a slot for each request; leads some services for all VMs."""
+
+    def __init__(
+        self, kernel: kernel_lib.Kernel, settings: records.Settings
+    ) -> None:
+        self._kernel = kernel
+        self._domain = settings.failure_domain
+        self._vm = settings.vm
+        self.health = health.Health()
+        self._numbers = itertools.count(1)
+        # A process that starts again must not use the names of its
+        # predecessor, whose runs the leader may still hold.
+        self._stem = f"{settings.vm}.{secrets.token_hex(3)}."
+        self._lock = threading.Lock()
+        self._held: dict[str, dict[str, Slot]] = {}
+        self._counts: dict[str, int] = {}
+        self._ledger_lock = threading.Lock()
+        self._ledgers: dict[str, slotledger.Ledger] = {}
+        self._releases: queue.SimpleQueue[tuple[str, str] | None] = (
+            queue.SimpleQueue()
+        )
+        self._yields: queue.SimpleQueue[tuple[str, str] | None] = (
+            queue.SimpleQueue()
+        )
+        self._leaders: dict[str, str] = {}
+        self._stopping = threading.Event()
+
+    def start(self) -> None:
+        """Begins to answer other VMs and to report to leaders."""
+        find = self._kernel.find
+        self._members = find(services.MEMBERSHIP, members.Members)
+        self._peers = find(services.PEERS, services.Peers)
+        self._feed = find(names.CONFIGURATION, configuration.Feed)
+        self._list = find(names.UPSTREAM_LIST, upstreamlist.UpstreamList)
+        self._list.on_change(self._on_list)
+        handle = self._peers.handle
+        # All on the reading thread, so that a VM's messages keep their
+        # order: a report sent before a release must not come after it.
+        handle(Take, services.QuickHandler(self._on_take))
+        handle(TakeBatch, services.QuickHandler(self._on_take_batch))
+        handle(Release, services.QuickHandler(self._on_release))
+        handle(Report, services.QuickHandler(self._on_report))
+        handle(Yield, services.QuickHandler(self._on_yield))
+        self._peers.understand(Taken, TakenBatch, Done)
+        for target in (self._send_releases, self._send_yields, self._report):
+            threading.Thread(
+                target=target, name="placement", daemon=True
+            ).start()
+
+    def stop(self, grace_s: float) -> None:
+        """Ends the threads."""
+        del grace_s
+        self._stopping.set()
+        self._releases.put(None)
+        self._yields.put(None)
+
+    def dump(self) -> Any:
+        """Returns what runs here, and the ledgers held here."""
+        with self._ledger_lock:
+            ledgers = {
+                name: dict(ledger.counts())
+                for name, ledger in self._ledgers.items()
+            }
+        with self._lock:
+            return {"held": dict(self._counts), "ledgers": ledgers}
+
+    def take(
+        self, service: str, target_s: float, excluded: Iterable[str]
+    ) -> result.Result[Slot, NoSlot]:
+        """Returns a slot for an online request, or when to come back.
+
+        Args:
+            service: The service it asks for.
+            target_s: How soon its answer should begin.
+            excluded: Upstreams that it was sent to already.
+        """
+        run = self._name()
+        left_out = self._left_out(service, excluded)
+        if not self._has_engine(service):
+            return self._take_alone(service, run, left_out)
+        for _ in range(_MAX_STALE_GRANTS):
+            taken = self._ask(service, run, target_s, left_out)
+            if taken is None:
+                return self._take_alone(service, run, left_out)
+            if not taken.instance:
+                return result.Err(NoSlot(taken.retry_after_s, "no free slot"))
+            upstream = self._usable(service, taken.instance)
+            if upstream is not None:
+                return result.Ok(self._hold(service, run, upstream, False))
+            self._releases.put((service, run))
+            left_out = left_out | {taken.instance}
+            run = self._name()
+        return self._take_alone(service, run, left_out)
+
+    def take_batch(self, service: str, count: int) -> list[Slot]:
+        """Returns slots that online requests leave, at most `count`."""
+        left_out = self._left_out(service, ())
+        if not self._has_engine(service):
+            return []
+        runs = tuple(self._name() for _ in range(count))
+        message = TakeBatch(service, runs, tuple(left_out))
+        answer = self._ask_leader(service, message)
+        if answer is None:
+            return []
+        slots = []
+        for run, instance in zip(runs, answer.instances, strict=False):
+            upstream = self._usable(service, instance)
+            if upstream is None:
+                self._releases.put((service, run))
+                continue
+            slots.append(self._hold(service, run, upstream, True))
+        return slots
+
+    def yield_all(self) -> None:
+        """Ends all batch runs of this VM, which is about to stop."""
+        with self._lock:
+            slots = [
+                slot
+                for held in self._held.values()
+                for slot in held.values()
+                if slot.is_batch
+            ]
+        for slot in slots:
+            slot.give_up()
+
+    def has_upstreams(self, service: str) -> bool:
+        """Tells whether the platform lists an upstream of a service."""
+        return bool(self._list.usable(service))
+
+    def _name(self) -> str:
+        return f"{self._stem}{next(self._numbers)}"
+
+    def _has_engine(self, service: str) -> bool:
+        held = self._feed.current()
+        row = None if held is None else held.services.get(service)
+        return row is not None and row.engine is not None
+
+    def _left_out(
+        self, service: str, excluded: Iterable[str]
+    ) -> frozenset[str]:
+        left_out = frozenset(excluded)
+        avoided = self.health.avoided()
+        if not avoided:
+            return left_out
+        rows = {row.instance for row in self._list.usable(service)}
+        # When all are avoided one of them is better than a refusal.
+        if rows <= avoided | left_out:
+            return left_out
+        return left_out | (avoided & rows)
+
+    def _usable(self, service: str, instance: str) -> records.Upstream | None:
+        row = self._list.find(instance)
+        if row is None or row.is_draining or row.service != service:
+            return None
+        return row
+
+    def _take_alone(
+        self, service: str, run: str, excluded: frozenset[str]
+    ) -> result.Result[Slot, NoSlot]:
+        """Chooses by what this VM itself runs, and by chance."""
+        rows = [
+            row
+            for row in self._list.usable(service)
+            if row.instance not in excluded
+        ]
+        if not rows:
+            return result.Err(NoSlot(_NO_UPSTREAM_RETRY_S, "no upstream"))
+        with self._lock:
+            counts = self._counts
+            best = min(
+                rows,
+                key=lambda row: (
+                    counts.get(row.instance, 0) / row.slots,
+                    random.random(),
+                ),
+            )
+        return result.Ok(self._hold(service, run, best, False))
+
+    def _ask(
+        self,
+        service: str,
+        run: str,
+        target_s: float,
+        excluded: frozenset[str],
+    ) -> Taken | None:
+        message = Take(service, run, target_s, tuple(excluded), self._domain)
+        answer = self._ask_leader(service, message)
+        return answer if isinstance(answer, Taken) else None
+
+    def _ask_leader(self, service: str, message: Any) -> Any | None:
+        for vm in self._members.rank(service)[:_MAX_LEADERS]:
+            answer = self._peers.call(vm, message, _TAKE_TIMEOUT_S)
+            if answer.is_ok():
+                self._leaders[service] = vm
+                return answer.unwrap()
+            self._members.suspect(vm)
+            _events.warning(
+                "leader_lost",
+                service=service,
+                peer=vm,
+                why=answer.unwrap_err().message,
+            )
+        return None
+
+    def _hold(
+        self,
+        service: str,
+        run: str,
+        upstream: records.Upstream,
+        is_batch: bool,
+    ) -> Slot:
+        slot = Slot(
+            run, upstream, is_batch, lambda slot: self._drop(service, slot)
+        )
+        with self._lock:
+            self._held.setdefault(service, {})[run] = slot
+            count = self._counts.get(upstream.instance, 0)
+            self._counts[upstream.instance] = count + 1
+        return slot
+
+    def _drop(self, service: str, slot: Slot) -> None:
+        instance = slot.upstream.instance
+        with self._lock:
+            self._held.get(service, {}).pop(slot.run, None)
+            left = self._counts.get(instance, 1) - 1
+            if left > 0:
+                self._counts[instance] = left
+            else:
+                self._counts.pop(instance, None)
+        if self._has_engine(service):
+            self._releases.put((service, slot.run))
+
+    def _on_list(self) -> None:
+        with self._ledger_lock:
+            for service, ledger in self._ledgers.items():
+                ledger.set_engines(self._list.usable(service))
+
+    # What leaders do.
+
+    def _ledger(self, service: str) -> slotledger.Ledger:
+        ledger = self._ledgers.get(service)
+        if ledger is None:
+            ledger = self._ledgers[service] = slotledger.Ledger()
+            ledger.set_engines(self._list.usable(service))
+        return ledger
+
+    def _on_take(self, vm: str, message: Take) -> Taken:
+        with self._ledger_lock:
+            ledger = self._ledger(message.service)
+            taken = ledger.take_online(
+                message.run,
+                vm,
+                time.monotonic(),
+                target_s=message.target_s,
+                excluded=message.excluded,
+                domain=message.domain,
+            )
+        if isinstance(taken, slotledger.NoRoom):
+            return Taken("", taken.retry_after_s)
+        for run in taken.yields:
+            # A run's name begins with its VM's.
+            self._yields.put((run.rsplit(".", 2)[0], run))
+        return Taken(taken.instance, 0.0)
+
+    def _on_take_batch(self, vm: str, message: TakeBatch) -> TakenBatch:
+        instances: list[str] = []
+        with self._ledger_lock:
+            ledger = self._ledger(message.service)
+            for run in message.runs:
+                taken = ledger.take_batch(
+                    run, vm, time.monotonic(), message.excluded
+                )
+                if taken is None:
+                    break
+                instances.append(taken.instance)
+        return TakenBatch(tuple(instances))
+
+    def _on_release(self, vm: str, message: Release) -> Done:
+        del vm
+        now_s = time.monotonic()
+        with self._ledger_lock:
+            ledger = self._ledger(message.service)
+            for run in message.runs:
+                ledger.release(run, now_s)
+        return Done()
+
+    def _on_report(self, vm: str, message: Report) -> Done:
+        now_s = time.monotonic()
+        with self._ledger_lock:
+            ledger = self._ledger(message.service)
+            ledger.report(vm, message.rows, now_s)
+            ledger.expire(now_s)
+        return Done()
+
+    def _on_yield(self, vm: str, message: Yield) -> Done:
+        del vm
+        with self._lock:
+            slots = [
+                held[run]
+                for run in message.runs
+                for held in self._held.values()
+                if run in held
+            ]
+        for slot in slots:
+            slot.give_up()
+        return Done()
+
+    def _send_yields(self) -> None:
+        while (row := self._yields.get()) is not None:
+            vm, run = row
+            answer = self._peers.call(vm, Yield((run,)), _TELL_TIMEOUT_S)
+            if answer.is_err():
+                _events.warning("yield_lost", peer=vm, run=run)
+
+    # What goes to leaders.
+
+    def _send_releases(self) -> None:
+        while (row := self._releases.get()) is not None:
+            self._stopping.wait(_GATHER_S)
+            by_service: dict[str, list[str]] = {row[0]: [row[1]]}
+            while not self._releases.empty():
+                more = self._releases.get()
+                if more is None:
+                    return
+                by_service.setdefault(more[0], []).append(more[1])
+            for service, runs in by_service.items():
+                self._tell_leader(service, Release(service, tuple(runs)))
+
+    def _tell_leader(self, service: str, message: Any) -> None:
+        """Sends what a later report makes good if it is lost."""
+        ranked = self._members.rank(service)
+        if ranked:
+            self._peers.call(ranked[0], message, _TELL_TIMEOUT_S)
+
+    def _report(self) -> None:
+        reported: set[str] = set()
+        while not self._stopping.wait(_REPORT_S):
+            with self._lock:
+                rows = {
+                    service: tuple(
+                        slotledger.ReportRow(
+                            run, slot.upstream.instance, slot.is_batch
+                        )
+                        for run, slot in held.items()
+                    )
+                    for service, held in self._held.items()
+                    if held or service in reported
+                }
+            for service, runs in rows.items():
+                if self._has_engine(service):
+                    self._tell_leader(service, Report(service, runs))
+            reported = {service for service, runs in rows.items() if runs}
--- /dev/null
+++ b/packages/gateway/gateway/rates.py
@@ -0,0 +1,154 @@
+"""Each customer's rate and burst over all VMs together.
+
+One VM owns a customer's bucket and the others ask it for each request. It
+is in memory: a new owner begins with less than the operators tolerate in
+excess, so that owners that replace each other never add up to a breach.
+"""
+
+import threading
+import time
+from typing import Any, NamedTuple
+
+import result
+
+from bulrushdeal import eventlog
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeald import services
+from gateway import configuration
+from gateway import members
+from gateway import names
+from gateway import records
+from gateway import tokens
+
+_events = eventlog.Events("rates")
+
+_SPEND_TIMEOUT_S = 0.25
+_MAX_OWNERS = 2
+# Two owners may begin within one window, so each gets half of the excess.
+_OPENING_SHARE = 0.5
+# What a VM without an owner lets through, of its even share of the rate:
+# the others' owner does not know and gives away all of it.
+_ALONE_SHARE = 0.5
+_MAX_BUCKETS = 20_000
+
+
+class Spend(NamedTuple):
+    """Asks a customer's owner for a token."""
+
+    customer: str
+
+
+class Spent(NamedTuple):
+    """A token, or when to come back.
+
+    Attributes:
+        is_allowed: Whether there was one.
+        retry_after_s: When there will be one, if there was none.
+    """
+
+    is_allowed: bool
+    retry_after_s: float
+
+
+class Rates:
+    """Asks owners for tokens, and owns some customers' buckets."""
+
+    def __init__(
+        self, kernel: kernel_lib.Kernel, settings: records.Settings
+    ) -> None:
+        self._kernel = kernel
+        self._opening = settings.limit_slack * _OPENING_SHARE
+        self._lock = threading.Lock()
+        self._owned: dict[str, tokens.Bucket] = {}
+        self._alone: dict[str, tokens.Bucket] = {}
+        self._refused = 0
+
+    def start(self) -> None:
+        """Begins to answer other VMs."""
+        find = self._kernel.find
+        self._members = find(services.MEMBERSHIP, members.Members)
+        self._peers = find(services.PEERS, services.Peers)
+        self._feed = find(names.CONFIGURATION, configuration.Feed)
+        self._peers.handle(Spend, services.QuickHandler(self._on_spend))
+        self._peers.understand(Spent)
+
+    def stop(self, grace_s: float) -> None:
+        """See `kernel.Service`."""
+        del grace_s
+
+    def dump(self) -> Any:
+        """Returns how many buckets are held here."""
+        return {"owned": len(self._owned), "refused": self._refused}
+
+    def take(
+        self, customer: records.Customer
+    ) -> result.Result[None, tokens.Denied]:
+        """Takes a token for a request, or tells when to come back."""
+        if customer.rate_per_s <= 0:
+            return result.Ok(None)
+        message = Spend(customer.name)
+        for vm in self._members.rank(f"rate {customer.name}")[:_MAX_OWNERS]:
+            answer = self._peers.call(vm, message, _SPEND_TIMEOUT_S)
+            if answer.is_ok():
+                return self._told(answer.unwrap())
+            self._members.suspect(vm)
+            # It may have taken the token, and may be only slow: another
+            # owner beside it would give out the whole rate once more.
+            if answer.unwrap_err().kind == "timeout":
+                break
+        return self._take_alone(customer)
+
+    def _told(self, spent: Spent) -> result.Result[None, tokens.Denied]:
+        if spent.is_allowed:
+            return result.Ok(None)
+        return result.Err(tokens.Denied(spent.retry_after_s))
+
+    def _take_alone(
+        self, customer: records.Customer
+    ) -> result.Result[None, tokens.Denied]:
+        """Goes by this VM's own share, cut off from the customer's owner."""
+        fraction = _ALONE_SHARE / self._members.count()
+        now_s = time.monotonic()
+        with self._lock:
+            bucket = self._alone.get(customer.name)
+            if bucket is None:
+                bucket = self._alone[customer.name] = tokens.Bucket(1.0, now_s)
+            denied = bucket.take(
+                customer.rate_per_s * fraction,
+                customer.burst * fraction,
+                now_s,
+            )
+        return result.Ok(None) if denied is None else result.Err(denied)
+
+    def _on_spend(self, vm: str, message: Spend) -> Spent:
+        del vm
+        held = self._feed.current()
+        row = None if held is None else held.customers.get(message.customer)
+        if row is None:
+            # The asker knows a newer configuration than this VM: nothing
+            # limits a customer that is not known to be limited.
+            return Spent(False, configuration.WATCH_WAIT_S)
+        if row.rate_per_s <= 0:
+            return Spent(True, 0.0)
+        fraction = self._members.reached_fraction()
+        now_s = time.monotonic()
+        with self._lock:
+            bucket = self._bucket(row, now_s)
+            denied = bucket.take(
+                row.rate_per_s * fraction, row.burst * fraction, now_s
+            )
+        if denied is None:
+            return Spent(True, 0.0)
+        self._refused += 1
+        return Spent(False, denied.retry_after_s)
+
+    def _bucket(self, row: records.Customer, now_s: float) -> tokens.Bucket:
+        bucket = self._owned.get(row.name)
+        if bucket is not None:
+            return bucket
+        if len(self._owned) >= _MAX_BUCKETS:
+            self._owned.clear()
+            _events.warning("buckets_cleared", most=_MAX_BUCKETS)
+        opening = min(row.burst, self._opening)
+        bucket = self._owned[row.name] = tokens.Bucket(opening, now_s)
+        return bucket
--- /dev/null
+++ b/packages/gateway/gateway/slotledger.py
@@ -0,0 +1,216 @@
+"""Which requests run on the engines of one service, and who gets a slot.
+
+One VM leads each service and holds its ledger. Engines know no priorities
+and admit in the order of arrival, so what keeps online requests ahead of
+batch is decided here, before anything is sent.
+"""
+
+from collections.abc import Iterable, Mapping
+import random
+from typing import NamedTuple
+
+from gateway import records
+
+# Free slots of each engine that batch leaves alone. An arrival that finds
+# none makes a batch item yield, which costs a connection.
+BATCH_RESERVE = 1
+# The part of an answer's target that a request may wait inside an engine;
+# the rest is for its prompt and the way.
+_WAIT_SHARE = 0.7
+# Until runs were seen to end: a stream of the sizes served takes about so.
+_FIRST_RUN_S = 0.75
+_RUN_WEIGHT = 0.05
+# A grant may still be on its way to its VM, which does not report it yet.
+_GRANT_TRAVELS_S = 0.6
+# A VM that reports nothing for so long runs nothing any more.
+_SILENT_S = 3.5
+_MIN_RETRY_S = 0.15
+
+
+class Run(NamedTuple):
+    """A request that holds a slot."""
+
+    vm: str
+    instance: str
+    is_batch: bool
+    since_s: float
+
+
+class Grant(NamedTuple):
+    """A slot for a request, and the batch runs that have to yield for it."""
+
+    instance: str
+    yields: tuple[str, ...] = ()
+
+
+class NoRoom(NamedTuple):
+    """No slot soon enough, and when to come back."""
+
+    retry_after_s: float
+
+
+class ReportRow(NamedTuple):
+    """One run as its VM reports it."""
+
+    run: str
+    instance: str
+    is_batch: bool
+
+
+class Ledger:
+    """The runs on the engines of one service, as far as is known here.
+
+    It lives in memory only: a VM that comes to lead a service learns from
+    the others' reports what runs, within a second.
+    """
+
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self._rng = rng or random.Random()
+        self._engines: dict[str, records.Upstream] = {}
+        self._runs: dict[str, Run] = {}
+        self._counts: dict[str, int] = {}
+        self._heard_s: dict[str, float] = {}
+        self._run_s = _FIRST_RUN_S
+
+    def set_engines(self, engines: Iterable[records.Upstream]) -> None:
+        """Takes the engines that may get requests."""
+        self._engines = {row.instance: row for row in engines}
+
+    def take_online(
+        self,
+        run: str,
+        vm: str,
+        now_s: float,
+        *,
+        target_s: float,
+        excluded: Iterable[str] = (),
+        domain: str = "",
+    ) -> Grant | NoRoom:
+        """Gives a slot to an online request, at once or not at all.
+
+        A free slot first; else that of a batch run, which yields; else a
+        place in an engine's own queue, as long as the wait there leaves the
+        answer on time. Beyond that the queue would make every answer late,
+        so the request is refused and comes back when slots have come free.
+        """
+        choices = self._choices(excluded)
+        if not choices:
+            return NoRoom(_MIN_RETRY_S)
+        best = min(choices, key=lambda row: self._rank(row, domain))
+        over = self._count(best) - best.slots
+        if over < 0:
+            return self._grant(run, vm, best, False, now_s)
+        victim = self._victim(choices)
+        if victim:
+            instance = self._runs[victim].instance
+            self.release(victim, now_s, is_whole=False)
+            grant = self._grant(
+                run, vm, self._engines[instance], False, now_s
+            )
+            return grant._replace(yields=(victim,))
+        if over < self._most_waiting(best, target_s):
+            return self._grant(run, vm, best, False, now_s)
+        drain_s = (over + 1) * self._run_s / best.slots
+        return NoRoom(max(_MIN_RETRY_S, drain_s) * self._rng.uniform(1.0, 1.5))
+
+    def take_batch(
+        self, run: str, vm: str, now_s: float, excluded: Iterable[str] = ()
+    ) -> Grant | None:
+        """Gives a slot to a batch item if online requests leave one."""
+        choices = [
+            row
+            for row in self._choices(excluded)
+            if self._count(row) < row.slots - BATCH_RESERVE
+        ]
+        if not choices:
+            return None
+        best = min(choices, key=lambda row: self._rank(row, ""))
+        return self._grant(run, vm, best, True, now_s)
+
+    def release(self, run: str, now_s: float, *, is_whole: bool = True) -> None:
+        """Takes a slot back; idempotent."""
+        held = self._runs.pop(run, None)
+        if held is None:
+            return
+        self._counts[held.instance] -= 1
+        if is_whole and not held.is_batch:
+            took_s = now_s - held.since_s
+            self._run_s += (took_s - self._run_s) * _RUN_WEIGHT
+
+    def report(
+        self, vm: str, rows: Iterable[ReportRow], now_s: float
+    ) -> None:
+        """Takes all that a VM says it runs, in place of what was known.
+
+        The failure: a release is lost with its connection, or another VM
+        led until now; slots would seem taken for ever, or free while they
+        are not.
+        """
+        self._heard_s[vm] = now_s
+        reported = {row.run: row for row in rows}
+        for run, held in list(self._runs.items()):
+            is_new = now_s - held.since_s < _GRANT_TRAVELS_S
+            if held.vm == vm and run not in reported and not is_new:
+                self.release(run, now_s, is_whole=False)
+        for run, row in reported.items():
+            if run not in self._runs:
+                self._add(
+                    run, Run(vm, row.instance, row.is_batch, now_s)
+                )
+
+    def expire(self, now_s: float) -> None:
+        """Drops the runs of VMs that are silent."""
+        for run, held in list(self._runs.items()):
+            heard_s = self._heard_s.get(held.vm, held.since_s)
+            if now_s - max(heard_s, held.since_s) > _SILENT_S:
+                self.release(run, now_s, is_whole=False)
+
+    def counts(self) -> Mapping[str, int]:
+        """Returns how many runs each engine has."""
+        return {name: count for name, count in self._counts.items() if count}
+
+    def _choices(self, excluded: Iterable[str]) -> list[records.Upstream]:
+        left_out = frozenset(excluded)
+        return [
+            row
+            for row in self._engines.values()
+            if row.instance not in left_out
+        ]
+
+    def _count(self, row: records.Upstream) -> int:
+        return self._counts.get(row.instance, 0)
+
+    def _rank(
+        self, row: records.Upstream, domain: str
+    ) -> tuple[float, bool, float]:
+        fill = self._count(row) / row.slots
+        return (fill, row.failure_domain != domain, self._rng.random())
+
+    def _victim(self, choices: Iterable[records.Upstream]) -> str:
+        """Returns the batch run that began last on a usable engine."""
+        usable = {row.instance for row in choices}
+        runs = [
+            (held.since_s, run)
+            for run, held in self._runs.items()
+            if held.is_batch and held.instance in usable
+        ]
+        return max(runs, default=(0.0, ""))[1]
+
+    def _most_waiting(self, row: records.Upstream, target_s: float) -> int:
+        return int(_WAIT_SHARE * target_s * row.slots / self._run_s)
+
+    def _grant(
+        self,
+        run: str,
+        vm: str,
+        row: records.Upstream,
+        is_batch: bool,
+        now_s: float,
+    ) -> Grant:
+        self._add(run, Run(vm, row.instance, is_batch, now_s))
+        return Grant(row.instance)
+
+    def _add(self, run: str, held: Run) -> None:
+        self._runs[run] = held
+        count = self._counts.get(held.instance, 0)
+        self._counts[held.instance] = count + 1
--- /dev/null
+++ b/packages/gateway/gateway/upstreamlist.py
@@ -0,0 +1,158 @@
+"""The upstreams that the platform lists, kept over the store's outages."""
+
+from collections.abc import Callable
+import threading
+import time
+from typing import Any
+
+from bulrushdeal import eventlog
+from bulrushdeal import kernel as kernel_lib
+from gateway import dialect as dialect_lib
+from gateway import listing
+from gateway import names
+from gateway import records
+
+_events = eventlog.Events("upstreams")
+
+# An upstream that leaves must get nothing two seconds after the store knows.
+_POLL_S = 0.7
+_RETRY_S = 0.15
+_CALL_S = 0.8
+
+
+class UpstreamList:
+    """Polls the list; between reads, and without the store, it stays."""
+
+    def __init__(self, kernel: kernel_lib.Kernel) -> None:
+        self._kernel = kernel
+        # One that was leaving has no reason to come back.
+        self._listing: listing.Listing[records.Upstream] = listing.Listing(
+            lambda row: not row.is_draining
+        )
+        self._by_service: dict[str, tuple[records.Upstream, ...]] = {}
+        self._by_instance: dict[str, records.Upstream] = {}
+        self._read_s: float | None = None
+        self._bad: dict[str, bytes] = {}
+        self._callbacks: list[Callable[[], None]] = []
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="upstream list", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begins to poll."""
+        self._store = self._kernel.find(names.STORE, dialect_lib.Store)
+        self._dialect = self._kernel.find(names.DIALECT, dialect_lib.Dialect)
+        self._thread.start()
+
+    def stop(self, grace_s: float) -> None:
+        """Ends the thread, at the latest with its call."""
+        del grace_s
+        self._stopping.set()
+
+    def dump(self) -> Any:
+        """Returns the list and its age."""
+        return {
+            "age_s": round(self.age_s(), 3),
+            "upstreams": sorted(self._by_instance),
+        }
+
+    def age_s(self) -> float:
+        """Returns how long ago the list was read; -1 if never."""
+        if self._read_s is None:
+            return -1.0
+        return time.monotonic() - self._read_s
+
+    def is_known(self) -> bool:
+        """Tells whether the list was ever read."""
+        return self._read_s is not None
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Calls back after each change."""
+        self._callbacks.append(callback)
+
+    def usable(self, service: str) -> tuple[records.Upstream, ...]:
+        """Returns the upstreams of a service that may get requests."""
+        return self._by_service.get(service, ())
+
+    def find(self, instance: str) -> records.Upstream | None:
+        """Returns an upstream by its name."""
+        return self._by_instance.get(instance)
+
+    def _run(self) -> None:
+        was_refused = False
+        while not self._stopping.is_set():
+            rows = self._read()
+            if rows is not None:
+                now_s = time.monotonic()
+                self._apply(self._listing.learn(rows, now_s, was_refused))
+                self._read_s = now_s
+            elif not was_refused:
+                _events.warning("list_lost", age_s=round(self.age_s(), 3))
+            was_refused = rows is None
+            self._stopping.wait(_RETRY_S if rows is None else _POLL_S)
+
+    def _read(self) -> dict[str, records.Upstream] | None:
+        prefix = self._dialect.names.upstreams
+        rows: dict[str, records.Upstream] = {}
+        after = ""
+        while True:
+            listed = self._store.list(prefix, after, _CALL_S)
+            if listed.is_err():
+                return None
+            page = listed.unwrap()
+            for entry in page.entries:
+                row = self._decode(entry)
+                if row is not None:
+                    rows[row.instance] = row
+            if not page.has_more or not page.entries:
+                return rows
+            after = page.entries[-1].key
+
+    def _decode(self, entry: dialect_lib.Entry) -> records.Upstream | None:
+        if entry.value is None:
+            return None
+        try:
+            row = self._dialect.upstream(entry.key, entry.value)
+        except dialect_lib.BadInputError as error:
+            if self._bad.get(entry.key) != entry.value:
+                self._bad[entry.key] = entry.value
+                _events.warning("bad_entry", key=entry.key, why=str(error))
+            return None
+        return row
+
+    def _apply(self, rows: dict[str, records.Upstream]) -> None:
+        before = self._by_instance
+        if rows == before:
+            return
+        by_service: dict[str, list[records.Upstream]] = {}
+        for instance in sorted(rows):
+            row = rows[instance]
+            if not row.is_draining:
+                by_service.setdefault(row.service, []).append(row)
+        self._by_service = {
+            name: tuple(found) for name, found in by_service.items()
+        }
+        self._by_instance = rows
+        _note_changes(before, rows)
+        for callback in self._callbacks:
+            callback()
+
+
+def _note_changes(
+    before: dict[str, records.Upstream], after: dict[str, records.Upstream]
+) -> None:
+    for instance in sorted(before.keys() | after.keys()):
+        old, new = before.get(instance), after.get(instance)
+        if old == new:
+            continue
+        if new is None:
+            _events.info("gone", upstream=instance)
+            continue
+        _events.info(
+            "draining" if new.is_draining else "listed",
+            upstream=instance,
+            service=new.service,
+            address=new.address,
+            slots=new.slots,
+        )
