--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
-PACKAGES = core daemon ui standins bench
-SOURCES = packages tests
+PACKAGES = core daemon gateway ui standins bench
+SOURCES = packages platform tests
 
 .PHONY: setup test check format demo up fuzz clean
 
@@ -20,7 +20,7 @@
 check: setup
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
-	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p)) tests
+	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p)) platform tests
 
 test: check
 	$(BIN)/python -m pytest
--- a/packages/gateway/gateway/assembly.py
+++ b/packages/gateway/gateway/assembly.py
@@ -30,6 +30,8 @@
 _events = eventlog.Events("process")
 # What the process keeps of the grace for its own end.
 _MARGIN_S = 0.6
+# How often the calls made so far are told.
+_COUNTS_S = 10.0
 
 
 def assemble(
@@ -88,7 +90,8 @@
         return 1
     daemon_main.keep_started_objects()
     _events.info("started", failure_domain=settings.failure_domain)
-    stopping.wait()
+    while not stopping.wait(_COUNTS_S):
+        _events.info("counts", store_calls=store.counts())
     _events.info("stopping", grace_s=settings.grace_s)
     kernel.stop(max(settings.grace_s - _MARGIN_S, 0.5))
     _events.info("stopped")
--- a/packages/gateway/gateway/dialect.py
+++ b/packages/gateway/gateway/dialect.py
@@ -117,6 +117,9 @@
     ) -> result.Result[None, StoreError]:
         """Ends a lease and removes its keys."""
 
+    def counts(self) -> Mapping[str, int]:
+        """Returns how many calls were made, by kind."""
+
 
 class Prompt(NamedTuple):
     """What a request says of its prompt and answer.
@@ -314,7 +317,6 @@
         """The keys of the store that the platform and operators use."""
 
 
-
 class Names(NamedTuple):
     """Keys of the store: `upstreams` and `requests` are prefixes."""
 
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -64,9 +64,7 @@
         """See `kernel.Service`."""
         return {}
 
-    def forward(
-        self, request: Forwarded, call: calls.Call
-    ) -> httpd.Response:
+    def forward(self, request: Forwarded, call: calls.Call) -> httpd.Response:
         """Returns the answer; the call is over when its body is closed."""
         return _Forwarding(self._placement, self._sender, request, call).run()
 
@@ -232,9 +230,7 @@
                 raise caller_calls.BrokenAnswerError(piece.err_value.message)
             yield piece.ok_value
 
-    def _broke(
-        self, error: services.UpstreamError
-    ) -> httpd.Response | None:
+    def _broke(self, error: services.UpstreamError) -> httpd.Response | None:
         slot = self._slot
         assert slot is not None
         failure = self._sender.failure(slot.upstream, error)
@@ -278,6 +274,7 @@
                     error = piece.err_value
                     break
                 whole = splitter.feed(piece.ok_value)
+                self._hear()
                 if whole:
                     number = eventstream.last_number(whole)
                     if number is not None:
@@ -289,6 +286,10 @@
             current = self._resume(error)
         raise caller_calls.BrokenAnswerError("the stream broke off")
 
+    def _hear(self) -> None:
+        if self._slot is not None:
+            self._placement.health.heard(self._slot.upstream.instance)
+
     def _finish(self) -> None:
         answer, self._answer = self._answer, None
         if answer is not None:
--- a/packages/gateway/gateway/front.py
+++ b/packages/gateway/gateway/front.py
@@ -1,5 +1,6 @@
 """The callers' HTTP server, readiness, and the graceful stop."""
 
+from collections.abc import Callable
 import random
 import time
 from typing import Any, Literal
@@ -37,7 +38,7 @@
 # then it sends new connections, which must find a listener.
 _UNREADY_S = 3.2
 # Of the grace, what is left for closing when requests still run.
-_CLOSE_S = 1.0
+_CLOSE_S = 0.3
 _NOT_READY_RETRY_S = 0.5
 _DEFAULT_DEADLINE_S = 60.0
 _READY_PATH = "/ready"
@@ -94,15 +95,21 @@
         end_s = time.monotonic() + grace_s
         self._state = "stopping"
         time.sleep(min(_UNREADY_S, grace_s / 2))
-        left_s = end_s - time.monotonic() - _CLOSE_S
-        if not self._open.wait_until_none(left_s):
-            count = self._open.end_all("stopping")
-            _events.warning("cut", requests=count, why="the grace is over")
+        # Callers keep connections that were idle all the while: a request
+        # that came over one late in the grace would be cut by its end. So
+        # idle ones are closed while there is time for what is open.
+        cut = self._deadlines.add(end_s - _CLOSE_S, self._cut_all)
         self._server.stop(max(end_s - time.monotonic(), _CLOSE_S))
+        cut()
         self._ready.stop(0.1)
         self._departures.stop()
         self._deadlines.stop()
 
+    def _cut_all(self) -> None:
+        count = self._open.end_all("stopping")
+        if count:
+            _events.warning("cut", requests=count, why="the grace is over")
+
     def dump(self) -> Any:
         """Returns the state and how many requests are open."""
         return {"state": self._state, "open": self._open.count()}
@@ -213,9 +220,7 @@
         call = calls.Call(head.attempt, end_s, caller_end_s)
         self._open.add(call)
         try:
-            response = self._answer(
-                request, held, head, route, customer, call
-            )
+            response = self._answer(request, held, head, route, customer, call)
         except BaseException:
             self._open.remove(call)
             raise
@@ -252,9 +257,7 @@
                 read.ok_value,
                 name,
             )
-            return self._forward(
-                request, head, route, customer, call, outgoing
-            )
+            return self._forward(request, head, route, customer, call, outgoing)
         self._open.remove(call)
         return response
 
@@ -273,7 +276,7 @@
         forget_deadline = self._deadlines.add(
             call.end_s, lambda: call.end("timeout")
         )
-        forget_caller = lambda: None  # noqa: E731
+        forget_caller: Callable[[], None] = _nothing
         if request.connection is not None:
             forget_caller = self._departures.watch(
                 request.connection, lambda: call.end("caller_left")
@@ -293,9 +296,7 @@
             forget_deadline()
             forget_caller()
             raise
-        return response._replace(
-            body=caller_calls.Body(response.body, close)
-        )
+        return response._replace(body=caller_calls.Body(response.body, close))
 
     def _admit_and_forward(
         self,
@@ -352,6 +353,10 @@
         _events.good_end("answered", **fields)
 
 
+def _nothing() -> None:
+    """Stands for a watch that was never set up."""
+
+
 def _service(route: records.Route) -> str:
     if len(route.services) == 1:
         return route.services[0].service
--- a/packages/gateway/gateway/health.py
+++ b/packages/gateway/gateway/health.py
@@ -12,6 +12,8 @@
 # that stays dark costs one connection attempt in five seconds.
 _FIRST_AVOID_S = 0.5
 _MAX_AVOID_S = 5.0
+# An upstream that sent something so lately is there, whatever pings say.
+_HEARD_S = 0.5
 
 
 class Health:
@@ -21,6 +23,7 @@
         self._lock = threading.Lock()
         self._until_s: dict[str, float] = {}
         self._failures: dict[str, int] = {}
+        self._heard_s: dict[str, float] = {}
 
     def failed(self, instance: str, why: str) -> None:
         """Notes that a request to an upstream failed on the way."""
@@ -40,6 +43,15 @@
             self._until_s.pop(instance, None)
         _events.info("back", upstream=instance)
 
+    def heard(self, instance: str) -> None:
+        """Notes that an upstream sent something just now."""
+        self._heard_s[instance] = time.monotonic()
+
+    def is_silent(self, instance: str) -> bool:
+        """Tells whether nothing came from an upstream lately."""
+        heard_s = self._heard_s.get(instance, 0.0)
+        return time.monotonic() - heard_s > _HEARD_S
+
     def avoided(self) -> frozenset[str]:
         """Returns the upstreams that are avoided now."""
         if not self._until_s:
@@ -47,7 +59,8 @@
         now_s = time.monotonic()
         with self._lock:
             return frozenset(
-                name for name, until_s in self._until_s.items()
+                name
+                for name, until_s in self._until_s.items()
                 if until_s > now_s
             )
 
@@ -55,6 +68,11 @@
         """Forgets all upstreams but these."""
         kept = frozenset(instances)
         with self._lock:
+            self._heard_s = {
+                name: heard_s
+                for name, heard_s in self._heard_s.items()
+                if name in kept
+            }
             for name in list(self._failures):
                 if name not in kept:
                     del self._failures[name]
--- a/packages/gateway/gateway/jobfront.py
+++ b/packages/gateway/gateway/jobfront.py
@@ -50,9 +50,7 @@
             return _refuse(job, accepted.err_value)
         return httpd.json_response(202, {"id": job})
 
-    def call(
-        self, call: dialect_lib.JobCall, customer: str
-    ) -> httpd.Response:
+    def call(self, call: dialect_lib.JobCall, customer: str) -> httpd.Response:
         """Answers a call about a job."""
         if call.kind == "end":
             ended = self._jobs.end(call.job, customer)
@@ -63,9 +61,7 @@
             body = self._jobs.input(call.job, customer, call.item)
             if isinstance(body, result.Err):
                 return _refuse(call.job, body.err_value)
-            return replies.whole(
-                200, "application/octet-stream", body.ok_value
-            )
+            return replies.whole(200, "application/octet-stream", body.ok_value)
         page = self._jobs.read(call.job, customer, call.after, call.wait_s)
         if isinstance(page, result.Err):
             return _refuse(call.job, page.err_value)
--- a/packages/gateway/gateway/jobrecords.py
+++ b/packages/gateway/gateway/jobrecords.py
@@ -122,6 +122,16 @@
         raise codec.CodecError(f"not a record: {error}") from error
 
 
+def is_held_by(value: bytes | None, vm: str) -> bool:
+    """Tells whether a claim is a VM's; what cannot be read is nobody's."""
+    if value is None:
+        return False
+    try:
+        return unpack(Claim, value).vm == vm
+    except codec.CodecError:
+        return False
+
+
 class _Items(NamedTuple):
     items: tuple[dialect.JobItem, ...]
 
--- a/packages/gateway/gateway/jobs.py
+++ b/packages/gateway/gateway/jobs.py
@@ -227,9 +227,9 @@
         return self._repeated(view.ok_value.meta, meta.customer)
 
     def _is_own(self, entry: dialect_lib.Entry | None) -> bool:
-        if entry is None or entry.value is None:
-            return False
-        return jobrecords.unpack(jobrecords.Claim, entry.value).vm == self._vm
+        return entry is not None and jobrecords.is_held_by(
+            entry.value, self._vm
+        )
 
     def _note_accepted(self, meta: jobrecords.JobMeta, lease: int) -> None:
         _events.info(
@@ -277,9 +277,7 @@
         if changed.is_ok():
             self._learn(view, changed.unwrap().entries)
 
-    def _extend(
-        self, view: _View, known: int
-    ) -> result.Result[int, JobError]:
+    def _extend(self, view: _View, known: int) -> result.Result[int, JobError]:
         """Reads what follows the results known; returns the revision."""
         job = view.meta.job
         after = self.keys.result(job, known - 1) if known else ""
@@ -379,7 +377,9 @@
             return read
         return result.Ok(tuple(view.ok_value.results))
 
-    def listed(self, job: str, position: int, row: dialect_lib.ItemResult) -> None:
+    def listed(
+        self, job: str, position: int, row: dialect_lib.ItemResult
+    ) -> None:
         """Remembers a result that this VM has written."""
         with self._lock:
             view = self._views.get(job)
--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -62,15 +62,11 @@
 
     def completed(self) -> dialect.ItemResult:
         """Returns the result of an item whose output is whole."""
-        return dialect.ItemResult(
-            self.item.item, True, "\n".join(self.output)
-        )
+        return dialect.ItemResult(self.item.item, True, "\n".join(self.output))
 
     def errored(self) -> dialect.ItemResult:
         """Returns the result of an item that is given up."""
-        return dialect.ItemResult(
-            self.item.item, False, "\n".join(self.output)
-        )
+        return dialect.ItemResult(self.item.item, False, "\n".join(self.output))
 
 
 class JobState:
--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -1,5 +1,6 @@
 """Which VMs run this system, who of them leads what, and who is reachable."""
 
+from concurrent import futures
 import json
 import random
 import secrets
@@ -21,17 +22,20 @@
 _events = eventlog.Events("members")
 
 # A VM that died is missed after the lease; a renewal costs a tenth of a read.
-_LEASE_S = 4.0
-_RENEW_S = 1.2
+_LEASE_S = 3.0
+_RENEW_S = 0.9
 _CALL_S = 0.8
-_PING_S = 0.5
-_PING_TIMEOUT_S = 0.35
+# A failure domain that is cut off is known within half a second: what is sent
+# into it meanwhile is lost.
+_PING_S = 0.25
+_PING_TIMEOUT_S = 0.2
 # Two pings in a row to different VMs of a failure domain that fail.
 _MAX_MISSED_PINGS = 2
 # A VM that did not answer leads nothing for so long.
 SUSPECT_S = 1.5
 _FETCH_TIMEOUT_S = 0.8
 _MAX_SUSPECTS = 1000
+_DOMAINS_AT_ONCE = 4
 
 
 class Ping(NamedTuple):
@@ -78,6 +82,7 @@
         self._lease = 0
         self._suspects: dict[str, float] = {}
         self._ranks: dict[str, list[str]] = {}
+        self._domains: dict[str, str] = {}
         self._missed: dict[str, int] = {}
         self._stopping = threading.Event()
 
@@ -86,9 +91,7 @@
         self._store = self._kernel.find(names.STORE, dialect_lib.Store)
         self._dialect = self._kernel.find(names.DIALECT, dialect_lib.Dialect)
         self._prefix = f"{self._dialect.names.own}members/"
-        threading.Thread(
-            target=self._run, name="members", daemon=True
-        ).start()
+        threading.Thread(target=self._run, name="members", daemon=True).start()
 
     def stop(self, grace_s: float) -> None:
         """Ends the lease, so that the others know at once."""
@@ -140,12 +143,27 @@
             ranked = rendezvous.rank(key, (row.vm for row in self._rows))
             self._ranks[key] = ranked
         now_s = time.monotonic()
+        lost = self.lost_domains()
         return [
             vm
             for vm in ranked
-            if vm == self._own.vm or self._suspects.get(vm, 0.0) <= now_s
+            if vm == self._own.vm
+            or (
+                self._suspects.get(vm, 0.0) <= now_s
+                and self._domains.get(vm) not in lost
+            )
         ]
 
+    def lost_domains(self) -> frozenset[str]:
+        """Returns the failure domains that pings do not reach now."""
+        if not any(self._missed.values()):
+            return frozenset()
+        return frozenset(
+            domain
+            for domain, missed in self._missed.items()
+            if missed >= _MAX_MISSED_PINGS
+        )
+
     def suspect(self, vm: str) -> None:
         """Notes that a VM did not answer: it leads nothing for a while."""
         with self._lock:
@@ -162,10 +180,11 @@
         A failure domain counts as cut off when pings to it fail in a row;
         this VM itself is always reached.
         """
-        rows = self._rows
+        rows, lost = self._rows, self.lost_domains()
+        if not lost:
+            return 1.0
         reached = sum(
-            row.vm == self._own.vm
-            or self._missed.get(row.failure_domain, 0) < _MAX_MISSED_PINGS
+            row.vm == self._own.vm or row.failure_domain not in lost
             for row in rows
         )
         return reached / len(rows)
@@ -240,6 +259,7 @@
         fresh = tuple(kept[vm] for vm in sorted(kept))
         if fresh != self._rows:
             self._rows = fresh
+            self._domains = {row.vm: row.failure_domain for row in fresh}
             self._ranks = {}
             _events.info("listed", vms=[row.vm for row in fresh])
         return True
@@ -273,6 +293,9 @@
         self._domain = settings.failure_domain
         self._newer = ""
         self._stopping = threading.Event()
+        self._pool = futures.ThreadPoolExecutor(
+            _DOMAINS_AT_ONCE, thread_name_prefix="ping"
+        )
 
     def start(self) -> None:
         """Begins to ping."""
@@ -287,9 +310,10 @@
         threading.Thread(target=self._run, name="pings", daemon=True).start()
 
     def stop(self, grace_s: float) -> None:
-        """Ends the thread."""
+        """Ends the threads."""
         del grace_s
         self._stopping.set()
+        self._pool.shutdown(wait=False)
 
     def dump(self) -> Any:
         """Returns nothing of interest."""
@@ -320,8 +344,12 @@
             for row in self._members.entry_vms():
                 if row.vm != own:
                     by_domain.setdefault(row.failure_domain, []).append(row.vm)
-            for domain, vms in by_domain.items():
-                self._ping(domain, random.choice(vms))
+            # Side by side: those that are cut off take their whole timeout.
+            pings = [
+                self._pool.submit(self._ping, domain, random.choice(vms))
+                for domain, vms in by_domain.items()
+            ]
+            futures.wait(pings)
             newer, self._newer = self._newer, ""
             if newer:
                 self._fetch(newer)
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -289,14 +289,26 @@
         self, service: str, excluded: Iterable[str]
     ) -> frozenset[str]:
         left_out = frozenset(excluded)
-        avoided = self.health.avoided()
-        if not avoided:
+        avoided, lost = self.health.avoided(), self._members.lost_domains()
+        if not avoided and not lost:
             return left_out
-        rows = {row.instance for row in self._list.usable(service)}
+        rows = self._list.usable(service)
+        # What is sent into a failure domain that is cut off is lost. VMs of
+        # a domain that only stopped are no sign for its upstreams, which
+        # are heard of then.
+        bad = {
+            row.instance
+            for row in rows
+            if row.instance in avoided
+            or (
+                row.failure_domain in lost
+                and self.health.is_silent(row.instance)
+            )
+        }
         # When all are avoided one of them is better than a refusal.
-        if rows <= avoided | left_out:
+        if all(row.instance in bad or row.instance in left_out for row in rows):
             return left_out
-        return left_out | (avoided & rows)
+        return left_out | bad
 
     def _usable(self, service: str, instance: str) -> records.Upstream | None:
         row = self._list.find(instance)
@@ -381,6 +393,7 @@
             self._releases.put((service, slot.run))
 
     def _on_list(self) -> None:
+        self.health.keep(self._list.instances())
         with self._ledger_lock:
             for service, ledger in self._ledgers.items():
                 ledger.set_engines(self._list.usable(service))
--- a/packages/gateway/gateway/replies.py
+++ b/packages/gateway/gateway/replies.py
@@ -1,6 +1,5 @@
 """The answers that this system gives itself."""
 
-import json
 from typing import NamedTuple
 
 from bulrushdeal import httpd
@@ -33,9 +32,7 @@
     return httpd.json_response(row.status, {"error": row.why}, headers)
 
 
-def whole(
-    status: int, content_type: str, body: bytes
-) -> httpd.Response:
+def whole(status: int, content_type: str, body: bytes) -> httpd.Response:
     """Returns an answer with a body of this system's own."""
     headers = (
         ("Content-Type", content_type),
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -31,6 +31,8 @@
 # How soon a job whose VM died, after its lease, or stopped is taken over.
 _SCAN_S = 1.0
 _MAX_RUNS = 64
+_MAX_UNCLAIMED = 10_000
+_START_RETRY_S = 0.1
 # An engine that sends nothing for so long was cut off or has crashed.
 _SILENCE_S = 2.0
 _READ_S = 1.0
@@ -55,6 +57,8 @@
             _MAX_RUNS, thread_name_prefix="items"
         )
         self._runs = 0
+        # Scans in a row that found a job without a claim.
+        self._unclaimed: dict[str, int] = {}
 
     def start(self) -> None:
         """Begins to look for jobs."""
@@ -211,9 +215,7 @@
         try:
             self._run_item(state, item, slot)
         except Exception as error:  # noqa: BLE001 - the item runs again.
-            _events.warning(
-                "item_failed", item=item.item.item, why=repr(error)
-            )
+            _events.warning("item_failed", item=item.item.item, why=repr(error))
             self._put_back(state, item)
         finally:
             slot.release()
@@ -279,6 +281,7 @@
                 if event.data is not None:
                     item.output.append(event.data)
             item.breaks = 0
+            self._placement.health.heard(slot.upstream.instance)
             if state.is_dropped:
                 return
         if why or splitter.has_part:
@@ -450,27 +453,69 @@
     # Taking over jobs.
 
     def _scan(self) -> None:
-        unclaimed: set[str] = set()
+        self._reclaim_all()
         while not self._stopping.wait(_SCAN_S * random.uniform(0.8, 1.2)):
-            # Jobs that run here are looked at strictly: an end that was not
-            # told has to be found within seconds.
             with self._lock:
                 own = set(self._jobs)
-            claimed = self._names(self._book.keys.claims, stale=not own)
+            claimed = self._claims()
+            # Jobs that run here are looked at strictly: an end that was not
+            # told has to be found within seconds.
             opened = self._names(self._book.keys.open, stale=not own)
             if claimed is None or opened is None:
                 continue
             for job in own - opened:
-                with self._lock:
-                    state = self._jobs.get(job)
-                    is_new = state is not None and state.next_position == 0
-                if not is_new or job not in claimed:
-                    self._check_open(job)
-            # Twice in a row, since a stale list may lag behind a claim.
-            for job in (opened - claimed - own) & unclaimed:
-                if not self._stopping.is_set():
+                self._check_open(job)
+            for job in opened - claimed.keys() - own:
+                if not self._stopping.is_set() and self._is_next(job):
                     self._take_over(job)
-            unclaimed = opened - claimed - own
+
+    def _is_next(self, job: str) -> bool:
+        """Tells whether this VM should take over a job that nobody runs.
+
+        Each job has its own order of VMs, so that jobs of a VM that died
+        are spread over the others; after some scans any VM takes it.
+        """
+        count = self._unclaimed.get(job, 0)
+        if len(self._unclaimed) > _MAX_UNCLAIMED:
+            self._unclaimed.clear()
+        self._unclaimed[job] = count + 1
+        first = self._members.rank(f"job {job}")[: count + 1]
+        return self._vm in first
+
+    def _reclaim_all(self) -> None:
+        """Goes on with what this VM ran before it was started again.
+
+        The claims of the run before last as long as its lease; until then
+        no other VM takes its jobs over.
+        """
+        while not self._stopping.is_set():
+            claimed = self._claims()
+            if claimed is not None and self._members.lease():
+                break
+            self._stopping.wait(_START_RETRY_S)
+        else:
+            return
+        for job, entry in claimed.items():
+            if jobrecords.is_held_by(entry.value, self._vm):
+                self._renew_claim(job, entry)
+
+    def _renew_claim(self, job: str, entry: dialect_lib.Entry) -> None:
+        claim = jobrecords.pack(jobrecords.Claim(self._vm))
+        key = self._book.keys.claim(job)
+        made = self._book.commit(
+            (dialect_lib.Expected(key, entry.revision),),
+            (dialect_lib.Write(key, claim, self._members.lease()),),
+            (),
+        )
+        if isinstance(made, result.Ok) and isinstance(made.ok_value, int):
+            self._run_claimed(job, made.ok_value)
+
+    def _claims(self) -> dict[str, dialect_lib.Entry] | None:
+        prefix = self._book.keys.claims
+        entries = self._list_all(prefix, stale=True)
+        if entries is None:
+            return None
+        return {row.key.removeprefix(prefix): row for row in entries}
 
     def _check_open(self, job: str) -> None:
         got = self._store.get(self._book.keys.open_job(job), _READ_S)
@@ -478,14 +523,22 @@
             self.drop(job)
 
     def _names(self, prefix: str, *, stale: bool) -> set[str] | None:
-        found: set[str] = set()
+        entries = self._list_all(prefix, stale=stale)
+        if entries is None:
+            return None
+        return {row.key.removeprefix(prefix) for row in entries}
+
+    def _list_all(
+        self, prefix: str, *, stale: bool
+    ) -> list[dialect_lib.Entry] | None:
+        found: list[dialect_lib.Entry] = []
         after = ""
         while True:
             listed = self._store.list(prefix, after, _READ_S, stale=stale)
             if listed.is_err():
                 return None
             page = listed.unwrap()
-            found.update(row.key.removeprefix(prefix) for row in page.entries)
+            found.extend(page.entries)
             if not page.has_more or not page.entries:
                 return found
             after = page.entries[-1].key
@@ -526,17 +579,18 @@
         entry = got.unwrap()
         if entry is None or entry.value is None:
             return result.Err(jobs.JobError("missing", "not claimed"))
-        holder = jobrecords.unpack(jobrecords.Claim, entry.value)
-        if holder.vm != self._vm:
+        if not jobrecords.is_held_by(entry.value, self._vm):
             return result.Err(jobs.JobError("missing", "claimed elsewhere"))
         return result.Ok(entry.revision)
 
     def _take_over(self, job: str) -> None:
         claimed = self._claim(job)
-        if isinstance(claimed, result.Err):
-            return
+        if isinstance(claimed, result.Ok):
+            self._run_claimed(job, claimed.ok_value)
+
+    def _run_claimed(self, job: str, claim_revision: int) -> None:
         try:
-            state = self._read_job(job, claimed.ok_value)
+            state = self._read_job(job, claim_revision)
         except codec.CodecError as error:
             _events.warning("bad_record", job=job, why=str(error))
             return
@@ -546,6 +600,7 @@
             return
         with self._lock:
             self._jobs[job] = state
+            self._unclaimed.pop(job, None)
         _events.info(
             "taken_over",
             job=job,
--- a/packages/gateway/gateway/sending.py
+++ b/packages/gateway/gateway/sending.py
@@ -156,6 +156,7 @@
                 self._placement.health.failed(upstream.instance, why)
             _drain(answer)
             return result.Err(Failure("rejected", False, why))
+        self._placement.health.heard(upstream.instance)
         self._placement.health.worked(upstream.instance)
         if answer.status in _PROMISES or not head.is_signed:
             # Passed on, it would promise the caller what nobody promised,
--- a/packages/gateway/gateway/slotledger.py
+++ b/packages/gateway/gateway/slotledger.py
@@ -104,9 +104,7 @@
         if victim:
             instance = self._runs[victim].instance
             self.release(victim, now_s, is_whole=False)
-            grant = self._grant(
-                run, vm, self._engines[instance], False, now_s
-            )
+            grant = self._grant(run, vm, self._engines[instance], False, now_s)
             return grant._replace(yields=(victim,))
         if over < self._most_waiting(best, target_s):
             return self._grant(run, vm, best, False, now_s)
@@ -137,9 +135,7 @@
             took_s = now_s - held.since_s
             self._run_s += (took_s - self._run_s) * _RUN_WEIGHT
 
-    def report(
-        self, vm: str, rows: Iterable[ReportRow], now_s: float
-    ) -> None:
+    def report(self, vm: str, rows: Iterable[ReportRow], now_s: float) -> None:
         """Takes all that a VM says it runs, in place of what was known.
 
         The failure: a release is lost with its connection, or another VM
@@ -154,9 +150,7 @@
                 self.release(run, now_s, is_whole=False)
         for run, row in reported.items():
             if run not in self._runs:
-                self._add(
-                    run, Run(vm, row.instance, row.is_batch, now_s)
-                )
+                self._add(run, Run(vm, row.instance, row.is_batch, now_s))
 
     def expire(self, now_s: float) -> None:
         """Drops the runs of VMs that are silent."""
--- a/packages/gateway/gateway/upstreamlist.py
+++ b/packages/gateway/gateway/upstreamlist.py
@@ -75,6 +75,10 @@
         """Returns the upstreams of a service that may get requests."""
         return self._by_service.get(service, ())
 
+    def instances(self) -> frozenset[str]:
+        """Returns the names of all upstreams listed."""
+        return frozenset(self._by_instance)
+
     def find(self, instance: str) -> records.Upstream | None:
         """Returns an upstream by its name."""
         return self._by_instance.get(instance)
