--- a/packages/gateway/gateway/jobrecords.py
+++ b/packages/gateway/gateway/jobrecords.py
@@ -122,14 +122,19 @@
         raise codec.CodecError(f"not a record: {error}") from error
 
 
-def is_held_by(value: bytes | None, vm: str) -> bool:
-    """Tells whether a claim is a VM's; what cannot be read is nobody's."""
+def holder(value: bytes | None) -> str:
+    """Returns whose claim it is; empty if it cannot be read."""
     if value is None:
-        return False
+        return ""
     try:
-        return unpack(Claim, value).vm == vm
+        return unpack(Claim, value).vm
     except codec.CodecError:
-        return False
+        return ""
+
+
+def is_held_by(value: bytes | None, vm: str) -> bool:
+    """Tells whether a claim is a VM's; what cannot be read is nobody's."""
+    return holder(value) == vm
 
 
 class _Items(NamedTuple):
--- a/packages/gateway/gateway/jobs.py
+++ b/packages/gateway/gateway/jobs.py
@@ -30,7 +30,8 @@
 _MAX_PARTS = 24
 _MAX_PAGE_BYTES = 900_000
 _MAX_CACHED_JOBS = 64
-_RETRY_S = 0.5
+# How often a waiting read asks the VM that runs the job.
+_ASK_S = 0.4
 
 ErrorKind = Literal["missing", "unavailable", "unknown", "too_large"]
 
@@ -67,6 +68,25 @@
     """The answer to `EndJob`."""
 
 
+class ReadJob(NamedTuple):
+    """Asks the VM that runs a job for its results."""
+
+    job: str
+    after: int
+
+
+class JobRead(NamedTuple):
+    """Results of a job that a VM runs.
+
+    Attributes:
+        is_held: Whether the VM runs the job; else the store has to be read.
+        rows: The results from the position asked for, some of them.
+    """
+
+    is_held: bool
+    rows: tuple[dialect_lib.ItemResult, ...]
+
+
 class JobRunner(Protocol):
     """Runs the jobs that this VM has claimed."""
 
@@ -79,6 +99,12 @@
     def is_accepting(self) -> bool:
         """Tells whether this VM may run jobs that it accepts."""
 
+    def holds(self, job: str) -> bool:
+        """Tells whether this VM has the claim of a job."""
+
+    def holder(self, job: str) -> str:
+        """Returns the VM that had a job's claim lately; empty if unknown."""
+
 
 class _View:
     """What this VM has read of a job's results, which never change."""
@@ -110,7 +136,8 @@
         self._members = find(services.MEMBERSHIP, members.Members)
         self._peers = find(services.PEERS, services.Peers)
         self._peers.handle(EndJob, self._on_end_job)
-        self._peers.understand(Ended)
+        self._peers.handle(ReadJob, services.QuickHandler(self._on_read))
+        self._peers.understand(Ended, JobRead)
         self.keys = jobrecords.Keys(dialect.names.own)
         self._runner: JobRunner | None = None
 
@@ -254,13 +281,14 @@
         """Returns results from a position on, and may wait for the first.
 
         What was read once never changes and is served from memory; that
-        there is nothing more is said only by the store.
+        there is nothing more is said only by the VM that holds the job's
+        claim, or by the store.
         """
         found = self._own_view(job, customer)
         if isinstance(found, result.Err):
             return found
         view = found.ok_value
-        if len(view.results) <= after:
+        if len(view.results) <= after and not self._ask(view, after, wait_s):
             read = self._extend(view, min(after, len(view.results)))
             if isinstance(read, result.Err):
                 return read
@@ -268,6 +296,46 @@
                 self._wait(view, read.ok_value, wait_s)
         return result.Ok(_page(view, after))
 
+    def _ask(self, view: _View, after: int, wait_s: float) -> bool:
+        """Asks the VM that runs the job; false if none says it does.
+
+        Each read at the store has its price there, and most reads find
+        nothing new.
+        """
+        if self._runner is None or len(view.results) < after:
+            return False
+        job, end_s = view.meta.job, time.monotonic() + wait_s
+        while True:
+            vm = self._runner.holder(job)
+            if not vm:
+                return False
+            answer = self._peers.call(vm, ReadJob(job, after), _TELL_S)
+            if answer.is_err() or not answer.unwrap().is_held:
+                return False
+            with self._lock:
+                if len(view.results) == after:
+                    view.results.extend(answer.unwrap().rows)
+            left_s = end_s - time.monotonic()
+            if len(view.results) > after or left_s <= 0:
+                return True
+            time.sleep(min(_ASK_S, left_s))
+
+    def _on_read(self, vm: str, message: ReadJob) -> JobRead:
+        del vm
+        runner = self._runner
+        view = self._views.get(message.job)
+        # All results are written under the claim, and that goes with the
+        # lease: while both last, nobody else can have listed any.
+        is_held = (
+            runner is not None
+            and view is not None
+            and runner.holds(message.job)
+            and self._members.has_valid_lease()
+        )
+        if not is_held or view is None:
+            return JobRead(False, ())
+        return JobRead(True, _bounded(view, message.after))
+
     def _wait(self, view: _View, revision: int, wait_s: float) -> None:
         if wait_s <= 0:
             return
@@ -472,6 +540,12 @@
 
 
 def _page(view: _View, after: int) -> dialect_lib.JobPage:
+    rows = _bounded(view, after)
+    return dialect_lib.JobPage(len(view.meta.items), after + len(rows), rows)
+
+
+def _bounded(view: _View, after: int) -> tuple[dialect_lib.ItemResult, ...]:
+    """Returns the results from a position on that fit one answer."""
     rows: list[dialect_lib.ItemResult] = []
     size_bytes = 0
     for row in view.results[after:]:
@@ -479,6 +553,4 @@
         if rows and size_bytes > _MAX_PAGE_BYTES:
             break
         rows.append(row)
-    return dialect_lib.JobPage(
-        len(view.meta.items), after + len(rows), tuple(rows)
-    )
+    return tuple(rows)
--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -56,6 +56,10 @@
     version: int
 
 
+def _boot_s() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Members:
     """Holds this VM's entry in the store and the list of all.
 
@@ -80,6 +84,7 @@
         self._rows: tuple[core_records.Vm, ...] = (self._own,)
         self._lock = threading.Lock()
         self._lease = 0
+        self._lease_until_s = 0.0
         self._suspects: dict[str, float] = {}
         self._ranks: dict[str, list[str]] = {}
         self._domains: dict[str, str] = {}
@@ -133,6 +138,15 @@
         """Returns this VM's lease in the store, 0 if there is none now."""
         return self._lease
 
+    def has_valid_lease(self) -> bool:
+        """Tells whether this VM's lease surely still runs.
+
+        Counted from before the store was asked, by a clock that goes on
+        while the machine is suspended: what a VM holds under its lease is
+        another's once that has ended, and a VM that slept does not know.
+        """
+        return self._lease != 0 and _boot_s() < self._lease_until_s
+
     def rank(self, key: str) -> list[str]:
         """Returns the VMs that may lead a thing, the first choice first.
 
@@ -212,9 +226,11 @@
             self._stopping.wait(_RENEW_S * random.uniform(0.8, 1.0))
 
     def _keep_entry(self) -> bool:
+        asked_s = _boot_s()
         if self._lease:
             renewed = self._store.renew(self._lease, _CALL_S)
             if renewed.is_ok():
+                self._lease_until_s = asked_s + renewed.unwrap()
                 return True
             if renewed.unwrap_err().kind != "no_lease":
                 return False
@@ -224,7 +240,7 @@
         granted = self._store.grant(ttl_s, _CALL_S)
         if granted.is_err():
             return False
-        lease = granted.unwrap().lease
+        lease, granted_s = granted.unwrap()
         value = json.dumps(
             {
                 "failure_domain": self._own.failure_domain,
@@ -235,6 +251,7 @@
         made = self._store.commit((), (write,), (), _CALL_S)
         if made.is_err():
             return False
+        self._lease_until_s = asked_s + granted_s
         self._lease = lease
         _events.info("lease_made", lease=lease)
         return True
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -32,6 +32,8 @@
 # Releases wait so long for others that go in the same message.
 _GATHER_S = 0.02
 _NO_UPSTREAM_RETRY_S = 0.5
+# How often a request tries upstreams that are all avoided.
+_TRIAL_S = 0.3
 # A leader's engine may have left by what this VM knows.
 _MAX_STALE_GRANTS = 2
 
@@ -172,7 +174,7 @@
         self._yields: queue.SimpleQueue[tuple[str, str] | None] = (
             queue.SimpleQueue()
         )
-        self._leaders: dict[str, str] = {}
+        self._trial_s: dict[str, float] = {}
         self._stopping = threading.Event()
 
     def start(self) -> None:
@@ -225,7 +227,15 @@
             excluded: Upstreams that it was sent to already.
         """
         run = self._name()
-        left_out = self._left_out(service, excluded)
+        tried = frozenset(excluded)
+        left_out = self._left_out(service, tried)
+        if all(row.instance in left_out for row in self._list.usable(service)):
+            # To wait for one that is known not to answer helps nobody.
+            if not self._is_trial(service):
+                return result.Err(
+                    NoSlot(_NO_UPSTREAM_RETRY_S, "no upstream is reachable")
+                )
+            left_out = tried
         if not self._has_engine(service):
             return self._take_alone(service, run, left_out)
         for _ in range(_MAX_STALE_GRANTS):
@@ -305,11 +315,20 @@
                 and self.health.is_silent(row.instance)
             )
         }
-        # When all are avoided one of them is better than a refusal.
-        if all(row.instance in bad or row.instance in left_out for row in rows):
-            return left_out
         return left_out | bad
 
+    def _is_trial(self, service: str) -> bool:
+        """Tells whether a request may go to upstreams that are avoided.
+
+        Now and then one does: it finds out that they are back.
+        """
+        now_s = time.monotonic()
+        with self._lock:
+            if now_s - self._trial_s.get(service, 0.0) < _TRIAL_S:
+                return False
+            self._trial_s[service] = now_s
+            return True
+
     def _usable(self, service: str, instance: str) -> records.Upstream | None:
         row = self._list.find(instance)
         if row is None or row.is_draining or row.service != service:
@@ -353,7 +372,6 @@
         for vm in self._members.rank(service)[:_MAX_LEADERS]:
             answer = self._peers.call(vm, message, _TAKE_TIMEOUT_S)
             if answer.is_ok():
-                self._leaders[service] = vm
                 return answer.unwrap()
             self._members.suspect(vm)
             _events.warning(
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -59,6 +59,8 @@
         self._runs = 0
         # Scans in a row that found a job without a claim.
         self._unclaimed: dict[str, int] = {}
+        # Whose claims the last scan saw.
+        self._holders: dict[str, str] = {}
 
     def start(self) -> None:
         """Begins to look for jobs."""
@@ -114,6 +116,16 @@
             state.is_dropped = True
         _events.info("dropped", job=job)
 
+    def holds(self, job: str) -> bool:
+        """See `jobs.JobRunner`."""
+        return job in self._jobs
+
+    def holder(self, job: str) -> str:
+        """See `jobs.JobRunner`."""
+        if job in self._jobs:
+            return self._vm
+        return self._holders.get(job, "")
+
     def hand_over(self) -> None:
         """Stops all runs, writes how far they came and gives up claims."""
         if self._stopping.is_set():
@@ -515,7 +527,11 @@
         entries = self._list_all(prefix, stale=True)
         if entries is None:
             return None
-        return {row.key.removeprefix(prefix): row for row in entries}
+        claimed = {row.key.removeprefix(prefix): row for row in entries}
+        self._holders = {
+            job: jobrecords.holder(row.value) for job, row in claimed.items()
+        }
+        return claimed
 
     def _check_open(self, job: str) -> None:
         got = self._store.get(self._book.keys.open_job(job), _READ_S)
--- a/packages/gateway/gateway/upstreamlist.py
+++ b/packages/gateway/gateway/upstreamlist.py
@@ -15,7 +15,7 @@
 _events = eventlog.Events("upstreams")
 
 # An upstream that leaves must get nothing two seconds after the store knows.
-_POLL_S = 0.7
+_POLL_S = 1.0
 _RETRY_S = 0.15
 _CALL_S = 0.8
 
