Gateway: leaders learn what runs before they grant; engines' own load counts

Cause: a VM that came to lead a service granted slots that were taken, and runs of VMs without power were nobody's.

--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -29,11 +29,13 @@
 # Leaders asked before a request is placed by what this VM knows alone.
 _MAX_LEADERS = 2
 _REPORT_S = 1.0
-# Releases wait so long for others that go in the same message.
+# News wait so long for others that go in the same message.
 _GATHER_S = 0.02
 _NO_UPSTREAM_RETRY_S = 0.5
 # How often a request tries upstreams that are all avoided.
 _TRIAL_S = 0.3
+# An upstream answers within this even when some requests wait in it.
+_SILENT_S = 0.6
 # A leader's engine may have left by what this VM knows.
 _MAX_STALE_GRANTS = 2
 
@@ -69,11 +71,12 @@
     instances: tuple[str, ...]
 
 
-class Release(NamedTuple):
-    """Gives slots back."""
+class News(NamedTuple):
+    """Gives slots back, and tells what engines said of their load."""
 
     service: str
-    runs: tuple[str, ...]
+    released: tuple[str, ...]
+    loads: tuple[slotledger.Load, ...]
 
 
 class Report(NamedTuple):
@@ -119,6 +122,7 @@
         self.upstream = upstream
         self.is_batch = is_batch
         self.has_yielded = False
+        self.since_s = time.monotonic()
         self._on_release = on_release
         self._lock = threading.Lock()
         self._is_released = False
@@ -168,9 +172,12 @@
         self._counts: dict[str, int] = {}
         self._ledger_lock = threading.Lock()
         self._ledgers: dict[str, slotledger.Ledger] = {}
-        self._releases: queue.SimpleQueue[tuple[str, str] | None] = (
-            queue.SimpleQueue()
-        )
+        # Released runs by name and loads, each with its service.
+        self._news: queue.SimpleQueue[
+            tuple[str, str | slotledger.Load] | None
+        ] = queue.SimpleQueue()
+        # Who led each service when it was last asked.
+        self._led_by: dict[str, str] = {}
         self._yields: queue.SimpleQueue[tuple[str, str] | None] = (
             queue.SimpleQueue()
         )
@@ -190,11 +197,11 @@
         # order: a report sent before a release must not come after it.
         handle(Take, services.QuickHandler(self._on_take))
         handle(TakeBatch, services.QuickHandler(self._on_take_batch))
-        handle(Release, services.QuickHandler(self._on_release))
+        handle(News, services.QuickHandler(self._on_news))
         handle(Report, services.QuickHandler(self._on_report))
         handle(Yield, services.QuickHandler(self._on_yield))
         self._peers.understand(Taken, TakenBatch, Done)
-        for target in (self._send_releases, self._send_yields, self._report):
+        for target in (self._send_news, self._send_yields, self._report):
             threading.Thread(
                 target=target, name="placement", daemon=True
             ).start()
@@ -203,7 +210,7 @@
         """Ends the threads."""
         del grace_s
         self._stopping.set()
-        self._releases.put(None)
+        self._news.put(None)
         self._yields.put(None)
 
     def dump(self) -> Any:
@@ -247,7 +254,7 @@
             upstream = self._usable(service, taken.instance)
             if upstream is not None:
                 return result.Ok(self._hold(service, run, upstream, False))
-            self._releases.put((service, run))
+            self._news.put((service, run))
             left_out = left_out | {taken.instance}
             run = self._name()
         return self._take_alone(service, run, left_out)
@@ -266,11 +273,17 @@
         for run, instance in zip(runs, answer.instances, strict=False):
             upstream = self._usable(service, instance)
             if upstream is None:
-                self._releases.put((service, run))
+                self._news.put((service, run))
                 continue
             slots.append(self._hold(service, run, upstream, True))
         return slots
 
+    def observed(self, slot: Slot, service: str, busy: int) -> None:
+        """Notes what an upstream said of its load as it answered."""
+        if self._has_engine(service):
+            load = slotledger.Load(slot.upstream.instance, busy)
+            self._news.put((service, load))
+
     def yield_all(self) -> None:
         """Ends all batch runs of this VM, which is about to stop."""
         with self._lock:
@@ -300,8 +313,6 @@
     ) -> frozenset[str]:
         left_out = frozenset(excluded)
         avoided, lost = self.health.avoided(), self._members.lost_domains()
-        if not avoided and not lost:
-            return left_out
         rows = self._list.usable(service)
         # What is sent into a failure domain that is cut off is lost. VMs of
         # a domain that only stopped are no sign for its upstreams, which
@@ -315,7 +326,30 @@
                 and self.health.is_silent(row.instance)
             )
         }
-        return left_out | bad
+        left_out |= bad
+        silent = self._silent()
+        # When all are silent they are only slow.
+        if all(row.instance in left_out | silent for row in rows):
+            return left_out
+        return left_out | silent
+
+    def _silent(self) -> frozenset[str]:
+        """Returns the upstreams that owe this VM an answer and send nothing.
+
+        One that went dark takes requests on kept connections for as long as
+        they may wait; the first ones to wait keep others away.
+        """
+        with self._lock:
+            slots = [
+                slot for held in self._held.values() for slot in held.values()
+            ]
+        now_s = time.monotonic()
+        return frozenset(
+            slot.upstream.instance
+            for slot in slots
+            if now_s - slot.since_s > _SILENT_S
+            and self.health.is_silent(slot.upstream.instance)
+        )
 
     def _is_trial(self, service: str) -> bool:
         """Tells whether a request may go to upstreams that are avoided.
@@ -370,9 +404,15 @@
 
     def _ask_leader(self, service: str, message: Any) -> Any | None:
         for vm in self._members.rank(service)[:_MAX_LEADERS]:
+            if self._led_by.get(service) != vm:
+                # Before it grants anything: a leader that knows nothing of
+                # what runs would fill the engines' queues.
+                self._led_by[service] = vm
+                self._peers.call(vm, self._own_report(service), _TAKE_TIMEOUT_S)
             answer = self._peers.call(vm, message, _TAKE_TIMEOUT_S)
             if answer.is_ok():
                 return answer.unwrap()
+            self._led_by.pop(service, None)
             self._members.suspect(vm)
             _events.warning(
                 "leader_lost",
@@ -408,7 +448,7 @@
             else:
                 self._counts.pop(instance, None)
         if self._has_engine(service):
-            self._releases.put((service, slot.run))
+            self._news.put((service, slot.run))
 
     def _on_list(self) -> None:
         self.health.keep(self._list.instances())
@@ -456,13 +496,15 @@
                 instances.append(taken.instance)
         return TakenBatch(tuple(instances))
 
-    def _on_release(self, vm: str, message: Release) -> Done:
+    def _on_news(self, vm: str, message: News) -> Done:
         del vm
         now_s = time.monotonic()
         with self._ledger_lock:
             ledger = self._ledger(message.service)
-            for run in message.runs:
+            for run in message.released:
                 ledger.release(run, now_s)
+            for load in message.loads:
+                ledger.observe(load, now_s)
         return Done()
 
     def _on_report(self, vm: str, message: Report) -> Done:
@@ -495,17 +537,29 @@
 
     # What goes to leaders.
 
-    def _send_releases(self) -> None:
-        while (row := self._releases.get()) is not None:
+    def _send_news(self) -> None:
+        while (row := self._news.get()) is not None:
             self._stopping.wait(_GATHER_S)
-            by_service: dict[str, list[str]] = {row[0]: [row[1]]}
-            while not self._releases.empty():
-                more = self._releases.get()
+            rows = [row]
+            while not self._news.empty():
+                more = self._news.get()
                 if more is None:
                     return
-                by_service.setdefault(more[0], []).append(more[1])
-            for service, runs in by_service.items():
-                self._tell_leader(service, Release(service, tuple(runs)))
+                rows.append(more)
+            for service in {service for service, _ in rows}:
+                told = [item for name, item in rows if name == service]
+                self._tell_leader(
+                    service,
+                    News(
+                        service,
+                        tuple(item for item in told if isinstance(item, str)),
+                        tuple(
+                            item
+                            for item in told
+                            if isinstance(item, slotledger.Load)
+                        ),
+                    ),
+                )
 
     def _tell_leader(self, service: str, message: Any) -> None:
         """Sends what a later report makes good if it is lost."""
@@ -513,21 +567,21 @@
         if ranked:
             self._peers.call(ranked[0], message, _TELL_TIMEOUT_S)
 
+    def _own_report(self, service: str) -> Report:
+        with self._lock:
+            held = dict(self._held.get(service, {}))
+        rows = tuple(
+            slotledger.ReportRow(run, slot.upstream.instance, slot.is_batch)
+            for run, slot in held.items()
+        )
+        return Report(service, rows)
+
     def _report(self) -> None:
         reported: set[str] = set()
         while not self._stopping.wait(_REPORT_S):
             with self._lock:
-                rows = {
-                    service: tuple(
-                        slotledger.ReportRow(
-                            run, slot.upstream.instance, slot.is_batch
-                        )
-                        for run, slot in held.items()
-                    )
-                    for service, held in self._held.items()
-                    if held or service in reported
-                }
-            for service, runs in rows.items():
+                busy = {name for name, held in self._held.items() if held}
+            for service in busy | reported:
                 if self._has_engine(service):
-                    self._tell_leader(service, Report(service, runs))
-            reported = {service for service, runs in rows.items() if runs}
+                    self._tell_leader(service, self._own_report(service))
+            reported = busy
--- a/packages/gateway/gateway/records.py
+++ b/packages/gateway/gateway/records.py
@@ -156,4 +156,4 @@
     grace_s: float
     limit_slack: float
     limit_window_s: float
-    upstream_connect_timeout_s: float = 0.5
+    upstream_connect_timeout_s: float = 0.3
--- a/packages/gateway/gateway/slotledger.py
+++ b/packages/gateway/gateway/slotledger.py
@@ -11,9 +11,12 @@
 
 from gateway import records
 
-# Free slots of each engine that batch leaves alone. An arrival that finds
-# none makes a batch item yield, which costs a connection.
-BATCH_RESERVE = 1
+# Free slots of each engine that batch leaves alone: an arrival that finds
+# none makes a batch item yield at once, so none has to be kept.
+BATCH_RESERVE = 0
+# An engine's own word on its load counts for so long, less and less: runs of
+# a VM that lost its power go on there, and no VM reports them.
+_OBSERVED_S = 1.5
 # The part of an answer's target that a request may wait inside an engine;
 # the rest is for its prompt and the way.
 _WAIT_SHARE = 0.7
@@ -57,6 +60,20 @@
     is_batch: bool
 
 
+class Load(NamedTuple):
+    """What an engine said of its load just now: runs and waiting ones."""
+
+    instance: str
+    busy: int
+
+
+class _Observed(NamedTuple):
+    """Runs of an engine that the ledger did not know, and when."""
+
+    extra: int
+    at_s: float
+
+
 class Ledger:
     """The runs on the engines of one service, as far as is known here.
 
@@ -70,6 +87,7 @@
         self._runs: dict[str, Run] = {}
         self._counts: dict[str, int] = {}
         self._heard_s: dict[str, float] = {}
+        self._observed: dict[str, _Observed] = {}
         self._run_s = _FIRST_RUN_S
 
     def set_engines(self, engines: Iterable[records.Upstream]) -> None:
@@ -96,9 +114,9 @@
         choices = self._choices(excluded)
         if not choices:
             return NoRoom(_MIN_RETRY_S)
-        best = min(choices, key=lambda row: self._rank(row, domain))
-        over = self._count(best) - best.slots
-        if over < 0:
+        best = min(choices, key=lambda row: self._rank(row, domain, now_s))
+        over = self._fill(best, now_s) - best.slots
+        if over <= -1:
             return self._grant(run, vm, best, False, now_s)
         victim = self._victim(choices)
         if victim:
@@ -118,11 +136,11 @@
         choices = [
             row
             for row in self._choices(excluded)
-            if self._count(row) < row.slots - BATCH_RESERVE
+            if self._fill(row, now_s) + 1 <= row.slots - BATCH_RESERVE
         ]
         if not choices:
             return None
-        best = min(choices, key=lambda row: self._rank(row, ""))
+        best = min(choices, key=lambda row: self._rank(row, "", now_s))
         return self._grant(run, vm, best, True, now_s)
 
     def release(self, run: str, now_s: float, *, is_whole: bool = True) -> None:
@@ -152,6 +170,11 @@
             if run not in self._runs:
                 self._add(run, Run(vm, row.instance, row.is_batch, now_s))
 
+    def observe(self, load: Load, now_s: float) -> None:
+        """Takes an engine's word for what it runs beyond the ledger."""
+        extra = load.busy - self._counts.get(load.instance, 0)
+        self._observed[load.instance] = _Observed(max(0, extra), now_s)
+
     def expire(self, now_s: float) -> None:
         """Drops the runs of VMs that are silent."""
         for run, held in list(self._runs.items()):
@@ -171,13 +194,19 @@
             if row.instance not in left_out
         ]
 
-    def _count(self, row: records.Upstream) -> int:
-        return self._counts.get(row.instance, 0)
+    def _fill(self, row: records.Upstream, now_s: float) -> float:
+        """Returns how many requests an engine has, known ones and others."""
+        count = self._counts.get(row.instance, 0)
+        observed = self._observed.get(row.instance)
+        if observed is None or not observed.extra:
+            return count
+        left = 1.0 - (now_s - observed.at_s) / _OBSERVED_S
+        return count + observed.extra * max(0.0, left)
 
     def _rank(
-        self, row: records.Upstream, domain: str
+        self, row: records.Upstream, domain: str, now_s: float
     ) -> tuple[float, bool, float]:
-        fill = self._count(row) / row.slots
+        fill = self._fill(row, now_s) / row.slots
         return (fill, row.failure_domain != domain, self._rng.random())
 
     def _victim(self, choices: Iterable[records.Upstream]) -> str:
