--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -36,6 +36,9 @@
 _TRIAL_S = 0.3
 # An upstream answers within this even when some requests wait in it.
 _SILENT_S = 0.6
+# Up to this part of its slots an upstream of the own failure domain is
+# chosen before all others.
+_NEAR_FILL = 0.5
 # A leader's engine may have left by what this VM knows.
 _MAX_STALE_GRANTS = 2
 
@@ -385,6 +388,9 @@
             best = min(
                 rows,
                 key=lambda row: (
+                    # Others place there as well, unseen here.
+                    counts.get(row.instance, 0) / row.slots >= _NEAR_FILL,
+                    row.failure_domain != self._domain,
                     counts.get(row.instance, 0) / row.slots,
                     random.random(),
                 ),
--- a/packages/gateway/gateway/slotledger.py
+++ b/packages/gateway/gateway/slotledger.py
@@ -118,7 +118,7 @@
         over = self._fill(best, now_s) - best.slots
         if over <= -1:
             return self._grant(run, vm, best, False, now_s)
-        victim = self._victim(choices)
+        victim = self._victim(choices, domain)
         if victim:
             instance = self._runs[victim].instance
             self.release(victim, now_s, is_whole=False)
@@ -205,19 +205,26 @@
 
     def _rank(
         self, row: records.Upstream, domain: str, now_s: float
-    ) -> tuple[float, bool, float]:
+    ) -> tuple[bool, bool, float, float]:
+        """Returns how good an engine is for a request, the least the best.
+
+        One with a free slot in the asker's own failure domain comes first:
+        what runs across domains is lost when one is cut off, and its bytes
+        have their price. Batch items go where most is free.
+        """
         fill = self._fill(row, now_s) / row.slots
-        return (fill, row.failure_domain != domain, self._rng.random())
+        is_far = bool(domain) and row.failure_domain != domain
+        return (fill >= 1.0, is_far and fill < 1.0, fill, self._rng.random())
 
-    def _victim(self, choices: Iterable[records.Upstream]) -> str:
-        """Returns the batch run that began last on a usable engine."""
-        usable = {row.instance for row in choices}
+    def _victim(self, choices: Iterable[records.Upstream], domain: str) -> str:
+        """Returns the batch run to yield: a near one, begun last."""
+        domains = {row.instance: row.failure_domain for row in choices}
         runs = [
-            (held.since_s, run)
+            (domains[held.instance] == domain, held.since_s, run)
             for run, held in self._runs.items()
-            if held.is_batch and held.instance in usable
+            if held.is_batch and held.instance in domains
         ]
-        return max(runs, default=(0.0, ""))[1]
+        return max(runs, default=(False, 0.0, ""))[2]
 
     def _most_waiting(self, row: records.Upstream, target_s: float) -> int:
         return int(_WAIT_SHARE * target_s * row.slots / self._run_s)
