--- /dev/null
+++ b/tests/usersplatform/test_operators.py
@@ -0,0 +1,100 @@
+"""What operators and upstreams write into the platform's store."""
+
+import json
+from typing import Any
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from bulrushplatform import operators
+from gateway import dialect
+from support import gatewayscene
+
+_UPSTREAM: dict[str, Any] = {
+    "service": "s",
+    "address": "10.0.0.9:80",
+    "zone": "a",
+    "slots": 8,
+    "state": "ready",
+    "sequence": 4,
+    "born": 17,
+}
+
+
+def _entry(**more: Any) -> bytes:
+    return json.dumps(_UPSTREAM | more).encode()
+
+
+def test_an_upstream_is_read() -> None:
+    read = operators.upstream("servers/i-1", _entry(state="draining"))
+    assert read.instance == "i-1"
+    assert read.is_draining
+    assert read.born_ms == 17
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff",
+        b"[]",
+        _entry(state="resting"),
+        _entry(service=3),
+        _entry(address="nowhere"),
+        _entry(slots="8"),
+        _entry(born=1.5),
+    ],
+)
+def test_another_writers_entry_is_refused(value: bytes) -> None:
+    with pytest.raises(dialect.BadInputError):
+        operators.upstream("servers/i-1", value)
+
+
+def test_a_configuration_is_read() -> None:
+    value = gatewayscene.configuration(7)
+    split = [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]
+    del value["routes"][0]["service"]
+    value["routes"][0]["traffic_split"] = split
+    read = operators.configuration(json.dumps(value).encode())
+    assert read.version == 7
+    assert [row.service for row in read.routes[0].services] == ["x", "y"]
+    assert read.routes[0].timeout_s == 5.0
+    assert not read.routes[0].may_repeat
+    assert read.routes[1].may_repeat
+
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+@hypothesis.given(st.sampled_from(sorted(_UPSTREAM)), _JSON)
+def test_whatever_an_entry_holds_it_is_read_or_refused(
+    name: str, value: Any
+) -> None:
+    try:
+        operators.upstream("servers/i-1", _entry(**{name: value}))
+    except dialect.BadInputError:
+        return
+
+
+@hypothesis.given(
+    st.sampled_from(["version", "routes", "services", "limits", "tenants"]),
+    _JSON,
+)
+def test_whatever_a_configuration_holds_it_is_read_or_refused(
+    name: str, value: Any
+) -> None:
+    data = gatewayscene.configuration() | {name: value}
+    try:
+        operators.configuration(json.dumps(data).encode())
+    except dialect.BadInputError:
+        return
+
+
+def test_a_request_to_retire_names_its_machine() -> None:
+    assert operators.retire_request("op/retire/store-1") == "store-1"
+    assert operators.retire_request("op/config") == ""
--- /dev/null
+++ b/tests/usersplatform/test_settings.py
@@ -0,0 +1,55 @@
+"""The settings file of the users' platform."""
+
+import copy
+import pathlib
+from typing import Any
+
+import pytest
+
+from bulrushdeal import errors
+from bulrushplatform import settings
+from gateway import dialect
+
+_GOOD: dict[str, Any] = {
+    "node": "front-a-1",
+    "zone": "a",
+    "ip": "10.1.0.5",
+    "internal_ports": [7660, 7675],
+    "listen": {"front": "10.1.0.5:8405", "ready": "10.1.0.5:8406"},
+    "bounds": {"grace_s": 8, "quota_slack": 20, "quota_window_s": 5},
+    "platform": {"address": "10.2.0.7:8408", "ttl_min_ms": 1000},
+    "a_new_field": {"unknown": True},
+}
+
+
+def test_a_good_file_is_read() -> None:
+    read = settings.decode(_GOOD)
+    assert read.vm == "front-a-1"
+    assert read.peers_address == "10.1.0.5:7660"
+    assert read.min_lease_s == 1.0
+    assert read.value_bytes == 1 << 20
+
+
+@pytest.mark.parametrize("name", ["node", "zone", "listen", "platform"])
+def test_a_missing_field_is_named(name: str) -> None:
+    data = copy.deepcopy(_GOOD)
+    del data[name]
+    with pytest.raises(dialect.BadInputError, match=name):
+        settings.decode(data)
+
+
+@pytest.mark.parametrize("value", [-1, "8", True, float("nan")])
+def test_a_wrong_value_is_named(value: Any) -> None:
+    data = copy.deepcopy(_GOOD)
+    data["bounds"]["grace_s"] = value
+    with pytest.raises(dialect.BadInputError, match="grace_s"):
+        settings.decode(data)
+
+
+def test_a_file_that_is_none_is_one_line(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text("node = ")
+    with pytest.raises(errors.UserError, match=r"settings\.toml"):
+        settings.read({settings.VARIABLE: str(path)})
+    with pytest.raises(errors.UserError, match="is not set"):
+        settings.read({})
--- /dev/null
+++ b/tests/usersplatform/test_wire.py
@@ -0,0 +1,113 @@
+"""The headers and bodies of callers and upstreams."""
+
+import json
+
+import pytest
+
+from bulrushplatform import wire
+from gateway import dialect
+
+_HEADERS = {
+    "host": "h.example",
+    "bulrushdeal-request-attempt-id": "a1",
+    "bulrushdeal-deadline-ms": "2500",
+    "bulrushdeal-credential": "secret",
+    "bulrushdeal-tenant": "forged",
+    "bulrushdeal-expect-instance": "forged",
+    "connection": "x-own",
+    "transfer-encoding": "chunked",
+    "x-other": "kept",
+}
+
+
+def test_an_upstream_sees_neither_the_key_nor_what_the_caller_forged() -> None:
+    """A caller says that it is another customer."""
+    sent = wire.Dialect().upstream_headers(
+        _HEADERS, left_s=1.5, instance="i-1", customer="c", last_event=3
+    )
+    assert "secret" not in sent.values()
+    assert "forged" not in sent.values()
+    assert sent["bulrushdeal-tenant"] == "c"
+    assert sent["bulrushdeal-expect-instance"] == "i-1"
+    assert sent["bulrushdeal-deadline-ms"] == "1500"
+    assert sent["last-event-id"] == "3"
+    assert sent["x-other"] == "kept"
+    assert sent["host"] == "h.example"
+    assert "transfer-encoding" not in sent
+
+
+def test_a_deadline_that_is_over_is_not_told_as_none() -> None:
+    sent = wire.Dialect().upstream_headers(
+        _HEADERS, left_s=0.0, instance="i", customer="", last_event=None
+    )
+    assert sent["bulrushdeal-deadline-ms"] == "1"
+    assert "bulrushdeal-tenant" not in sent
+
+
+def test_a_callers_head_is_read() -> None:
+    more = {
+        "bulrushdeal-model": "m",
+        "bulrushdeal-token-usage": "1460,80",
+        "bulrushdeal-prompt-prefix": "5c:800,91:410",
+    }
+    head = wire.Dialect().caller_head(_HEADERS | more)
+    assert head.deadline_s == 2.5
+    assert head.prompt == dialect.Prompt("m", 1460, 80, ("5c", "91"))
+
+
+@pytest.mark.parametrize("value", ["-1", "soon", "1.5", ""])
+def test_a_number_that_is_none_is_bad_input(value: str) -> None:
+    with pytest.raises(dialect.BadInputError):
+        wire.Dialect().caller_head({"bulrushdeal-deadline-ms": value})
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "has_not_run", "is_signed"),
+    [
+        (503, (("Bulrushdeal-Not-Executed", "1"),), True, False),
+        (421, (), True, False),
+        (503, (("Bulrushdeal-Server-Stamp", "x"),), False, True),
+        (200, (("Bulrushdeal-Server-Stamp", "x"),), False, True),
+    ],
+)
+def test_only_an_upstreams_own_word_says_that_it_did_not_run(
+    status: int,
+    headers: tuple[tuple[str, str], ...],
+    has_not_run: bool,
+    is_signed: bool,
+) -> None:
+    head = wire.Dialect().answer_head(status, headers)
+    assert (head.has_not_run, head.is_signed) == (has_not_run, is_signed)
+
+
+def test_a_load_that_cannot_be_read_is_none() -> None:
+    for value in ("3,0", "a,b,c", ""):
+        headers = (("Bulrushdeal-Server-Load", value),)
+        assert wire.Dialect().answer_head(200, headers).load is None
+    headers = (("Bulrushdeal-Server-Load", "3, 0, 8"),)
+    load = wire.Dialect().answer_head(200, headers).load
+    assert load == dialect.Load(3, 0, 8)
+
+
+def test_calls_about_jobs_are_known() -> None:
+    read = wire.Dialect().job_call
+    wait = {"bulrushdeal-wait-ms": "1000"}
+    assert read("GET", "/lots/j", "after=4", wait) == dialect.JobCall(
+        "results", "j", "", 4, 1.0
+    )
+    assert read("DELETE", "/lots/j", "", {}) is not None
+    assert read("GET", "/items/j", "id=i", {}) == dialect.JobCall(
+        "input", "j", "i", 0, 0.0
+    )
+    assert read("POST", "/lots/j", "", {}) is None
+    with pytest.raises(dialect.BadInputError):
+        read("GET", "/lots/j", "after=x", {})
+
+
+def test_a_page_of_results_is_written() -> None:
+    page = dialect.JobPage(3, 2, (dialect.ItemResult("i", True, "a\nb"),))
+    assert json.loads(wire.Dialect().job_page(page)) == {
+        "total": 3,
+        "next": 2,
+        "results": [{"id": "i", "state": "completed", "output": "a\nb"}],
+    }
