--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -1,6 +1,7 @@
 """Online requests over a whole gateway, and upstreams that fail."""
 
 import http.client
+import threading
 import time
 
 import pytest
@@ -233,3 +234,38 @@
     vm.kernel.stop(4.0)
     assert _numbers(response.read()) == list(range(1, 11))
     connection.close()
+
+
+def test_idle_connections_are_closed_while_the_grace_lasts(
+    scene: gatewayscene.Scene,
+) -> None:
+    """A VM is replaced; a caller has kept a connection that was idle.
+
+    Were it open to the end of the grace, a request sent late over it would
+    be cut by the end of the process, after it had been taken.
+    """
+    engine = scene.add_engine(events=400)
+    engine.pause_s = 0.05
+    vm = scene.add_vm()
+    idle, busy = [
+        http.client.HTTPConnection("127.0.0.1", vm.front().port, timeout=10)
+        for _ in range(2)
+    ]
+    headers = {
+        "Host": "h.example",
+        "Bulrushdeal-Request-Attempt-Id": "a1",
+        "Bulrushdeal-Credential": gatewayscene.KEY,
+    }
+    idle.request("POST", "/safe/x", b"p", headers)
+    idle.getresponse().read()
+    busy.request("POST", "/s/once/x", b"p", headers)
+    busy.getresponse()
+    scene.vms.remove(vm)
+    stopping = threading.Thread(target=vm.kernel.stop, args=(5.0,))
+    stopping.start()
+    assert idle.sock is not None
+    assert idle.sock.recv(1) == b""
+    assert engine.open == 1
+    busy.close()
+    stopping.join()
+    idle.close()
