--- a/packages/gateway/gateway/assembly.py
+++ b/packages/gateway/gateway/assembly.py
@@ -19,6 +19,7 @@
 from gateway import front
 from gateway import jobs
 from gateway import members
+from gateway import metrics
 from gateway import names
 from gateway import placement
 from gateway import rates
@@ -46,6 +47,7 @@
     kernel.offer(names.STORE, store)
     add(names.CONFIGURATION, configuration.Feed(kernel))
     add(names.UPSTREAM_LIST, upstreamlist.UpstreamList(kernel))
+    add(names.METRICS, metrics.Metrics(kernel, settings))
     add(services.MEMBERSHIP, members.Members(kernel, settings))
     add(services.PEERS, peers.WebsocketPeers(kernel, settings))
     add("pings", members.Pings(kernel, settings))
@@ -91,7 +93,8 @@
     daemon_main.keep_started_objects()
     _events.info("started", failure_domain=settings.failure_domain)
     while not stopping.wait(_COUNTS_S):
-        _events.info("counts", store_calls=store.counts())
+        calls = [tuple(row) for row in store.counts()]
+        _events.info("counts", store_calls=calls)
     _events.info("stopping", grace_s=settings.grace_s)
     kernel.stop(max(settings.grace_s - _MARGIN_S, 0.5))
     _events.info("stopped")
--- a/packages/gateway/gateway/calls.py
+++ b/packages/gateway/gateway/calls.py
@@ -31,6 +31,7 @@
         self.runs = 0
         self._lock = threading.Lock()
         self._reason: EndReason = ""
+        self._is_answered = False
         self._cancel: Callable[[], None] | None = None
 
     @property
@@ -41,13 +42,21 @@
     def end(self, reason: EndReason) -> None:
         """Ends the request and what it waits for at an upstream."""
         with self._lock:
-            if self._reason:
+            if self._reason or self._is_answered:
                 return
             self._reason = reason
             cancel = self._cancel
         if cancel is not None:
             cancel()
 
+    def answered(self) -> None:
+        """Notes that its whole answer is there.
+
+        A caller that has read the last of it and leaves had its answer.
+        """
+        with self._lock:
+            self._is_answered = True
+
     def on_end(self, cancel: Callable[[], None]) -> None:
         """Calls `cancel` when it is ended, at once if it was already.
 
--- a/packages/gateway/gateway/dialect.py
+++ b/packages/gateway/gateway/dialect.py
@@ -71,6 +71,14 @@
     ttl_s: float
 
 
+class CallCount(NamedTuple):
+    """How many calls of a kind ended in some way."""
+
+    call: str
+    outcome: str
+    made: int
+
+
 class Store(Protocol):
     """The platform's store; each call is made once."""
 
@@ -117,8 +125,8 @@
     ) -> result.Result[None, StoreError]:
         """Ends a lease and removes its keys."""
 
-    def counts(self) -> Mapping[str, int]:
-        """Returns how many calls were made, by kind."""
+    def counts(self) -> tuple[CallCount, ...]:
+        """Returns how many calls were made."""
 
 
 class Prompt(NamedTuple):
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -13,6 +13,7 @@
 from bulrushdeald import services
 from gateway import calls
 from gateway import eventstream
+from gateway import metrics
 from gateway import names
 from gateway import placement
 from gateway import records
@@ -54,6 +55,7 @@
         self._placement = self._kernel.find(
             names.PLACEMENT, placement.Placement
         )
+        self._metrics = self._kernel.find(names.METRICS, metrics.Metrics)
         self._sender = sending.Sender(self._kernel)
 
     def stop(self, grace_s: float) -> None:
@@ -66,7 +68,9 @@
 
     def forward(self, request: Forwarded, call: calls.Call) -> httpd.Response:
         """Returns the answer; the call is over when its body is closed."""
-        return _Forwarding(self._placement, self._sender, request, call).run()
+        return _Forwarding(
+            self._placement, self._sender, self._metrics, request, call
+        ).run()
 
 
 class _Forwarding:
@@ -76,11 +80,13 @@
         self,
         placer: placement.Placement,
         sender: sending.Sender,
+        meter: metrics.Metrics,
         request: Forwarded,
         call: calls.Call,
     ) -> None:
         self._placement = placer
         self._sender = sender
+        self._metrics = meter
         self._request = request
         self._route = request.route
         self._call = call
@@ -216,6 +222,7 @@
                 return httpd.Response(answer.status, answer.headers, body)
         if self._call.reason:
             return self._refuse()
+        self._call.answered()
         data = b"".join(parts)
         headers = opened.answer.headers
         opened.answer.close()
@@ -257,6 +264,8 @@
         except caller_calls.BrokenAnswerError:
             return self._refuse()
 
+        self._metrics.first_event(self._call.age_s())
+
         def events() -> Iterator[bytes]:
             yield first
             yield from chunks
@@ -286,6 +295,7 @@
                         self._last_event = number
                     yield whole
             if error is None and not splitter.has_part:
+                self._call.answered()
                 self._finish()
                 return
             current = self._resume(error)
--- a/packages/gateway/gateway/front.py
+++ b/packages/gateway/gateway/front.py
@@ -20,6 +20,7 @@
 from gateway import dialect as dialect_lib
 from gateway import forwarding
 from gateway import jobfront
+from gateway import metrics
 from gateway import names
 from gateway import placement
 from gateway import rates
@@ -41,6 +42,7 @@
 _CLOSE_S = 0.3
 _NOT_READY_RETRY_S = 0.5
 _DEFAULT_DEADLINE_S = 60.0
+_FAILED = 400
 _READY_PATH = "/ready"
 
 
@@ -63,6 +65,7 @@
         self._dialect = find(names.DIALECT, dialect_lib.Dialect)
         self._feed = find(names.CONFIGURATION, configuration.Feed)
         self._list = find(names.UPSTREAM_LIST, upstreamlist.UpstreamList)
+        self._metrics = find(names.METRICS, metrics.Metrics)
         self._rates = find(names.RATES, rates.Rates)
         self._placement = find(names.PLACEMENT, placement.Placement)
         self._forwarder = find(names.FORWARDER, forwarding.Forwarder)
@@ -134,6 +137,7 @@
         except Exception:  # noqa: BLE001 - the caller gets an answer.
             _log.exception("A request failed.")
             response = replies.refusal(_INTERNAL)
+        self._metrics.answered(response.status)
         if self._state == "serving":
             return response
         # A caller that keeps its connection would send its next request
@@ -347,6 +351,8 @@
             "sends": call.sends,
             "took_s": round(call.age_s(), 3),
         }
+        outcome = call.reason or ("ok" if status < _FAILED else "refused")
+        self._metrics.ended(route.kind, outcome, call.age_s())
         if call.reason:
             _events.warning("ended", why=call.reason, **fields)
             return
--- a/packages/gateway/gateway/records.py
+++ b/packages/gateway/gateway/records.py
@@ -135,6 +135,7 @@
         callers_address: Where callers connect.
         ready_address: Where the balancer asks whether to send callers.
         peers_address: Where other VMs connect.
+        metrics_address: Where metrics are served; empty for nowhere.
         store_address: The platform's store.
         value_bytes: The largest value of the store.
         min_lease_s: The shortest lease of the store.
@@ -150,6 +151,7 @@
     callers_address: str
     ready_address: str
     peers_address: str
+    metrics_address: str
     store_address: str
     value_bytes: int
     min_lease_s: float
--- /dev/null
+++ b/tests/gateway/test_metrics.py
@@ -0,0 +1,85 @@
+"""What a scraper reads, and what the log does under load."""
+
+import json
+import logging
+import os
+from typing import Any
+
+import pytest
+
+from bulrushdeal import eventlog
+from gateway import metrics
+from gateway import names
+from support import gatewayscene
+
+
+def test_answers_and_latencies_are_counted(scene: gatewayscene.Scene) -> None:
+    scene.add_engine()
+    vm = scene.add_vm()
+    vm.call("POST", "/s/once/x", b"p")
+    vm.call("POST", "/safe/x", b"p", attempt="a2")
+    vm.call("POST", "/nowhere/x", b"p", attempt="a3")
+    found = vm.kernel.find(names.METRICS, metrics.Metrics)
+    line = 'bulrushdeal_request_seconds_count{kind="safe",outcome="ok"} 1.0'
+    gatewayscene.until(lambda: line in found.text().decode())
+    text = found.text().decode()
+    assert 'bulrushdeal_answers_total{status="200"} 2.0' in text
+    assert 'bulrushdeal_answers_total{status="404"} 1.0' in text
+    assert "bulrushdeal_first_event_seconds_count 1.0" in text
+    assert "bulrushdeal_configuration_version 1.0" in text
+    assert 'bulrushdeal_store_calls_total{call="any"' in text
+
+
+@pytest.fixture
+def logger() -> Any:
+    found = logging.getLogger("bulrushdeal.events")
+    before = found.handlers, found.propagate, found.level
+    yield found
+    found.handlers, found.propagate = list(before[0]), before[1]
+    found.setLevel(before[2])
+
+
+def test_a_log_that_nobody_reads_holds_nothing_up(logger: Any) -> None:
+    """The pipe behind standard output is full: its reader hangs.
+
+    Requests must go on; what finds no room is counted and told later.
+    """
+    del logger
+    reading, writing = os.pipe()
+    stream = os.fdopen(writing, "w")
+    listener = eventlog.configure("vm1", stream)
+    events = eventlog.Events("part")
+    for number in range(20_000):
+        events.info("decided", number=number, text="x" * 100)
+    rows: list[Any] = []
+    with os.fdopen(reading) as lines:
+        while len(rows) < 1000:
+            rows.append(json.loads(lines.readline()))
+        events.info("later")
+        for line in lines:
+            rows.append(json.loads(line))
+            if rows[-1]["event"] == "later":
+                break
+        assert rows[-1]["dropped"]["decided"] > 10_000
+        assert rows[0]["vm"] == "vm1"
+        assert rows[0]["part"] == "part"
+        listener.stop()
+        stream.close()
+
+
+def test_good_ends_are_sampled_and_refusals_are_not(logger: Any) -> None:
+    records: list[Any] = []
+
+    class Keep(logging.Handler):
+        def emit(self, record: logging.LogRecord) -> None:
+            records.append(record)
+
+    logger.handlers = [Keep()]
+    logger.setLevel(logging.INFO)
+    events = eventlog.Events("part")
+    for _ in range(200):
+        events.good_end("answered")
+        events.warning("refused")
+    kinds = [record.msg for record in records]
+    assert kinds.count("refused") == 200
+    assert kinds.count("answered") < 60
--- a/tests/support/gatewayscene.py
+++ b/tests/support/gatewayscene.py
@@ -102,6 +102,7 @@
             callers_address="127.0.0.1:0",
             ready_address="127.0.0.1:0",
             peers_address=f"127.0.0.1:{free_port()}",
+            metrics_address="",
             store_address="",
             value_bytes=1 << 20,
             min_lease_s=1.0,
--- a/tests/support/gatewaystore.py
+++ b/tests/support/gatewaystore.py
@@ -65,8 +65,8 @@
             return result.Err(dialect.StoreError("refused", "down"))
         return None
 
-    def counts(self) -> dict[str, int]:
-        return {"calls": len(self.calls)}
+    def counts(self) -> tuple[dialect.CallCount, ...]:
+        return (dialect.CallCount("any", "made", len(self.calls)),)
 
     def get(self, key: str, timeout_s: float) -> Any:
         refused = self._refused("get")
--- a/tests/usersplatform/test_store.py
+++ b/tests/usersplatform/test_store.py
@@ -108,7 +108,12 @@
     assert client.renew(77, 1.0).unwrap() == 3.0
     assert client.renew(77, 1.0).unwrap_err().kind == "no_lease"
     assert client.end(77, 1.0).is_ok()
-    assert sum(client.counts().values()) == 4
+    assert client.counts() == (
+        dialect.CallCount("grant", "200", 1),
+        dialect.CallCount("renew", "200", 1),
+        dialect.CallCount("renew", "404", 1),
+        dialect.CallCount("end", "200", 1),
+    )
     server.close()
 
 
