--- a/packages/ui/bulrushdealui/main.py
+++ b/packages/ui/bulrushdealui/main.py
@@ -10,6 +10,7 @@
 from bulrushdealui.commands import config
 from bulrushdealui.commands import customer
 from bulrushdealui.commands import dump
+from bulrushdealui.commands import explain
 from bulrushdealui.commands import job
 from bulrushdealui.commands import key
 from bulrushdealui.commands import order
@@ -46,6 +47,7 @@
     config.StatusCommand,
     usage.UsageCommand,
     dump.DumpCommand,
+    explain.ExplainCommand,
     chat.ChatCommand,
 )
 
--- a/tests/ui/test_commands.py
+++ b/tests/ui/test_commands.py
@@ -256,3 +256,34 @@
 ) -> None:
     assert run(monkeypatch, "upstream", "adapter", "e0", "tuned") == 2
     assert "--base is required" in capsys.readouterr().err
+
+
+def test_explain_puts_the_lines_of_one_id_in_order(
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+    tmp_path: pathlib.Path,
+) -> None:
+    first, second = tmp_path / "vm1.log", tmp_path / "vm2.log"
+    first.write_text(
+        '{"time_s": 2.5, "vm": "vm1", "level": "info", "part": "runner",'
+        ' "event": "listed", "job": "j1"}\n'
+        "another program's line {\n"
+        '{"time_s": 1.5, "vm": "vm1", "level": "info", "part": "jobs",'
+        ' "event": "accepted", "job": "j1"}\n'
+    )
+    second.write_text(
+        '{"time_s": 2.0, "vm": "vm2", "level": "info", "part": "runner",'
+        ' "event": "yielded", "job": "j1", "item": "i1"}\n'
+        '{"time_s": 2.1, "vm": "vm2", "level": "info", "part": "runner",'
+        ' "event": "yielded", "job": "j2"}\n'
+    )
+    assert run(monkeypatch, "explain", "j1", str(first), str(second)) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert [line.split(":")[0].split()[-1] for line in lines] == [
+        "accepted",
+        "yielded",
+        "listed",
+    ]
+    assert lines[1].startswith("2.0 vm2 info runner yielded: job=j1 item=i1")
+    assert run(monkeypatch, "explain", "none", str(first)) != 0
+    assert run(monkeypatch, "explain", "j1", str(tmp_path / "no")) != 0
