--- a/packages/gateway/gateway/jobs.py
+++ b/packages/gateway/gateway/jobs.py
@@ -15,6 +15,7 @@
 from gateway import jobrecords
 from gateway import members
 from gateway import names
+from gateway import paging
 from gateway import records
 
 _events = eventlog.Events("jobs")
@@ -350,15 +351,12 @@
         """Reads what follows the results known; returns the revision."""
         job = view.meta.job
         after = self.keys.result(job, known - 1) if known else ""
-        while True:
-            listed = self._store.list(self.keys.results(job), after, _READ_S)
-            if listed.is_err():
-                return _unavailable(listed.unwrap_err())
-            page = listed.unwrap()
-            self._learn(view, page.entries)
-            if not page.has_more or not page.entries:
-                return result.Ok(page.revision)
-            after = page.entries[-1].key
+        prefix = self.keys.results(job)
+        listed = paging.read_all(self._store, prefix, _READ_S, after=after)
+        if listed.is_err():
+            return _unavailable(listed.unwrap_err())
+        self._learn(view, listed.unwrap().entries)
+        return result.Ok(listed.unwrap().revision)
 
     def _learn(
         self, view: _View, entries: tuple[dialect_lib.Entry, ...]
--- /dev/null
+++ b/packages/gateway/gateway/leading.py
@@ -0,0 +1,143 @@
+"""Leads services: gives out the slots of their engines to all VMs."""
+
+import queue
+import threading
+import time
+from typing import Any
+
+from bulrushdeal import eventlog
+from bulrushdeald import services
+from gateway import slotledger
+from gateway import slotmessages
+from gateway import upstreamlist
+
+_events = eventlog.Events("leading")
+
+_TELL_TIMEOUT_S = 0.3
+
+
+class Leading:
+    """Holds the ledgers of the services that this VM leads.
+
+    Any VM answers for any service: who leads is the askers' to know.
+    """
+
+    def __init__(
+        self, upstreams: upstreamlist.UpstreamList, peers: services.Peers
+    ) -> None:
+        self._list = upstreams
+        self._peers = peers
+        self._ledger_lock = threading.Lock()
+        self._ledgers: dict[str, slotledger.Ledger] = {}
+        self._yields: queue.SimpleQueue[tuple[str, str] | None] = (
+            queue.SimpleQueue()
+        )
+
+    def start(self) -> None:
+        """Begins to answer other VMs."""
+        handle = self._peers.handle
+        # All on the reading thread, so that a VM's messages keep their
+        # order: a report sent before a release must not come after it.
+        for kind, handler in (
+            (slotmessages.Take, self._on_take),
+            (slotmessages.TakeBatch, self._on_take_batch),
+            (slotmessages.News, self._on_news),
+            (slotmessages.Report, self._on_report),
+        ):
+            handle(kind, services.QuickHandler(handler))
+        threading.Thread(
+            target=self._send_yields, name="yields", daemon=True
+        ).start()
+
+    def stop(self) -> None:
+        """Ends the thread."""
+        self._yields.put(None)
+
+    def dump(self) -> Any:
+        """Returns how many runs each engine has, by service."""
+        with self._ledger_lock:
+            return {
+                name: dict(ledger.counts())
+                for name, ledger in self._ledgers.items()
+            }
+
+    def refresh(self) -> None:
+        """Takes the engines that there are now."""
+        with self._ledger_lock:
+            for service, ledger in self._ledgers.items():
+                ledger.set_engines(self._list.usable(service))
+
+    def _ledger(self, service: str) -> slotledger.Ledger:
+        ledger = self._ledgers.get(service)
+        if ledger is None:
+            ledger = self._ledgers[service] = slotledger.Ledger()
+            ledger.set_engines(self._list.usable(service))
+        return ledger
+
+    def _on_take(
+        self, vm: str, message: slotmessages.Take
+    ) -> slotmessages.Taken:
+        with self._ledger_lock:
+            ledger = self._ledger(message.service)
+            taken = ledger.take_online(
+                message.run,
+                vm,
+                time.monotonic(),
+                target_s=message.target_s,
+                excluded=message.excluded,
+                domain=message.domain,
+            )
+        if isinstance(taken, slotledger.NoRoom):
+            return slotmessages.Taken("", taken.retry_after_s)
+        for run in taken.yields:
+            # A run's name begins with its VM's.
+            self._yields.put((run.rsplit(".", 2)[0], run))
+        return slotmessages.Taken(taken.instance, 0.0)
+
+    def _on_take_batch(
+        self, vm: str, message: slotmessages.TakeBatch
+    ) -> slotmessages.TakenBatch:
+        instances: list[str] = []
+        with self._ledger_lock:
+            ledger = self._ledger(message.service)
+            ledger.expire(time.monotonic())
+            for run in message.runs:
+                taken = ledger.take_batch(
+                    run, vm, time.monotonic(), message.excluded
+                )
+                if taken is None:
+                    break
+                instances.append(taken.instance)
+        return slotmessages.TakenBatch(tuple(instances))
+
+    def _on_news(
+        self, vm: str, message: slotmessages.News
+    ) -> slotmessages.Done:
+        del vm
+        now_s = time.monotonic()
+        with self._ledger_lock:
+            ledger = self._ledger(message.service)
+            for run in message.released:
+                ledger.release(run, now_s)
+            for load in message.loads:
+                ledger.observe(load, now_s)
+        return slotmessages.Done()
+
+    def _on_report(
+        self, vm: str, message: slotmessages.Report
+    ) -> slotmessages.Done:
+        now_s = time.monotonic()
+        with self._ledger_lock:
+            ledger = self._ledger(message.service)
+            ledger.report(vm, message.rows, now_s)
+            ledger.expire(now_s)
+        return slotmessages.Done()
+
+    def _send_yields(self) -> None:
+        while (row := self._yields.get()) is not None:
+            vm, run = row
+            answer = self._peers.call(
+                vm, slotmessages.Yield((run,)), _TELL_TIMEOUT_S
+            )
+            if answer.is_err():
+                _events.warning("yield_lost", peer=vm, run=run)
--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -17,6 +17,7 @@
 from gateway import dialect as dialect_lib
 from gateway import listing
 from gateway import names
+from gateway import paging
 from gateway import records
 
 _events = eventlog.Events("members")
@@ -257,20 +258,11 @@
         return True
 
     def _read(self, was_refused: bool) -> bool:
-        rows: dict[str, core_records.Vm] = {}
-        after = ""
-        while True:
-            listed = self._store.list(self._prefix, after, _CALL_S, stale=True)
-            if listed.is_err():
-                return False
-            page = listed.unwrap()
-            for entry in page.entries:
-                row = self._decode(entry)
-                if row is not None:
-                    rows[row.vm] = row
-            if not page.has_more or not page.entries:
-                break
-            after = page.entries[-1].key
+        listed = paging.read_all(self._store, self._prefix, _CALL_S, stale=True)
+        if listed.is_err():
+            return False
+        decoded = map(self._decode, listed.unwrap().entries)
+        rows = {row.vm: row for row in decoded if row is not None}
         kept = self._listing.learn(rows, time.monotonic(), was_refused)
         kept[self._own.vm] = self._own
         fresh = tuple(kept[vm] for vm in sorted(kept))
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -16,10 +16,12 @@
 from bulrushdeald import services
 from gateway import configuration
 from gateway import health
+from gateway import leading
 from gateway import members
 from gateway import names
 from gateway import records
 from gateway import slotledger
+from gateway import slotmessages
 from gateway import upstreamlist
 
 _events = eventlog.Events("placement")
@@ -29,7 +31,7 @@
 # Leaders asked before a request is placed by what this VM knows alone.
 _MAX_LEADERS = 2
 _REPORT_S = 1.0
-# News wait so long for others that go in the same message.
+# slotmessages.News wait so long for others that go in the same message.
 _GATHER_S = 0.02
 _NO_UPSTREAM_RETRY_S = 0.5
 # How often a request tries upstreams that are all avoided.
@@ -43,62 +45,6 @@
 _MAX_STALE_GRANTS = 2
 
 
-class Take(NamedTuple):
-    """Asks a service's leader for a slot for an online request."""
-
-    service: str
-    run: str
-    target_s: float
-    excluded: tuple[str, ...]
-    domain: str
-
-
-class Taken(NamedTuple):
-    """The engine; empty if there is no room before `retry_after_s`."""
-
-    instance: str
-    retry_after_s: float
-
-
-class TakeBatch(NamedTuple):
-    """Asks a service's leader for slots for batch items."""
-
-    service: str
-    runs: tuple[str, ...]
-    excluded: tuple[str, ...]
-
-
-class TakenBatch(NamedTuple):
-    """The engines of the first of the runs asked for."""
-
-    instances: tuple[str, ...]
-
-
-class News(NamedTuple):
-    """Gives slots back, and tells what engines said of their load."""
-
-    service: str
-    released: tuple[str, ...]
-    loads: tuple[slotledger.Load, ...]
-
-
-class Report(NamedTuple):
-    """All that a VM runs on the engines of a service."""
-
-    service: str
-    rows: tuple[slotledger.ReportRow, ...]
-
-
-class Yield(NamedTuple):
-    """Asks a VM to end batch runs, whose slots are given to others."""
-
-    runs: tuple[str, ...]
-
-
-class Done(NamedTuple):
-    """The answer to a message that asks nothing."""
-
-
 class NoSlot(NamedTuple):
     """No upstream can be had now.
 
@@ -173,17 +119,12 @@
         self._lock = threading.Lock()
         self._held: dict[str, dict[str, Slot]] = {}
         self._counts: dict[str, int] = {}
-        self._ledger_lock = threading.Lock()
-        self._ledgers: dict[str, slotledger.Ledger] = {}
         # Released runs by name and loads, each with its service.
         self._news: queue.SimpleQueue[
             tuple[str, str | slotledger.Load] | None
         ] = queue.SimpleQueue()
         # Who led each service when it was last asked.
         self._led_by: dict[str, str] = {}
-        self._yields: queue.SimpleQueue[tuple[str, str] | None] = (
-            queue.SimpleQueue()
-        )
         self._trial_s: dict[str, float] = {}
         self._stopping = threading.Event()
 
@@ -194,17 +135,16 @@
         self._peers = find(services.PEERS, services.Peers)
         self._feed = find(names.CONFIGURATION, configuration.Feed)
         self._list = find(names.UPSTREAM_LIST, upstreamlist.UpstreamList)
+        self._leading = leading.Leading(self._list, self._peers)
+        self._leading.start()
         self._list.on_change(self._on_list)
-        handle = self._peers.handle
-        # All on the reading thread, so that a VM's messages keep their
-        # order: a report sent before a release must not come after it.
-        handle(Take, services.QuickHandler(self._on_take))
-        handle(TakeBatch, services.QuickHandler(self._on_take_batch))
-        handle(News, services.QuickHandler(self._on_news))
-        handle(Report, services.QuickHandler(self._on_report))
-        handle(Yield, services.QuickHandler(self._on_yield))
-        self._peers.understand(Taken, TakenBatch, Done)
-        for target in (self._send_news, self._send_yields, self._report):
+        self._peers.handle(
+            slotmessages.Yield, services.QuickHandler(self._on_yield)
+        )
+        self._peers.understand(
+            slotmessages.Taken, slotmessages.TakenBatch, slotmessages.Done
+        )
+        for target in (self._send_news, self._report):
             threading.Thread(
                 target=target, name="placement", daemon=True
             ).start()
@@ -214,17 +154,13 @@
         del grace_s
         self._stopping.set()
         self._news.put(None)
-        self._yields.put(None)
+        self._leading.stop()
 
     def dump(self) -> Any:
         """Returns what runs here, and the ledgers held here."""
-        with self._ledger_lock:
-            ledgers = {
-                name: dict(ledger.counts())
-                for name, ledger in self._ledgers.items()
-            }
         with self._lock:
-            return {"held": dict(self._counts), "ledgers": ledgers}
+            held = dict(self._counts)
+        return {"held": held, "ledgers": self._leading.dump()}
 
     def take(
         self, service: str, target_s: float, excluded: Iterable[str]
@@ -271,7 +207,7 @@
             # Only requests try what is avoided; items wait for them.
             return []
         runs = tuple(self._name() for _ in range(count))
-        message = TakeBatch(service, runs, tuple(left_out))
+        message = slotmessages.TakeBatch(service, runs, tuple(left_out))
         answer = self._ask_leader(service, message)
         if answer is None:
             return []
@@ -406,10 +342,12 @@
         run: str,
         target_s: float,
         excluded: frozenset[str],
-    ) -> Taken | None:
-        message = Take(service, run, target_s, tuple(excluded), self._domain)
+    ) -> slotmessages.Taken | None:
+        message = slotmessages.Take(
+            service, run, target_s, tuple(excluded), self._domain
+        )
         answer = self._ask_leader(service, message)
-        return answer if isinstance(answer, Taken) else None
+        return answer if isinstance(answer, slotmessages.Taken) else None
 
     def _ask_leader(self, service: str, message: Any) -> Any | None:
         for vm in self._members.rank(service)[:_MAX_LEADERS]:
@@ -461,71 +399,11 @@
 
     def _on_list(self) -> None:
         self.health.keep(self._list.instances())
-        with self._ledger_lock:
-            for service, ledger in self._ledgers.items():
-                ledger.set_engines(self._list.usable(service))
-
-    # What leaders do.
-
-    def _ledger(self, service: str) -> slotledger.Ledger:
-        ledger = self._ledgers.get(service)
-        if ledger is None:
-            ledger = self._ledgers[service] = slotledger.Ledger()
-            ledger.set_engines(self._list.usable(service))
-        return ledger
-
-    def _on_take(self, vm: str, message: Take) -> Taken:
-        with self._ledger_lock:
-            ledger = self._ledger(message.service)
-            taken = ledger.take_online(
-                message.run,
-                vm,
-                time.monotonic(),
-                target_s=message.target_s,
-                excluded=message.excluded,
-                domain=message.domain,
-            )
-        if isinstance(taken, slotledger.NoRoom):
-            return Taken("", taken.retry_after_s)
-        for run in taken.yields:
-            # A run's name begins with its VM's.
-            self._yields.put((run.rsplit(".", 2)[0], run))
-        return Taken(taken.instance, 0.0)
-
-    def _on_take_batch(self, vm: str, message: TakeBatch) -> TakenBatch:
-        instances: list[str] = []
-        with self._ledger_lock:
-            ledger = self._ledger(message.service)
-            ledger.expire(time.monotonic())
-            for run in message.runs:
-                taken = ledger.take_batch(
-                    run, vm, time.monotonic(), message.excluded
-                )
-                if taken is None:
-                    break
-                instances.append(taken.instance)
-        return TakenBatch(tuple(instances))
-
-    def _on_news(self, vm: str, message: News) -> Done:
-        del vm
-        now_s = time.monotonic()
-        with self._ledger_lock:
-            ledger = self._ledger(message.service)
-            for run in message.released:
-                ledger.release(run, now_s)
-            for load in message.loads:
-                ledger.observe(load, now_s)
-        return Done()
-
-    def _on_report(self, vm: str, message: Report) -> Done:
-        now_s = time.monotonic()
-        with self._ledger_lock:
-            ledger = self._ledger(message.service)
-            ledger.report(vm, message.rows, now_s)
-            ledger.expire(now_s)
-        return Done()
+        self._leading.refresh()
 
-    def _on_yield(self, vm: str, message: Yield) -> Done:
+    def _on_yield(
+        self, vm: str, message: slotmessages.Yield
+    ) -> slotmessages.Done:
         del vm
         with self._lock:
             slots = [
@@ -536,14 +414,7 @@
             ]
         for slot in slots:
             slot.give_up()
-        return Done()
-
-    def _send_yields(self) -> None:
-        while (row := self._yields.get()) is not None:
-            vm, run = row
-            answer = self._peers.call(vm, Yield((run,)), _TELL_TIMEOUT_S)
-            if answer.is_err():
-                _events.warning("yield_lost", peer=vm, run=run)
+        return slotmessages.Done()
 
     # What goes to leaders.
 
@@ -560,7 +431,7 @@
                 told = [item for name, item in rows if name == service]
                 self._tell_leader(
                     service,
-                    News(
+                    slotmessages.News(
                         service,
                         tuple(item for item in told if isinstance(item, str)),
                         tuple(
@@ -577,14 +448,14 @@
         if ranked:
             self._peers.call(ranked[0], message, _TELL_TIMEOUT_S)
 
-    def _own_report(self, service: str) -> Report:
+    def _own_report(self, service: str) -> slotmessages.Report:
         with self._lock:
             held = dict(self._held.get(service, {}))
         rows = tuple(
             slotledger.ReportRow(run, slot.upstream.instance, slot.is_batch)
             for run, slot in held.items()
         )
-        return Report(service, rows)
+        return slotmessages.Report(service, rows)
 
     def _report(self) -> None:
         reported: set[str] = set()
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -20,6 +20,7 @@
 from gateway import jobstate
 from gateway import members
 from gateway import names
+from gateway import paging
 from gateway import placement
 from gateway import records
 from gateway import sending
@@ -479,7 +480,7 @@
             claimed = self._claims()
             # Jobs that run here are looked at strictly: an end that was not
             # told has to be found within seconds.
-            opened = self._names(self._book.keys.open, stale=not own)
+            opened = self._open_jobs(stale=not own)
             if claimed is None or opened is None:
                 continue
             for job in own - opened:
@@ -544,12 +545,22 @@
         if isinstance(made, result.Ok) and isinstance(made.ok_value, int):
             self._run_claimed(job, made.ok_value)
 
+    def _open_jobs(self, *, stale: bool) -> set[str] | None:
+        prefix = self._book.keys.open
+        listed = paging.read_all(self._store, prefix, _READ_S, stale=stale)
+        if listed.is_err():
+            return None
+        entries = listed.unwrap().entries
+        return {row.key.removeprefix(prefix) for row in entries}
+
     def _claims(self) -> dict[str, dialect_lib.Entry] | None:
         prefix = self._book.keys.claims
-        entries = self._list_all(prefix, stale=True)
-        if entries is None:
+        listed = paging.read_all(self._store, prefix, _READ_S, stale=True)
+        if listed.is_err():
             return None
-        claimed = {row.key.removeprefix(prefix): row for row in entries}
+        claimed = {
+            row.key.removeprefix(prefix): row for row in listed.unwrap().entries
+        }
         self._holders = {
             job: jobrecords.holder(row.value) for job, row in claimed.items()
         }
@@ -560,27 +571,6 @@
         if got.is_ok() and got.unwrap() is None:
             self.drop(job)
 
-    def _names(self, prefix: str, *, stale: bool) -> set[str] | None:
-        entries = self._list_all(prefix, stale=stale)
-        if entries is None:
-            return None
-        return {row.key.removeprefix(prefix) for row in entries}
-
-    def _list_all(
-        self, prefix: str, *, stale: bool
-    ) -> list[dialect_lib.Entry] | None:
-        found: list[dialect_lib.Entry] = []
-        after = ""
-        while True:
-            listed = self._store.list(prefix, after, _READ_S, stale=stale)
-            if listed.is_err():
-                return None
-            page = listed.unwrap()
-            found.extend(page.entries)
-            if not page.has_more or not page.entries:
-                return found
-            after = page.entries[-1].key
-
     def _claim(self, job: str) -> result.Result[int, jobs.JobError]:
         """Claims a job that is open and that no VM runs."""
         keys, lease = self._book.keys, self._members.lease()
--- /dev/null
+++ b/packages/gateway/gateway/slotmessages.py
@@ -0,0 +1,61 @@
+"""What VMs tell the leader of a service about its slots, and back."""
+
+from typing import NamedTuple
+
+from gateway import slotledger
+
+
+class Take(NamedTuple):
+    """Asks a service's leader for a slot for an online request."""
+
+    service: str
+    run: str
+    target_s: float
+    excluded: tuple[str, ...]
+    domain: str
+
+
+class Taken(NamedTuple):
+    """The engine; empty if there is no room before `retry_after_s`."""
+
+    instance: str
+    retry_after_s: float
+
+
+class TakeBatch(NamedTuple):
+    """Asks a service's leader for slots for batch items."""
+
+    service: str
+    runs: tuple[str, ...]
+    excluded: tuple[str, ...]
+
+
+class TakenBatch(NamedTuple):
+    """The engines of the first of the runs asked for."""
+
+    instances: tuple[str, ...]
+
+
+class News(NamedTuple):
+    """Gives slots back, and tells what engines said of their load."""
+
+    service: str
+    released: tuple[str, ...]
+    loads: tuple[slotledger.Load, ...]
+
+
+class Report(NamedTuple):
+    """All that a VM runs on the engines of a service."""
+
+    service: str
+    rows: tuple[slotledger.ReportRow, ...]
+
+
+class Yield(NamedTuple):
+    """Asks a VM to end batch runs, whose slots are given to others."""
+
+    runs: tuple[str, ...]
+
+
+class Done(NamedTuple):
+    """The answer to a message that asks nothing."""
--- a/packages/gateway/gateway/upstreamlist.py
+++ b/packages/gateway/gateway/upstreamlist.py
@@ -10,6 +10,7 @@
 from gateway import dialect as dialect_lib
 from gateway import listing
 from gateway import names
+from gateway import paging
 from gateway import records
 
 _events = eventlog.Events("upstreams")
@@ -98,20 +99,11 @@
 
     def _read(self) -> dict[str, records.Upstream] | None:
         prefix = self._dialect.names.upstreams
-        rows: dict[str, records.Upstream] = {}
-        after = ""
-        while True:
-            listed = self._store.list(prefix, after, _CALL_S)
-            if listed.is_err():
-                return None
-            page = listed.unwrap()
-            for entry in page.entries:
-                row = self._decode(entry)
-                if row is not None:
-                    rows[row.instance] = row
-            if not page.has_more or not page.entries:
-                return rows
-            after = page.entries[-1].key
+        listed = paging.read_all(self._store, prefix, _CALL_S)
+        if listed.is_err():
+            return None
+        decoded = map(self._decode, listed.unwrap().entries)
+        return {row.instance: row for row in decoded if row is not None}
 
     def _decode(self, entry: dialect_lib.Entry) -> records.Upstream | None:
         if entry.value is None:
