--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -26,8 +26,8 @@
 _LEASE_S = 3.0
 _RENEW_S = 0.9
 _CALL_S = 0.8
-# A failure domain that is cut off is known within half a second: what is sent
-# into it meanwhile is lost.
+# What is sent into a failure domain before it is known to be cut off is lost.
+# With these a cut was known 0.9 s after it began, in one trial.
 _PING_S = 0.25
 _PING_TIMEOUT_S = 0.2
 # Two pings in a row to different VMs of a failure domain that fail.
--- a/packages/gateway/gateway/rates.py
+++ b/packages/gateway/gateway/rates.py
@@ -125,8 +125,8 @@
         held = self._feed.current()
         row = None if held is None else held.customers.get(message.customer)
         if row is None:
-            # The asker knows a newer configuration than this VM: nothing
-            # limits a customer that is not known to be limited.
+            # The asker knows a newer configuration than this VM, which has
+            # no row to go by: the request is refused until it has caught up.
             return Spent(False, configuration.WATCH_WAIT_S)
         if row.rate_per_s <= 0:
             return Spent(True, 0.0)
