Placement: a lost failure domain ends by itself, and items try its upstreams

The only VM of domain d1 stopped while the other pinged it. Two pings failed before it left the list, and none was sent after that, so the domain stayed lost for good; its engine, never heard of, got no items, and only online requests tried what is avoided. The job waited for ever.

Ruled out: a claim that stays (the lease ends with the VM), a scan that stops, an order of VMs in which none takes the job (a VM is never left out of its own).

Change: a domain counts as lost for 5 s after the last ping that failed; where all upstreams are avoided an item is a trial as a request is.

--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -32,6 +32,9 @@
 _PING_TIMEOUT_S = 0.2
 # Two pings in a row to different VMs of a failure domain that fail.
 _MAX_MISSED_PINGS = 2
+# A failure domain counts as cut off so long after the last ping that failed.
+# Upstreams that are cut off from the store as well lapse there before that.
+LOST_S = 5.0
 # A VM that did not answer leads nothing for so long.
 SUSPECT_S = 1.5
 _FETCH_TIMEOUT_S = 0.8
@@ -90,6 +93,8 @@
         self._ranks: dict[str, list[str]] = {}
         self._domains: dict[str, str] = {}
         self._missed: dict[str, int] = {}
+        # When a ping into each failure domain failed last.
+        self._missed_s: dict[str, float] = {}
         self._stopping = threading.Event()
 
     def start(self) -> None:
@@ -170,13 +175,19 @@
         ]
 
     def lost_domains(self) -> frozenset[str]:
-        """Returns the failure domains that pings do not reach now."""
+        """Returns the failure domains that pings do not reach now.
+
+        The failure: all VMs of a domain are taken away and the first pings
+        to them fail. None is sent after that, and the domain would be lost
+        for ever: what is not confirmed by failing pings ends by itself.
+        """
         if not any(self._missed.values()):
             return frozenset()
+        since_s = time.monotonic() - LOST_S
         return frozenset(
             domain
             for domain, missed in self._missed.items()
-            if missed >= _MAX_MISSED_PINGS
+            if missed >= _MAX_MISSED_PINGS and self._missed_s[domain] > since_s
         )
 
     def suspect(self, vm: str) -> None:
@@ -207,6 +218,8 @@
     def note_ping(self, domain: str, vm: str, was_answered: bool) -> None:
         """Notes whether a VM of a failure domain answered a ping."""
         before = self._missed.get(domain, 0)
+        if not was_answered:
+            self._missed_s[domain] = time.monotonic()
         self._missed[domain] = 0 if was_answered else before + 1
         if not was_answered:
             self.suspect(vm)
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -204,8 +204,11 @@
         if not self._has_engine(service):
             return []
         if all(row.instance in left_out for row in self._list.usable(service)):
-            # Only requests try what is avoided; items wait for them.
-            return []
+            # The failure: where no requests come, nobody else finds out that
+            # upstreams are back, and the items wait for ever.
+            if not self._is_trial(service):
+                return []
+            left_out, count = frozenset(), 1
         runs = tuple(self._name() for _ in range(count))
         message = slotmessages.TakeBatch(service, runs, tuple(left_out))
         answer = self._ask_leader(service, message)
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -4,6 +4,7 @@
 import time
 from typing import Any
 
+from gateway import members
 from support import gatewayengine
 from support import gatewayscene
 
@@ -182,6 +183,25 @@
     assert all(run.last_event > 0 for run in engine.runs[2:])
 
 
+def test_items_find_out_that_upstreams_of_a_lost_domain_are_there(
+    scene: gatewayscene.Scene,
+) -> None:
+    """All VMs of a failure domain stop while another VM pings them.
+
+    The domain counts as cut off, so its engines, of which nothing was heard,
+    get no items; and as nothing is sent, nothing is ever heard of them. The
+    job's items would wait for ever.
+    """
+    scene.add_engine()
+    vm = scene.add_vm("vm2", "d2")
+    found = vm.kernel.find("membership", members.Members)
+    for _ in range(2):
+        found.note_ping("d1", "vm1", was_answered=False)
+    assert found.lost_domains() == {"d1"}
+    vm.submit("j1", _items(3))
+    assert len(_finished(vm, "j1")) == 3
+
+
 def test_an_ended_job_stops_and_keeps_what_is_listed(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/gateway/test_vms.py
+++ b/tests/gateway/test_vms.py
@@ -1,6 +1,9 @@
 """Several VMs: what goes between them beside the store."""
 
 import json
+import time
+
+import pytest
 
 from gateway import configuration
 from gateway import members
@@ -91,6 +94,24 @@
     assert allowed <= 10
 
 
+def test_a_domain_without_vms_is_not_lost_for_ever(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The only VM of a failure domain is taken away while it is pinged.
+
+    Pings to it fail, and none is sent once the VM is no longer listed: the
+    domain would count as cut off for ever, and its upstreams get nothing.
+    """
+    vm = scene.add_vm("vm1", "d1")
+    found = vm.kernel.find("membership", members.Members)
+    for _ in range(2):
+        found.note_ping("d2", "vm2", was_answered=False)
+    assert found.lost_domains() == {"d2"}
+    later_s = time.monotonic() + members.LOST_S + 0.1
+    monkeypatch.setattr(time, "monotonic", lambda: later_s)
+    assert not found.lost_domains()
+
+
 def test_batch_of_one_vm_yields_to_a_request_at_another(
     scene: gatewayscene.Scene,
 ) -> None:
