--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -3,7 +3,6 @@
 import collections
 import threading
 import time
-from typing import NamedTuple
 
 from gateway import dialect
 from gateway import jobrecords
@@ -14,13 +13,6 @@
 _MAX_PAUSE_S = 4.0
 
 
-class Listed(NamedTuple):
-    """A result and the position it takes."""
-
-    position: int
-    row: dialect.ItemResult
-
-
 class ItemState:
     """An item that has no result yet.
 
@@ -70,13 +62,18 @@
 
 
 class JobState:
-    """A claimed job; the runner's lock guards it.
+    """A claimed job; any thread may call it.
 
     Attributes:
         meta: What is known of it.
         claim_revision: Of the claim; each change is made on condition of
             it, so that a VM which lost its claim changes nothing.
         is_dropped: Whether it was ended, or the claim lost.
+        is_giving_up: Whether a thread lists its items as given up.
+        next_position: The position of the next result.
+        list_lock: Held while a result is written: a position is settled
+            before the next one is used, else an answer that was lost leaves
+            a hole.
     """
 
     def __init__(
@@ -89,15 +86,15 @@
         self.meta = meta
         self.claim_revision = claim_revision
         self.is_dropped = False
-        # Held while a result is written: a position is settled before the
-        # next one is used, else an answer that was lost leaves a hole.
+        self.is_giving_up = False
         self.list_lock = threading.Lock()
         self.next_position = len(listed)
+        self._lock = threading.Lock()
         done = {row.item for row in listed}
-        self.pending = collections.deque(
+        self._pending = collections.deque(
             ItemState(item) for item in items if item.item not in done
         )
-        self.running: set[ItemState] = set()
+        self._running: set[ItemState] = set()
 
     @property
     def due_s(self) -> float:
@@ -111,30 +108,109 @@
 
     def is_done(self) -> bool:
         """Tells whether every item has a result."""
-        return not self.pending and not self.running
+        with self._lock:
+            return not self._pending and not self._running
+
+    def is_last(self) -> bool:
+        """Tells whether the one running item is all that has no result."""
+        with self._lock:
+            return len(self._running) == 1 and not self._pending
+
+    def unlisted(self) -> list[ItemState]:
+        """Returns the items that have no result, waiting ones first."""
+        with self._lock:
+            return [*self._pending, *self._running]
+
+    def count_pending(self) -> int:
+        """Returns how many items wait for a run."""
+        return len(self._pending)
+
+    def count_running(self) -> int:
+        """Returns how many items run, or have a result to be written."""
+        return len(self._running)
 
     def next_item(self, now_s: float) -> ItemState | None:
         """Takes an item that may run now."""
-        for item in self.pending:
-            if item.not_before_s <= now_s:
-                self.pending.remove(item)
-                self.running.add(item)
-                return item
+        with self._lock:
+            for item in self._pending:
+                if item.not_before_s <= now_s:
+                    self._pending.remove(item)
+                    self._running.add(item)
+                    return item
         return None
 
     def count_ready(self, now_s: float) -> int:
         """Returns how many items may run now."""
-        return sum(item.not_before_s <= now_s for item in self.pending)
+        with self._lock:
+            return sum(item.not_before_s <= now_s for item in self._pending)
 
     def put_back(self, item: ItemState) -> None:
-        """Makes an item wait for its next run, before the others."""
-        self.running.discard(item)
-        self.pending.appendleft(item)
+        """Makes an item that has no result wait for its next run, first."""
+        with self._lock:
+            if item in self._running:
+                self._running.discard(item)
+                self._pending.appendleft(item)
+
+    def note_listed(self, item: ItemState) -> None:
+        """Notes that an item's result stands at the next position."""
+        with self._lock:
+            self.next_position += 1
+            self._running.discard(item)
 
     def go_on_from(self, rows: tuple[jobrecords.Progress, ...]) -> None:
         """Takes over how far the items came at another VM."""
         by_item = {row.item: row for row in rows}
-        for item in self.pending:
-            row = by_item.get(item.item.item)
-            if row is not None:
-                item.go_on_from(row)
+        with self._lock:
+            for item in self._pending:
+                row = by_item.get(item.item.item)
+                if row is not None:
+                    item.go_on_from(row)
+
+
+class JobTable:
+    """The jobs whose claims this VM holds, by their ids."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._jobs: dict[str, JobState] = {}
+
+    def add(self, state: JobState) -> JobState:
+        """Adds a job and returns what is to run.
+
+        The failure: a scan finds the claim of a job that is being accepted
+        and both hand it in; the items of two states would run twice. The
+        first one stays, with the claim that is newer.
+        """
+        with self._lock:
+            held = self._jobs.setdefault(state.meta.job, state)
+            held.claim_revision = max(held.claim_revision, state.claim_revision)
+            return held
+
+    def get(self, job: str) -> JobState | None:
+        """Returns a job."""
+        return self._jobs.get(job)
+
+    def names(self) -> set[str]:
+        """Returns the ids of all jobs."""
+        with self._lock:
+            return set(self._jobs)
+
+    def by_due_time(self) -> list[JobState]:
+        """Returns all jobs, the one that is due first at the front."""
+        with self._lock:
+            return sorted(self._jobs.values(), key=lambda row: row.due_s)
+
+    def remove(self, job: str) -> bool:
+        """Takes a job out for good; false if it is not here."""
+        with self._lock:
+            state = self._jobs.pop(job, None)
+        if state is not None:
+            state.is_dropped = True
+        return state is not None
+
+    def clear(self) -> list[JobState]:
+        """Takes all jobs out and returns them."""
+        with self._lock:
+            states = list(self._jobs.values())
+            self._jobs.clear()
+        return states
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -4,7 +4,10 @@
 import time
 from typing import Any
 
+from gateway import configuration
 from gateway import members
+from gateway import names
+from gateway import runner
 from support import gatewayengine
 from support import gatewayscene
 
@@ -202,6 +205,36 @@
     assert len(_finished(vm, "j1")) == 3
 
 
+def test_a_job_that_is_given_up_does_not_hold_up_others(
+    scene: gatewayscene.Scene,
+) -> None:
+    """The store takes no changes while an old job's items are given up.
+
+    Their results cannot be written until it does, and the thread that waited
+    for that fed no other job of the VM meanwhile.
+    """
+    value = gatewayscene.configuration(2)
+    (batch,) = (row for row in value["routes"] if row["name"] == "batch")
+    batch["retention_s"] = 2
+    scene.configure(value)
+    vm = scene.add_vm()
+    feed = vm.kernel.find(names.CONFIGURATION, configuration.Feed)
+    vm.submit("old", _items(2, "old"))
+    scene.configure(gatewayscene.configuration(3))
+    gatewayscene.until(
+        lambda: (held := feed.current()) is not None and held.version == 3
+    )
+    vm.submit("new", _items(1, "new"))
+    vm.client.refuses_commits = True
+    jobs_ = vm.kernel.find("runner", runner.Runner)
+    gatewayscene.until(lambda: jobs_.dump()["old"]["running"] == 1)
+    engine = scene.add_engine()
+    gatewayscene.until(lambda: [run.attempt for run in engine.runs] == ["new0"])
+    vm.client.refuses_commits = False
+    assert {row["state"] for row in _finished(vm, "old")} == {"errored"}
+    assert _finished(vm, "new")[0]["state"] == "completed"
+
+
 def test_an_ended_job_stops_and_keeps_what_is_listed(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/support/gatewaystore.py
+++ b/tests/support/gatewaystore.py
@@ -49,6 +49,7 @@
 
     Attributes:
         is_down: Whether each call is refused.
+        refuses_commits: Whether each change is refused.
         lost_commits: Commits whose answer is lost though they are done.
         calls: What was called, in order.
     """
@@ -56,6 +57,7 @@
     def __init__(self, store: MemoryStore) -> None:
         self.store = store
         self.is_down = False
+        self.refuses_commits = False
         self.lost_commits = 0
         self.calls: list[str] = []
 
@@ -116,6 +118,8 @@
     ) -> Any:
         if refused := self._refused("commit"):
             return refused
+        if self.refuses_commits:
+            return result.Err(dialect.StoreError("refused", "no changes"))
         with self.store.condition:
             for write in writes:
                 if write.lease and write.lease not in self.store.leases:
