Store: around a way that is lost by a peer; two VMs read for all

Ruled out: more tries by the caller (it has one, and meets the same domain); a longer lease (jobs are refused all the same).

Change: `storepath` makes each call by way of a peer while its own way is lost, which one thread probes; a store that is away for all is answered for at once, without calls. `reading`: two VMs of different failure domains read the list of upstreams and watch the configuration, the others ask them each 0.45 s, and read themselves when neither tells anything fresh. Open jobs are listed strictly each 1.6 to 2.4 s, not each second. `refused` (no calls now) and `rejected` (no such call) are two kinds of error. Scenes stop their VMs side by side.

Test replaced: a job's absence is told after the store's return is found, not in the same moment; the VM "without power" is cut off from its peers as well, which now could call for it.

Before: test_storepath and test_reading fail (no such module; a job at a VM that is turned away gets 503). After: 119 tests of gateway and adapter pass.

--- a/packages/gateway/gateway/assembly.py
+++ b/packages/gateway/gateway/assembly.py
@@ -23,9 +23,11 @@
 from gateway import names
 from gateway import placement
 from gateway import rates
+from gateway import reading
 from gateway import records
 from gateway import retirements
 from gateway import runner
+from gateway import storepath
 from gateway import upstreamlist
 
 _events = eventlog.Events("process")
@@ -44,13 +46,16 @@
     kernel = kernel_lib.Kernel()
     add = kernel.register
     kernel.offer(names.DIALECT, dialect)
-    kernel.offer(names.STORE, store)
+    path = storepath.StorePath(kernel, store)
+    kernel.offer(names.STORE, path)
     add(names.CONFIGURATION, configuration.Feed(kernel))
     add(names.UPSTREAM_LIST, upstreamlist.UpstreamList(kernel))
     add(names.METRICS, metrics.Metrics(kernel, settings))
     add(services.MEMBERSHIP, members.Members(kernel, settings))
     add(services.PEERS, peers.WebsocketPeers(kernel, settings))
-    add("pings", members.Pings(kernel, settings))
+    add("store path", path)
+    add(names.PINGS, members.Pings(kernel, settings))
+    add("reading", reading.Reading(kernel))
     add(names.RATES, rates.Rates(kernel, settings))
     add(names.PLACEMENT, placement.Placement(kernel, settings))
     add(services.UPSTREAMS, upstreams.HttpUpstreams(kernel, settings))
--- a/packages/gateway/gateway/configuration.py
+++ b/packages/gateway/gateway/configuration.py
@@ -20,6 +20,8 @@
 _CALL_S = 1.0
 _PAUSE_S = 0.1
 _MAX_PAUSE_S = 0.5
+# How soon a VM that has to watch from now on begins.
+_IDLE_S = 0.25
 
 
 class InForce:
@@ -84,6 +86,7 @@
         self._retire_callbacks: list[Callable[[str], None]] = []
         self._stopping = threading.Event()
         self._is_lost = False
+        self._may_watch: Callable[[], bool] = lambda: True
         self._thread = threading.Thread(
             target=self._run, name="configuration", daemon=True
         )
@@ -111,6 +114,13 @@
         """Returns the version in force; `None` before there is any."""
         return self._in_force
 
+    def watch_while(self, may_watch: Callable[[], bool]) -> None:
+        """Follows the store only while a function says so.
+
+        Without any version it is followed in any case.
+        """
+        self._may_watch = may_watch
+
     def on_change(self, callback: Callable[[], None]) -> None:
         """Calls back after each change."""
         self._callbacks.append(callback)
@@ -148,14 +158,20 @@
     def _run(self) -> None:
         pause_s = _PAUSE_S
         while not self._stopping.is_set():
+            if not self._should_watch():
+                self._stopping.wait(_IDLE_S)
+                continue
             followed = self._follow()
             if followed:
                 pause_s = _PAUSE_S
             self._stopping.wait(pause_s)
             pause_s = min(pause_s * 2, _MAX_PAUSE_S)
 
+    def _should_watch(self) -> bool:
+        return self._in_force is None or self._may_watch()
+
     def _follow(self) -> bool:
-        """Lists, then watches until that fails; true if it listed."""
+        """Lists, then watches until that fails; true if a watch worked."""
         prefix = self._dialect.names.operators
         listed = self._store.list(prefix, "", _CALL_S)
         if listed.is_err():
@@ -165,7 +181,8 @@
         self._note_back()
         self._take(page.entries)
         after = page.revision
-        while not self._stopping.is_set():
+        has_watched = False
+        while not self._stopping.is_set() and self._should_watch():
             changed = self._store.watch(
                 prefix, after, WATCH_WAIT_S, WATCH_WAIT_S + _WATCH_MARGIN_S
             )
@@ -173,14 +190,15 @@
                 error = changed.unwrap_err()
                 if error.kind != "gap":
                     self._note_lost(error.message)
-                return True
+                return has_watched
+            has_watched = True
             self._note_back()
             entries = changed.unwrap().entries
             self._take(entries)
             # Not the store's own revision: a watch that hears nothing while
             # changes are made would let them be passed over.
             after = max((row.revision for row in entries), default=after)
-        return True
+        return has_watched
 
     def _take(self, entries: tuple[dialect_lib.Entry, ...]) -> None:
         for entry in entries:
--- a/packages/gateway/gateway/dialect.py
+++ b/packages/gateway/gateway/dialect.py
@@ -16,13 +16,15 @@
     """A call to the platform's store that did not succeed.
 
     Attributes:
-        kind: `refused`: it surely had no effect. `unknown`: it may have
-            had, or may still have. `gap`: the history asked for is gone.
-            `no_lease`: the lease has ended.
+        kind: `refused`: the store takes no calls from here now; it surely
+            had no effect. `rejected`: the store does not accept such a
+            call; no effect either. `unknown`: it may have had, or may still
+            have. `gap`: the history asked for is gone. `no_lease`: the
+            lease has ended.
         message: For the log.
     """
 
-    kind: Literal["refused", "unknown", "gap", "no_lease"]
+    kind: Literal["refused", "rejected", "unknown", "gap", "no_lease"]
     message: str
 
 
--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -91,7 +91,7 @@
         self._lease_until_s = 0.0
         self._suspects: dict[str, float] = {}
         self._ranks: dict[str, list[str]] = {}
-        self._domains: dict[str, str] = {}
+        self._domains = {settings.vm: settings.failure_domain}
         self._missed: dict[str, int] = {}
         # When a ping into each failure domain failed last.
         self._missed_s: dict[str, float] = {}
@@ -228,6 +228,10 @@
         if was_answered and before >= _MAX_MISSED_PINGS:
             _events.info("domain_back", failure_domain=domain)
 
+    def domain(self, vm: str) -> str:
+        """Returns a VM's failure domain; empty if it is not listed."""
+        return self._domains.get(vm, "")
+
     def count(self) -> int:
         """Returns how many VMs there are."""
         return len(self._rows)
@@ -341,6 +345,10 @@
         """Returns nothing of interest."""
         return {}
 
+    def fetch_from(self, vm: str) -> None:
+        """Has a VM's newer configuration fetched with the next pings."""
+        self._newer = vm
+
     def _version(self) -> int:
         held = self._feed.current()
         return 0 if held is None else held.version
--- a/packages/gateway/gateway/takeover.py
+++ b/packages/gateway/gateway/takeover.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import random
 import threading
+import time
 from typing import NamedTuple
 
 import result
@@ -20,6 +21,10 @@
 
 # How soon a job whose VM died, after its lease, or stopped is taken over.
 _SCAN_S = 1.0
+# Least time between strict listings of open jobs, ten times the price of one
+# that may be old. With the scans' own times at most 2.4 s pass, less than the
+# three in which an ended job has to stop when the word of it was lost.
+_STRICT_S = 1.5
 _MAX_UNCLAIMED = 10_000
 _START_RETRY_S = 0.1
 _READ_S = 1.0
@@ -130,6 +135,7 @@
         self._claims = claims
         self._on_job = on_job
         self._stopping = threading.Event()
+        self._strict_s = 0.0
         # Scans in a row that found a job without a claim.
         self._unclaimed: dict[str, int] = {}
         # Whose claims the last scan saw.
@@ -160,13 +166,17 @@
     def _scan(self) -> None:
         own = self._table.names()
         claimed = self._read_claims()
-        # Jobs that run here are looked at strictly: an end that was not
-        # told has to be found within seconds.
-        opened = self._open_jobs(stale=not own)
+        now_s = time.monotonic()
+        # Jobs that run here are looked at strictly now and then: an end that
+        # was not told has to be found within seconds.
+        is_strict = bool(own) and now_s - self._strict_s > _STRICT_S
+        opened = self._open_jobs(stale=not is_strict)
         if claimed is None or opened is None:
             return
-        for job in own - opened:
-            self._check_open(job)
+        if is_strict:
+            self._strict_s = now_s
+            for job in own - opened:
+                self._check_open(job)
         self._run_forgotten(claimed, opened)
         for job in opened - claimed.keys() - own:
             if not self._stopping.is_set() and self._is_next(job):
--- a/packages/gateway/gateway/upstreamlist.py
+++ b/packages/gateway/gateway/upstreamlist.py
@@ -1,7 +1,6 @@
 """The upstreams that the platform lists, kept over the store's outages."""
 
 from collections.abc import Callable
-import threading
 import time
 from typing import Any
 
@@ -15,14 +14,14 @@
 
 _events = eventlog.Events("upstreams")
 
-# An upstream that leaves must get nothing two seconds after the store knows.
-_POLL_S = 1.0
-_RETRY_S = 0.15
 _CALL_S = 0.8
 
 
 class UpstreamList:
-    """Polls the list; between reads, and without the store, it stays."""
+    """Holds the list; between reads, and without the store, it stays.
+
+    One thread reads or follows.
+    """
 
     def __init__(self, kernel: kernel_lib.Kernel) -> None:
         self._kernel = kernel
@@ -35,21 +34,17 @@
         self._read_s: float | None = None
         self._bad: dict[str, bytes] = {}
         self._callbacks: list[Callable[[], None]] = []
-        self._stopping = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name="upstream list", daemon=True
-        )
+        self._was_refused = False
+        self._number = 0
 
     def start(self) -> None:
-        """Begins to poll."""
+        """Finds the services that it needs."""
         self._store = self._kernel.find(names.STORE, dialect_lib.Store)
         self._dialect = self._kernel.find(names.DIALECT, dialect_lib.Dialect)
-        self._thread.start()
 
     def stop(self, grace_s: float) -> None:
-        """Ends the thread, at the latest with its call."""
+        """See `kernel.Service`."""
         del grace_s
-        self._stopping.set()
 
     def dump(self) -> Any:
         """Returns the list and its age."""
@@ -84,18 +79,42 @@
         """Returns an upstream by its name."""
         return self._by_instance.get(instance)
 
-    def _run(self) -> None:
-        was_refused = False
-        while not self._stopping.is_set():
-            rows = self._read()
-            if rows is not None:
-                now_s = time.monotonic()
-                self._apply(self._listing.learn(rows, now_s, was_refused))
-                self._read_s = now_s
-            elif not was_refused:
-                _events.warning("list_lost", age_s=round(self.age_s(), 3))
-            was_refused = rows is None
-            self._stopping.wait(_RETRY_S if rows is None else _POLL_S)
+    def all(self) -> tuple[tuple[records.Upstream, ...], int]:
+        """Returns all upstreams, leaving ones too, and the list's number.
+
+        The number is another after each change.
+        """
+        return tuple(self._by_instance.values()), self._number
+
+    def read(self) -> bool:
+        """Reads the list from the store; false if that fails."""
+        rows = self._read()
+        if rows is not None:
+            now_s = time.monotonic()
+            self._apply(self._listing.learn(rows, now_s, self._was_refused))
+            self._read_s = now_s
+        elif not self._was_refused:
+            _events.warning("list_lost", age_s=round(self.age_s(), 3))
+        self._was_refused = rows is None
+        return rows is not None
+
+    def follow(
+        self, rows: tuple[records.Upstream, ...] | None, age_s: float
+    ) -> None:
+        """Takes the list of a VM that read it `age_s` ago.
+
+        Args:
+            rows: All upstreams; `None` if the list is the one held here.
+            age_s: In seconds.
+        """
+        found = self._by_instance
+        if rows is not None:
+            found = {row.instance: row for row in rows}
+        now_s = time.monotonic()
+        # What lapsed in an outage is kept in what is followed already.
+        self._apply(self._listing.learn(found, now_s, was_refused=False))
+        self._read_s = now_s - age_s
+        self._was_refused = False
 
     def _read(self) -> dict[str, records.Upstream] | None:
         prefix = self._dialect.names.upstreams
@@ -130,6 +149,7 @@
             name: tuple(found) for name, found in by_service.items()
         }
         self._by_instance = rows
+        self._number += 1
         _note_changes(before, rows)
         for callback in self._callbacks:
             callback()
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -4,6 +4,7 @@
 import time
 from typing import Any
 
+from bulrushdeald import peers
 from gateway import configuration
 from gateway import members
 from gateway import names
@@ -140,6 +141,7 @@
     assert answer.status == 503
     assert float(answer.headers["retry-after"]) > 0
     vm.client.is_down = False
+    gatewayscene.until(lambda: vm.results("j1").status != 503)
     assert vm.results("j1").status == 404
 
 
@@ -156,6 +158,7 @@
     first.submit("j1", _items(3))
     gatewayscene.until(lambda: scene.engines[0].open == 3)
     first.client.is_down = True
+    first.kernel.find("peers", peers.WebsocketPeers).stop(0.1)
     for lease in list(scene.store.leases):
         held = scene.store.leases[lease]
         if any(key.endswith("members/vm1") for key in held):
--- /dev/null
+++ b/tests/gateway/test_reading.py
@@ -0,0 +1,120 @@
+"""Which VMs read the store, and how soon the others know."""
+
+from collections.abc import Sequence
+
+import pytest
+
+from gateway import configuration
+from gateway import members
+from gateway import names
+from gateway import reading
+from gateway import storepath
+from gateway import upstreamlist
+from support import gatewayscene
+
+
+def _vms(scene: gatewayscene.Scene, count: int) -> list[gatewayscene.Vm]:
+    vms = [
+        scene.add_vm(f"vm{number}", f"d{number % 2}") for number in range(count)
+    ]
+    for vm in vms:
+        found = vm.kernel.find("membership", members.Members)
+        gatewayscene.until(lambda found=found: found.count() == count)
+    gatewayscene.until(lambda: len(_readers(vms)) == 2)
+    return vms
+
+
+def _readers(vms: Sequence[gatewayscene.Vm]) -> list[gatewayscene.Vm]:
+    return [
+        vm
+        for vm in vms
+        if vm.kernel.find("reading", reading.Reading).dump()["is_reader"]
+    ]
+
+
+def _list(vm: gatewayscene.Vm) -> upstreamlist.UpstreamList:
+    return vm.kernel.find(names.UPSTREAM_LIST, upstreamlist.UpstreamList)
+
+
+def _has(vm: gatewayscene.Vm, instance: str) -> bool:
+    return any(row.instance == instance for row in _list(vm).usable("llm"))
+
+
+def test_two_vms_in_different_domains_read_for_all(
+    scene: gatewayscene.Scene,
+) -> None:
+    vms = _vms(scene, 4)
+    readers = _readers(vms)
+    domains = {
+        vm.kernel.find("membership", members.Members).own().failure_domain
+        for vm in readers
+    }
+    assert domains == {"d0", "d1"}
+    followers = [vm for vm in vms if vm not in readers]
+    # The configuration that was watched until now ends its last watch.
+    gatewayscene.until(
+        lambda: all(
+            vm.client.calls[-12:].count("watch") == 0 for vm in followers
+        )
+    )
+    engine = scene.add_engine()
+    for vm in vms:
+        gatewayscene.until(lambda vm=vm: _has(vm, engine.instance))
+        assert 0 <= _list(vm).age_s() < 5
+    scene.list_engine(engine, "draining")
+    for vm in vms:
+        gatewayscene.until(lambda vm=vm: not _has(vm, engine.instance))
+
+
+def test_a_change_of_the_configuration_reaches_those_that_do_not_watch(
+    scene: gatewayscene.Scene,
+) -> None:
+    vms = _vms(scene, 4)
+    scene.configure(gatewayscene.configuration(7))
+    for vm in vms:
+        feed = vm.kernel.find(names.CONFIGURATION, configuration.Feed)
+        gatewayscene.until(
+            lambda feed=feed: (
+                (held := feed.current()) is not None and held.version == 7
+            )
+        )
+
+
+def test_the_list_goes_on_when_both_readers_are_lost(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Both VMs that read lose their power at once.
+
+    The others would go on by the list they have, and send requests to an
+    upstream that has left.
+    """
+    vms = _vms(scene, 4)
+    engine = scene.add_engine()
+    for vm in vms:
+        gatewayscene.until(lambda vm=vm: _has(vm, engine.instance))
+    for vm in _readers(vms):
+        scene.vms.remove(vm)
+        vm.stop()
+    scene.list_engine(engine, "draining")
+    for vm in scene.vms:
+        gatewayscene.until(lambda vm=vm: not _has(vm, engine.instance))
+
+
+def test_a_reader_that_the_store_turns_away_is_not_gone_by(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The store turns both readers away, silently, and serves the others.
+
+    What the readers tell is old, though they answer at once.
+    """
+    vms = _vms(scene, 4)
+    readers = _readers(vms)
+    for vm in readers:
+        vm.client.is_down = True
+        # Nor do others call for them.
+        path = vm.kernel.find(names.STORE, storepath.StorePath)
+        monkeypatch.setattr(path, "_helpers", tuple)
+    engine = scene.add_engine()
+    for vm in vms:
+        if vm not in readers:
+            gatewayscene.until(lambda vm=vm: _has(vm, engine.instance))
--- a/tests/support/gatewayscene.py
+++ b/tests/support/gatewayscene.py
@@ -1,6 +1,7 @@
 """Whole gateways on loopback, before a store in memory."""
 
 from collections.abc import Mapping
+from concurrent import futures
 import http.client
 import json
 import socket
@@ -206,10 +207,12 @@
         return vm
 
     def close(self) -> None:
-        for vm in self.vms:
-            vm.stop()
-        for engine in self.engines:
-            engine.close()
+        # Side by side: each VM waits for its balancer before it closes.
+        with futures.ThreadPoolExecutor() as pool:
+            for done in [pool.submit(vm.stop) for vm in self.vms]:
+                done.result()
+            for done in [pool.submit(row.close) for row in self.engines]:
+                done.result()
 
 
 def until(check: Any, timeout_s: float = 15.0) -> None:
