Front: a VM that is cut off from a service sends callers elsewhere

The domain is cut off, no engine stands in it, and callers still reach its VMs, which say that they are ready.

Ruled out: more tries by those VMs (there is nothing to try); waiting for the cut to end (it holds a request that is known not to be servable).

Change: a VM on the smaller side of a cut that hears of no upstream of some service is not ready, closes callers' connections with its answers, and tells refused ones to come back when the balancer has moved them (2 s).

Before: the test waits for readiness to be withdrawn, in vain. After: it passes.

--- a/packages/gateway/gateway/front.py
+++ b/packages/gateway/gateway/front.py
@@ -118,11 +118,17 @@
         return {"state": self._state, "open": self._open.count()}
 
     def is_ready(self) -> bool:
-        """Tells whether the balancer may send callers."""
+        """Tells whether the balancer may send callers.
+
+        The failure: a failure domain is cut off from the upstreams of a
+        service and callers still reach it; each of them would be refused
+        although VMs of other domains could serve it.
+        """
         return (
             self._state == "serving"
             and self._feed.current() is not None
             and self._list.is_known()
+            and not self._placement.is_cut_off()
         )
 
     def _serve_ready(self, request: httpd.Request) -> httpd.Response:
@@ -138,10 +144,10 @@
             _log.exception("A request failed.")
             response = replies.refusal(_INTERNAL)
         self._metrics.answered(response.status)
-        if self._state == "serving":
+        if self._state == "serving" and not self._placement.is_cut_off():
             return response
         # A caller that keeps its connection would send its next request
-        # into the stop.
+        # into the stop, or to a VM that cannot serve it.
         headers = (*response.headers, ("Connection", "close"))
         return response._replace(headers=headers)
 
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -34,6 +34,11 @@
 # slotmessages.News wait so long for others that go in the same message.
 _GATHER_S = 0.02
 _NO_UPSTREAM_RETRY_S = 0.5
+# The balancer asks each second whether a VM is ready and sends callers to
+# other failure domains after two misses; to come back sooner meets this one.
+_CUT_OFF_RETRY_S = 2.0
+# A VM that reaches fewer of the VMs stands on the smaller side of a cut.
+_CUT_OFF_FRACTION = 0.5
 # How often a request tries upstreams that are all avoided.
 _TRIAL_S = 0.3
 # An upstream answers within this even when some requests wait in it.
@@ -178,9 +183,10 @@
         if all(row.instance in left_out for row in self._list.usable(service)):
             # To wait for one that is known not to answer helps nobody.
             if not self._is_trial(service):
-                return result.Err(
-                    NoSlot(_NO_UPSTREAM_RETRY_S, "no upstream is reachable")
-                )
+                retry_s = _NO_UPSTREAM_RETRY_S
+                if self.is_cut_off():
+                    retry_s = _CUT_OFF_RETRY_S
+                return result.Err(NoSlot(retry_s, "no upstream is reachable"))
             left_out = tried
         if not self._has_engine(service):
             return self._take_alone(service, run, left_out)
@@ -245,6 +251,27 @@
         """Tells whether the platform lists an upstream of a service."""
         return bool(self._list.usable(service))
 
+    def is_cut_off(self) -> bool:
+        """Tells whether VMs beyond a cut can serve what this one cannot.
+
+        So it is when this VM's failure domain is on the smaller side of a cut
+        and all upstreams of some service are beyond it.
+        """
+        if self._members.reached_fraction() >= _CUT_OFF_FRACTION:
+            return False
+        held, lost = self._feed.current(), self._members.lost_domains()
+        if held is None:
+            return False
+        return any(
+            all(
+                row.failure_domain in lost
+                and self.health.is_silent(row.instance)
+                for row in rows
+            )
+            for rows in map(self._list.usable, held.services)
+            if rows
+        )
+
     def _name(self) -> str:
         return f"{self._stem}{next(self._numbers)}"
 
--- a/tests/gateway/test_vms.py
+++ b/tests/gateway/test_vms.py
@@ -5,12 +5,14 @@
 
 import pytest
 
+from bulrushdeald import peers
 from gateway import configuration
 from gateway import members
 from gateway import names
 from gateway import placement
 from gateway import rates
 from gateway import records
+from support import gatewayengine
 from support import gatewayscene
 
 
@@ -112,6 +114,38 @@
     assert not found.lost_domains()
 
 
+def test_a_vm_that_is_cut_off_from_a_service_sends_callers_elsewhere(
+    scene: gatewayscene.Scene,
+) -> None:
+    """A failure domain without an engine of its own is cut off.
+
+    Callers still reach its VM, which refuses each of them for as long as the
+    cut lasts, although VMs of other domains would serve them.
+    """
+    engine = scene.add_engine()
+    vms = [scene.add_vm("vm1", "d1"), scene.add_vm("vm2", "d2")]
+    vms.append(scene.add_vm("vm3", "d1"))
+    _know_each_other(*vms)
+    cut = vms[1]
+    for vm in (vms[0], vms[2]):
+        vm.kernel.find("peers", peers.WebsocketPeers).stop(0.1)
+    gatewayscene.until(lambda: not cut.front().is_ready())
+    # The engine is beyond the cut; one request now and then finds that out.
+    scene.list_engine(engine, domain="d1")
+    found = cut.kernel.find(names.PLACEMENT, placement.Placement)
+    while found.take("llm", 0.3, ()).is_ok():
+        continue
+    refused = found.take("llm", 0.3, ()).unwrap_err()
+    assert refused.retry_after_s >= 2.0
+    answer = cut.call("POST", "/nowhere/x", b"p")
+    assert answer.headers["connection"] == "close"
+    # With an engine on its own side it serves what it can.
+    near = gatewayengine.Engine("i-near", 5)
+    scene.engines.append(near)
+    scene.list_engine(near, domain="d2")
+    gatewayscene.until(cut.front().is_ready)
+
+
 def test_batch_of_one_vm_yields_to_a_request_at_another(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/support/gatewayscene.py
+++ b/tests/support/gatewayscene.py
@@ -187,12 +187,15 @@
         return engine
 
     def list_engine(
-        self, engine: gatewayengine.Engine, state: str = "ready"
+        self,
+        engine: gatewayengine.Engine,
+        state: str = "ready",
+        domain: str = "d1",
     ) -> None:
         value = {
             "service": "llm",
             "address": engine.address,
-            "zone": "d1",
+            "zone": domain,
             "slots": 8,
             "state": state,
             "sequence": 1,
