--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES = core daemon gateway ui standins bench
 SOURCES = packages platform tests
 
-.PHONY: setup test check format demo up fuzz clean
+.PHONY: setup test check format demo up fuzz soak clean
 
 setup: $(VENV)/ready
 
@@ -38,5 +38,10 @@
 fuzz: setup
 	HYPOTHESIS_PROFILE=fuzz $(BIN)/python -m pytest tests/core tests/daemon
 
+# SEEDS plays seeds again; FRESH plays so many drawn now.
+soak: setup
+	PYTHONPATH=tests:platform $(BIN)/python -m soak $(SEEDS) \
+	    --fresh $(or $(FRESH),0)
+
 clean:
 	rm -rf $(VENV) .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -19,6 +19,7 @@
     body: bytes
     headers: dict[str, str]
     last_event: int
+    at_s: float
 
 
 class Fault(NamedTuple):
@@ -73,7 +74,14 @@
         attempt = request.headers[ATTEMPT]
         last = int(request.headers.get("last-event-id", "0"))
         self.runs.append(
-            Run(attempt, request.target, body, dict(request.headers), last)
+            Run(
+                attempt,
+                request.target,
+                body,
+                dict(request.headers),
+                last,
+                time.monotonic(),
+            )
         )
         if fault.kind == "other":
             attempt = "another"
