Rates: one owner though a link is cut, and half of the rate for a new one

Each new owner began with its opening and the whole rate, and VMs that still suspected the old one asked another.

Clearing suspicion on any message: in a one-way cut each call would wait for its timeout again.

Change: a VM that is asked passes on to the owner if it reaches it, and one that would stand in asks another first; an owner that may have a predecessor in the window gives half of the rate until that has passed.

Before: test_a_customer_has_one_rate_though_a_vm_misses_its_owner allows 12 of 6; the tests of OwnedBucket have no such class. After: both pass.

--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -158,10 +158,7 @@
 
         Those that did not answer lately are left out, but never this VM.
         """
-        ranked = self._ranks.get(key)
-        if ranked is None:
-            ranked = rendezvous.rank(key, (row.vm for row in self._rows))
-            self._ranks[key] = ranked
+        ranked = self._ranked(key)
         now_s = time.monotonic()
         lost = self.lost_domains()
         return [
@@ -174,6 +171,17 @@
             )
         ]
 
+    def first(self, key: str) -> str:
+        """Returns the VM that leads a thing when all reach each other."""
+        return self._ranked(key)[0]
+
+    def _ranked(self, key: str) -> list[str]:
+        ranked = self._ranks.get(key)
+        if ranked is None:
+            ranked = rendezvous.rank(key, (row.vm for row in self._rows))
+            self._ranks[key] = ranked
+        return ranked
+
     def lost_domains(self) -> frozenset[str]:
         """Returns the failure domains that pings do not reach now.
 
--- a/packages/gateway/gateway/rates.py
+++ b/packages/gateway/gateway/rates.py
@@ -33,9 +33,16 @@
 
 
 class Spend(NamedTuple):
-    """Asks a customer's owner for a token."""
+    """Asks a customer's owner for a token.
+
+    Attributes:
+        customer: Whose.
+        is_passed_on: Whether a VM passes it on for one that does not reach
+            the owner.
+    """
 
     customer: str
+    is_passed_on: bool = False
 
 
 class Spent(NamedTuple):
@@ -57,9 +64,12 @@
         self, kernel: kernel_lib.Kernel, settings: records.Settings
     ) -> None:
         self._kernel = kernel
+        self._vm = settings.vm
         self._opening = settings.limit_slack * _OPENING_SHARE
+        self._window_s = settings.limit_window_s
+        self._begun_s = time.monotonic()
         self._lock = threading.Lock()
-        self._owned: dict[str, tokens.Bucket] = {}
+        self._owned: dict[str, tokens.OwnedBucket] = {}
         self._alone: dict[str, tokens.Bucket] = {}
         self._refused = 0
 
@@ -69,7 +79,7 @@
         self._members = find(services.MEMBERSHIP, members.Members)
         self._peers = find(services.PEERS, services.Peers)
         self._feed = find(names.CONFIGURATION, configuration.Feed)
-        self._peers.handle(Spend, services.QuickHandler(self._on_spend))
+        self._peers.handle(Spend, self._on_spend)
         self._peers.understand(Spent)
 
     def stop(self, grace_s: float) -> None:
@@ -87,7 +97,7 @@
         if customer.rate_per_s <= 0:
             return result.Ok(None)
         message = Spend(customer.name)
-        for vm in self._members.rank(f"rate {customer.name}")[:_MAX_OWNERS]:
+        for vm in self._whom_to_ask(_key(customer.name)):
             answer = self._peers.call(vm, message, _SPEND_TIMEOUT_S)
             if answer.is_ok():
                 return self._told(answer.unwrap())
@@ -98,6 +108,16 @@
                 break
         return self._take_alone(customer)
 
+    def _whom_to_ask(self, key: str) -> list[str]:
+        """Returns the owner; for one that is not reached, who may know more.
+
+        A VM that would stand in for the owner asks another one first, which
+        may reach it.
+        """
+        ranked = self._members.rank(key)[:_MAX_OWNERS]
+        is_stand_in = ranked[0] == self._vm != self._members.first(key)
+        return ranked[::-1] if is_stand_in else ranked
+
     def _told(self, spent: Spent) -> result.Result[None, tokens.Denied]:
         if spent.is_allowed:
             return result.Ok(None)
@@ -130,25 +150,59 @@
             return Spent(False, configuration.WATCH_WAIT_S)
         if row.rate_per_s <= 0:
             return Spent(True, 0.0)
+        key = _key(row.name)
+        for _ in range(0 if message.is_passed_on else _MAX_OWNERS):
+            owner = self._members.rank(key)[0]
+            if owner == self._vm:
+                break
+            passed_on = self._pass_on(owner, row.name)
+            if passed_on is not None:
+                return passed_on
+        is_owner = self._members.first(key) == self._vm
+        return self._spend(row, is_owner=is_owner)
+
+    def _pass_on(self, owner: str, customer: str) -> Spent | None:
+        """Asks the owner for a VM that does not reach it.
+
+        The failure: one link is cut and its ends go on working. This VM would
+        give out the whole rate beside the owner for as long as that lasts.
+        """
+        answer = self._peers.call(
+            owner, Spend(customer, is_passed_on=True), _SPEND_TIMEOUT_S
+        )
+        if answer.is_err():
+            self._members.suspect(owner)
+            return None
+        spent: Spent = answer.unwrap()
+        return spent
+
+    def _spend(self, row: records.Customer, *, is_owner: bool) -> Spent:
         fraction = self._members.reached_fraction()
         now_s = time.monotonic()
         with self._lock:
-            bucket = self._bucket(row, now_s)
-            denied = bucket.take(
-                row.rate_per_s * fraction, row.burst * fraction, now_s
+            denied = self._bucket(row.name).take(
+                row.rate_per_s * fraction,
+                row.burst * fraction,
+                now_s,
+                since_s=self._begun_s if is_owner else now_s,
             )
         if denied is None:
             return Spent(True, 0.0)
         self._refused += 1
         return Spent(False, denied.retry_after_s)
 
-    def _bucket(self, row: records.Customer, now_s: float) -> tokens.Bucket:
-        bucket = self._owned.get(row.name)
+    def _bucket(self, customer: str) -> tokens.OwnedBucket:
+        bucket = self._owned.get(customer)
         if bucket is not None:
             return bucket
         if len(self._owned) >= _MAX_BUCKETS:
             self._owned.clear()
             _events.warning("buckets_cleared", most=_MAX_BUCKETS)
-        opening = min(row.burst, self._opening)
-        bucket = self._owned[row.name] = tokens.Bucket(opening, now_s)
+        bucket = self._owned[customer] = tokens.OwnedBucket(
+            self._opening, self._window_s
+        )
         return bucket
+
+
+def _key(customer: str) -> str:
+    return f"rate {customer}"
--- a/packages/gateway/gateway/tokens.py
+++ b/packages/gateway/gateway/tokens.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+# Of the rate, for an owner that may have a predecessor.
+_YOUNG_SHARE = 0.5
+
 
 class Denied(NamedTuple):
     """No token now, and when there will be one."""
@@ -29,3 +32,52 @@
             return Denied((1.0 - self._tokens) / max(rate_per_s, 0.01))
         self._tokens -= 1.0
         return None
+
+
+class OwnedBucket:
+    """A bucket that one VM of several comes to own, one after the other.
+
+    The failure: VMs are killed or cut off, and for some seconds two of them
+    give out a customer's tokens, each the whole rate. An owner that may have a
+    predecessor in the window that operators look at begins with few tokens and
+    half of the rate, until that window has passed. Customers use less than
+    two thirds of their rate, so the tokens of the opening last for the rest.
+
+    Args:
+        opening: Tokens at the beginning, at most the burst.
+        window_s: The window in which tokens are counted.
+    """
+
+    def __init__(self, opening: float, window_s: float) -> None:
+        self._opening = opening
+        self._window_s = window_s
+        self._bucket: Bucket | None = None
+        self._begun_s = 0.0
+        self._used_s = 0.0
+
+    def take(
+        self,
+        rate_per_s: float,
+        burst: float,
+        now_s: float,
+        *,
+        since_s: float,
+    ) -> Denied | None:
+        """Takes one token; returns when to come back if there is none.
+
+        Args:
+            rate_per_s: The customer's.
+            burst: The customer's.
+            now_s: By the monotonic clock.
+            since_s: Since when no other VM should have given out tokens;
+                now for a VM that stands in for the owner.
+        """
+        is_stand_in = since_s >= now_s
+        was_idle = now_s - self._used_s > self._window_s
+        if self._bucket is None or (is_stand_in and was_idle):
+            self._bucket = Bucket(min(burst, self._opening), now_s)
+            self._begun_s = min(now_s, since_s)
+        self._used_s = now_s
+        if now_s - self._begun_s < self._window_s:
+            rate_per_s *= _YOUNG_SHARE
+        return self._bucket.take(rate_per_s, burst, now_s)
--- a/tests/gateway/test_tokens.py
+++ b/tests/gateway/test_tokens.py
@@ -37,3 +37,44 @@
     bucket = tokens.Bucket(1.0, 5.0)
     assert bucket.take(10.0, 1.0, 5.0) is None
     assert bucket.take(10.0, 1.0, 4.0) is not None
+
+
+def _count(
+    bucket: tokens.OwnedBucket, rate: float, begin_s: float, since_s: float
+) -> int:
+    """Returns what a customer gets within 5 s that asks all the time."""
+    return sum(
+        bucket.take(rate, rate, begin_s + at / 100, since_s=since_s) is None
+        for at in range(500)
+    )
+
+
+def test_an_owner_that_may_have_a_predecessor_gives_half() -> None:
+    """The owner is killed, and its successor owns the bucket at once.
+
+    Both within one window would give out the whole rate and burst twice.
+    """
+    fresh = tokens.OwnedBucket(10.0, 5.0)
+    assert _count(fresh, 40.0, 100.0, since_s=100.0) <= 10 + 0.5 * 40 * 5
+    old = tokens.OwnedBucket(10.0, 5.0)
+    assert _count(old, 40.0, 100.0, since_s=10.0) >= 40 * 5
+
+
+def test_one_that_stands_in_again_begins_anew() -> None:
+    """A VM stands in for the owner twice, a minute apart.
+
+    What its bucket gathered meanwhile was given out by the owner.
+    """
+    bucket = tokens.OwnedBucket(10.0, 5.0)
+    for begin_s in (100.0, 160.0):
+        count = sum(
+            bucket.take(40.0, 40.0, begin_s + at / 100, since_s=1e9) is None
+            for at in range(500)
+        )
+        assert count <= 10 + 0.5 * 40 * 5 + 1
+
+
+def test_a_customer_of_an_owner_without_predecessor_has_its_rate() -> None:
+    bucket = tokens.OwnedBucket(10.0, 5.0)
+    for at in range(100):
+        assert bucket.take(40.0, 40.0, 50.0 + at / 30, since_s=1.0) is None
--- a/tests/gateway/test_vms.py
+++ b/tests/gateway/test_vms.py
@@ -2,10 +2,13 @@
 
 import json
 import time
+from typing import Any
 
 import pytest
+import result
 
 from bulrushdeald import peers
+from bulrushdeald import services
 from gateway import configuration
 from gateway import members
 from gateway import names
@@ -73,6 +76,41 @@
     assert allowed == 6
 
 
+def test_a_customer_has_one_rate_though_a_vm_misses_its_owner(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The link from one VM to a customer's owner is cut, no other one.
+
+    That VM asks another, which would give out the whole rate beside the
+    owner, to which all other VMs still go.
+    """
+    row = {"name": "school", "api_keys": [gatewayscene.KEY]}
+    limits = {"rate_per_s": 0.001, "burst": 6}
+    scene.configure(gatewayscene.configuration(2, tenants=[row | limits]))
+    vms = [scene.add_vm(f"vm{number}", f"d{number}") for number in range(3)]
+    _know_each_other(*vms)
+    by_name = {f"vm{number}": vm for number, vm in enumerate(vms)}
+    found = vms[0].kernel.find("membership", members.Members)
+    owner, asker, _ = found.rank("rate school")
+    links = by_name[asker].kernel.find("peers", peers.WebsocketPeers)
+    call = links.call
+
+    def cut(vm: str, message: Any, timeout_s: float) -> Any:
+        if vm == owner:
+            error = services.PeerError("unreachable", "cut")
+            return result.Err(error)
+        return call(vm, message, timeout_s)
+
+    monkeypatch.setattr(links, "call", cut)
+    customer = records.Customer("school", (), 0, 0.001, 6)
+    allowed = 0
+    for number in range(30):
+        vm = by_name[(owner, asker)[number % 2]]
+        taken = vm.kernel.find(names.RATES, rates.Rates).take(customer)
+        allowed += taken.is_ok()
+    assert allowed <= 7
+
+
 def test_a_vm_cut_off_from_its_peers_gives_out_only_its_share(
     scene: gatewayscene.Scene,
 ) -> None:
