Threads and connections: as many as are used; jobs split; tests side by side

Each of 91 processes held 160 threads for callers from its start and a connection, a thread at each end, with every other VM: pings go to any VM, each customer's tokens lie at any VM.

Ruled out: fewer threads for callers at the most (they are needed in bursts).

Change: the HTTP server has a thread more when a connection finds none free. `make test` runs four files at a time.

Before: test_threads_come_as_connections_need_them and test_many_vms_are_led_by_some_of_them fail. After: they pass, 50 and 124 tests of core, gateway and adapter pass.

--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,10 @@
 	$(BIN)/ruff check $(SOURCES)
 	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p)) platform tests
 
+# A few files at a time, each whole in one process: most of the time tests
+# wait for what is to happen, on ports that are free.
 test: check
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses 4 --dist loadfile
 
 format: setup
 	$(BIN)/ruff check --fix --exit-zero $(SOURCES)
--- a/packages/core/bulrushdeal/httpd.py
+++ b/packages/core/bulrushdeal/httpd.py
@@ -157,11 +157,9 @@
         self._server = httpwire.Server(
             (host, int(port)),
             self._serve,
-            numthreads=threads,
+            threads,
+            max(threads // _WAITING_SHARE, _MIN_WAITING),
             request_queue_size=_BACKLOG,
-            accepted_queue_size=max(threads // _WAITING_SHARE, _MIN_WAITING),
-            # The thread that accepts must not wait for room.
-            accepted_queue_timeout=0,
             timeout=_SOCKET_TIMEOUT_S,
         )
         self._server.busy = _wire(busy or _BUSY)
--- a/packages/core/bulrushdeal/httpwire.py
+++ b/packages/core/bulrushdeal/httpwire.py
@@ -11,12 +11,15 @@
 from typing import Any
 
 import cheroot.server
+import cheroot.workers.threadpool
 import cheroot.wsgi
 
 from bulrushdeal import sockets
 
 SOCKET = "bulrushdeal.socket"
 _MAX_HEADER_BYTES = 64 * 1024
+# Threads from the start on; connections that come at once find one free.
+_FIRST_THREADS = 4
 _MAX_UNREAD_BYTES = 64 * 1024
 _MAX_PIECE_BYTES = 64 * 1024
 _MAX_CHUNK_LINE_BYTES = 1024
@@ -168,9 +171,33 @@
     return bool(getattr(body, "remaining", 0) > _MAX_UNREAD_BYTES)
 
 
+class _Pool(cheroot.workers.threadpool.ThreadPool):
+    """Has a thread more whenever a connection finds none free.
+
+    The library starts all threads at once: with 91 processes of 160 threads
+    each on one machine there was no room for more. Its own `grow` sleeps until
+    the new thread runs, on the thread that accepts.
+    """
+
+    def put(self, obj: Any) -> None:
+        """Hands over a connection."""
+        # Not in the library's type stubs.
+        pool: Any = self
+        if self.qsize >= self.idle and len(pool._threads) < self.max:
+            pool._threads.append(pool._spawn_worker())
+        super().put(obj)
+
+
 class Server(cheroot.wsgi.Server):
     """The library's server, which refuses at once what it has no room for.
 
+    Args:
+        address: Host and port.
+        app: The WSGI application.
+        threads: The most connections served at once.
+        most_waiting: Connections that may wait for a thread.
+        options: See the library.
+
     Attributes:
         busy: The whole answer to a connection that found no room, as bytes.
     """
@@ -184,10 +211,25 @@
     max_request_header_size = _MAX_HEADER_BYTES
     busy = b""
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
+    def __init__(
+        self,
+        address: tuple[str, int],
+        app: Any,
+        threads: int,
+        most_waiting: int,
+        **options: Any,
+    ) -> None:
+        super().__init__(address, app, **options)
         # The library's constructor sets its own.
         self.gateway = _Gateway
+        self.requests = _Pool(
+            self,
+            min=min(_FIRST_THREADS, threads),
+            max=threads,
+            accepted_queue_size=most_waiting,
+            # The thread that accepts must not wait for room.
+            accepted_queue_timeout=0,
+        )
 
     def process_conn(self, conn: Any) -> None:
         """Hands a connection to a thread, or refuses it."""
--- a/packages/daemon/bulrushdeald/peers.py
+++ b/packages/daemon/bulrushdeald/peers.py
@@ -23,7 +23,8 @@
 
 _log = logs.Log("peers")
 _MAX_LINKS = 128
-_IDLE_S = 60.0
+# Connections that nobody used for so long are closed.
+IDLE_S = 60.0
 _SWEEP_S = 5.0
 _BACKLOG = 512
 _ACCEPT_PAUSE_S = 0.1
@@ -64,12 +65,19 @@
 
     Each process listens on its peers' address and opens a connection to a
     peer when it first calls it, so a pair that calls both ways has two.
+
+    Args:
+        idle_s: After which a connection that nobody used is closed.
     """
 
     def __init__(
-        self, kernel: kernel_lib.Kernel, settings: PeerSettings
+        self,
+        kernel: kernel_lib.Kernel,
+        settings: PeerSettings,
+        idle_s: float = IDLE_S,
     ) -> None:
         self._kernel = kernel
+        self._idle_s = idle_s
         self._address = settings.peers_address
         self._handlers: dict[str, Handler] = {}
         self._kinds = wire.Kinds()
@@ -261,11 +269,11 @@
         while not self._stopping.wait(_SWEEP_S):
             now_s = time.monotonic()
             with self._lock:
-                self._drop_idle(_IDLE_S)
+                self._drop_idle(self._idle_s)
                 self._backoffs = {
                     vm: backoff
                     for vm, backoff in self._backoffs.items()
-                    if now_s < backoff.until_s + _IDLE_S
+                    if now_s < backoff.until_s + self._idle_s
                 }
 
     def _listen(self) -> None:
--- a/packages/gateway/gateway/assembly.py
+++ b/packages/gateway/gateway/assembly.py
@@ -17,6 +17,7 @@
 from gateway import dialect as dialect_lib
 from gateway import forwarding
 from gateway import front
+from gateway import jobbook
 from gateway import jobs
 from gateway import members
 from gateway import metrics
@@ -33,6 +34,9 @@
 _events = eventlog.Events("process")
 # What the process keeps of the grace for its own end.
 _MARGIN_S = 0.6
+# A connection to a peer takes a thread at both ends; most that are used at all
+# are used each second.
+_IDLE_S = 10.0
 # How often the calls made so far are told.
 _COUNTS_S = 10.0
 
@@ -52,13 +56,14 @@
     add(names.UPSTREAM_LIST, upstreamlist.UpstreamList(kernel))
     add(names.METRICS, metrics.Metrics(kernel, settings))
     add(services.MEMBERSHIP, members.Members(kernel, settings))
-    add(services.PEERS, peers.WebsocketPeers(kernel, settings))
+    add(services.PEERS, peers.WebsocketPeers(kernel, settings, _IDLE_S))
     add("store path", path)
     add(names.PINGS, members.Pings(kernel, settings))
     add("reading", reading.Reading(kernel))
     add(names.RATES, rates.Rates(kernel, settings))
     add(names.PLACEMENT, placement.Placement(kernel, settings))
     add(services.UPSTREAMS, upstreams.HttpUpstreams(kernel, settings))
+    add(names.JOB_BOOK, jobbook.JobBook(kernel))
     add(names.JOBS, jobs.Jobs(kernel, settings))
     add("retirements", retirements.Retirements(kernel))
     add(names.FORWARDER, forwarding.Forwarder(kernel))
--- a/packages/gateway/gateway/jobfront.py
+++ b/packages/gateway/gateway/jobfront.py
@@ -6,6 +6,7 @@
 from bulrushdeal import httpd
 from bulrushdeal import kernel as kernel_lib
 from gateway import dialect as dialect_lib
+from gateway import jobmessages
 from gateway import jobs
 from gateway import names
 from gateway import records
@@ -13,7 +14,7 @@
 
 _events = eventlog.Events("jobs")
 
-_STATUSES: dict[jobs.ErrorKind, int] = {
+_STATUSES: dict[jobmessages.ErrorKind, int] = {
     "missing": 404,
     "unavailable": 503,
     # Not 503: that would promise that no item runs.
@@ -69,7 +70,7 @@
         return replies.whole(200, "application/json", data)
 
 
-def _refuse(job: str, error: jobs.JobError) -> httpd.Response:
+def _refuse(job: str, error: jobmessages.JobError) -> httpd.Response:
     status = _STATUSES[error.kind]
     _events.warning("refused", job=job, status=status, why=error.message)
     retry_s = _RETRY_S if error.kind == "unavailable" else 0.0
--- /dev/null
+++ b/packages/gateway/gateway/jobmessages.py
@@ -0,0 +1,81 @@
+"""What the services of batch jobs, and VMs about them, tell each other."""
+
+from typing import Literal, NamedTuple, Protocol
+
+from gateway import dialect as dialect_lib
+from gateway import jobrecords
+
+ErrorKind = Literal["missing", "unavailable", "unknown", "too_large"]
+
+
+class JobError(NamedTuple):
+    """A call about a job that did not succeed.
+
+    Attributes:
+        kind: `missing`: there is no such job or item. `unavailable`:
+            nothing was done, come back. `unknown`: the store may have taken
+            the change. `too_large`: the job fits no store.
+        message: For the caller and the log.
+    """
+
+    kind: ErrorKind
+    message: str
+
+
+class Accepted(NamedTuple):
+    """A job that this VM accepted and runs, with its claim's revision."""
+
+    meta: jobrecords.JobMeta
+    items: tuple[dialect_lib.JobItem, ...]
+    claim_revision: int
+
+
+class EndJob(NamedTuple):
+    """Tells the VM that runs a job that it was ended."""
+
+    job: str
+
+
+class Ended(NamedTuple):
+    """The answer to `EndJob`."""
+
+
+class ReadJob(NamedTuple):
+    """Asks the VM that runs a job for its results."""
+
+    job: str
+    after: int
+
+
+class JobRead(NamedTuple):
+    """Results of a job that a VM runs.
+
+    Attributes:
+        is_held: Whether the VM runs the job; else the store has to be read.
+        rows: The results from the position asked for, some of them.
+    """
+
+    is_held: bool
+    rows: tuple[dialect_lib.ItemResult, ...]
+
+
+class JobRunner(Protocol):
+    """Runs the jobs that this VM has claimed."""
+
+    def adopt(self, accepted: Accepted) -> None:
+        """Begins to run a job whose claim this VM holds."""
+
+    def drop(self, job: str) -> None:
+        """Stops running a job that was ended; idempotent."""
+
+    def is_accepting(self) -> bool:
+        """Tells whether this VM may run jobs that it accepts."""
+
+    def listed(self, job: str) -> int | None:
+        """Returns how many results a job has that this VM runs.
+
+        `None` if this VM does not have the job's claim.
+        """
+
+    def holder(self, job: str) -> str:
+        """Returns the VM that had a job's claim lately; empty if unknown."""
--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import json
+import math
 import random
 import secrets
 import threading
@@ -40,6 +41,12 @@
 _FETCH_TIMEOUT_S = 0.8
 _MAX_SUSPECTS = 1000
 _DOMAINS_AT_ONCE = 4
+# Things are led by some of many VMs, this many times the root of their number:
+# every VM has a connection, and a thread, for each leader that it asks.
+_LEADERS_OF_ROOT = 2
+_MIN_LEADERS = 16
+# VMs of each failure domain that a VM pings as long as they answer.
+_PINGED = 2
 
 
 class Ping(NamedTuple):
@@ -91,6 +98,7 @@
         self._lease_until_s = 0.0
         self._suspects: dict[str, float] = {}
         self._ranks: dict[str, list[str]] = {}
+        self._leaders: list[str] = [settings.vm]
         self._domains = {settings.vm: settings.failure_domain}
         self._missed: dict[str, int] = {}
         # When a ping into each failure domain failed last.
@@ -154,22 +162,21 @@
         return self._lease != 0 and _boot_s() < self._lease_until_s
 
     def rank(self, key: str) -> list[str]:
-        """Returns the VMs that may lead a thing, the first choice first.
+        """Returns all VMs in an order that each key has of its own.
 
         Those that did not answer lately are left out, but never this VM.
         """
-        ranked = self._ranked(key)
-        now_s = time.monotonic()
-        lost = self.lost_domains()
-        return [
-            vm
-            for vm in ranked
-            if vm == self._own.vm
-            or (
-                self._suspects.get(vm, 0.0) <= now_s
-                and self._domains.get(vm) not in lost
-            )
-        ]
+        return self._reachable(
+            rendezvous.rank(key, (row.vm for row in self._rows))
+        )
+
+    def leaders(self, key: str) -> list[str]:
+        """Returns the VMs that may lead a thing, the first choice first.
+
+        Those that did not answer lately are left out; if that leaves none,
+        any VM may lead.
+        """
+        return self._reachable(self._ranked(key)) or self.rank(key)
 
     def first(self, key: str) -> str:
         """Returns the VM that leads a thing when all reach each other."""
@@ -178,10 +185,23 @@
     def _ranked(self, key: str) -> list[str]:
         ranked = self._ranks.get(key)
         if ranked is None:
-            ranked = rendezvous.rank(key, (row.vm for row in self._rows))
+            ranked = rendezvous.rank(key, self._leaders)
             self._ranks[key] = ranked
         return ranked
 
+    def _reachable(self, vms: list[str]) -> list[str]:
+        now_s = time.monotonic()
+        lost = self.lost_domains()
+        return [
+            vm
+            for vm in vms
+            if vm == self._own.vm
+            or (
+                self._suspects.get(vm, 0.0) <= now_s
+                and self._domains.get(vm) not in lost
+            )
+        ]
+
     def lost_domains(self) -> frozenset[str]:
         """Returns the failure domains that pings do not reach now.
 
@@ -294,6 +314,10 @@
         if fresh != self._rows:
             self._rows = fresh
             self._domains = {row.vm: row.failure_domain for row in fresh}
+            count = _LEADERS_OF_ROOT * math.ceil(math.sqrt(len(fresh)))
+            self._leaders = rendezvous.rank("leaders", self._domains)[
+                : max(count, _MIN_LEADERS)
+            ]
             self._ranks = {}
             _events.info("listed", vms=[row.vm for row in fresh])
         return True
@@ -326,6 +350,8 @@
         self._kernel = kernel
         self._domain = settings.failure_domain
         self._newer = ""
+        # Which VM of a failure domain did not answer the last ping.
+        self._missed_by: dict[str, str] = {}
         self._stopping = threading.Event()
         self._pool = futures.ThreadPoolExecutor(
             _DOMAINS_AT_ONCE, thread_name_prefix="ping"
@@ -384,7 +410,7 @@
                     by_domain.setdefault(row.failure_domain, []).append(row.vm)
             # Side by side: those that are cut off take their whole timeout.
             pings = [
-                self._pool.submit(self._ping, domain, random.choice(vms))
+                self._pool.submit(self._ping, domain, self._choose(domain, vms))
                 for domain, vms in by_domain.items()
             ]
             futures.wait(pings)
@@ -392,8 +418,21 @@
             if newer:
                 self._fetch(newer)
 
+    def _choose(self, domain: str, vms: list[str]) -> str:
+        """Returns whom to ping: few VMs as long as they answer.
+
+        After a miss it is another one: a VM that has stopped alone is no
+        sign that its domain is cut off.
+        """
+        missed = self._missed_by.get(domain, "")
+        if missed:
+            return random.choice([vm for vm in vms if vm != missed] or vms)
+        own = self._members.own().vm
+        return random.choice(rendezvous.rank(f"ping {own}", vms)[:_PINGED])
+
     def _ping(self, domain: str, vm: str) -> None:
         answer = self._peers.call(vm, Ping(self._version()), _PING_TIMEOUT_S)
+        self._missed_by[domain] = "" if answer.is_ok() else vm
         self._members.note_ping(domain, vm, answer.is_ok())
         if answer.is_ok() and answer.unwrap().version > self._version():
             self._newer = vm
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -380,7 +380,7 @@
         return answer if isinstance(answer, slotmessages.Taken) else None
 
     def _ask_leader(self, service: str, message: Any) -> Any | None:
-        for vm in self._members.rank(service)[:_MAX_LEADERS]:
+        for vm in self._members.leaders(service)[:_MAX_LEADERS]:
             if self._led_by.get(service) != vm:
                 # Before it grants anything: a leader that knows nothing of
                 # what runs would fill the engines' queues.
@@ -474,7 +474,7 @@
 
     def _tell_leader(self, service: str, message: Any) -> None:
         """Sends what a later report makes good if it is lost."""
-        ranked = self._members.rank(service)
+        ranked = self._members.leaders(service)
         if ranked:
             self._peers.call(ranked[0], message, _TELL_TIMEOUT_S)
 
--- a/packages/gateway/gateway/rates.py
+++ b/packages/gateway/gateway/rates.py
@@ -114,7 +114,7 @@
         A VM that would stand in for the owner asks another one first, which
         may reach it.
         """
-        ranked = self._members.rank(key)[:_MAX_OWNERS]
+        ranked = self._members.leaders(key)[:_MAX_OWNERS]
         is_stand_in = ranked[0] == self._vm != self._members.first(key)
         return ranked[::-1] if is_stand_in else ranked
 
@@ -152,7 +152,7 @@
             return Spent(True, 0.0)
         key = _key(row.name)
         for _ in range(0 if message.is_passed_on else _MAX_OWNERS):
-            owner = self._members.rank(key)[0]
+            owner = self._members.leaders(key)[0]
             if owner == self._vm:
                 break
             passed_on = self._pass_on(owner, row.name)
--- a/packages/gateway/gateway/reading.py
+++ b/packages/gateway/gateway/reading.py
@@ -116,7 +116,7 @@
 
         One domain may be cut off from the store as a whole.
         """
-        ranked = self._members.rank("readers")
+        ranked = self._members.leaders("readers")
         first = ranked[0]
         domain = self._members.domain(first)
         others = [vm for vm in ranked[1:] if self._members.domain(vm) != domain]
--- a/packages/gateway/gateway/resultwriter.py
+++ b/packages/gateway/gateway/resultwriter.py
@@ -7,8 +7,8 @@
 
 from bulrushdeal import eventlog
 from gateway import dialect as dialect_lib
+from gateway import jobbook
 from gateway import jobrecords
-from gateway import jobs
 from gateway import jobstate
 from gateway import takeover
 
@@ -26,7 +26,7 @@
     def __init__(
         self,
         store: dialect_lib.Store,
-        book: jobs.Jobs,
+        book: jobbook.JobBook,
         table: jobstate.JobTable,
         claims: takeover.Claims,
     ) -> None:
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -14,6 +14,8 @@
 from gateway import configuration
 from gateway import dialect as dialect_lib
 from gateway import eventstream
+from gateway import jobbook
+from gateway import jobmessages
 from gateway import jobrecords
 from gateway import jobs
 from gateway import jobstate
@@ -59,7 +61,7 @@
         self._dialect = find(names.DIALECT, dialect_lib.Dialect)
         self._feed = find(names.CONFIGURATION, configuration.Feed)
         self._placement = find(names.PLACEMENT, placement.Placement)
-        self._book = find(names.JOBS, jobs.Jobs)
+        self._book = find(names.JOB_BOOK, jobbook.JobBook)
         self._sender = sending.Sender(self._kernel)
         vms = find(services.MEMBERSHIP, members.Members)
         claims = takeover.Claims(self._store, self._book, vms)
@@ -69,7 +71,7 @@
         self._takeover = takeover.Takeover(
             self._store, self._book, vms, self._table, claims, self._wake.set
         )
-        self._book.run_with(self)
+        find(names.JOBS, jobs.Jobs).run_with(self)
         threading.Thread(
             target=self._feed_items, name="runner", daemon=True
         ).start()
@@ -93,11 +95,11 @@
         }
 
     def is_accepting(self) -> bool:
-        """See `jobs.JobRunner`."""
+        """See `jobmessages.JobRunner`."""
         return not self._stopping.is_set()
 
-    def adopt(self, accepted: jobs.Accepted) -> None:
-        """See `jobs.JobRunner`."""
+    def adopt(self, accepted: jobmessages.Accepted) -> None:
+        """See `jobmessages.JobRunner`."""
         state = jobstate.JobState(
             accepted.meta, accepted.items, accepted.claim_revision, ()
         )
@@ -105,17 +107,17 @@
         self._wake.set()
 
     def drop(self, job: str) -> None:
-        """See `jobs.JobRunner`."""
+        """See `jobmessages.JobRunner`."""
         if self._table.remove(job):
             _events.info("dropped", job=job, why="it was ended")
 
     def listed(self, job: str) -> int | None:
-        """See `jobs.JobRunner`."""
+        """See `jobmessages.JobRunner`."""
         state = self._table.get(job)
         return None if state is None else state.next_position
 
     def holder(self, job: str) -> str:
-        """See `jobs.JobRunner`."""
+        """See `jobmessages.JobRunner`."""
         return self._takeover.holder(job)
 
     def hand_over(self) -> None:
--- a/packages/gateway/gateway/storepath.py
+++ b/packages/gateway/gateway/storepath.py
@@ -191,7 +191,7 @@
 
     def _helpers(self) -> tuple[str, ...]:
         own = self._members.own().vm
-        others = [vm for vm in self._members.rank("store") if vm != own]
+        others = [vm for vm in self._members.leaders("store") if vm != own]
         random.shuffle(others)
         if self._helper in others:
             others.remove(self._helper)
--- a/packages/gateway/gateway/takeover.py
+++ b/packages/gateway/gateway/takeover.py
@@ -11,8 +11,9 @@
 from bulrushdeal import codec
 from bulrushdeal import eventlog
 from gateway import dialect as dialect_lib
+from gateway import jobbook
+from gateway import jobmessages
 from gateway import jobrecords
-from gateway import jobs
 from gateway import jobstate
 from gateway import members
 from gateway import paging
@@ -36,7 +37,7 @@
     def __init__(
         self,
         store: dialect_lib.Store,
-        book: jobs.Jobs,
+        book: jobbook.JobBook,
         vms: members.Members,
     ) -> None:
         self._store = store
@@ -44,7 +45,7 @@
         self._members = vms
         self._vm = vms.own().vm
 
-    def take(self, job: str) -> result.Result[int, jobs.JobError]:
+    def take(self, job: str) -> result.Result[int, jobmessages.JobError]:
         """Claims a job that is open and that no VM runs.
 
         Returns:
@@ -52,14 +53,14 @@
         """
         keys, lease = self._book.keys, self._members.lease()
         if not lease:
-            return result.Err(jobs.JobError("unavailable", "no lease"))
+            return result.Err(jobmessages.JobError("unavailable", "no lease"))
         opened = self._store.get(keys.open_job(job), _READ_S)
         if opened.is_err():
             message = opened.unwrap_err().message
-            return result.Err(jobs.JobError("unavailable", message))
+            return result.Err(jobmessages.JobError("unavailable", message))
         entry = opened.unwrap()
         if entry is None:
-            return result.Err(jobs.JobError("missing", "not open"))
+            return result.Err(jobmessages.JobError("missing", "not open"))
         made = self._book.commit(
             (
                 dialect_lib.Expected(keys.claim(job), 0),
@@ -90,17 +91,19 @@
         claim = jobrecords.pack(jobrecords.Claim(self._vm))
         return dialect_lib.Write(self._book.keys.claim(job), claim, lease)
 
-    def _own(self, job: str) -> result.Result[int, jobs.JobError]:
+    def _own(self, job: str) -> result.Result[int, jobmessages.JobError]:
         """Returns the claim if it is this VM's, whose answer was lost."""
         got = self._store.get(self._book.keys.claim(job), _READ_S)
         if got.is_err():
             message = got.unwrap_err().message
-            return result.Err(jobs.JobError("unavailable", message))
+            return result.Err(jobmessages.JobError("unavailable", message))
         entry = got.unwrap()
         if entry is None or entry.value is None:
-            return result.Err(jobs.JobError("missing", "not claimed"))
+            return result.Err(jobmessages.JobError("missing", "not claimed"))
         if not jobrecords.is_held_by(entry.value, self._vm):
-            return result.Err(jobs.JobError("missing", "claimed elsewhere"))
+            return result.Err(
+                jobmessages.JobError("missing", "claimed elsewhere")
+            )
         return result.Ok(entry.revision)
 
 
@@ -121,7 +124,7 @@
     def __init__(
         self,
         store: dialect_lib.Store,
-        book: jobs.Jobs,
+        book: jobbook.JobBook,
         vms: members.Members,
         table: jobstate.JobTable,
         claims: Claims,
--- a/tests/core/test_httpd.py
+++ b/tests/core/test_httpd.py
@@ -136,3 +136,38 @@
     for sock in opened:
         sock.close()
     server.stop(1.0)
+
+
+def _workers() -> int:
+    return sum(
+        row.name.startswith("CP Server") for row in threading.enumerate()
+    )
+
+
+def test_threads_come_as_connections_need_them() -> None:
+    """Story: many processes on one machine, and no room for more threads.
+
+    A server that may serve a hundred connections at once held a hundred
+    threads from its start on, though it mostly serves a few.
+    """
+    together = threading.Barrier(24, timeout=30)
+
+    def meet(request: httpd.Request) -> httpd.Response:
+        together.wait()
+        return httpd.json_response(200, {})
+
+    before = _workers()
+    server = httpd.Server("127.0.0.1:0", meet, threads=100)
+    server.start()
+    assert _workers() - before < 10
+    opened = []
+    for _ in range(24):
+        sock = socket.create_connection(("127.0.0.1", server.port), 10)
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        opened.append(sock)
+    # Each of them is answered only once all are served at the same time.
+    served = [sock.recv(65536)[:12] for sock in opened]
+    assert served == [b"HTTP/1.1 200"] * 24
+    for sock in opened:
+        sock.close()
+    server.stop(1.0)
--- a/tests/gateway/test_vms.py
+++ b/tests/gateway/test_vms.py
@@ -91,7 +91,7 @@
     _know_each_other(*vms)
     by_name = {f"vm{number}": vm for number, vm in enumerate(vms)}
     found = vms[0].kernel.find("membership", members.Members)
-    owner, asker, _ = found.rank("rate school")
+    owner, asker, _ = found.leaders("rate school")
     links = by_name[asker].kernel.find("peers", peers.WebsocketPeers)
     call = links.call
 
@@ -125,7 +125,7 @@
     name = next(
         f"c{number}"
         for number in range(100)
-        if found.rank(f"rate c{number}")[0] == "vm2"
+        if found.leaders(f"rate c{number}")[0] == "vm2"
     )
     vms[1].kernel.find("peers", members.Members).stop(0.1)
     own = vms[0].kernel.find(names.RATES, rates.Rates)
@@ -134,6 +134,29 @@
     assert allowed <= 10
 
 
+def test_many_vms_are_led_by_some_of_them(
+    scene: gatewayscene.Scene,
+) -> None:
+    """A hundred VMs each ask every one of the others for something.
+
+    Each pair takes a thread at both ends, ten thousand on one machine that
+    plays them all.
+    """
+    vm = scene.add_vm("vm1", "d1")
+    for number in range(2, 101):
+        value = {"failure_domain": f"d{number % 4}", "peers": "127.0.0.1:9"}
+        key = f"bulrushdeal/members/vm{number}"
+        scene.store.write(key, json.dumps(value).encode())
+    found = vm.kernel.find("membership", members.Members)
+    gatewayscene.until(lambda: found.count() == 100)
+    leaders = {found.first(f"rate {number}") for number in range(1000)}
+    assert 16 <= len(leaders) <= 20
+    # When none of them is reached, any VM may lead, this one too.
+    for name in leaders:
+        found.suspect(name)
+    assert found.leaders("rate 1")
+
+
 def test_a_domain_without_vms_is_not_lost_for_ever(
     scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
 ) -> None:
