Batch: items that cannot be in time wait for those that can

Served by due times, more items than the engines can do in time all end a little late.

Ruled out: more slots for batch (all free ones are taken already).

Change: an item whose run cannot end by its job's due time is fed after all that can, on this VM by order and over VMs by the leader, who gives late items nothing for 0.3 s after one in time found no slot; late runs yield first. After half of the retention an item counts as in time again, so none starves.

--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -3,6 +3,7 @@
 import collections
 import threading
 import time
+from typing import NamedTuple
 
 from gateway import dialect
 from gateway import jobrecords
@@ -13,6 +14,27 @@
 _MAX_PAUSE_S = 4.0
 
 
+# Late items come after those that can be in time, but only up to this part of
+# the time after which they may be given up: each one has to run some day.
+_LATE_SHARE = 0.5
+
+
+class Want(NamedTuple):
+    """Which items are to run next.
+
+    Attributes:
+        now_s: By the monotonic clock.
+        wall_s: By the time of day.
+        run_s: How long a whole run takes.
+        is_late: Whether those that cannot be in time any more.
+    """
+
+    now_s: float
+    wall_s: float
+    run_s: float
+    is_late: bool
+
+
 class ItemState:
     """An item that has no result yet.
 
@@ -23,6 +45,7 @@
         failures: Failed attempts, of which there may be only so many.
         breaks: Runs in a row that broke without an answer.
         not_before_s: When it may run again, by the monotonic clock.
+        ran_s: How long the runs so far took, without what was lost.
     """
 
     def __init__(self, item: dialect.JobItem) -> None:
@@ -32,6 +55,7 @@
         self.failures = 0
         self.breaks = 0
         self.not_before_s = 0.0
+        self.ran_s = 0.0
 
     def pause(self) -> None:
         """Keeps it from running for a while."""
@@ -129,20 +153,43 @@
         """Returns how many items run, or have a result to be written."""
         return len(self._running)
 
-    def next_item(self, now_s: float) -> ItemState | None:
+    def next_item(self, want: Want) -> ItemState | None:
         """Takes an item that may run now."""
         with self._lock:
             for item in self._pending:
-                if item.not_before_s <= now_s:
-                    self._pending.remove(item)
-                    self._running.add(item)
+                if self._is_wanted(item, want):
+                    self._take(item)
                     return item
         return None
 
-    def count_ready(self, now_s: float) -> int:
+    def any_item(self) -> ItemState | None:
+        """Takes an item that waits, whether it may run or not."""
+        with self._lock:
+            if not self._pending:
+                return None
+            item = self._pending[0]
+            self._take(item)
+            return item
+
+    def count_ready(self, want: Want) -> int:
         """Returns how many items may run now."""
         with self._lock:
-            return sum(item.not_before_s <= now_s for item in self._pending)
+            return sum(self._is_wanted(item, want) for item in self._pending)
+
+    def _take(self, item: ItemState) -> None:
+        self._pending.remove(item)
+        self._running.add(item)
+
+    def _is_wanted(self, item: ItemState, want: Want) -> bool:
+        is_late = self._is_late(item, want)
+        return item.not_before_s <= want.now_s and is_late == want.is_late
+
+    def _is_late(self, item: ItemState, want: Want) -> bool:
+        """Tells whether an item cannot be in time even if it runs now."""
+        age_s = want.wall_s - self.meta.accepted_ms / 1000
+        if not self.meta.due_s or age_s > self.meta.retention_s * _LATE_SHARE:
+            return False
+        return self.meta.due_s - age_s < want.run_s - item.ran_s
 
     def put_back(self, item: ItemState) -> None:
         """Makes an item that has no result wait for its next run, first."""
--- a/packages/gateway/gateway/leading.py
+++ b/packages/gateway/gateway/leading.py
@@ -103,7 +103,11 @@
             ledger.expire(time.monotonic())
             for run in message.runs:
                 taken = ledger.take_batch(
-                    run, vm, time.monotonic(), message.excluded
+                    run,
+                    vm,
+                    time.monotonic(),
+                    message.excluded,
+                    is_late=message.is_late,
                 )
                 if taken is None:
                     break
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -70,11 +70,13 @@
         run: str,
         upstream: records.Upstream,
         is_batch: bool,
+        is_late: bool,
         on_release: Callable[["Slot"], None],
     ) -> None:
         self.run = run
         self.upstream = upstream
         self.is_batch = is_batch
+        self.is_late = is_late
         self.has_yielded = False
         self.since_s = time.monotonic()
         self._on_release = on_release
@@ -204,8 +206,16 @@
             run = self._name()
         return self._take_alone(service, run, left_out)
 
-    def take_batch(self, service: str, count: int) -> list[Slot]:
-        """Returns slots that online requests leave, at most `count`."""
+    def take_batch(
+        self, service: str, count: int, *, is_late: bool = False
+    ) -> list[Slot]:
+        """Returns slots that online requests leave, at most `count`.
+
+        Args:
+            service: The service.
+            count: How many items are ready.
+            is_late: Whether they cannot be in time any more.
+        """
         left_out = self._left_out(service, ())
         if not self._has_engine(service):
             return []
@@ -216,7 +226,9 @@
                 return []
             left_out, count = frozenset(), 1
         runs = tuple(self._name() for _ in range(count))
-        message = slotmessages.TakeBatch(service, runs, tuple(left_out))
+        message = slotmessages.TakeBatch(
+            service, runs, tuple(left_out), is_late
+        )
         answer = self._ask_leader(service, message)
         if answer is None:
             return []
@@ -226,7 +238,9 @@
             if upstream is None:
                 self._news.put((service, run))
                 continue
-            slots.append(self._hold(service, run, upstream, True))
+            slots.append(
+                self._hold(service, run, upstream, True, is_late=is_late)
+            )
         return slots
 
     def observed(self, slot: Slot, service: str, busy: int) -> None:
@@ -405,9 +419,15 @@
         run: str,
         upstream: records.Upstream,
         is_batch: bool,
+        *,
+        is_late: bool = False,
     ) -> Slot:
         slot = Slot(
-            run, upstream, is_batch, lambda slot: self._drop(service, slot)
+            run,
+            upstream,
+            is_batch,
+            is_late,
+            lambda slot: self._drop(service, slot),
         )
         with self._lock:
             self._held.setdefault(service, {})[run] = slot
@@ -482,7 +502,9 @@
         with self._lock:
             held = dict(self._held.get(service, {}))
         rows = tuple(
-            slotledger.ReportRow(run, slot.upstream.instance, slot.is_batch)
+            slotledger.ReportRow(
+                run, slot.upstream.instance, slot.is_batch, slot.is_late
+            )
             for run, slot in held.items()
         )
         return slotmessages.Report(service, rows)
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -35,6 +35,9 @@
 _SILENCE_S = 2.0
 # For runs to notice that they are ended before their progress is written.
 _END_S = 1.0
+# Until items were seen to end, and how much each one that ends counts.
+_FIRST_RUN_S = 5.0
+_RUN_WEIGHT = 0.1
 _HTTP_OK = 200
 _CANNOT_BE_DONE = 422
 _SERVER_ERROR = 500
@@ -53,6 +56,7 @@
             _MAX_RUNS, thread_name_prefix="items"
         )
         self._runs = 0
+        self._run_s = _FIRST_RUN_S
 
     def start(self) -> None:
         """Begins to look for jobs."""
@@ -158,18 +162,26 @@
         while not self._stopping.is_set():
             self._wake.wait(_FEED_S)
             self._wake.clear()
-            for state in self._table.by_due_time():
-                if not self._stopping.is_set():
-                    self._feed_safely(state)
-
-    def _feed_safely(self, state: jobstate.JobState) -> None:
+            # First what can be in time: by due times alone, more jobs than
+            # the engines can do in time would all be late.
+            for is_late in (False, True):
+                for state in self._table.by_due_time():
+                    if not self._stopping.is_set():
+                        self._feed_safely(state, is_late)
+
+    def _feed_safely(self, state: jobstate.JobState, is_late: bool) -> None:
         try:
-            self._feed_job(state)
+            self._feed_job(state, is_late)
         except Exception as error:  # noqa: BLE001 - other jobs are fed.
             _events.warning("not_fed", job=state.meta.job, why=repr(error))
 
-    def _feed_job(self, state: jobstate.JobState) -> None:
-        count = state.count_ready(time.monotonic())
+    def _want(self, is_late: bool) -> jobstate.Want:
+        return jobstate.Want(
+            time.monotonic(), time.time(), self._run_s, is_late
+        )
+
+    def _feed_job(self, state: jobstate.JobState, is_late: bool) -> None:
+        count = state.count_ready(self._want(is_late))
         with self._lock:
             count = min(count, _MAX_RUNS - self._runs)
         if count <= 0 or state.is_dropped:
@@ -180,8 +192,9 @@
         service = self._service(state)
         if service is None:
             return
-        for slot in self._placement.take_batch(service, count):
-            item = state.next_item(time.monotonic())
+        slots = self._placement.take_batch(service, count, is_late=is_late)
+        for slot in slots:
+            item = state.next_item(self._want(is_late))
             if item is None:
                 slot.release()
                 continue
@@ -214,7 +227,7 @@
 
     def _list_given_up(self, state: jobstate.JobState) -> None:
         try:
-            while (item := state.next_item(time.monotonic())) is not None:
+            while (item := state.any_item()) is not None:
                 row = item.errored()
                 self._writer.write(state, item, row, "too old")
                 if state.is_dropped:
@@ -228,12 +241,14 @@
         item: jobstate.ItemState,
         slot: placement.Slot,
     ) -> None:
+        begun_s = time.monotonic()
         try:
             self._run_item(state, item, slot)
         except Exception as error:  # noqa: BLE001 - the item runs again.
             _events.warning("item_failed", item=item.item.item, why=repr(error))
         finally:
             slot.release()
+            item.ran_s += time.monotonic() - begun_s
             # Whatever ended the run, an item without a result runs again:
             # one that stayed behind would never be listed.
             state.put_back(item)
@@ -308,6 +323,8 @@
             return
         answer.close()
         slot.release()
+        took_s = item.ran_s + time.monotonic() - slot.since_s
+        self._run_s += (took_s - self._run_s) * _RUN_WEIGHT
         self._writer.write(state, item, item.completed(), "")
 
     def _failed(
--- a/packages/gateway/gateway/slotledger.py
+++ b/packages/gateway/gateway/slotledger.py
@@ -28,6 +28,9 @@
 # A VM that reports nothing for so long runs nothing any more.
 _SILENT_S = 3.5
 _MIN_RETRY_S = 0.15
+# Late batch items get nothing for so long after one in time found no slot. VMs
+# ask again each 0.1 s for what waits.
+_UNMET_S = 0.3
 
 
 class Run(NamedTuple):
@@ -37,6 +40,7 @@
     instance: str
     is_batch: bool
     since_s: float
+    is_late: bool = False
 
 
 class Grant(NamedTuple):
@@ -58,6 +62,7 @@
     run: str
     instance: str
     is_batch: bool
+    is_late: bool = False
 
 
 class Load(NamedTuple):
@@ -89,6 +94,8 @@
         self._heard_s: dict[str, float] = {}
         self._observed: dict[str, _Observed] = {}
         self._run_s = _FIRST_RUN_S
+        # When a batch item that could be in time last found no slot.
+        self._unmet_s = -_UNMET_S
 
     def set_engines(self, engines: Iterable[records.Upstream]) -> None:
         """Takes the engines that may get requests."""
@@ -117,31 +124,47 @@
         best = min(choices, key=lambda row: self._rank(row, domain, now_s))
         over = self._fill(best, now_s) - best.slots
         if over <= -1:
-            return self._grant(run, vm, best, False, now_s)
+            return self._grant(run, vm, best, now_s)
         victim = self._victim(choices, domain)
         if victim:
             instance = self._runs[victim].instance
             self.release(victim, now_s, is_whole=False)
-            grant = self._grant(run, vm, self._engines[instance], False, now_s)
+            grant = self._grant(run, vm, self._engines[instance], now_s)
             return grant._replace(yields=(victim,))
         if over < self._most_waiting(best, target_s):
-            return self._grant(run, vm, best, False, now_s)
+            return self._grant(run, vm, best, now_s)
         drain_s = (over + 1) * self._run_s / best.slots
         return NoRoom(max(_MIN_RETRY_S, drain_s) * self._rng.uniform(1.0, 1.5))
 
     def take_batch(
-        self, run: str, vm: str, now_s: float, excluded: Iterable[str] = ()
+        self,
+        run: str,
+        vm: str,
+        now_s: float,
+        excluded: Iterable[str] = (),
+        *,
+        is_late: bool = False,
     ) -> Grant | None:
-        """Gives a slot to a batch item if online requests leave one."""
+        """Gives a slot to a batch item if online requests leave one.
+
+        More jobs than the engines can do in time, all served by their due
+        times, are all late. An item that cannot be in time any more waits
+        for those that can be, of whichever VM.
+        """
+        if is_late and now_s - self._unmet_s < _UNMET_S:
+            return None
         choices = [
             row
             for row in self._choices(excluded)
             if self._fill(row, now_s) + 1 <= row.slots - BATCH_RESERVE
         ]
         if not choices:
+            if not is_late:
+                self._unmet_s = now_s
             return None
         best = min(choices, key=lambda row: self._rank(row, "", now_s))
-        return self._grant(run, vm, best, True, now_s)
+        self._add(run, Run(vm, best.instance, True, now_s, is_late))
+        return Grant(best.instance)
 
     def release(self, run: str, now_s: float, *, is_whole: bool = True) -> None:
         """Takes a slot back; idempotent."""
@@ -168,7 +191,8 @@
                 self.release(run, now_s, is_whole=False)
         for run, row in reported.items():
             if run not in self._runs:
-                self._add(run, Run(vm, row.instance, row.is_batch, now_s))
+                held = Run(vm, row.instance, row.is_batch, now_s, row.is_late)
+                self._add(run, held)
 
     def observe(self, load: Load, now_s: float) -> None:
         """Takes an engine's word for what it runs beyond the ledger."""
@@ -217,14 +241,19 @@
         return (fill >= 1.0, is_far and fill < 1.0, fill, self._rng.random())
 
     def _victim(self, choices: Iterable[records.Upstream], domain: str) -> str:
-        """Returns the batch run to yield: a near one, begun last."""
+        """Returns the batch run to yield: a late one, near, begun last."""
         domains = {row.instance: row.failure_domain for row in choices}
         runs = [
-            (domains[held.instance] == domain, held.since_s, run)
+            (
+                held.is_late,
+                domains[held.instance] == domain,
+                held.since_s,
+                run,
+            )
             for run, held in self._runs.items()
             if held.is_batch and held.instance in domains
         ]
-        return max(runs, default=(False, 0.0, ""))[2]
+        return max(runs, default=(False, False, 0.0, ""))[3]
 
     def _most_waiting(self, row: records.Upstream, target_s: float) -> int:
         return int(_WAIT_SHARE * target_s * row.slots / self._run_s)
@@ -234,10 +263,9 @@
         run: str,
         vm: str,
         row: records.Upstream,
-        is_batch: bool,
         now_s: float,
     ) -> Grant:
-        self._add(run, Run(vm, row.instance, is_batch, now_s))
+        self._add(run, Run(vm, row.instance, False, now_s))
         return Grant(row.instance)
 
     def _add(self, run: str, held: Run) -> None:
--- a/packages/gateway/gateway/slotmessages.py
+++ b/packages/gateway/gateway/slotmessages.py
@@ -23,11 +23,19 @@
 
 
 class TakeBatch(NamedTuple):
-    """Asks a service's leader for slots for batch items."""
+    """Asks a service's leader for slots for batch items.
+
+    Attributes:
+        service: The service.
+        runs: Names of the runs, one for each slot asked for.
+        excluded: Upstreams that are not to be used.
+        is_late: Whether the items cannot be in time any more.
+    """
 
     service: str
     runs: tuple[str, ...]
     excluded: tuple[str, ...]
+    is_late: bool
 
 
 class TakenBatch(NamedTuple):
--- a/tests/gateway/test_slotledger.py
+++ b/tests/gateway/test_slotledger.py
@@ -129,6 +129,26 @@
     assert ledger.counts() == {}
 
 
+def test_a_late_item_yields_before_one_in_time() -> None:
+    ledger = _ledger(1, slots=2)
+    assert ledger.take_batch("late", "vm2", 0.0, is_late=True) is not None
+    assert ledger.take_batch("in time", "vm2", 1.0) is not None
+    taken = _online(ledger, "o1", 2.0)
+    assert isinstance(taken, slotledger.Grant)
+    assert taken.yields == ("late",)
+
+
+def test_late_items_wait_while_others_of_any_vm_find_no_slot() -> None:
+    ledger = _ledger(1, slots=1)
+    assert ledger.take_batch("b1", "vm1", 0.0) is not None
+    assert ledger.take_batch("b2", "vm1", 0.1) is None
+    ledger.release("b1", 0.15)
+    assert ledger.take_batch("late", "vm2", 0.2, is_late=True) is None
+    assert ledger.take_batch("b2", "vm1", 0.25) is not None
+    ledger.release("b2", 0.3)
+    assert ledger.take_batch("late", "vm2", 0.5, is_late=True) is not None
+
+
 _STEPS = st.lists(
     st.tuples(
         st.sampled_from(["online", "batch", "release", "report"]),
