HTTP server: no connection waits for a thread that is taken; fewer pings of many VMs

Change: threads that wait are counted as they take and are given connections. test_no_connection_waits_while_there_may_be_more_threads has the order of events; against the pool before it, which has no such count, it cannot run.

Change: the interval grows with the root of the VMs beyond 12. A call that fails counts as the first miss and has the failure domain pinged at once, to another VM, so a cut is known after one call and one ping. test_a_cut_is_known_by_the_calls_that_fail.

--- a/packages/core/bulrushdeal/httpwire.py
+++ b/packages/core/bulrushdeal/httpwire.py
@@ -8,6 +8,7 @@
 import queue
 import re
 import socket
+import threading
 from typing import Any
 
 import cheroot.server
@@ -176,16 +177,46 @@
 
     The library starts all threads at once: with 91 processes of 160 threads
     each on one machine there was no room for more. Its own `grow` sleeps until
-    the new thread runs, on the thread that accepts.
+    the new thread runs, on the thread that accepts, and its `idle` counts a
+    thread that has taken a connection and not begun with it: the next one
+    would wait behind a long stream.
     """
 
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._lock = threading.Lock()
+        # Threads that wait, less the connections that are queued for them.
+        self._free = 0
+        # The library's own is the queue's method.
+        self.get = self._get
+
+    def _get(self) -> Any:
+        with self._lock:
+            self._free += 1
+        return self._inner()._queue.get()
+
     def put(self, obj: Any) -> None:
-        """Hands over a connection."""
-        # Not in the library's type stubs.
-        pool: Any = self
-        if self.qsize >= self.idle and len(pool._threads) < self.max:
-            pool._threads.append(pool._spawn_worker())
-        super().put(obj)
+        """Hands over a connection.
+
+        Raises:
+            queue.Full: No thread is free, and no more may wait.
+        """
+        with self._lock:
+            is_served = self._free > 0
+            self._free -= 1
+        try:
+            super().put(obj)
+        except queue.Full:
+            with self._lock:
+                self._free += 1
+            raise
+        threads = self._inner()._threads
+        if not is_served and len(threads) < self.max:
+            threads.append(self._inner()._spawn_worker())
+
+    def _inner(self) -> Any:
+        """Returns this, for what the library's type stubs leave out."""
+        return self
 
 
 class Server(cheroot.wsgi.Server):
--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -28,11 +28,14 @@
 _RENEW_S = 0.9
 _CALL_S = 0.8
 # What is sent into a failure domain before it is known to be cut off is lost.
-# With these a cut was known 0.9 s after it began, in one trial.
+# Calls that are made anyway find it out first; pings go where there are none.
 _PING_S = 0.25
 _PING_TIMEOUT_S = 0.2
-# Two pings in a row to different VMs of a failure domain that fail.
-_MAX_MISSED_PINGS = 2
+# All VMs together ping the more slowly the more of them there are: each one
+# also learns from its calls to leaders, of which there are more then.
+_PING_AT_PACE = 12
+# Calls or pings in a row to different VMs of a failure domain that fail.
+_MAX_MISSED = 2
 # A failure domain counts as cut off so long after the last ping that failed.
 # Upstreams that are cut off from the store as well lapse there before that.
 LOST_S = 5.0
@@ -99,6 +102,8 @@
         self._suspects: dict[str, float] = {}
         self._ranks: dict[str, list[str]] = {}
         self._leaders: list[str] = [settings.vm]
+        # Set when a VM begins to be suspected.
+        self.alarm = threading.Event()
         self._domains = {settings.vm: settings.failure_domain}
         self._missed: dict[str, int] = {}
         # When a ping into each failure domain failed last.
@@ -215,18 +220,40 @@
         return frozenset(
             domain
             for domain, missed in self._missed.items()
-            if missed >= _MAX_MISSED_PINGS and self._missed_s[domain] > since_s
+            if missed >= _MAX_MISSED and self._missed_s[domain] > since_s
         )
 
     def suspect(self, vm: str) -> None:
-        """Notes that a VM did not answer: it leads nothing for a while."""
+        """Notes that a VM did not answer: it leads nothing for a while.
+
+        Its failure domain is pinged at once; with this and one ping that
+        fails, to another of its VMs, it counts as cut off.
+        """
+        domain = self.domain(vm)
+        if self._begin_to_suspect(vm) and domain:
+            self._note_miss(domain)
+            self.alarm.set()
+
+    def is_suspected(self, vm: str) -> bool:
+        """Tells whether a VM did not answer lately."""
+        return self._suspects.get(vm, 0.0) > time.monotonic()
+
+    def _begin_to_suspect(self, vm: str) -> bool:
+        """Suspects a VM; false if it is suspected already."""
         with self._lock:
             if len(self._suspects) >= _MAX_SUSPECTS:
                 self._suspects.clear()
-            is_new = self._suspects.get(vm, 0.0) <= time.monotonic()
+            is_new = not self.is_suspected(vm)
             self._suspects[vm] = time.monotonic() + SUSPECT_S
         if is_new:
             _events.warning("suspected", peer=vm, for_s=SUSPECT_S)
+        return is_new
+
+    def _note_miss(self, domain: str) -> None:
+        self._missed_s[domain] = time.monotonic()
+        missed = self._missed[domain] = self._missed.get(domain, 0) + 1
+        if missed == _MAX_MISSED:
+            _events.warning("domain_lost", failure_domain=domain)
 
     def reached_fraction(self) -> float:
         """Returns which part of all VMs this one reaches, itself included.
@@ -245,16 +272,13 @@
 
     def note_ping(self, domain: str, vm: str, was_answered: bool) -> None:
         """Notes whether a VM of a failure domain answered a ping."""
-        before = self._missed.get(domain, 0)
-        if not was_answered:
-            self._missed_s[domain] = time.monotonic()
-        self._missed[domain] = 0 if was_answered else before + 1
         if not was_answered:
-            self.suspect(vm)
-        if before + 1 == _MAX_MISSED_PINGS and not was_answered:
-            _events.warning("domain_lost", failure_domain=domain)
-        if was_answered and before >= _MAX_MISSED_PINGS:
+            self._begin_to_suspect(vm)
+            self._note_miss(domain)
+            return
+        if self._missed.get(domain, 0) >= _MAX_MISSED:
             _events.info("domain_back", failure_domain=domain)
+        self._missed[domain] = 0
 
     def domain(self, vm: str) -> str:
         """Returns a VM's failure domain; empty if it is not listed."""
@@ -350,8 +374,6 @@
         self._kernel = kernel
         self._domain = settings.failure_domain
         self._newer = ""
-        # Which VM of a failure domain did not answer the last ping.
-        self._missed_by: dict[str, str] = {}
         self._stopping = threading.Event()
         self._pool = futures.ThreadPoolExecutor(
             _DOMAINS_AT_ONCE, thread_name_prefix="ping"
@@ -373,6 +395,7 @@
         """Ends the threads."""
         del grace_s
         self._stopping.set()
+        self._members.alarm.set()
         self._pool.shutdown(wait=False)
 
     def dump(self) -> Any:
@@ -402,7 +425,11 @@
         return configuration.Told(held.version, held.value)
 
     def _run(self) -> None:
-        while not self._stopping.wait(_PING_S * random.uniform(0.8, 1.2)):
+        while not self._stopping.is_set():
+            self._members.alarm.wait(self._pause_s())
+            self._members.alarm.clear()
+            if self._stopping.is_set():
+                return
             by_domain: dict[str, list[str]] = {}
             own = self._members.own().vm
             for row in self._members.entry_vms():
@@ -418,21 +445,24 @@
             if newer:
                 self._fetch(newer)
 
+    def _pause_s(self) -> float:
+        slower = max(1.0, math.sqrt(self._members.count() / _PING_AT_PACE))
+        return _PING_S * slower * random.uniform(0.8, 1.2)
+
     def _choose(self, domain: str, vms: list[str]) -> str:
         """Returns whom to ping: few VMs as long as they answer.
 
         After a miss it is another one: a VM that has stopped alone is no
         sign that its domain is cut off.
         """
-        missed = self._missed_by.get(domain, "")
-        if missed:
-            return random.choice([vm for vm in vms if vm != missed] or vms)
+        well = [vm for vm in vms if not self._members.is_suspected(vm)]
+        if len(well) < len(vms):
+            return random.choice(well or vms)
         own = self._members.own().vm
         return random.choice(rendezvous.rank(f"ping {own}", vms)[:_PINGED])
 
     def _ping(self, domain: str, vm: str) -> None:
         answer = self._peers.call(vm, Ping(self._version()), _PING_TIMEOUT_S)
-        self._missed_by[domain] = "" if answer.is_ok() else vm
         self._members.note_ping(domain, vm, answer.is_ok())
         if answer.is_ok() and answer.unwrap().version > self._version():
             self._newer = vm
--- a/tests/core/test_httpd.py
+++ b/tests/core/test_httpd.py
@@ -3,10 +3,13 @@
 from collections.abc import Iterator
 import socket
 import threading
+import time
+from typing import Any
 
 import pytest
 
 from bulrushdeal import httpd
+from bulrushdeal import httpwire
 
 
 def echo(request: httpd.Request) -> httpd.Response:
@@ -171,3 +174,35 @@
     for sock in opened:
         sock.close()
     server.stop(1.0)
+
+
+class _Worker:
+    """A thread of the pool that has taken a connection, not begun with it."""
+
+    conn = None
+
+
+def test_no_connection_waits_while_there_may_be_more_threads() -> None:
+    """Story: a request waits for seconds though the VM has hardly any work.
+
+    A thread has taken a connection and not begun with it; the next one is
+    queued for it, and the thread goes on to a long stream.
+    """
+    pool: Any = httpwire._Pool(None, min=1, max=3)
+    spawned: list[_Worker] = []
+
+    def spawn() -> _Worker:
+        spawned.append(_Worker())
+        return spawned[-1]
+
+    pool._spawn_worker = spawn
+    pool._threads = [_Worker()]
+    taker = threading.Thread(target=pool.get)
+    taker.start()
+    while not pool._free:
+        time.sleep(0.01)
+    pool.put("first")
+    taker.join(10)
+    assert not spawned
+    pool.put("second")
+    assert len(spawned) == 1
--- a/tests/gateway/test_vms.py
+++ b/tests/gateway/test_vms.py
@@ -134,6 +134,30 @@
     assert allowed <= 10
 
 
+def test_a_cut_is_known_by_the_calls_that_fail(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A failure domain is cut off; a call into it fails, then one ping.
+
+    Until it is known what is sent there is lost. One VM that has stopped,
+    however many calls to it fail, is no cut.
+    """
+    vms = [scene.add_vm("vm1", "d1"), scene.add_vm("vm2", "d2")]
+    vms.append(scene.add_vm("vm3", "d2"))
+    _know_each_other(*vms)
+    found = vms[0].kernel.find("membership", members.Members)
+    # No ping of its own tells that the domain is there.
+    pings = vms[0].kernel.find(names.PINGS, members.Pings)
+    monkeypatch.setattr(pings, "_ping", lambda domain, vm: None)
+    for _ in range(3):
+        found.suspect("vm2")
+    assert not found.lost_domains()
+    found.note_ping("d2", "vm3", was_answered=False)
+    assert found.lost_domains() == {"d2"}
+    found.note_ping("d2", "vm3", was_answered=True)
+    assert not found.lost_domains()
+
+
 def test_many_vms_are_led_by_some_of_them(
     scene: gatewayscene.Scene,
 ) -> None:
