--- a/packages/gateway/gateway/assembly.py
+++ b/packages/gateway/gateway/assembly.py
@@ -22,6 +22,7 @@
 from gateway import members
 from gateway import metrics
 from gateway import names
+from gateway import pings
 from gateway import placement
 from gateway import rates
 from gateway import reading
@@ -58,7 +59,7 @@
     add(services.MEMBERSHIP, members.Members(kernel, settings))
     add(services.PEERS, peers.WebsocketPeers(kernel, settings, _IDLE_S))
     add("store path", path)
-    add(names.PINGS, members.Pings(kernel, settings))
+    add(names.PINGS, pings.Pings(kernel))
     add("reading", reading.Reading(kernel))
     add(names.RATES, rates.Rates(kernel, settings))
     add(names.PLACEMENT, placement.Placement(kernel, settings))
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -13,6 +13,7 @@
 from bulrushdeald import services
 from gateway import calls
 from gateway import eventstream
+from gateway import heldslots
 from gateway import metrics
 from gateway import names
 from gateway import placement
@@ -91,7 +92,7 @@
         self._route = request.route
         self._call = call
         self._tried: list[str] = []
-        self._slot: placement.Slot | None = None
+        self._slot: heldslots.Slot | None = None
         self._answer: services.UpstreamAnswer | None = None
         self._last_event = request.last_event
         self._no_slot: placement.NoSlot | None = None
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -1,6 +1,6 @@
 """Chooses the upstream of each request, for engines through their leader."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 import itertools
 import queue
 import random
@@ -16,6 +16,7 @@
 from bulrushdeald import services
 from gateway import configuration
 from gateway import health
+from gateway import heldslots
 from gateway import leading
 from gateway import members
 from gateway import names
@@ -62,53 +63,6 @@
     why: str
 
 
-class Slot:
-    """A place on one upstream, held while a request runs there."""
-
-    def __init__(
-        self,
-        run: str,
-        upstream: records.Upstream,
-        is_batch: bool,
-        is_late: bool,
-        on_release: Callable[["Slot"], None],
-    ) -> None:
-        self.run = run
-        self.upstream = upstream
-        self.is_batch = is_batch
-        self.is_late = is_late
-        self.has_yielded = False
-        self.since_s = time.monotonic()
-        self._on_release = on_release
-        self._lock = threading.Lock()
-        self._is_released = False
-        self._cancel: Callable[[], None] | None = None
-
-    def on_yield(self, cancel: Callable[[], None]) -> None:
-        """Calls `cancel` once the slot has to be given up."""
-        with self._lock:
-            self._cancel = cancel
-            has_yielded = self.has_yielded
-        if has_yielded:
-            cancel()
-
-    def give_up(self) -> None:
-        """Ends what runs here, on another thread than the run's."""
-        with self._lock:
-            self.has_yielded = True
-            cancel = self._cancel
-        if cancel is not None:
-            cancel()
-
-    def release(self) -> None:
-        """Gives the slot back; idempotent."""
-        with self._lock:
-            if self._is_released:
-                return
-            self._is_released = True
-        self._on_release(self)
-
-
 class Placement:
     """Finds a slot for each request; leads some services for all VMs."""
 
@@ -124,8 +78,7 @@
         # predecessor, whose runs the leader may still hold.
         self._stem = f"{settings.vm}.{secrets.token_hex(3)}."
         self._lock = threading.Lock()
-        self._held: dict[str, dict[str, Slot]] = {}
-        self._counts: dict[str, int] = {}
+        self._slots = heldslots.HeldSlots(self._on_release)
         # Released runs by name and loads, each with its service.
         self._news: queue.SimpleQueue[
             tuple[str, str | slotledger.Load] | None
@@ -165,13 +118,12 @@
 
     def dump(self) -> Any:
         """Returns what runs here, and the ledgers held here."""
-        with self._lock:
-            held = dict(self._counts)
+        held = self._slots.counts()
         return {"held": held, "ledgers": self._leading.dump()}
 
     def take(
         self, service: str, target_s: float, excluded: Iterable[str]
-    ) -> result.Result[Slot, NoSlot]:
+    ) -> result.Result[heldslots.Slot, NoSlot]:
         """Returns a slot for an online request, or when to come back.
 
         Args:
@@ -200,7 +152,7 @@
                 return result.Err(NoSlot(taken.retry_after_s, "no free slot"))
             upstream = self._usable(service, taken.instance)
             if upstream is not None:
-                return result.Ok(self._hold(service, run, upstream, False))
+                return result.Ok(self._slots.hold(service, run, upstream))
             self._news.put((service, run))
             left_out = left_out | {taken.instance}
             run = self._name()
@@ -208,7 +160,7 @@
 
     def take_batch(
         self, service: str, count: int, *, is_late: bool = False
-    ) -> list[Slot]:
+    ) -> list[heldslots.Slot]:
         """Returns slots that online requests leave, at most `count`.
 
         Args:
@@ -239,11 +191,13 @@
                 self._news.put((service, run))
                 continue
             slots.append(
-                self._hold(service, run, upstream, True, is_late=is_late)
+                self._slots.hold(
+                    service, run, upstream, is_batch=True, is_late=is_late
+                )
             )
         return slots
 
-    def observed(self, slot: Slot, service: str, busy: int) -> None:
+    def observed(self, slot: heldslots.Slot, service: str, busy: int) -> None:
         """Notes what an upstream said of its load as it answered."""
         if self._has_engine(service):
             load = slotledger.Load(slot.upstream.instance, busy)
@@ -251,15 +205,9 @@
 
     def yield_all(self) -> None:
         """Ends all batch runs of this VM, which is about to stop."""
-        with self._lock:
-            slots = [
-                slot
-                for held in self._held.values()
-                for slot in held.values()
-                if slot.is_batch
-            ]
-        for slot in slots:
-            slot.give_up()
+        for slot in self._slots.all():
+            if slot.is_batch:
+                slot.give_up()
 
     def has_upstreams(self, service: str) -> bool:
         """Tells whether the platform lists an upstream of a service."""
@@ -325,14 +273,10 @@
         One that went dark takes requests on kept connections for as long as
         they may wait; the first ones to wait keep others away.
         """
-        with self._lock:
-            slots = [
-                slot for held in self._held.values() for slot in held.values()
-            ]
         now_s = time.monotonic()
         return frozenset(
             slot.upstream.instance
-            for slot in slots
+            for slot in self._slots.all()
             if now_s - slot.since_s > _SILENT_S
             and self.health.is_silent(slot.upstream.instance)
         )
@@ -357,7 +301,7 @@
 
     def _take_alone(
         self, service: str, run: str, excluded: frozenset[str]
-    ) -> result.Result[Slot, NoSlot]:
+    ) -> result.Result[heldslots.Slot, NoSlot]:
         """Chooses by what this VM itself runs, and by chance."""
         rows = [
             row
@@ -366,19 +310,18 @@
         ]
         if not rows:
             return result.Err(NoSlot(_NO_UPSTREAM_RETRY_S, "no upstream"))
-        with self._lock:
-            counts = self._counts
-            best = min(
-                rows,
-                key=lambda row: (
-                    # Others place there as well, unseen here.
-                    counts.get(row.instance, 0) / row.slots >= _NEAR_FILL,
-                    row.failure_domain != self._domain,
-                    counts.get(row.instance, 0) / row.slots,
-                    random.random(),
-                ),
-            )
-        return result.Ok(self._hold(service, run, best, False))
+        counts = self._slots.counts()
+        best = min(
+            rows,
+            key=lambda row: (
+                # Others place there as well, unseen here.
+                counts.get(row.instance, 0) / row.slots >= _NEAR_FILL,
+                row.failure_domain != self._domain,
+                counts.get(row.instance, 0) / row.slots,
+                random.random(),
+            ),
+        )
+        return result.Ok(self._slots.hold(service, run, best))
 
     def _ask(
         self,
@@ -413,37 +356,7 @@
             )
         return None
 
-    def _hold(
-        self,
-        service: str,
-        run: str,
-        upstream: records.Upstream,
-        is_batch: bool,
-        *,
-        is_late: bool = False,
-    ) -> Slot:
-        slot = Slot(
-            run,
-            upstream,
-            is_batch,
-            is_late,
-            lambda slot: self._drop(service, slot),
-        )
-        with self._lock:
-            self._held.setdefault(service, {})[run] = slot
-            count = self._counts.get(upstream.instance, 0)
-            self._counts[upstream.instance] = count + 1
-        return slot
-
-    def _drop(self, service: str, slot: Slot) -> None:
-        instance = slot.upstream.instance
-        with self._lock:
-            self._held.get(service, {}).pop(slot.run, None)
-            left = self._counts.get(instance, 1) - 1
-            if left > 0:
-                self._counts[instance] = left
-            else:
-                self._counts.pop(instance, None)
+    def _on_release(self, service: str, slot: heldslots.Slot) -> None:
         if self._has_engine(service):
             self._news.put((service, slot.run))
 
@@ -455,14 +368,7 @@
         self, vm: str, message: slotmessages.Yield
     ) -> slotmessages.Done:
         del vm
-        with self._lock:
-            slots = [
-                held[run]
-                for run in message.runs
-                for held in self._held.values()
-                if run in held
-            ]
-        for slot in slots:
+        for slot in self._slots.find(message.runs):
             slot.give_up()
         return slotmessages.Done()
 
@@ -499,21 +405,18 @@
             self._peers.call(ranked[0], message, _TELL_TIMEOUT_S)
 
     def _own_report(self, service: str) -> slotmessages.Report:
-        with self._lock:
-            held = dict(self._held.get(service, {}))
         rows = tuple(
             slotledger.ReportRow(
-                run, slot.upstream.instance, slot.is_batch, slot.is_late
+                slot.run, slot.upstream.instance, slot.is_batch, slot.is_late
             )
-            for run, slot in held.items()
+            for slot in self._slots.of_service(service)
         )
         return slotmessages.Report(service, rows)
 
     def _report(self) -> None:
         reported: set[str] = set()
         while not self._stopping.wait(_REPORT_S):
-            with self._lock:
-                busy = {name for name, held in self._held.items() if held}
+            busy = self._slots.services()
             for service in busy | reported:
                 if self._has_engine(service):
                     self._tell_leader(service, self._own_report(service))
--- a/packages/gateway/gateway/reading.py
+++ b/packages/gateway/gateway/reading.py
@@ -11,6 +11,7 @@
 from gateway import configuration
 from gateway import members
 from gateway import names
+from gateway import pings
 from gateway import records
 from gateway import upstreamlist
 
@@ -79,7 +80,7 @@
         """Begins to read or to follow."""
         find = self._kernel.find
         self._members = find(services.MEMBERSHIP, members.Members)
-        self._pings = find(names.PINGS, members.Pings)
+        self._pings = find(names.PINGS, pings.Pings)
         self._peers = find(services.PEERS, services.Peers)
         self._feed = find(names.CONFIGURATION, configuration.Feed)
         self._list = find(names.UPSTREAM_LIST, upstreamlist.UpstreamList)
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -14,6 +14,7 @@
 from gateway import configuration
 from gateway import dialect as dialect_lib
 from gateway import eventstream
+from gateway import heldslots
 from gateway import jobbook
 from gateway import jobmessages
 from gateway import jobs
@@ -242,7 +243,7 @@
         self,
         state: jobstate.JobState,
         item: jobstate.ItemState,
-        slot: placement.Slot,
+        slot: heldslots.Slot,
     ) -> None:
         begun_s = time.monotonic()
         try:
@@ -263,7 +264,7 @@
         self,
         state: jobstate.JobState,
         item: jobstate.ItemState,
-        slot: placement.Slot,
+        slot: heldslots.Slot,
     ) -> None:
         outgoing = sending.Outgoing(
             item.item.item,
@@ -301,7 +302,7 @@
         self,
         state: jobstate.JobState,
         item: jobstate.ItemState,
-        slot: placement.Slot,
+        slot: heldslots.Slot,
         answer: services.UpstreamAnswer,
     ) -> None:
         splitter = eventstream.Splitter()
@@ -357,7 +358,7 @@
         self,
         state: jobstate.JobState,
         item: jobstate.ItemState,
-        slot: placement.Slot,
+        slot: heldslots.Slot,
         why: str,
     ) -> None:
         _events.info(
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -4,7 +4,6 @@
 import time
 from typing import Any
 
-from bulrushdeald import peers
 from gateway import configuration
 from gateway import members
 from gateway import names
@@ -157,12 +156,7 @@
     first, second = scene.add_vm("vm1", "d1"), scene.add_vm("vm2", "d2")
     first.submit("j1", _items(3))
     gatewayscene.until(lambda: scene.engines[0].open == 3)
-    first.client.is_down = True
-    first.kernel.find("peers", peers.WebsocketPeers).stop(0.1)
-    for lease in list(scene.store.leases):
-        held = scene.store.leases[lease]
-        if any(key.endswith("members/vm1") for key in held):
-            scene.store.end_lease(lease)
+    first.lose_power()
     rows = _finished(second, "j1")
     assert sorted(row["id"] for row in rows) == ["i0", "i1", "i2"]
     assert {row["output"] for row in rows} == {_output(60)}
@@ -182,12 +176,7 @@
     first.submit("j1", _items(2))
     key = "bulrushdeal/jobs/j1/progress"
     gatewayscene.until(lambda: key in scene.store.rows)
-    first.client.is_down = True
-    first.kernel.find("peers", peers.WebsocketPeers).stop(0.1)
-    for lease in list(scene.store.leases):
-        held = scene.store.leases[lease]
-        if any(key.endswith("members/vm1") for key in held):
-            scene.store.end_lease(lease)
+    first.lose_power()
     engine.pause_s = 0.0
     rows = _finished(second, "j1")
     assert {row["output"] for row in rows} == {_output(200)}
--- a/tests/gateway/test_vms.py
+++ b/tests/gateway/test_vms.py
@@ -12,6 +12,7 @@
 from gateway import configuration
 from gateway import members
 from gateway import names
+from gateway import pings
 from gateway import placement
 from gateway import rates
 from gateway import records
@@ -147,8 +148,8 @@
     _know_each_other(*vms)
     found = vms[0].kernel.find("membership", members.Members)
     # No ping of its own tells that the domain is there.
-    pings = vms[0].kernel.find(names.PINGS, members.Pings)
-    monkeypatch.setattr(pings, "_ping", lambda domain, vm: None)
+    own = vms[0].kernel.find(names.PINGS, pings.Pings)
+    monkeypatch.setattr(own, "_ping", lambda domain, vm: None)
     for _ in range(3):
         found.suspect("vm2")
     assert not found.lost_domains()
--- a/tests/support/gatewayscene.py
+++ b/tests/support/gatewayscene.py
@@ -10,6 +10,7 @@
 import urllib.parse
 
 from bulrushdeal import kernel as kernel_lib
+from bulrushdeald import peers
 from bulrushplatform import wire
 from gateway import assembly
 from gateway import front
@@ -96,6 +97,7 @@
     """One gateway."""
 
     def __init__(self, name: str, domain: str, store: Any) -> None:
+        self.name = name
         self.client = gatewaystore.StoreClient(store)
         settings = records.Settings(
             vm=name,
@@ -125,6 +127,15 @@
     def stop(self) -> None:
         self.kernel.stop(1.0)
 
+    def lose_power(self) -> None:
+        """Cuts it off from all others, and lets its lease run out."""
+        self.client.is_down = True
+        self.kernel.find("peers", peers.WebsocketPeers).stop(0.1)
+        store = self.client.store
+        for lease, held in list(store.leases.items()):
+            if any(key.endswith(f"members/{self.name}") for key in held):
+                store.end_lease(lease)
+
     def call(
         self,
         method: str,
