Runner: one question for slots a pass, not one for each job that waits

Change: in one pass a service whose leader gave fewer slots than were asked for is not asked again.

After: one question in a pass.

--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -166,16 +166,27 @@
         while not self._stopping.is_set():
             self._wake.wait(_FEED_S)
             self._wake.clear()
-            # First what can be in time: by due times alone, more jobs than
-            # the engines can do in time would all be late.
-            for is_late in (False, True):
-                for state in self._table.by_due_time():
-                    if not self._stopping.is_set():
-                        self._feed_safely(state, is_late)
-
-    def _feed_safely(self, state: jobstate.JobState, is_late: bool) -> None:
+            self.feed()
+
+    def feed(self) -> None:
+        """Begins to run what may run now.
+
+        First what can be in time: by due times alone, more jobs than the
+        engines can do in time would all be late.
+        """
+        # Services whose leader had no more slots: to ask for each further
+        # job would be a message each, ten times a second.
+        full: set[str] = set()
+        for is_late in (False, True):
+            for state in self._table.by_due_time():
+                if not self._stopping.is_set():
+                    self._feed_safely(state, is_late, full)
+
+    def _feed_safely(
+        self, state: jobstate.JobState, is_late: bool, full: set[str]
+    ) -> None:
         try:
-            self._feed_job(state, is_late)
+            self._feed_job(state, is_late, full)
         except Exception as error:  # noqa: BLE001 - other jobs are fed.
             _events.warning("not_fed", job=state.meta.job, why=repr(error))
 
@@ -184,7 +195,9 @@
             time.monotonic(), time.time(), self._run_s, is_late
         )
 
-    def _feed_job(self, state: jobstate.JobState, is_late: bool) -> None:
+    def _feed_job(
+        self, state: jobstate.JobState, is_late: bool, full: set[str]
+    ) -> None:
         count = state.count_ready(self._want(is_late))
         with self._lock:
             count = min(count, _MAX_RUNS - self._runs)
@@ -194,9 +207,11 @@
             self._give_up(state)
             return
         service = self._service(state)
-        if service is None:
+        if service is None or service in full:
             return
         slots = self._placement.take_batch(service, count, is_late=is_late)
+        if len(slots) < count:
+            full.add(service)
         for slot in slots:
             item = state.next_item(self._want(is_late))
             if item is None:
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -1,12 +1,16 @@
 """Batch jobs over whole gateways, and what fails while they run."""
 
 import base64
+import threading
 import time
 from typing import Any
 
+import pytest
+
 from gateway import configuration
 from gateway import members
 from gateway import names
+from gateway import placement
 from gateway import runner
 from support import gatewayengine
 from support import gatewayscene
@@ -223,6 +227,35 @@
     assert len(_finished(vm, "j1")) == 3
 
 
+def test_many_jobs_without_slots_ask_the_leader_once(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Engines are full, and each job that waits asks for slots of its own.
+
+    With many jobs these are more messages than all requests have.
+    """
+    scene.add_engine(events=400).pause_s = 0.05
+    vm = scene.add_vm()
+    vm.submit("first", _items(8, "first"))
+    gatewayscene.until(lambda: scene.engines[0].open == 8)
+    for number in range(5):
+        vm.submit(f"j{number}", _items(2, f"j{number}"))
+    placed = vm.kernel.find(names.PLACEMENT, placement.Placement)
+    asked: list[int] = []
+
+    def take(service: str, count: int, *, is_late: bool = False) -> list[Any]:
+        # The runner's own thread goes on feeding meanwhile.
+        if threading.current_thread() is threading.main_thread():
+            asked.append(count)
+        return []
+
+    monkeypatch.setattr(placed, "take_batch", take)
+    running = vm.kernel.find("runner", runner.Runner)
+    assert len(running.dump()) == 6
+    running.feed()
+    assert len(asked) == 1
+
+
 def test_a_job_that_is_given_up_does_not_hold_up_others(
     scene: gatewayscene.Scene,
 ) -> None:
