Metrics: slots held, refusals over the rate, lines of the log lost

One registry, read at each scrape from what the services hold anyway. test_slots_refusals_by_rate_and_lost_lines_are_told fails without them and passes.

--- a/packages/core/bulrushdeal/eventlog.py
+++ b/packages/core/bulrushdeal/eventlog.py
@@ -4,6 +4,8 @@
 that writes. The formatter is ours because its fields are plain already.
 """
 
+import collections
+from collections.abc import Mapping
 import json
 import logging
 import logging.handlers
@@ -17,6 +19,13 @@
 # Plain good ends a second that are written in full; the others are counted.
 GOOD_ENDS_PER_S = 20.0
 _LOGGER = "bulrushdeal.events"
+# Of this process, by event, from its start on.
+_lost: collections.Counter[str] = collections.Counter()
+
+
+def lost() -> Mapping[str, int]:
+    """Returns how many lines found no room, by event, since the start."""
+    return dict(_lost)
 
 
 class _Queue(logging.handlers.QueueHandler):
@@ -39,6 +48,7 @@
             except queue.Full:
                 count = self._dropped.get(record.msg, 0)
                 self._dropped[record.msg] = count + 1
+                _lost[record.msg] += 1
 
     def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
         """Leaves the record as it is: its fields are plain values."""
--- a/packages/gateway/gateway/metrics.py
+++ b/packages/gateway/gateway/metrics.py
@@ -7,11 +7,14 @@
 from prometheus_client import core as prometheus_core
 from prometheus_client import registry as prometheus_registry
 
+from bulrushdeal import eventlog
 from bulrushdeal import httpd
 from bulrushdeal import kernel as kernel_lib
 from gateway import configuration
 from gateway import dialect as dialect_lib
 from gateway import names
+from gateway import placement
+from gateway import rates
 from gateway import records
 from gateway import upstreamlist
 
@@ -26,6 +29,7 @@
     """Reads at each scrape what other services hold anyway."""
 
     def __init__(self, kernel: kernel_lib.Kernel) -> None:
+        self._kernel = kernel
         self._store = kernel.find(names.STORE, dialect_lib.Store)
         self._feed = kernel.find(names.CONFIGURATION, configuration.Feed)
         self._list = kernel.find(names.UPSTREAM_LIST, upstreamlist.UpstreamList)
@@ -51,6 +55,32 @@
             "How long ago the list of upstreams was read, -1 if never.",
             value=self._list.age_s(),
         )
+        yield self._slots()
+        rates_ = self._kernel.find(names.RATES, rates.Rates)
+        yield prometheus_core.CounterMetricFamily(
+            "bulrushdeal_over_rate",
+            "Requests refused by this VM as an owner of customers' rates.",
+            value=rates_.refused(),
+        )
+        lost = prometheus_core.CounterMetricFamily(
+            "bulrushdeal_log_lines_lost",
+            "Lines of the log that found no room.",
+            labels=["event"],
+        )
+        for event, count in eventlog.lost().items():
+            lost.add_metric([event], count)
+        yield lost
+
+    def _slots(self) -> prometheus_core.Metric:
+        held = self._kernel.find(names.PLACEMENT, placement.Placement).held()
+        slots = prometheus_core.GaugeMetricFamily(
+            "bulrushdeal_slots_held",
+            "Places on upstreams that this VM holds, by what runs there.",
+            labels=["use"],
+        )
+        slots.add_metric(["online"], sum(not row.is_batch for row in held))
+        slots.add_metric(["batch"], sum(row.is_batch for row in held))
+        return slots
 
 
 class Metrics:
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -121,6 +121,10 @@
         held = self._slots.counts()
         return {"held": held, "ledgers": self._leading.dump()}
 
+    def held(self) -> list[heldslots.Slot]:
+        """Returns all slots that this VM holds."""
+        return self._slots.all()
+
     def take(
         self, service: str, target_s: float, excluded: Iterable[str]
     ) -> result.Result[heldslots.Slot, NoSlot]:
--- a/packages/gateway/gateway/rates.py
+++ b/packages/gateway/gateway/rates.py
@@ -89,6 +89,10 @@
         """Returns how many buckets are held here."""
         return {"owned": len(self._owned), "refused": self._refused}
 
+    def refused(self) -> int:
+        """Returns how many tokens this VM refused as an owner."""
+        return self._refused
+
     def take(
         self, customer: records.Customer
     ) -> result.Result[None, tokens.Denied]:
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -10,6 +10,9 @@
 from bulrushdeal import eventlog
 from gateway import metrics
 from gateway import names
+from gateway import placement
+from gateway import rates
+from gateway import records
 from support import gatewayscene
 
 
@@ -30,6 +33,28 @@
     assert 'bulrushdeal_store_calls_total{call="any"' in text
 
 
+def test_slots_refusals_by_rate_and_lost_lines_are_told(
+    scene: gatewayscene.Scene,
+) -> None:
+    row = {"name": "school", "api_keys": [gatewayscene.KEY]}
+    limits = {"rate_per_s": 0.001, "burst": 1}
+    scene.configure(gatewayscene.configuration(2, tenants=[row | limits]))
+    scene.add_engine(events=400).pause_s = 0.05
+    vm = scene.add_vm()
+    placed = vm.kernel.find(names.PLACEMENT, placement.Placement)
+    gatewayscene.until(lambda: placed.take("llm", 0.3, ()).is_ok())
+    assert len(placed.take_batch("llm", 2)) == 2
+    customer = records.Customer("school", (), 0, 0.001, 1)
+    owned = vm.kernel.find(names.RATES, rates.Rates)
+    while owned.take(customer).is_ok():
+        continue
+    text = vm.kernel.find(names.METRICS, metrics.Metrics).text().decode()
+    assert 'bulrushdeal_slots_held{use="online"} 1.0' in text
+    assert 'bulrushdeal_slots_held{use="batch"} 2.0' in text
+    assert "bulrushdeal_over_rate_total 1.0" in text
+    assert "bulrushdeal_log_lines_lost" in text
+
+
 @pytest.fixture
 def logger() -> Any:
     found = logging.getLogger("bulrushdeal.events")
@@ -61,6 +86,7 @@
             if rows[-1]["event"] == "later":
                 break
         assert rows[-1]["dropped"]["decided"] > 10_000
+        assert eventlog.lost()["decided"] > 10_000
         assert rows[0]["vm"] == "vm1"
         assert rows[0]["part"] == "part"
         listener.stop()
