Members: a VM that answers stays though the store lost its entry

Leases lapsed while answers of the store were lost, or just before an outage; the VMs that had not registered again were dropped from the others' lists, and each took itself for the owner of the whole rate.

Change: a VM that is no longer listed is asked, and stays while it answers; at most eight at once, the others stay until the next reading. The scenes' peers listen on an address of their own test process: a free port of 127.0.0.1 was taken by another process, once.

Before: test_a_vm_that_answers_stays_though_the_store_lost_its_entry counts one VM.

--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -1,5 +1,7 @@
 """Which VMs run this system, who of them leads what, and who is reachable."""
 
+from collections.abc import Callable
+from concurrent import futures
 import json
 import math
 import random
@@ -32,6 +34,9 @@
 # A VM that did not answer leads nothing for so long.
 SUSPECT_S = 1.5
 _MAX_SUSPECTS = 1000
+# VMs that are asked at once whether they are there; each may take a timeout,
+# and the own lease has to be renewed meanwhile.
+_MAX_CHECKED = 8
 # Things are led by some of many VMs, this many times the root of their number:
 # every VM has a connection, and a thread, for each leader that it asks.
 _LEADERS_OF_ROOT = 2
@@ -70,6 +75,7 @@
         self._suspects: dict[str, float] = {}
         self._ranks: dict[str, list[str]] = {}
         self._leaders: list[str] = [settings.vm]
+        self._answers: Callable[[str], bool] = lambda vm: False
         # Set when a VM begins to be suspected.
         self.alarm = threading.Event()
         self._domains = {settings.vm: settings.failure_domain}
@@ -202,6 +208,14 @@
             self._note_miss(domain)
             self.alarm.set()
 
+    def ask_with(self, answers: Callable[[str], bool]) -> None:
+        """Has VMs that the store no longer lists asked whether they are there.
+
+        Args:
+            answers: Asks one, and tells whether it answers.
+        """
+        self._answers = answers
+
     def is_suspected(self, vm: str) -> bool:
         """Tells whether a VM did not answer lately."""
         return self._suspects.get(vm, 0.0) > time.monotonic()
@@ -302,6 +316,9 @@
         rows = {row.vm: row for row in decoded if row is not None}
         kept = self._listing.learn(rows, time.monotonic(), was_refused)
         kept[self._own.vm] = self._own
+        kept |= self._still_there(
+            [row for row in self._rows if row.vm not in kept]
+        )
         fresh = tuple(kept[vm] for vm in sorted(kept))
         if fresh != self._rows:
             self._rows = fresh
@@ -314,6 +331,31 @@
             _events.info("listed", vms=[row.vm for row in fresh])
         return True
 
+    def _still_there(
+        self, missing: list[core_records.Vm]
+    ) -> dict[str, core_records.Vm]:
+        """Returns which of the VMs that the store no longer lists stay.
+
+        The failure: leases ran out in an outage, and answers of the store
+        are lost while VMs register again. Each VM would take itself for the
+        only one, and all of them give out a customer's whole rate.
+        """
+        unknown = [row for row in missing if not self.is_suspected(row.vm)]
+        if not unknown:
+            return {}
+        asked = unknown[:_MAX_CHECKED]
+        with futures.ThreadPoolExecutor(_MAX_CHECKED) as pool:
+            answers = list(pool.map(self._answers, (row.vm for row in asked)))
+        # Those that were not asked yet stay until the next reading.
+        stay = [
+            row
+            for row, is_there in zip(asked, answers, strict=True)
+            if is_there
+        ] + unknown[_MAX_CHECKED:]
+        if stay:
+            _events.warning("not_listed", vms=[row.vm for row in stay])
+        return {row.vm: row for row in stay}
+
     def _decode(self, entry: dialect_lib.Entry) -> core_records.Vm | None:
         try:
             value = json.loads(entry.value or b"")
--- a/packages/gateway/gateway/pings.py
+++ b/packages/gateway/gateway/pings.py
@@ -70,6 +70,7 @@
             FetchConfiguration, services.QuickHandler(self._on_fetch)
         )
         self._peers.understand(Pong, configuration.Told)
+        self._members.ask_with(self._answers)
         threading.Thread(target=self._run, name="pings", daemon=True).start()
 
     def stop(self, grace_s: float) -> None:
@@ -148,6 +149,10 @@
         if answer.is_ok() and answer.unwrap().version > self._version():
             self._newer = vm
 
+    def _answers(self, vm: str) -> bool:
+        ping = Ping(self._version())
+        return self._peers.call(vm, ping, _PING_TIMEOUT_S).is_ok()
+
     def _fetch(self, vm: str) -> None:
         request = FetchConfiguration(self._version())
         answer = self._peers.call(vm, request, _FETCH_TIMEOUT_S)
--- a/tests/gateway/test_vms.py
+++ b/tests/gateway/test_vms.py
@@ -159,6 +159,27 @@
     assert not found.lost_domains()
 
 
+def test_a_vm_that_answers_stays_though_the_store_lost_its_entry(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Leases ran out in an outage, and a VM cannot register again at once.
+
+    Each VM would take itself for the only one, lead everything and give out
+    the whole rate of each customer.
+    """
+    vms = scene.add_vm("vm1", "d1"), scene.add_vm("vm2", "d2")
+    _know_each_other(*vms)
+    found, other = (vm.kernel.find("membership", members.Members) for vm in vms)
+    monkeypatch.setattr(other, "_keep_entry", lambda: True)
+    scene.store.write("bulrushdeal/members/vm2", None)
+    before = len(vms[0].client.calls)
+    # Each renewal is followed by a reading of the list.
+    gatewayscene.until(lambda: vms[0].client.calls[before:].count("renew") >= 4)
+    assert found.count() == 2
+    vms[1].kernel.find("peers", peers.WebsocketPeers).stop(0.1)
+    gatewayscene.until(lambda: found.count() == 1)
+
+
 def test_many_vms_are_led_by_some_of_them(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/support/gatewayscene.py
+++ b/tests/support/gatewayscene.py
@@ -4,6 +4,7 @@
 from concurrent import futures
 import http.client
 import json
+import os
 import socket
 import time
 from typing import Any, NamedTuple
@@ -86,11 +87,17 @@
     return value
 
 
-def free_port() -> int:
+def free_address() -> str:
+    """Returns an address that no other process takes meanwhile.
+
+    Ports that are free on 127.0.0.1 are given to other tests' servers and
+    connections at any moment; each test process has an address of its own.
+    """
+    pid = os.getpid()
+    host = f"127.{64 + pid // 62500 % 64}.{pid // 250 % 250}.{pid % 250}"
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
+        sock.bind((host, 0))
+        return f"{host}:{sock.getsockname()[1]}"
 
 
 class Vm:
@@ -104,7 +111,7 @@
             failure_domain=domain,
             callers_address="127.0.0.1:0",
             ready_address="127.0.0.1:0",
-            peers_address=f"127.0.0.1:{free_port()}",
+            peers_address=free_address(),
             metrics_address="",
             store_address="",
             value_bytes=1 << 20,
