Members: the list is read before the own entry is written; the stand-in's leases

The logs show vm0 registered at 11.78 s and missing in vm2's list at 12.33 s for good: the stand-in store took the entry away with the lease of the killed process, though a new lease held it. So each took itself for an owner beside the other. The stand-in now lets a key go with its last lease only.

Cause 2: by reading the same logs: a VM that starts while the store loses answers waits for its own registration before it reads who else is there, and owns every customer until then. It reads first now, and until it has read gives only the share of a VM alone.

Before: test_a_key_goes_with_its_last_lease finds the entry gone, test_a_vm_that_knows_no_others_owns_no_customer gets 40 of 40.

--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -75,6 +75,7 @@
         self._suspects: dict[str, float] = {}
         self._ranks: dict[str, list[str]] = {}
         self._leaders: list[str] = [settings.vm]
+        self._is_known = False
         self._answers: Callable[[str], bool] = lambda vm: False
         # Set when a VM begins to be suspected.
         self.alarm = threading.Event()
@@ -266,12 +267,18 @@
         """Returns a VM's failure domain; empty if it is not listed."""
         return self._domains.get(vm, "")
 
+    def is_known(self) -> bool:
+        """Tells whether the list was ever read."""
+        return self._is_known
+
     def count(self) -> int:
         """Returns how many VMs there are."""
         return len(self._rows)
 
     def _run(self) -> None:
-        was_refused = False
+        # Before the own entry is written: until it knows the others a VM
+        # takes itself for the only one, and a write may wait for its timeout.
+        was_refused = not self._read(False)
         while not self._stopping.is_set():
             is_kept = self._keep_entry()
             was_refused = not self._read(was_refused) or not is_kept
@@ -329,6 +336,7 @@
             ]
             self._ranks = {}
             _events.info("listed", vms=[row.vm for row in fresh])
+        self._is_known = True
         return True
 
     def _still_there(
--- a/packages/gateway/gateway/rates.py
+++ b/packages/gateway/gateway/rates.py
@@ -99,6 +99,10 @@
         """Takes a token for a request, or tells when to come back."""
         if customer.rate_per_s <= 0:
             return result.Ok(None)
+        if not self._members.is_known():
+            # The failure: a VM that starts while the store loses answers
+            # would own every customer, beside those that do.
+            return self._take_alone(customer)
         message = Spend(customer.name)
         for vm in self._whom_to_ask(_key(customer.name)):
             answer = self._peers.call(vm, message, _SPEND_TIMEOUT_S)
--- a/tests/gateway/test_vms.py
+++ b/tests/gateway/test_vms.py
@@ -18,6 +18,7 @@
 from gateway import records
 from support import gatewayengine
 from support import gatewayscene
+from support import gatewaystore
 
 
 def _know_each_other(*vms: gatewayscene.Vm) -> None:
@@ -282,6 +283,37 @@
     assert json.loads(value or b"")["state"] == "completed"
 
 
+def test_a_key_goes_with_its_last_lease() -> None:
+    """A VM is killed, starts again and registers under a new lease.
+
+    Its old lease runs out later and must not take the new entry along.
+    """
+    store = gatewaystore.MemoryStore()
+    store.leases = {1: set(), 2: set()}
+    store.write("members/vm1", b"old", 1)
+    store.write("members/vm1", b"new", 2)
+    store.end_lease(1)
+    assert store.rows["members/vm1"].value == b"new"
+    store.end_lease(2)
+    assert "members/vm1" not in store.rows
+
+
+def test_a_vm_that_knows_no_others_owns_no_customer(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A VM starts while the store loses answers, and callers reach it.
+
+    Until it has read who else is there it would take itself for the owner of
+    each customer, and give out whole rates beside the owners.
+    """
+    vm = scene.add_vm()
+    found = vm.kernel.find("membership", members.Members)
+    monkeypatch.setattr(found, "is_known", lambda: False)
+    customer = records.Customer("school", (), 0, 0.001, 40)
+    own = vm.kernel.find(names.RATES, rates.Rates)
+    assert sum(own.take(customer).is_ok() for _ in range(40)) == 1
+
+
 def test_a_vm_is_ready_only_with_a_configuration(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/support/gatewaystore.py
+++ b/tests/support/gatewaystore.py
@@ -29,6 +29,9 @@
                 self.rows.pop(key, None)
             else:
                 self.rows[key] = entry
+            # A key goes with the lease that it was last written under.
+            for held in self.leases.values():
+                held.discard(key)
             if lease:
                 self.leases[lease].add(key)
             self.condition.notify_all()
