Tests: those over real processes run one after the other

Files over processes ran beside each other since the tests run side by side.

Change: one group for all tests in tests/process, one for each other file.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -60,3 +60,18 @@
     """Prints the failures that are known."""
     for report in terminalreporter.getreports("xfailed"):
         terminalreporter.write_line(f"known red: {report.nodeid}")
+
+
+def _group(item: pytest.Item) -> str:
+    """Returns the tests that run one after the other in one process.
+
+    Those over real processes wait for what other processes do: several at a
+    time take the processor from each other.
+    """
+    return "process" if item.path.parent.name == "process" else str(item.path)
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_itemcollected(item: pytest.Item) -> None:
+    """Keeps each file's tests together, and those over processes."""
+    item.add_marker(pytest.mark.xdist_group(_group(item)))
