Gateway: VMs that follow read neither the list of VMs nor the jobs from the store

Cause: on the grown sites every VM listed VMs, claims and open jobs by itself each second, those with jobs strictly. Ruled out: fewer renewals (a lease lapses sooner; a renewal costs a tenth), longer scans (an ended job has to stop within three seconds). Change: the two readers tell these lists with the list of upstreams; whoever is told nothing for two seconds reads for itself. The strict listing of open jobs is made at the readers alone.

--- a/packages/gateway/gateway/assembly.py
+++ b/packages/gateway/gateway/assembly.py
@@ -18,6 +18,7 @@
 from gateway import forwarding
 from gateway import front
 from gateway import jobbook
+from gateway import joblisting
 from gateway import jobs
 from gateway import members
 from gateway import metrics
@@ -60,11 +61,12 @@
     add(services.PEERS, peers.WebsocketPeers(kernel, settings, _IDLE_S))
     add("store path", path)
     add(names.PINGS, pings.Pings(kernel))
+    add(names.JOB_BOOK, jobbook.JobBook(kernel))
+    add(names.JOB_LISTING, joblisting.JobListing(kernel))
     add("reading", reading.Reading(kernel))
     add(names.RATES, rates.Rates(kernel, settings))
     add(names.PLACEMENT, placement.Placement(kernel, settings))
     add(services.UPSTREAMS, upstreams.HttpUpstreams(kernel, settings))
-    add(names.JOB_BOOK, jobbook.JobBook(kernel))
     add(names.JOBS, jobs.Jobs(kernel, settings))
     add("retirements", retirements.Retirements(kernel))
     add(names.FORWARDER, forwarding.Forwarder(kernel))
--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -34,6 +34,9 @@
 # A VM that did not answer leads nothing for so long.
 SUSPECT_S = 1.5
 _MAX_SUSPECTS = 1000
+# What a reader told is gone by for so long; then the VM reads for itself. A
+# reader reads each 0.9 s, or tries for another 0.8 s.
+_MAX_TOLD_S = 2.0
 # VMs that are asked at once whether they are there; each may take a timeout,
 # and the own lease has to be renewed meanwhile.
 _MAX_CHECKED = 8
@@ -76,6 +79,11 @@
         self._ranks: dict[str, list[str]] = {}
         self._leaders: list[str] = [settings.vm]
         self._is_known = False
+        self._number = 0
+        # What a reader told last, and when that was read.
+        self._told: tuple[core_records.Vm, ...] = ()
+        self._told_s = -math.inf
+        self._read_s = -math.inf
         self._answers: Callable[[str], bool] = lambda vm: False
         # Set when a VM begins to be suspected.
         self.alarm = threading.Event()
@@ -267,6 +275,30 @@
         """Returns a VM's failure domain; empty if it is not listed."""
         return self._domains.get(vm, "")
 
+    def age_s(self) -> float:
+        """Returns how long ago the list was read; -1 if never."""
+        if not self._is_known:
+            return -1.0
+        return time.monotonic() - self._read_s
+
+    def all(self) -> tuple[tuple[core_records.Vm, ...], int]:
+        """Returns all VMs, and a number that is another after a change."""
+        return self._rows, self._number
+
+    def follow(
+        self, rows: tuple[core_records.Vm, ...] | None, age_s: float
+    ) -> None:
+        """Takes the list of a VM that read it `age_s` ago, with the next look.
+
+        Args:
+            rows: `None` if they are those of the last time.
+            age_s: In seconds.
+        """
+        with self._lock:
+            if rows is not None:
+                self._told = rows
+            self._told_s = time.monotonic() - age_s
+
     def is_known(self) -> bool:
         """Tells whether the list was ever read."""
         return self._is_known
@@ -316,28 +348,43 @@
         return True
 
     def _read(self, was_refused: bool) -> bool:
-        listed = paging.read_all(self._store, self._prefix, _CALL_S, stale=True)
-        if listed.is_err():
-            return False
-        decoded = map(self._decode, listed.unwrap().entries)
-        rows = {row.vm: row for row in decoded if row is not None}
+        with self._lock:
+            told, read_s = self._told, self._told_s
+        if time.monotonic() - read_s > _MAX_TOLD_S:
+            read_s = time.monotonic()
+            listed = paging.read_all(
+                self._store, self._prefix, _CALL_S, stale=True
+            )
+            if listed.is_err():
+                return False
+            decoded = map(self._decode, listed.unwrap().entries)
+            told = tuple(row for row in decoded if row is not None)
+        self._learn(told, was_refused)
+        self._read_s = read_s
+        self._is_known = True
+        return True
+
+    def _learn(
+        self, found: tuple[core_records.Vm, ...], was_refused: bool
+    ) -> None:
+        rows = {row.vm: row for row in found}
         kept = self._listing.learn(rows, time.monotonic(), was_refused)
         kept[self._own.vm] = self._own
         kept |= self._still_there(
             [row for row in self._rows if row.vm not in kept]
         )
         fresh = tuple(kept[vm] for vm in sorted(kept))
-        if fresh != self._rows:
-            self._rows = fresh
-            self._domains = {row.vm: row.failure_domain for row in fresh}
-            count = _LEADERS_OF_ROOT * math.ceil(math.sqrt(len(fresh)))
-            self._leaders = rendezvous.rank("leaders", self._domains)[
-                : max(count, _MIN_LEADERS)
-            ]
-            self._ranks = {}
-            _events.info("listed", vms=[row.vm for row in fresh])
-        self._is_known = True
-        return True
+        if fresh == self._rows:
+            return
+        self._rows = fresh
+        self._number += 1
+        self._domains = {row.vm: row.failure_domain for row in fresh}
+        count = _LEADERS_OF_ROOT * math.ceil(math.sqrt(len(fresh)))
+        self._leaders = rendezvous.rank("leaders", self._domains)[
+            : max(count, _MIN_LEADERS)
+        ]
+        self._ranks = {}
+        _events.info("listed", vms=[row.vm for row in fresh])
 
     def _still_there(
         self, missing: list[core_records.Vm]
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -16,6 +16,7 @@
 from gateway import eventstream
 from gateway import heldslots
 from gateway import jobbook
+from gateway import joblisting
 from gateway import jobmessages
 from gateway import jobs
 from gateway import jobstate
@@ -81,7 +82,13 @@
             self._store, self._book, self._table, claims
         )
         self._takeover = takeover.Takeover(
-            self._store, self._book, vms, self._table, claims, self._wake.set
+            self._store,
+            self._book,
+            find(names.JOB_LISTING, joblisting.JobListing),
+            vms,
+            self._table,
+            claims,
+            self._wake.set,
         )
         find(names.JOBS, jobs.Jobs).run_with(self)
         threading.Thread(
--- a/packages/gateway/gateway/takeover.py
+++ b/packages/gateway/gateway/takeover.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import random
 import threading
-import time
 from typing import NamedTuple
 
 import result
@@ -12,20 +11,19 @@
 from bulrushdeal import eventlog
 from gateway import dialect as dialect_lib
 from gateway import jobbook
+from gateway import joblisting
 from gateway import jobmessages
 from gateway import jobrecords
 from gateway import jobstate
 from gateway import members
-from gateway import paging
 
 _events = eventlog.Events("runner")
 
-# How soon a job whose VM died, after its lease, or stopped is taken over.
-_SCAN_S = 1.0
-# Least time between strict listings of open jobs, ten times the price of one
-# that may be old. With the scans' own times at most 2.4 s pass, less than the
-# three in which an ended job has to stop when the word of it was lost.
-_STRICT_S = 1.5
+# How soon a job whose VM died, after its lease, or stopped is taken over. Two
+# scans, one at the VM that reads for this one, and the way between them take
+# 2.4 s at most, less than the three in which an ended job has to stop when
+# the word of it was lost.
+_SCAN_S = 0.8
 _MAX_UNCLAIMED = 10_000
 _START_RETRY_S = 0.1
 _READ_S = 1.0
@@ -75,12 +73,12 @@
             return self._own(job)
         return result.Ok(made.ok_value)
 
-    def renew(self, job: str, entry: dialect_lib.Entry) -> int | None:
+    def renew(self, claim: joblisting.ClaimRow) -> int | None:
         """Puts a claim of this VM under its lease of now."""
-        key = self._book.keys.claim(job)
+        key = self._book.keys.claim(claim.job)
         made = self._book.commit(
-            (dialect_lib.Expected(key, entry.revision),),
-            (self._write(job, self._members.lease()),),
+            (dialect_lib.Expected(key, claim.revision),),
+            (self._write(claim.job, self._members.lease()),),
             (),
         )
         if isinstance(made, result.Ok) and isinstance(made.ok_value, int):
@@ -125,6 +123,7 @@
         self,
         store: dialect_lib.Store,
         book: jobbook.JobBook,
+        listing: joblisting.JobListing,
         vms: members.Members,
         table: jobstate.JobTable,
         claims: Claims,
@@ -132,17 +131,15 @@
     ) -> None:
         self._store = store
         self._book = book
+        self._listing = listing
         self._members = vms
         self._vm = vms.own().vm
         self._table = table
         self._claims = claims
         self._on_job = on_job
         self._stopping = threading.Event()
-        self._strict_s = 0.0
         # Scans in a row that found a job without a claim.
         self._unclaimed: dict[str, int] = {}
-        # Whose claims the last scan saw.
-        self._holders: dict[str, str] = {}
 
     def start(self) -> None:
         """Begins to look."""
@@ -156,7 +153,7 @@
         """Returns the VM that had a job's claim lately; empty if unknown."""
         if self._table.get(job) is not None:
             return self._vm
-        return self._holders.get(job, "")
+        return self._listing.all()[0].holders().get(job, "")
 
     def _run(self) -> None:
         self._go_on()
@@ -168,36 +165,29 @@
 
     def _scan(self) -> None:
         own = self._table.names()
-        claimed = self._read_claims()
-        now_s = time.monotonic()
-        # Jobs that run here are looked at strictly now and then: an end that
-        # was not told has to be found within seconds.
-        is_strict = bool(own) and now_s - self._strict_s > _STRICT_S
-        opened = self._open_jobs(stale=not is_strict)
-        if claimed is None or opened is None:
+        rows = self._listing.latest()
+        if rows is None:
             return
-        if is_strict:
-            self._strict_s = now_s
-            for job in own - opened:
-                self._check_open(job)
-        self._run_forgotten(claimed, opened)
-        for job in opened - claimed.keys() - own:
+        opened = set(rows.opened)
+        for job in own - opened:
+            self._check_open(job)
+        self._run_forgotten(rows, opened)
+        for job in opened - rows.holders().keys() - own:
             if not self._stopping.is_set() and self._is_next(job):
                 self._take_over(job)
 
     def _run_forgotten(
-        self, claimed: dict[str, dialect_lib.Entry], opened: set[str]
+        self, rows: joblisting.JobRows, opened: set[str]
     ) -> None:
         """Runs jobs whose claims are this VM's but that it does not run.
 
         The failure: the store fails between a claim and the reading of the
         job. The lease is renewed, so no other VM ever takes the job over.
         """
-        for job, entry in claimed.items():
-            is_own = jobrecords.is_held_by(entry.value, self._vm)
-            if is_own and job in opened and self._table.get(job) is None:
-                _events.warning("forgotten", job=job)
-                self._renew(job, entry)
+        for claim in rows.held_by(self._vm):
+            if claim.job in opened and self._table.get(claim.job) is None:
+                _events.warning("forgotten", job=claim.job)
+                self._renew(claim)
 
     def _is_next(self, job: str) -> bool:
         """Tells whether this VM should take over a job that nobody runs.
@@ -219,41 +209,19 @@
         no other VM takes its jobs over.
         """
         while not self._stopping.is_set():
-            claimed = self._read_claims()
-            if claimed is not None and self._members.lease():
+            rows = self._listing.read()
+            if rows is not None and self._members.lease():
                 break
             self._stopping.wait(_START_RETRY_S)
         else:
             return
-        for job, entry in claimed.items():
-            if jobrecords.is_held_by(entry.value, self._vm):
-                self._renew(job, entry)
+        for claim in rows.held_by(self._vm):
+            self._renew(claim)
 
-    def _renew(self, job: str, entry: dialect_lib.Entry) -> None:
-        revision = self._claims.renew(job, entry)
+    def _renew(self, claim: joblisting.ClaimRow) -> None:
+        revision = self._claims.renew(claim)
         if revision is not None:
-            self._run_claimed(_Claimed(job, revision))
-
-    def _open_jobs(self, *, stale: bool) -> set[str] | None:
-        prefix = self._book.keys.open
-        listed = paging.read_all(self._store, prefix, _READ_S, stale=stale)
-        if listed.is_err():
-            return None
-        entries = listed.unwrap().entries
-        return {row.key.removeprefix(prefix) for row in entries}
-
-    def _read_claims(self) -> dict[str, dialect_lib.Entry] | None:
-        prefix = self._book.keys.claims
-        listed = paging.read_all(self._store, prefix, _READ_S, stale=True)
-        if listed.is_err():
-            return None
-        claimed = {
-            row.key.removeprefix(prefix): row for row in listed.unwrap().entries
-        }
-        self._holders = {
-            job: jobrecords.holder(row.value) for job, row in claimed.items()
-        }
-        return claimed
+            self._run_claimed(_Claimed(claim.job, revision))
 
     def _check_open(self, job: str) -> None:
         got = self._store.get(self._book.keys.open_job(job), _READ_S)
--- a/tests/gateway/test_reading.py
+++ b/tests/gateway/test_reading.py
@@ -5,6 +5,9 @@
 import pytest
 
 from gateway import configuration
+from gateway import jobbook
+from gateway import joblisting
+from gateway import jobrecords
 from gateway import members
 from gateway import names
 from gateway import reading
@@ -118,3 +121,61 @@
     for vm in vms:
         if vm not in readers:
             gatewayscene.until(lambda vm=vm: _has(vm, engine.instance))
+
+
+def test_followers_renew_their_leases_and_read_nothing(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Each VM that lists VMs and jobs for itself makes four calls a second.
+
+    The calls grow with the VMs, against a rate of the store that does not.
+    """
+    vms = _vms(scene, 4)
+    readers = _readers(vms)
+    for vm in vms:
+        if vm not in readers:
+            gatewayscene.until(
+                lambda vm=vm: set(vm.client.calls[-4:]) == {"renew"}
+            )
+
+
+def test_followers_learn_of_vms_and_jobs(scene: gatewayscene.Scene) -> None:
+    vms = _vms(scene, 4)
+    followers = [vm for vm in vms if vm not in _readers(vms)]
+    scene.add_vm("late", "d1")
+    keys = vms[0].kernel.find(names.JOB_BOOK, jobbook.JobBook).keys
+    opened = jobrecords.pack(jobrecords.OpenJob(0))
+    claim = jobrecords.pack(jobrecords.Claim("elsewhere"))
+    scene.store.write(keys.open_job("j1"), opened)
+    scene.store.write(keys.claim("j1"), claim)
+    for vm in followers:
+        found = vm.kernel.find("membership", members.Members)
+        listed = vm.kernel.find(names.JOB_LISTING, joblisting.JobListing)
+        gatewayscene.until(lambda found=found: found.count() == 5)
+        gatewayscene.until(
+            lambda listed=listed: (
+                listed.all()[0].holders() == {"j1": "elsewhere"}
+            )
+        )
+        assert listed.all()[0].opened == ("j1",)
+
+
+def test_a_vm_that_is_told_of_a_job_takes_it_over(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A VM is lost with the claims of its jobs.
+
+    Those that follow have to find out as the readers do, or jobs whose turn
+    it is at one of them wait until any VM may take them.
+    """
+    vms = _vms(scene, 4)
+    readers = _readers(vms)
+    for vm in readers:
+        found = vm.kernel.find("membership", members.Members)
+        monkeypatch.setattr(found, "rank", lambda key: [])
+    keys = vms[0].kernel.find(names.JOB_BOOK, jobbook.JobBook).keys
+    opened = jobrecords.pack(jobrecords.OpenJob(0))
+    scene.store.write(keys.open_job("j1"), opened)
+    gatewayscene.until(lambda: keys.claim("j1") in scene.store.rows)
+    holder = jobrecords.holder(scene.store.rows[keys.claim("j1")].value)
+    assert holder in {vm.name for vm in vms if vm not in readers}
