Gateway: an upstream whose requests fail is taken out for a while

Cause: an upstream that fails each request at once always has the most free slots, so the ledger gives it most requests; only unreachable ones were avoided, by each VM for itself. Ruled out: counting at each VM (74 VMs see one answer of an engine in many seconds); the platform's health checks (they may lie either way, and each probe has its price). Change: with a slot its VM tells the leader how the request ended, and with its report which engines owe an answer.

--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -126,7 +126,7 @@
             self._call.sends += 1
             sent = self._sender.send(
                 self._request.outgoing,
-                slot.upstream,
+                slot,
                 left_s=self._call.caller_left_s(),
                 silence_s=self._silence_s(),
                 last_event=self._last_event,
@@ -246,7 +246,7 @@
     def _broke(self, error: services.UpstreamError) -> httpd.Response | None:
         slot = self._slot
         assert slot is not None
-        failure = self._sender.failure(slot.upstream, error)
+        failure = self._sender.failure(slot, error)
         self._call.runs -= 1
         self._note(failure._replace(has_run=True))
         self._drop()
@@ -320,7 +320,7 @@
         assert slot is not None
         if error is None:
             error = services.UpstreamError("crashed", "ran", "cut in an event")
-        failure = self._sender.failure(slot.upstream, error)
+        failure = self._sender.failure(slot, error)
         self._call.runs -= 1
         self._note(failure._replace(has_run=True))
         self._drop()
--- a/packages/gateway/gateway/heldslots.py
+++ b/packages/gateway/gateway/heldslots.py
@@ -5,6 +5,7 @@
 import time
 
 from gateway import records
+from gateway import slotledger
 
 
 class Slot:
@@ -23,6 +24,8 @@
         self.is_batch = is_batch
         self.is_late = is_late
         self.has_yielded = False
+        # What came of it so far.
+        self.outcome: slotledger.Outcome = "unknown"
         self.since_s = time.monotonic()
         self._on_release = on_release
         self._lock = threading.Lock()
--- a/packages/gateway/gateway/leading.py
+++ b/packages/gateway/gateway/leading.py
@@ -121,8 +121,8 @@
         now_s = time.monotonic()
         with self._ledger_lock:
             ledger = self._ledger(message.service)
-            for run in message.released:
-                ledger.release(run, now_s)
+            for row in message.released:
+                ledger.release(row.run, now_s, outcome=row.outcome)
             for load in message.loads:
                 ledger.observe(load, now_s)
         return slotmessages.Done()
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -81,7 +81,7 @@
         self._slots = heldslots.HeldSlots(self._on_release)
         # Released runs by name and loads, each with its service.
         self._news: queue.SimpleQueue[
-            tuple[str, str | slotledger.Load] | None
+            tuple[str, slotmessages.Released | slotledger.Load] | None
         ] = queue.SimpleQueue()
         # Who led each service when it was last asked.
         self._led_by: dict[str, str] = {}
@@ -157,7 +157,7 @@
             upstream = self._usable(service, taken.instance)
             if upstream is not None:
                 return result.Ok(self._slots.hold(service, run, upstream))
-            self._news.put((service, run))
+            self._news.put((service, slotmessages.Released(run, "unknown")))
             left_out = left_out | {taken.instance}
             run = self._name()
         return self._take_alone(service, run, left_out)
@@ -192,7 +192,8 @@
         for run, instance in zip(runs, answer.instances, strict=False):
             upstream = self._usable(service, instance)
             if upstream is None:
-                self._news.put((service, run))
+                row = slotmessages.Released(run, "unknown")
+                self._news.put((service, row))
                 continue
             slots.append(
                 self._slots.hold(
@@ -362,7 +363,8 @@
 
     def _on_release(self, service: str, slot: heldslots.Slot) -> None:
         if self._has_engine(service):
-            self._news.put((service, slot.run))
+            row = slotmessages.Released(slot.run, slot.outcome)
+            self._news.put((service, row))
 
     def _on_list(self) -> None:
         self.health.keep(self._list.instances())
@@ -393,7 +395,11 @@
                     service,
                     slotmessages.News(
                         service,
-                        tuple(item for item in told if isinstance(item, str)),
+                        tuple(
+                            item
+                            for item in told
+                            if isinstance(item, slotmessages.Released)
+                        ),
                         tuple(
                             item
                             for item in told
@@ -409,9 +415,14 @@
             self._peers.call(ranked[0], message, _TELL_TIMEOUT_S)
 
     def _own_report(self, service: str) -> slotmessages.Report:
+        silent = self._silent()
         rows = tuple(
             slotledger.ReportRow(
-                slot.run, slot.upstream.instance, slot.is_batch, slot.is_late
+                slot.run,
+                slot.upstream.instance,
+                slot.is_batch,
+                slot.is_late,
+                slot.upstream.instance in silent,
             )
             for slot in self._slots.of_service(service)
         )
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -298,7 +298,7 @@
         )
         sent = self._sender.send(
             outgoing,
-            slot.upstream,
+            slot,
             left_s=-1.0,
             silence_s=_SILENCE_S,
             last_event=item.last_event,
@@ -344,6 +344,7 @@
                 return
         if why or splitter.has_part:
             if not slot.has_yielded:
+                slot.outcome = "failed"
                 item.pause()
             self._note_break(state, item, slot, why or "cut in an event")
             return
--- a/packages/gateway/gateway/sending.py
+++ b/packages/gateway/gateway/sending.py
@@ -10,11 +10,14 @@
 from bulrushdeal import records as core_records
 from bulrushdeald import services
 from gateway import dialect as dialect_lib
+from gateway import heldslots
 from gateway import names
 from gateway import placement
 from gateway import records
+from gateway import slotledger
 
 FailureKind = Literal["rejected", "unreachable", "broken", "silent", "ended"]
+_SERVER_ERROR = 500
 # Statuses that promise that a request did not run.
 _PROMISES = frozenset(
     {
@@ -78,7 +81,7 @@
     def send(
         self,
         outgoing: Outgoing,
-        upstream: records.Upstream,
+        slot: heldslots.Slot,
         *,
         left_s: float,
         silence_s: float,
@@ -89,13 +92,14 @@
 
         Args:
             outgoing: The request.
-            upstream: Where to.
+            slot: Where to; it is told what comes of it.
             left_s: The deadline that the upstream is told; negative for
                 none.
             silence_s: The longest silence, before the head and after.
             last_event: Where a stream goes on; `None` from the start.
             on_open: Is handed what cancels the send, from any thread.
         """
+        upstream = slot.upstream
         headers = self._dialect.upstream_headers(
             outgoing.headers,
             left_s=left_s,
@@ -120,16 +124,19 @@
             on_open=on_open,
         )
         if isinstance(sent, result.Err):
-            return result.Err(self.failure(upstream, sent.err_value))
-        return self._judge(outgoing, upstream, sent.ok_value)
+            return result.Err(self.failure(slot, sent.err_value))
+        judged = self._judge(outgoing, upstream, sent.ok_value)
+        slot.outcome = _outcome(judged)
+        return judged
 
     def failure(
-        self, upstream: records.Upstream, error: services.UpstreamError
+        self, slot: heldslots.Slot, error: services.UpstreamError
     ) -> Failure:
         """Notes an upstream's failure and returns what it means."""
-        has_run = error.ran != "not_run"
+        upstream, has_run = slot.upstream, error.ran != "not_run"
         if error.kind == "cancelled":
             return Failure("ended", has_run, error.message)
+        slot.outcome = "failed"
         if error.kind == "unreachable":
             self._placement.health.failed(upstream.instance, error.message)
             return Failure("unreachable", has_run, error.message)
@@ -167,6 +174,14 @@
         return result.Ok(Opened(answer, head))
 
 
+def _outcome(judged: result.Result[Opened, Failure]) -> slotledger.Outcome:
+    if isinstance(judged, result.Ok):
+        status = judged.ok_value.answer.status
+        return "failed" if status >= _SERVER_ERROR else "ok"
+    # One that is full has not failed.
+    return "unknown" if judged.err_value.kind == "rejected" else "failed"
+
+
 def _broken(why: str) -> result.Err[Failure]:
     return result.Err(Failure("broken", True, why))
 
--- a/packages/gateway/gateway/slotledger.py
+++ b/packages/gateway/gateway/slotledger.py
@@ -7,8 +7,9 @@
 
 from collections.abc import Iterable, Mapping
 import random
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
+from gateway import outliers
 from gateway import records
 
 # Free slots of each engine that batch leaves alone: an arrival that finds
@@ -33,6 +34,10 @@
 _UNMET_S = 0.3
 
 
+# How a run ended, as far as that says something of its engine.
+Outcome = Literal["unknown", "ok", "failed"]
+
+
 class Run(NamedTuple):
     """A request that holds a slot."""
 
@@ -41,6 +46,7 @@
     is_batch: bool
     since_s: float
     is_late: bool = False
+    is_silent: bool = False
 
 
 class Grant(NamedTuple):
@@ -57,12 +63,21 @@
 
 
 class ReportRow(NamedTuple):
-    """One run as its VM reports it."""
+    """One run as its VM reports it.
+
+    Attributes:
+        run: Its name.
+        instance: The engine it runs on.
+        is_batch: Whether it is a batch item's.
+        is_late: Whether that cannot be in time any more.
+        is_silent: Whether the engine owes something, and sent nothing lately.
+    """
 
     run: str
     instance: str
     is_batch: bool
     is_late: bool = False
+    is_silent: bool = False
 
 
 class Load(NamedTuple):
@@ -93,6 +108,7 @@
         self._counts: dict[str, int] = {}
         self._heard_s: dict[str, float] = {}
         self._observed: dict[str, _Observed] = {}
+        self._outliers = outliers.Outliers()
         self._run_s = _FIRST_RUN_S
         # When a batch item that could be in time last found no slot.
         self._unmet_s = -_UNMET_S
@@ -100,6 +116,7 @@
     def set_engines(self, engines: Iterable[records.Upstream]) -> None:
         """Takes the engines that may get requests."""
         self._engines = {row.instance: row for row in engines}
+        self._outliers.keep(self._engines)
 
     def take_online(
         self,
@@ -118,7 +135,7 @@
         answer on time. Beyond that the queue would make every answer late,
         so the request is refused and comes back when slots have come free.
         """
-        choices = self._choices(excluded)
+        choices = self._choices(excluded, now_s)
         if not choices:
             return NoRoom(_MIN_RETRY_S)
         best = min(choices, key=lambda row: self._rank(row, domain, now_s))
@@ -128,7 +145,7 @@
         victim = self._victim(choices, domain)
         if victim:
             instance = self._runs[victim].instance
-            self.release(victim, now_s, is_whole=False)
+            self.release(victim, now_s)
             grant = self._grant(run, vm, self._engines[instance], now_s)
             return grant._replace(yields=(victim,))
         if over < self._most_waiting(best, target_s):
@@ -155,7 +172,7 @@
             return None
         choices = [
             row
-            for row in self._choices(excluded)
+            for row in self._choices(excluded, now_s)
             if self._fill(row, now_s) + 1 <= row.slots - BATCH_RESERVE
         ]
         if not choices:
@@ -166,16 +183,32 @@
         self._add(run, Run(vm, best.instance, True, now_s, is_late))
         return Grant(best.instance)
 
-    def release(self, run: str, now_s: float, *, is_whole: bool = True) -> None:
+    def release(
+        self, run: str, now_s: float, *, outcome: Outcome = "unknown"
+    ) -> None:
         """Takes a slot back; idempotent."""
         held = self._runs.pop(run, None)
         if held is None:
             return
         self._counts[held.instance] -= 1
-        if is_whole and not held.is_batch:
+        if outcome == "failed" and not held.is_silent:
+            self._note(held.instance, now_s, has_failed=True)
+        if outcome != "ok":
+            return
+        self._note(held.instance, now_s, has_failed=False)
+        if not held.is_batch:
             took_s = now_s - held.since_s
             self._run_s += (took_s - self._run_s) * _RUN_WEIGHT
 
+    def _note(self, instance: str, now_s: float, *, has_failed: bool) -> None:
+        if instance in self._engines:
+            self._outliers.note(
+                instance,
+                now_s,
+                has_failed=has_failed,
+                count=len(self._engines),
+            )
+
     def report(self, vm: str, rows: Iterable[ReportRow], now_s: float) -> None:
         """Takes all that a VM says it runs, in place of what was known.
 
@@ -188,11 +221,15 @@
         for run, held in list(self._runs.items()):
             is_new = now_s - held.since_s < _GRANT_TRAVELS_S
             if held.vm == vm and run not in reported and not is_new:
-                self.release(run, now_s, is_whole=False)
+                self.release(run, now_s)
         for run, row in reported.items():
             if run not in self._runs:
                 held = Run(vm, row.instance, row.is_batch, now_s, row.is_late)
                 self._add(run, held)
+            if row.is_silent and not self._runs[run].is_silent:
+                # It may wait for seconds before it ends as failed.
+                self._runs[run] = self._runs[run]._replace(is_silent=True)
+                self._note(row.instance, now_s, has_failed=True)
 
     def observe(self, load: Load, now_s: float) -> None:
         """Takes an engine's word for what it runs beyond the ledger."""
@@ -204,20 +241,26 @@
         for run, held in list(self._runs.items()):
             heard_s = self._heard_s.get(held.vm, held.since_s)
             if now_s - max(heard_s, held.since_s) > _SILENT_S:
-                self.release(run, now_s, is_whole=False)
+                self.release(run, now_s)
 
     def counts(self) -> Mapping[str, int]:
         """Returns how many runs each engine has."""
         return {name: count for name, count in self._counts.items() if count}
 
-    def _choices(self, excluded: Iterable[str]) -> list[records.Upstream]:
+    def _choices(
+        self, excluded: Iterable[str], now_s: float
+    ) -> list[records.Upstream]:
         left_out = frozenset(excluded)
         return [
             row
             for row in self._engines.values()
-            if row.instance not in left_out
+            if row.instance not in left_out and self._may_get(row, now_s)
         ]
 
+    def _may_get(self, row: records.Upstream, now_s: float) -> bool:
+        limit = self._outliers.limit(row.instance, now_s)
+        return limit is None or self._counts.get(row.instance, 0) < limit
+
     def _fill(self, row: records.Upstream, now_s: float) -> float:
         """Returns how many requests an engine has, known ones and others."""
         count = self._counts.get(row.instance, 0)
--- a/packages/gateway/gateway/slotmessages.py
+++ b/packages/gateway/gateway/slotmessages.py
@@ -44,11 +44,18 @@
     instances: tuple[str, ...]
 
 
+class Released(NamedTuple):
+    """A run that ended, and how."""
+
+    run: str
+    outcome: slotledger.Outcome
+
+
 class News(NamedTuple):
     """Gives slots back, and tells what engines said of their load."""
 
     service: str
-    released: tuple[str, ...]
+    released: tuple[Released, ...]
     loads: tuple[slotledger.Load, ...]
 
 
