Gateway: an upstream is out for three seconds at most

Cause: read again before it is measured: after a cut of six seconds trials that fail double the time to eight, and a third of the engines would stay out for seconds after they are back. Ruled out: no trial while the domain is lost (the ledger does not know). Change: three seconds at most.

--- a/packages/gateway/gateway/outliers.py
+++ b/packages/gateway/gateway/outliers.py
@@ -16,9 +16,11 @@
 # How many times the share of failures among all others: what fails everywhere
 # is a fault of the requests or of the way.
 _TIMES_OTHERS = 3.0
-# The first time out, and the longest; each in a row is twice as long.
+# The first time out, and the longest; each in a row is twice as long. One that
+# fails for good costs a request each time, one that is back and still out costs
+# its part of the room.
 _FIRST_OUT_S = 1.0
-_MAX_OUT_S = 8.0
+_MAX_OUT_S = 3.0
 # Part of the upstreams that may be out; the rest could not take the load of
 # more, and a judgement that finds most of them bad is wrong.
 _MAX_OUT_SHARE = 0.3
