--- a/tests/daemon/test_batch.py
+++ b/tests/daemon/test_batch.py
@@ -3,6 +3,7 @@
 import pathlib
 
 from support import batchfakes
+from support import batchupstreams
 
 
 def fleet_of_three(folder: pathlib.Path) -> batchfakes.Fleet:
@@ -34,7 +35,7 @@
     assert list(found) == list(prompts)
     for custom_id, prompt in prompts.items():
         body = found[custom_id]["response"]["body"]
-        assert body == batchfakes.answer(prompt, 1)
+        assert body == batchupstreams.answer(prompt, 1)
     assert len(fleet.upstreams.prompts) == 1200
     assert len(fleet.events) == 1200
     assert not [key for key in fleet.keyvalue.entries if "chunks/" in key]
--- a/tests/daemon/test_batchfailures.py
+++ b/tests/daemon/test_batchfailures.py
@@ -14,6 +14,7 @@
 from bulrushdeald import services
 from support import batchfakes
 from support import batchscene
+from support import batchupstreams
 
 
 @pytest.fixture
@@ -101,7 +102,7 @@
     # A batch never ends: one of its items crashes each engine that runs it
     # and is sent again for ever.
     def fault(prompt: str) -> Any:
-        return batchfakes.crashed() if prompt == "word 3" else None
+        return batchupstreams.crashed() if prompt == "word 3" else None
 
     fleet.upstreams.fault = fault
     job = batchscene.start(fleet)
--- a/tests/daemon/test_batchmachine.py
+++ b/tests/daemon/test_batchmachine.py
@@ -18,6 +18,7 @@
 
 from bulrushdeald import batchrecords
 from support import batchfakes
+from support import batchupstreams
 from support import machines
 
 KEYS = ("k1", "k2")
@@ -82,7 +83,7 @@
         return not (self.needs_repair and self.fleet.network.silent)
 
     def crash(self, prompt: str) -> Any:
-        return batchfakes.crashed() if "poison" in prompt else None
+        return batchupstreams.crashed() if "poison" in prompt else None
 
     def add(self, number: int) -> None:
         name = self.names[number]
--- /dev/null
+++ b/tests/support/batchupstreams.py
@@ -0,0 +1,105 @@
+"""Fakes of the router and the upstreams that batch work runs on."""
+
+from collections.abc import Callable, Iterator, Mapping
+import json
+from typing import Any
+
+import result
+
+from bulrushdeal import records
+from bulrushdeald import services
+
+ENGINE = records.Upstream("engine", "engine", "127.0.0.1:1", "u", "d0", ("m",))
+
+
+class FakeSlot:
+    def __init__(self) -> None:
+        self.yield_now: Callable[[], None] = lambda: None
+        self.outcomes: list[services.Outcome] = []
+
+    @property
+    def upstream(self) -> records.Upstream:
+        return ENGINE
+
+    def on_yield(self, callback: Callable[[], None]) -> None:
+        self.yield_now = callback
+
+    def release(self, outcome: services.Outcome) -> None:
+        assert not self.outcomes
+        self.outcomes.append(outcome)
+
+
+class FakeRouter:
+    """Gives a slot for each item; `refuse` may refuse by fingerprint."""
+
+    def __init__(self) -> None:
+        self.slots = 1000
+        self.refuse: Callable[[services.Work], services.Refusal | None] = (
+            lambda work: None
+        )
+
+    def batch_slots(self, model: str) -> int:
+        return self.slots
+
+    def acquire(
+        self, work: services.Work
+    ) -> result.Result[services.Slot, services.Refusal]:
+        refusal = self.refuse(work)
+        return result.Err(refusal) if refusal else result.Ok(FakeSlot())
+
+
+class FakeAnswer:
+    def __init__(self, status: int, body: bytes) -> None:
+        self.status = status
+        self.headers: tuple[tuple[str, str], ...] = ()
+        self._body = body
+
+    def chunks(self) -> Iterator[result.Result[bytes, services.UpstreamError]]:
+        yield result.Ok(self._body)
+
+    def cancel(self) -> None: ...
+
+    def close(self) -> None: ...
+
+
+def crashed() -> result.Err[services.UpstreamError]:
+    return result.Err(services.UpstreamError("crashed", "unknown", "gone"))
+
+
+def answer(prompt: str, run: int = 0) -> dict[str, Any]:
+    """What the fake engine answers; each run gives another answer."""
+    usage = {"prompt_tokens": 2, "completion_tokens": 3}
+    choice = {"text": prompt.upper(), "run": run}
+    return {"choices": [choice], "usage": usage}
+
+
+class FakeUpstreams:
+    """An engine that answers at once; `fault` may answer in its place."""
+
+    def __init__(self) -> None:
+        self.prompts: list[str] = []
+        self.fault: Callable[[str], Any] = lambda prompt: None
+
+    def send(
+        self,
+        upstream: records.Upstream,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: Iterator[bytes] | bytes,
+        timeout_s: float,
+        *,
+        is_fresh: bool = False,
+        on_open: Callable[[Callable[[], None]], None] | None = None,
+    ) -> result.Result[services.UpstreamAnswer, services.UpstreamError]:
+        assert isinstance(body, bytes)
+        prompt = json.loads(body)["prompt"]
+        self.prompts.append(prompt)
+        if on_open is not None:
+            on_open(lambda: None)
+        fault: result.Result[services.UpstreamAnswer, services.UpstreamError]
+        fault = self.fault(prompt)
+        if fault is not None:
+            return fault
+        body = answer(prompt, self.prompts.count(prompt))
+        return result.Ok(FakeAnswer(200, json.dumps(body).encode()))
--- a/tests/support/mixedupstreams.py
+++ b/tests/support/mixedupstreams.py
@@ -9,7 +9,7 @@
 
 from bulrushdeal import records
 from bulrushdeald import services
-from support import batchfakes
+from support import batchupstreams
 
 # How the next request fails: no connection, broken before or after it ran,
 # or broken inside the answer.
@@ -34,7 +34,7 @@
     """Ends what a VM does at the point where the VM is lost."""
 
 
-class Answer(batchfakes.FakeAnswer):
+class Answer(batchupstreams.FakeAnswer):
     """An answer in two pieces, which may break off between them."""
 
     def __init__(self, body: bytes, is_cut: bool) -> None:
@@ -56,7 +56,7 @@
         self.is_cancelled = True
 
 
-class EchoUpstreams(batchfakes.FakeUpstreams):
+class EchoUpstreams(batchupstreams.FakeUpstreams):
     """All upstreams of a fleet; see `services.Upstreams`.
 
     Attributes:
@@ -106,7 +106,7 @@
         if fault == "unreachable":
             return _failed("unreachable", "not_run")
         self.breaks[text] += bool(fault or self.fault(text))
-        run = batchfakes.answer(text, self.prompts.count(text) + 1)
+        run = batchupstreams.answer(text, self.prompts.count(text) + 1)
         answer = Answer(json.dumps(run).encode(), fault == "cut_answer")
         if on_open is not None:
             on_open(answer.cancel)
