Tests: the store in memory gives each lease a number of its own

Cause: test_a_job_outlives_the_vm_that_accepted_it failed in 3 of 11 runs (20 s, nothing listed). Its log has lease 1006 made twice: the number was reckoned from the counts of events and of the VM's own calls, and VMs that make fewer calls now met in one. The first VM's claim was in no lease any more and never ended. Ruled out: the change under way (6 runs without it passed by chance of the counts). Change: a counter. Conclusion: a fault of the test store alone.

--- a/tests/support/gatewaystore.py
+++ b/tests/support/gatewaystore.py
@@ -17,6 +17,8 @@
         self.revision = 10
         self.rows: dict[str, dialect.Entry] = {}
         self.leases: dict[int, set[str]] = {}
+        # A number that two VMs had would end the leases of both.
+        self.granted = 0
         self.events: list[dialect.Entry] = []
         self.oldest = 0
 
@@ -149,7 +151,8 @@
         if refused := self._refused("grant"):
             return refused
         with self.store.condition:
-            lease = len(self.store.events) + 1000 + len(self.calls)
+            self.store.granted += 1
+            lease = 1000 + self.store.granted
             self.store.leases[lease] = set()
         return result.Ok(dialect.Lease(lease, ttl_s))
 
