Gateway: a lost way to the store is found after one call, jobs need one call

Change: an unanswered call is followed by one of its own; renewals wait 0.5 s; the first try of a write 0.35 s; no read before it; claims are read after the open jobs and strictly; the VM that runs a job tells others what the job is, in place of a read at the store. Tests: three that fail before.

--- a/packages/gateway/gateway/jobbook.py
+++ b/packages/gateway/gateway/jobbook.py
@@ -18,10 +18,11 @@
 _events = eventlog.Events("jobs")
 
 _READ_S = 1.0
-_WRITE_S = 1.2
 # Tries of a write that the store may have done without saying so; each is
-# conditional, so that a late one finds the key there and does nothing.
-_COMMIT_TRIES = 3
+# conditional, so that a late one finds the key there and does nothing. The
+# first is short: a store that is well answers in a few milliseconds, and with
+# a connection that is dead the next try still accepts a job on time.
+_WRITES_S = (0.35, 1.2, 1.2)
 _MAX_CACHED_JOBS = 64
 
 
@@ -140,8 +141,8 @@
         """
         is_unknown = False
         message = ""
-        for _ in range(_COMMIT_TRIES):
-            made = self._store.commit(expected, writes, deletes, _WRITE_S)
+        for timeout_s in _WRITES_S:
+            made = self._store.commit(expected, writes, deletes, timeout_s)
             if made.is_ok():
                 return result.Ok(made.unwrap())
             error = made.unwrap_err()
--- a/packages/gateway/gateway/joblisting.py
+++ b/packages/gateway/gateway/joblisting.py
@@ -36,7 +36,7 @@
 
     Attributes:
         opened: Their ids; no open job was missing when they were read.
-        claims: Those of the jobs that are claimed; may be seconds old.
+        claims: Those of the jobs that are claimed, read after the ids.
     """
 
     opened: tuple[str, ...]
@@ -127,11 +127,15 @@
             self._number += 1
 
     def _read(self) -> JobRows | None:
-        claims = self._read_claims()
         prefix = self._keys.open
         # Strictly: by this a VM finds jobs that were ended, within seconds.
         listed = paging.read_all(self._store, prefix, _READ_S)
-        if claims is None or listed.is_err():
+        if listed.is_err():
+            return None
+        # After it, and strictly as well: a job that was opened and claimed in
+        # between would seem to have no claim, and VMs would try to take it.
+        claims = self._read_claims()
+        if claims is None:
             return None
         entries = listed.unwrap().entries
         return JobRows(
@@ -140,7 +144,7 @@
 
     def _read_claims(self) -> tuple[ClaimRow, ...] | None:
         prefix = self._keys.claims
-        listed = paging.read_all(self._store, prefix, _READ_S, stale=True)
+        listed = paging.read_all(self._store, prefix, _READ_S)
         if listed.is_err():
             return None
         return tuple(
--- a/packages/gateway/gateway/jobmessages.py
+++ b/packages/gateway/gateway/jobmessages.py
@@ -53,10 +53,12 @@
     Attributes:
         is_held: Whether the VM runs the job; else the store has to be read.
         rows: The results from the position asked for, some of them.
+        meta: What is known of the job, for one who asks from the start.
     """
 
     is_held: bool
     rows: tuple[dialect_lib.ItemResult, ...]
+    meta: jobrecords.JobMeta | None
 
 
 class JobRunner(Protocol):
--- a/packages/gateway/gateway/jobs.py
+++ b/packages/gateway/gateway/jobs.py
@@ -77,9 +77,9 @@
         Returns:
             Whether it is new.
         """
-        known = self._book.view(job)
-        if isinstance(known, result.Ok):
-            return self._repeated(known.ok_value.meta, customer)
+        known = self._book.cached(job)
+        if known is not None:
+            return self._repeated(known.meta, customer)
         try:
             parts = jobrecords.pack_items(submission.items, self._value_bytes)
         except dialect_lib.BadInputError as error:
@@ -215,6 +215,19 @@
                 self._wait(view, read.ok_value, wait_s)
         return result.Ok(_page(view, after))
 
+    def _learn(self, job: str) -> None:
+        """Has the VM that runs a job tell of it, if that is known here."""
+        vm = self._runner.holder(job) if self._runner is not None else ""
+        if not vm or vm == self._vm:
+            return
+        answer = self._peers.call(vm, jobmessages.ReadJob(job, 0), _TELL_S)
+        if answer.is_err() or not answer.unwrap().is_held:
+            return
+        read: jobmessages.JobRead = answer.unwrap()
+        if read.meta is not None:
+            view = self._book.remember(read.meta)
+            self._book.learn_rows(view, 0, read.rows)
+
     def _ask(self, view: jobbook.View, after: int, wait_s: float) -> bool:
         """Asks the VM that runs the job; false if none says it does.
 
@@ -246,14 +259,15 @@
         runner = self._runner
         view = self._book.cached(message.job)
         if runner is None or view is None:
-            return jobmessages.JobRead(False, ())
+            return jobmessages.JobRead(False, (), None)
         # All results are written under the claim, and that goes with the
         # lease: while both last, nobody else can have listed any. What is
         # remembered may have been forgotten and read again in part.
         is_whole = runner.listed(message.job) == len(view.results)
         if not is_whole or not self._members.has_valid_lease():
-            return jobmessages.JobRead(False, ())
-        return jobmessages.JobRead(True, _bounded(view, message.after))
+            return jobmessages.JobRead(False, (), None)
+        meta = None if message.after else view.meta
+        return jobmessages.JobRead(True, _bounded(view, message.after), meta)
 
     def _wait(self, view: jobbook.View, revision: int, wait_s: float) -> None:
         if wait_s <= 0:
@@ -322,6 +336,8 @@
     def _own_view(
         self, job: str, customer: str
     ) -> result.Result[jobbook.View, jobmessages.JobError]:
+        if self._book.cached(job) is None:
+            self._learn(job)
         view = self._book.view(job)
         if isinstance(view, result.Err):
             return view
--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -26,6 +26,9 @@
 _LEASE_S = 3.0
 _RENEW_S = 0.9
 _CALL_S = 0.8
+# Of a renewal alone: one that is not answered is the first that tells of a
+# way that is lost, and there is time for two more within the lease.
+_RENEW_TIMEOUT_S = 0.5
 # Calls or pings in a row to different VMs of a failure domain that fail.
 _MAX_MISSED = 2
 # A failure domain counts as cut off so long after the last ping that failed.
@@ -319,7 +322,7 @@
     def _keep_entry(self) -> bool:
         asked_s = _boot_s()
         if self._lease:
-            renewed = self._store.renew(self._lease, _CALL_S)
+            renewed = self._store.renew(self._lease, _RENEW_TIMEOUT_S)
             if renewed.is_ok():
                 self._lease_until_s = asked_s + renewed.unwrap()
                 return True
--- a/packages/gateway/gateway/storepath.py
+++ b/packages/gateway/gateway/storepath.py
@@ -26,6 +26,10 @@
 _PROBE_S = 1.0
 _PROBE_ALONE_S = 0.4
 _PROBE_TIMEOUT_S = 0.5
+# A call that was not answered is followed by one of its own at once: a VM that
+# calls seldom would find out seconds later, and jobs handed in meanwhile would
+# be accepted too late.
+_CHECK_TIMEOUT_S = 0.4
 # VMs that are asked to make one call.
 _MAX_HELPERS = 3
 # When no helper reaches the store either, it is away for all; a try of all
@@ -53,6 +57,8 @@
         self._direct = direct
         self._peers: services.Peers | None = None
         self._lock = threading.Lock()
+        # Calls are made before this service is started.
+        self._probe_key = "probe"
         self._unanswered = 0
         self._is_lost = False
         self._alone_until_s = 0.0
@@ -213,12 +219,21 @@
             is_lost = (
                 error.kind == "refused" or self._unanswered >= _MAX_UNANSWERED
             )
-            if not is_lost or self._is_lost:
+            if self._is_lost or not (is_lost or self._unanswered == 1):
                 return
-            self._is_lost = True
+            self._is_lost = is_lost
+        if not is_lost:
+            threading.Thread(
+                target=self._check, name="check", daemon=True
+            ).start()
+            return
         _events.warning("lost", why=error.message)
         threading.Thread(target=self._probe, name="probe", daemon=True).start()
 
+    def _check(self) -> None:
+        """Finds out whether an answer was lost or the way is."""
+        self._note(self._direct.get(self._probe_key, _CHECK_TIMEOUT_S).err())
+
     def _probe(self) -> None:
         """Tries the own way until it is there again."""
         begun_s = time.monotonic()
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gateway import configuration
+from gateway import joblisting
 from gateway import members
 from gateway import names
 from gateway import placement
@@ -329,3 +330,39 @@
         assert answer.status == 400
         assert answer.json()["error"]
     assert vm.results("j9").status == 404
+
+
+def test_a_vm_that_runs_a_job_tells_others_of_it(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Callers read a job's results at whichever VM they meet.
+
+    Each VM would read from the store what the one that runs the job knows,
+    and each such read has its price there.
+    """
+    scene.add_engine(events=400).pause_s = 0.05
+    first, second = scene.add_vm("vm1", "d1"), scene.add_vm("vm2", "d2")
+    first.submit("j1", _items(2))
+    listed = second.kernel.find(names.JOB_LISTING, joblisting.JobListing)
+    gatewayscene.until(lambda: "j1" in listed.all()[0].holders())
+    before = second.client.calls.count("get")
+    answer = second.results("j1")
+    assert (answer.status, answer.json()["total"]) == (200, 2)
+    assert second.client.calls.count("get") == before
+
+
+def test_a_job_is_accepted_by_one_call_to_the_store(
+    scene: gatewayscene.Scene,
+) -> None:
+    """A VM has just been cut off from the store as a job comes.
+
+    With a read before the write both wait for their timeouts, and the job is
+    accepted by way of another VM, but too late.
+    """
+    scene.add_engine()
+    vm = scene.add_vm()
+    before = vm.client.calls.count("get")
+    assert vm.submit("j1", _items(1)).status == 202
+    assert vm.client.calls.count("get") == before
+    _finished(vm, "j1")
+    assert vm.submit("j1", _items(1)).status == 202
--- a/tests/gateway/test_storepath.py
+++ b/tests/gateway/test_storepath.py
@@ -2,11 +2,13 @@
 
 import base64
 
+from bulrushdeal import kernel as kernel_lib
 from gateway import dialect
 from gateway import members
 from gateway import names
 from gateway import storepath
 from support import gatewayscene
+from support import gatewaystore
 
 _ITEM = {
     "id": "i0",
@@ -101,6 +103,20 @@
     assert not _path(first).dump()["is_lost"]
 
 
+def test_a_way_that_is_silent_is_found_lost_after_one_call() -> None:
+    """A VM is cut off from the store, silently, and makes few calls.
+
+    A job comes to it two seconds later. It waits for an answer, once and
+    again, and is accepted too late to count.
+    """
+    client = gatewaystore.StoreClient(gatewaystore.MemoryStore())
+    path = storepath.StorePath(kernel_lib.Kernel(), client)
+    client.is_silent = True
+    assert path.get("key", 1.0).unwrap_err().kind == "unknown"
+    gatewayscene.until(lambda: path.dump()["is_lost"])
+    path.stop(0)
+
+
 def test_a_change_that_another_vm_makes_has_its_conflict(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/support/gatewaystore.py
+++ b/tests/support/gatewaystore.py
@@ -54,6 +54,7 @@
 
     Attributes:
         is_down: Whether each call is refused.
+        is_silent: Whether no call is answered.
         refuses_commits: Whether each change is refused.
         lost_commits: Commits whose answer is lost though they are done.
         calls: What was called, in order.
@@ -62,6 +63,7 @@
     def __init__(self, store: MemoryStore) -> None:
         self.store = store
         self.is_down = False
+        self.is_silent = False
         self.refuses_commits = False
         self.lost_commits = 0
         self.calls: list[str] = []
@@ -70,6 +72,8 @@
         self.calls.append(call)
         if self.is_down:
             return result.Err(dialect.StoreError("refused", "down"))
+        if self.is_silent:
+            return result.Err(dialect.StoreError("unknown", "no answer"))
         return None
 
     def counts(self) -> tuple[dialect.CallCount, ...]:
