--- a/packages/gateway/gateway/calls.py
+++ b/packages/gateway/gateway/calls.py
@@ -76,6 +76,12 @@
         """Returns how long it has to its final answer."""
         return self.end_s - time.monotonic()
 
+    def caller_allowed_s(self) -> float:
+        """Returns how long its caller waits in all; negative if not known."""
+        if self.caller_end_s is None:
+            return -1.0
+        return self.caller_end_s - self.begun_s
+
     def caller_left_s(self) -> float:
         """Returns how long its caller waits on; negative if not known.
 
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -1,6 +1,6 @@
 """Carries online requests to upstreams, and repeats only what may be."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 import http
 from typing import Any, NamedTuple
 
@@ -348,9 +348,15 @@
             age_s=round(self._call.age_s(), 3),
             left_s=round(self._call.left_s(), 3),
             tried=self._tried,
+            occupancy=self._occupancy(),
         )
         return replies.refusal(row)
 
+    def _occupancy(self) -> Mapping[str, float]:
+        """Returns how full the engines were, by their leader, for the log."""
+        row = None if self._no_slot is None else self._no_slot.occupancy
+        return {} if row is None else row._asdict()
+
     def _refusal(self) -> replies.Refusal:
         call = self._call
         is_late = call.reason == "timeout" or call.left_s() <= 0
--- a/packages/gateway/gateway/front.py
+++ b/packages/gateway/gateway/front.py
@@ -379,7 +379,13 @@
         outcome = call.reason or ("ok" if status < _FAILED else "refused")
         self._metrics.ended(route.kind, outcome, call.age_s())
         if call.reason:
-            _events.warning("ended", why=call.reason, **fields)
+            _events.warning(
+                "ended",
+                why=call.reason,
+                allowed_s=round(call.end_s - call.begun_s, 3),
+                caller_allowed_s=round(call.caller_allowed_s(), 3),
+                **fields,
+            )
             return
         _events.good_end("answered", **fields)
 
--- a/packages/gateway/gateway/leading.py
+++ b/packages/gateway/gateway/leading.py
@@ -89,11 +89,11 @@
                 domain=message.domain,
             )
         if isinstance(taken, slotledger.NoRoom):
-            return slotmessages.Taken("", taken.retry_after_s)
+            return slotmessages.Taken("", taken.retry_after_s, taken.occupancy)
         for run in taken.yields:
             # A run's name begins with its VM's.
             self._yields.put((run.rsplit(".", 2)[0], run))
-        return slotmessages.Taken(taken.instance, 0.0)
+        return slotmessages.Taken(taken.instance, 0.0, None)
 
     def _on_take_batch(
         self, vm: str, message: slotmessages.TakeBatch
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -57,10 +57,12 @@
     Attributes:
         retry_after_s: When to come back.
         why: For the log.
+        occupancy: How full the engines were, if that was why.
     """
 
     retry_after_s: float
     why: str
+    occupancy: slotledger.Occupancy | None = None
 
 
 class Placement:
@@ -153,7 +155,9 @@
             if taken is None:
                 return self._take_alone(service, run, left_out)
             if not taken.instance:
-                return result.Err(NoSlot(taken.retry_after_s, "no free slot"))
+                return result.Err(
+                    NoSlot(taken.retry_after_s, "no free slot", taken.occupancy)
+                )
             upstream = self._usable(service, taken.instance)
             if upstream is not None:
                 return result.Ok(self._slots.hold(service, run, upstream))
--- a/packages/gateway/gateway/slotledger.py
+++ b/packages/gateway/gateway/slotledger.py
@@ -56,10 +56,18 @@
     yields: tuple[str, ...] = ()
 
 
+class Occupancy(NamedTuple):
+    """How full the engines are that a request may use."""
+
+    taken: float
+    slots: int
+
+
 class NoRoom(NamedTuple):
-    """No slot soon enough, and when to come back."""
+    """No slot soon enough, when to come back, and what decided it."""
 
     retry_after_s: float
+    occupancy: Occupancy
 
 
 class ReportRow(NamedTuple):
@@ -137,7 +145,7 @@
         """
         choices = self._choices(excluded, now_s)
         if not choices:
-            return NoRoom(_MIN_RETRY_S)
+            return NoRoom(_MIN_RETRY_S, Occupancy(0, 0))
         best = min(choices, key=lambda row: self._rank(row, domain, now_s))
         over = self._fill(best, now_s) - best.slots
         if over <= -1:
@@ -151,7 +159,8 @@
         if over < self._most_waiting(best, target_s):
             return self._grant(run, vm, best, now_s)
         drain_s = (over + 1) * self._run_s / best.slots
-        return NoRoom(max(_MIN_RETRY_S, drain_s) * self._rng.uniform(1.0, 1.5))
+        retry_s = max(_MIN_RETRY_S, drain_s) * self._rng.uniform(1.0, 1.5)
+        return NoRoom(retry_s, self._occupancy(choices, now_s))
 
     def take_batch(
         self,
@@ -261,6 +270,13 @@
         limit = self._outliers.limit(row.instance, now_s)
         return limit is None or self._counts.get(row.instance, 0) < limit
 
+    def _occupancy(
+        self, choices: Iterable[records.Upstream], now_s: float
+    ) -> Occupancy:
+        rows = list(choices)
+        taken = sum(self._fill(row, now_s) for row in rows)
+        return Occupancy(round(taken, 1), sum(row.slots for row in rows))
+
     def _fill(self, row: records.Upstream, now_s: float) -> float:
         """Returns how many requests an engine has, known ones and others."""
         count = self._counts.get(row.instance, 0)
--- a/packages/gateway/gateway/slotmessages.py
+++ b/packages/gateway/gateway/slotmessages.py
@@ -16,10 +16,17 @@
 
 
 class Taken(NamedTuple):
-    """The engine; empty if there is no room before `retry_after_s`."""
+    """The engine; empty if there is no room before `retry_after_s`.
+
+    Attributes:
+        instance: The engine's name.
+        retry_after_s: When to come back.
+        occupancy: How full the engines are if there is no room.
+    """
 
     instance: str
     retry_after_s: float
+    occupancy: slotledger.Occupancy | None
 
 
 class TakeBatch(NamedTuple):
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -3,11 +3,13 @@
 import http.client
 import threading
 import time
+from typing import Any
 
 import pytest
 
 from gateway import configuration
 from gateway import names
+from gateway import placement
 from support import gatewayengine
 from support import gatewayscene
 
@@ -320,3 +322,38 @@
 def _version(vm: gatewayscene.Vm) -> int:
     held = vm.kernel.find(names.CONFIGURATION, configuration.Feed).current()
     return 0 if held is None else held.version
+
+
+def test_the_log_tells_what_decided_a_refusal_and_an_end(
+    scene: gatewayscene.Scene, caplog: pytest.LogCaptureFixture
+) -> None:
+    """A user complains of a refusal and of an answer that never came.
+
+    Without the engines' load and whose deadline it was, the two lines are as
+    good as those of any other request.
+    """
+    scene.add_engine(events=1000).pause_s = 0.05
+    vm = scene.add_vm()
+    placed = vm.kernel.find(names.PLACEMENT, placement.Placement)
+    with caplog.at_level("INFO", "bulrushdeal.events"):
+        short = {"Bulrushdeal-Deadline-Ms": "300"}
+        vm.call("POST", "/s/once/x", b"p", headers=short)
+        gatewayscene.until(lambda: _line(caplog, "ended") != {})
+        while placed.take("llm", 0.3, ()).is_ok():
+            continue
+        assert vm.call("POST", "/s/once/x", b"p", "a2").status == 503
+    ended, refused = _line(caplog, "ended"), _line(caplog, "refused")
+    assert ended["why"] == "timeout"
+    assert ended["allowed_s"] == ended["caller_allowed_s"] == 0.3
+    assert refused["why"] == "no free slot"
+    assert refused["occupancy"]["slots"] == 8
+    assert refused["occupancy"]["taken"] >= 8
+
+
+def _line(caplog: pytest.LogCaptureFixture, event: str) -> Any:
+    found: list[Any] = [
+        vars(row)["fields"]
+        for row in caplog.records
+        if row.getMessage().startswith(f"{event} ")
+    ]
+    return found[-1] if found else {}
--- a/tests/gateway/test_slotledger.py
+++ b/tests/gateway/test_slotledger.py
@@ -65,6 +65,8 @@
     assert 16 <= len(granted) <= 16 + 2 * 3
     assert refused
     assert all(0.1 < row.retry_after_s < 2.0 for row in refused)
+    full = slotledger.Occupancy(len(granted), 16)
+    assert {row.occupancy for row in refused} == {full}
 
 
 def test_a_request_stays_in_its_failure_domain_while_it_has_room() -> None:
