Gateway: an older list is never told under the number of a newer one

Cause: read again before landing: a reader gives its rows and then their number, and the list may change between the two. A VM that follows would keep the older rows, a leaving upstream among them, until the next change. Change: the number first, or both under the lock. Test: fails before.

--- a/packages/gateway/gateway/joblisting.py
+++ b/packages/gateway/gateway/joblisting.py
@@ -87,7 +87,8 @@
 
     def all(self) -> tuple[JobRows, int]:
         """Returns the rows, and a number that is another after a change."""
-        return self._rows, self._number
+        with self._lock:
+            return self._rows, self._number
 
     def follow(self, rows: JobRows | None, age_s: float) -> None:
         """Takes what another VM read `age_s` ago.
--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -285,8 +285,12 @@
         return time.monotonic() - self._read_s
 
     def all(self) -> tuple[tuple[core_records.Vm, ...], int]:
-        """Returns all VMs, and a number that is another after a change."""
-        return self._rows, self._number
+        """Returns all VMs, and a number that is another after a change.
+
+        The number is read first, see `UpstreamList.all`.
+        """
+        number = self._number
+        return self._rows, number
 
     def follow(
         self, rows: tuple[core_records.Vm, ...] | None, age_s: float
--- a/packages/gateway/gateway/upstreamlist.py
+++ b/packages/gateway/gateway/upstreamlist.py
@@ -82,9 +82,12 @@
     def all(self) -> tuple[tuple[records.Upstream, ...], int]:
         """Returns all upstreams, leaving ones too, and the list's number.
 
-        The number is another after each change.
+        The number is another after each change. The failure: the list changes
+        between the two; under the newer number a VM would go by the older list
+        for as long as nothing else changes. So the number is read first.
         """
-        return tuple(self._by_instance.values()), self._number
+        number = self._number
+        return tuple(self._by_instance.values()), number
 
     def read(self) -> bool:
         """Reads the list from the store; false if that fails."""
--- a/tests/gateway/test_reading.py
+++ b/tests/gateway/test_reading.py
@@ -1,9 +1,11 @@
 """Which VMs read the store, and how soon the others know."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from typing import Any
 
 import pytest
 
+from bulrushdeal import kernel as kernel_lib
 from gateway import configuration
 from gateway import jobbook
 from gateway import joblisting
@@ -11,6 +13,7 @@
 from gateway import members
 from gateway import names
 from gateway import reading
+from gateway import records
 from gateway import storepath
 from gateway import upstreamlist
 from support import gatewayscene
@@ -179,3 +182,36 @@
     gatewayscene.until(lambda: keys.claim("j1") in scene.store.rows)
     holder = jobrecords.holder(scene.store.rows[keys.claim("j1")].value)
     assert holder in {vm.name for vm in vms if vm not in readers}
+
+
+class _Changing(dict[str, records.Upstream]):
+    """A list that another thread replaces just as it is read."""
+
+    def __init__(
+        self, rows: dict[str, records.Upstream], change: Callable[[], None]
+    ) -> None:
+        super().__init__(rows)
+        self._change = change
+
+    def values(self) -> Any:
+        rows = list(super().values())
+        self._change()
+        return rows
+
+
+def test_an_older_list_is_never_told_as_a_newer_one() -> None:
+    """An upstream leaves just as a reader answers a VM that follows.
+
+    The VM would hold the list without that change under the number of the
+    one with it, and send requests there until the next change.
+    """
+    found = upstreamlist.UpstreamList(kernel_lib.Kernel())
+    old = records.Upstream("i-0", "llm", "h:1", "d", 8, False, 0)
+    new = old._replace(is_draining=True)
+    found.follow((old,), 0.0)
+    found._by_instance = _Changing(
+        {"i-0": old}, lambda: found.follow((new,), 0.0)
+    )
+    rows, number = found.all()
+    assert rows == (old,)
+    assert number != found.all()[1]
