--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -1,10 +1,14 @@
 """Fixtures of stand-ins."""
 
 from collections.abc import Iterator
+import pathlib
 
 import pytest
 
+from bulrushdeald import batchrecords
 from standins import plain
+from support import batchfakes
+from support import batchscene
 
 
 @pytest.fixture
@@ -13,3 +17,12 @@
     server.start()
     yield server
     server.stop()
+
+
+@pytest.fixture
+def fleet(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> Iterator[batchfakes.Fleet]:
+    """Three VMs whose jobs have chunks of two items."""
+    monkeypatch.setattr(batchrecords, "MAX_CHUNK_ITEMS", 2)
+    yield batchscene.make(tmp_path)
--- a/tests/daemon/test_batchcancel.py
+++ b/tests/daemon/test_batchcancel.py
@@ -1,8 +1,5 @@
 """Tests of batch jobs that are cancelled while something fails."""
 
-from collections.abc import Iterator
-import pathlib
-
 import pytest
 import result
 
@@ -13,14 +10,6 @@
 from support import batchscene
 
 
-@pytest.fixture
-def fleet(
-    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
-) -> Iterator[batchfakes.Fleet]:
-    monkeypatch.setattr(batchrecords, "MAX_CHUNK_ITEMS", 2)
-    yield batchscene.make(tmp_path)
-
-
 def test_claim_after_a_cancellation_runs_nothing(
     fleet: batchfakes.Fleet,
 ) -> None:
--- a/tests/daemon/test_batchfailures.py
+++ b/tests/daemon/test_batchfailures.py
@@ -1,11 +1,9 @@
 """Tests of single failures in batch work, each with its story."""
 
-from collections.abc import Iterator
 import json
 import pathlib
 from typing import Any
 
-import pytest
 import result
 
 from bulrushdeald import batchmessages
@@ -17,14 +15,6 @@
 from support import batchupstreams
 
 
-@pytest.fixture
-def fleet(
-    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
-) -> Iterator[batchfakes.Fleet]:
-    monkeypatch.setattr(batchrecords, "MAX_CHUNK_ITEMS", 2)
-    yield batchscene.make(tmp_path)
-
-
 def test_late_result_of_an_older_holder_never_counts(
     fleet: batchfakes.Fleet,
 ) -> None:
