Jobs: a customer's batch tokens that wait on a route stay within its bound

Cause: no code read the bound.

Weighed: an owner of each backlog in memory, as the rates have one: it forgets with its VM, and two VMs own it in a cut. Shares of the bound for each failure domain: a job of a tenth of the bound fits no share. Taken: a count in the store, raised in the change that accepts a job and conditional on the count's revision. One change for a job that fits, as before; one more for each VM that came first; a listing of the open jobs only when the count says that there is no room. In a cut, as jobs themselves: who reaches no store by any peer refuses.

Change: the open job's key carries the tokens of its items without a result and is rewritten with each result, in the same call. A job without room gets 429 and the time until enough will have ended; a repeat of an accepted one its 202.

--- a/packages/gateway/gateway/dialect.py
+++ b/packages/gateway/gateway/dialect.py
@@ -193,12 +193,21 @@
 
 
 class JobItem(NamedTuple):
-    """One request of a batch job."""
+    """One request of a batch job.
+
+    Attributes:
+        item: Its id.
+        path: Where it goes at an upstream.
+        headers: Its own.
+        body: Its own.
+        tokens: Of its prompt and, at most, its output.
+    """
 
     item: str
     path: str
     headers: Mapping[str, str]
     body: bytes
+    tokens: int = 0
 
 
 class Submission(NamedTuple):
--- a/packages/gateway/gateway/jobfront.py
+++ b/packages/gateway/gateway/jobfront.py
@@ -20,6 +20,7 @@
     # Not 503: that would promise that no item runs.
     "unknown": 504,
     "too_large": 413,
+    "no_room": 429,
 }
 _RETRY_S = 0.4
 
@@ -73,5 +74,7 @@
 def _refuse(job: str, error: jobmessages.JobError) -> httpd.Response:
     status = _STATUSES[error.kind]
     _events.warning("refused", job=job, status=status, why=error.message)
-    retry_s = _RETRY_S if error.kind == "unavailable" else 0.0
+    retry_s = error.retry_after_s
+    if error.kind == "unavailable":
+        retry_s = _RETRY_S
     return replies.refusal(replies.Refusal(status, error.message, retry_s))
--- a/packages/gateway/gateway/jobmessages.py
+++ b/packages/gateway/gateway/jobmessages.py
@@ -5,7 +5,7 @@
 from gateway import dialect as dialect_lib
 from gateway import jobrecords
 
-ErrorKind = Literal["missing", "unavailable", "unknown", "too_large"]
+ErrorKind = Literal["missing", "unavailable", "unknown", "too_large", "no_room"]
 
 
 class JobError(NamedTuple):
@@ -14,12 +14,15 @@
     Attributes:
         kind: `missing`: there is no such job or item. `unavailable`:
             nothing was done, come back. `unknown`: the store may have taken
-            the change. `too_large`: the job fits no store.
+            the change. `too_large`: the job fits no store. `no_room`: too
+            much of the customer's waits; nothing was done.
         message: For the caller and the log.
+        retry_after_s: When to come back, if that is known.
     """
 
     kind: ErrorKind
     message: str
+    retry_after_s: float = 0.0
 
 
 class Accepted(NamedTuple):
--- a/packages/gateway/gateway/jobrecords.py
+++ b/packages/gateway/gateway/jobrecords.py
@@ -22,6 +22,7 @@
         max_attempts: Failed attempts after which an item is given up.
         retention_s: How long after acceptance an item may be given up.
         due_s: How long after acceptance all results should be there.
+        backlog: Names the customer's backlog on the job's route.
     """
 
     job: str
@@ -34,12 +35,32 @@
     max_attempts: int
     retention_s: float
     due_s: float
+    backlog: str = ""
+
+    def opened(self, tokens: int) -> "OpenJob":
+        """Returns what says that the job has items of so many tokens."""
+        due_ms = self.accepted_ms + int(self.due_s * 1000)
+        return OpenJob(due_ms, self.backlog, tokens)
 
 
 class OpenJob(NamedTuple):
-    """That a job has items to run, and when it is due."""
+    """That a job has items to run.
+
+    Attributes:
+        due_ms: When it is due, in milliseconds of the epoch.
+        backlog: Names the customer's backlog on the job's route.
+        tokens: Of the items that have no result.
+    """
 
     due_ms: int
+    backlog: str = ""
+    tokens: int = 0
+
+
+class Backlog(NamedTuple):
+    """At most how many tokens a customer has waiting on a route."""
+
+    tokens: int
 
 
 class Claim(NamedTuple):
@@ -100,6 +121,10 @@
         """Returns the key that says that a job has items to run."""
         return self.open + job
 
+    def backlog(self, name: str) -> str:
+        """Returns the key of a customer's backlog on a route."""
+        return f"{self._prefix}backlogs/{name}"
+
     def claim(self, job: str) -> str:
         """Returns the key of a job's claim."""
         return self.claims + job
--- a/packages/gateway/gateway/jobs.py
+++ b/packages/gateway/gateway/jobs.py
@@ -8,6 +8,8 @@
 from bulrushdeal import eventlog
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeald import services
+from gateway import backlog
+from gateway import backlogs
 from gateway import dialect as dialect_lib
 from gateway import jobbook
 from gateway import jobmessages
@@ -43,6 +45,7 @@
         find = self._kernel.find
         self._store = find(names.STORE, dialect_lib.Store)
         self._book = find(names.JOB_BOOK, jobbook.JobBook)
+        self._backlogs = backlogs.Backlogs(self._store, self._book)
         self._members = find(services.MEMBERSHIP, members.Members)
         self._peers = find(services.PEERS, services.Peers)
         self._peers.handle(jobmessages.EndJob, self._on_end_job)
@@ -99,24 +102,52 @@
             route.max_attempts,
             route.retention_s,
             route.completion_target_s,
+            backlogs.name(customer, route),
         )
-        return self._accept(meta, submission.items, parts)
+        accepted = self._accept(
+            meta, submission.items, parts, route.max_waiting_tokens
+        )
+        if isinstance(accepted, result.Err):
+            return self._refused(meta, accepted.err_value)
+        return accepted
+
+    def _refused(
+        self, meta: jobrecords.JobMeta, error: jobmessages.JobError
+    ) -> result.Result[bool, jobmessages.JobError]:
+        """Refuses a job, unless it fills the backlog itself.
+
+        The failure: a job is accepted and its answer lost. The caller sends
+        it again and is told that no part of it runs.
+        """
+        if error.kind != "no_room":
+            return result.Err(error)
+        view = self._book.view(meta.job)
+        if isinstance(view, result.Ok):
+            return self._repeated(view.ok_value.meta, meta.customer)
+        if view.err_value.kind != "missing":
+            return view
+        return result.Err(error)
 
     def _accept(
         self,
         meta: jobrecords.JobMeta,
         items: tuple[dialect_lib.JobItem, ...],
         parts: tuple[bytes, ...],
+        max_waiting_tokens: int,
     ) -> result.Result[bool, jobmessages.JobError]:
         runner = self._runner
         lease = 0
         if runner is not None and runner.is_accepting():
             lease = self._members.lease()
-        made = self._book.commit(
-            (dialect_lib.Expected(self._book.keys.meta(meta.job), 0),),
-            self._writes(meta, parts, lease),
-            (),
+        demand = backlog.Demand(
+            sum(item.tokens for item in items), max_waiting_tokens
+        )
+        change = backlogs.Change(
+            meta,
+            dialect_lib.Expected(self._book.keys.meta(meta.job), 0),
+            self._writes(meta, parts, demand.tokens, lease),
         )
+        made = self._backlogs.accept(change, demand)
         if isinstance(made, result.Err):
             return made
         if isinstance(made.ok_value, dialect_lib.Conflict):
@@ -129,15 +160,18 @@
         return result.Ok(True)
 
     def _writes(
-        self, meta: jobrecords.JobMeta, parts: tuple[bytes, ...], lease: int
+        self,
+        meta: jobrecords.JobMeta,
+        parts: tuple[bytes, ...],
+        tokens: int,
+        lease: int,
     ) -> tuple[dialect_lib.Write, ...]:
         keys, write = self._book.keys, dialect_lib.Write
-        due_ms = meta.accepted_ms + int(meta.due_s * 1000)
         rows = [
             write(keys.meta(meta.job), jobrecords.pack(meta)),
             write(
                 keys.open_job(meta.job),
-                jobrecords.pack(jobrecords.OpenJob(due_ms)),
+                jobrecords.pack(meta.opened(tokens)),
             ),
         ]
         for number, part in enumerate(parts):
--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -145,6 +145,10 @@
         with self._lock:
             return [*self._pending, *self._running]
 
+    def tokens(self) -> int:
+        """Returns the tokens of the items that have no result."""
+        return sum(row.item.tokens for row in self.unlisted())
+
     def count_pending(self) -> int:
         """Returns how many items wait for a run."""
         return len(self._pending)
--- a/packages/gateway/gateway/records.py
+++ b/packages/gateway/gateway/records.py
@@ -33,6 +33,8 @@
             given up.
         completion_target_s: How long after its submission a batch job is
             due.
+        max_waiting_tokens: Tokens of batch items without a result that one
+            customer may have on the route, over all VMs; 0 for no bound.
     """
 
     name: str
@@ -49,6 +51,7 @@
     has_prompt: bool
     retention_s: float
     completion_target_s: float
+    max_waiting_tokens: int = 0
 
     def choose_service(self) -> str | None:
         """Returns a service by chance; `None` if none has a weight."""
--- a/packages/gateway/gateway/resultwriter.py
+++ b/packages/gateway/gateway/resultwriter.py
@@ -75,12 +75,17 @@
         keys, job = self._book.keys, state.meta.job
         is_last = state.is_last()
         key = keys.result(job, state.next_position)
+        left = state.meta.opened(state.tokens() - item.item.tokens)
+        writes = [dialect_lib.Write(key, jobrecords.pack(row))]
+        if not is_last:
+            opened = jobrecords.pack(left)
+            writes.append(dialect_lib.Write(keys.open_job(job), opened))
         made = self._book.commit(
             (
                 dialect_lib.Expected(key, 0),
                 dialect_lib.Expected(keys.claim(job), state.claim_revision),
             ),
-            (dialect_lib.Write(key, jobrecords.pack(row)),),
+            tuple(writes),
             (keys.open_job(job), keys.claim(job)) if is_last else (),
         )
         if isinstance(made, result.Err) and made.err_value.kind != "unknown":
--- a/tests/support/gatewaystore.py
+++ b/tests/support/gatewaystore.py
@@ -133,11 +133,11 @@
             for write in writes:
                 if write.lease and write.lease not in self.store.leases:
                     return result.Err(dialect.StoreError("no_lease", "ended"))
-            for row in expected:
-                held = self.store.rows.get(row.key)
-                if (held.revision if held else 0) != row.revision:
-                    found = (held,) if held else ()
-                    return result.Ok(dialect.Conflict(found))
+            held = [self.store.rows.get(row.key) for row in expected]
+            revisions = [row.revision if row else 0 for row in held]
+            if revisions != [row.revision for row in expected]:
+                found = tuple(row for row in held if row)
+                return result.Ok(dialect.Conflict(found))
             for key in deletes:
                 self.store.write(key, None)
             # One change has one revision for all its keys.
--- a/tests/usersplatform/test_operators.py
+++ b/tests/usersplatform/test_operators.py
@@ -54,6 +54,7 @@
 def test_a_configuration_is_read() -> None:
     value = gatewayscene.configuration(7)
     split = [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]
+    value["routes"][4]["cap"] = 900
     del value["routes"][0]["service"]
     value["routes"][0]["traffic_split"] = split
     read = operators.configuration(json.dumps(value).encode())
@@ -62,6 +63,12 @@
     assert read.routes[0].timeout_s == 5.0
     assert not read.routes[0].may_repeat
     assert read.routes[1].may_repeat
+    assert read.routes[4].max_waiting_tokens == 900
+
+
+def test_a_route_without_a_bound_on_waiting_tokens_has_none() -> None:
+    value = json.dumps(gatewayscene.configuration()).encode()
+    assert operators.configuration(value).routes[4].max_waiting_tokens == 0
 
 
 _JSON = st.recursive(
--- a/tests/usersplatform/test_wire.py
+++ b/tests/usersplatform/test_wire.py
@@ -104,6 +104,13 @@
         read("GET", "/lots/j", "after=x", {})
 
 
+def test_an_item_says_how_many_tokens_it_may_take() -> None:
+    item = {"id": "i", "path": "/b/1", "headers": {}, "body": "", "tokens": 940}
+    body = json.dumps({"items": [item]}).encode()
+    (read,) = wire.Dialect().submission(body).items
+    assert read == dialect.JobItem("i", "/b/1", {}, b"", 940)
+
+
 def test_a_page_of_results_is_written() -> None:
     page = dialect.JobPage(3, 2, (dialect.ItemResult("i", True, "a\nb"),))
     assert json.loads(wire.Dialect().job_page(page)) == {
