Batch items take turns: earliest due first, of those the nearest to its end

Cause: a slot went to whichever VM asked first, and the run that yielded was the one begun last, also if it was an item just resumed near its end.

Change: `batchorder` has the order: late items last, then by due time in steps of 4 s, then by what is done. VMs ask for all that waits in one message; the leader leaves a slot to items of other VMs that come first and were asked for in the last 0.3 s, unless their VM cannot use it; the run that comes last yields. How long an item ran goes with its progress to the next VM.

--- a/packages/gateway/gateway/heldslots.py
+++ b/packages/gateway/gateway/heldslots.py
@@ -4,6 +4,7 @@
 import threading
 import time
 
+from gateway import batchorder
 from gateway import records
 from gateway import slotledger
 
@@ -15,14 +16,13 @@
         self,
         run: str,
         upstream: records.Upstream,
-        is_batch: bool,
-        is_late: bool,
+        standing: batchorder.Standing | None,
         on_release: Callable[["Slot"], None],
     ) -> None:
         self.run = run
         self.upstream = upstream
-        self.is_batch = is_batch
-        self.is_late = is_late
+        # Of a batch item; `None` for an online request.
+        self.standing = standing
         self.has_yielded = False
         # What came of it so far.
         self.outcome: slotledger.Outcome = "unknown"
@@ -32,6 +32,11 @@
         self._is_released = False
         self._cancel: Callable[[], None] | None = None
 
+    @property
+    def is_batch(self) -> bool:
+        """Whether a batch item runs here."""
+        return self.standing is not None
+
     def on_yield(self, cancel: Callable[[], None]) -> None:
         """Calls `cancel` once the slot has to be given up."""
         with self._lock:
@@ -75,9 +80,7 @@
         service: str,
         run: str,
         upstream: records.Upstream,
-        *,
-        is_batch: bool = False,
-        is_late: bool = False,
+        standing: batchorder.Standing | None = None,
     ) -> Slot:
         """Holds a slot from now on.
 
@@ -85,14 +88,12 @@
             service: The upstream's service.
             run: Names what runs there.
             upstream: The upstream.
-            is_batch: Whether a batch item runs there.
-            is_late: Whether that cannot be in time any more.
+            standing: Of the batch item that runs there, if it is one.
         """
         slot = Slot(
             run,
             upstream,
-            is_batch,
-            is_late,
+            standing,
             lambda slot: self._drop(service, slot),
         )
         with self._lock:
--- a/packages/gateway/gateway/jobrecords.py
+++ b/packages/gateway/gateway/jobrecords.py
@@ -77,12 +77,14 @@
         output: What it has brought so far, one text an event.
         last_event: The last event's id; -1 if there is none.
         failures: Failed attempts so far.
+        ran_s: How long that took.
     """
 
     item: str
     output: tuple[str, ...]
     last_event: int
     failures: int
+    ran_s: float = 0.0
 
 
 class Keys:
--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -5,6 +5,7 @@
 import time
 from typing import NamedTuple
 
+from gateway import batchorder
 from gateway import dialect
 from gateway import jobrecords
 
@@ -19,20 +20,18 @@
 _LATE_SHARE = 0.5
 
 
-class Want(NamedTuple):
-    """Which items are to run next.
+class Moment(NamedTuple):
+    """When items are looked at, and what is known of runs by then.
 
     Attributes:
         now_s: By the monotonic clock.
         wall_s: By the time of day.
         run_s: How long a whole run takes.
-        is_late: Whether those that cannot be in time any more.
     """
 
     now_s: float
     wall_s: float
     run_s: float
-    is_late: bool
 
 
 class ItemState:
@@ -46,6 +45,8 @@
         breaks: Runs in a row that broke without an answer.
         not_before_s: When it may run again, by the monotonic clock.
         ran_s: How long the runs so far took, without what was lost.
+        running_since_s: When it began to run, by the monotonic clock; `None`
+            while it waits.
     """
 
     def __init__(self, item: dialect.JobItem) -> None:
@@ -56,6 +57,24 @@
         self.breaks = 0
         self.not_before_s = 0.0
         self.ran_s = 0.0
+        self.running_since_s: float | None = None
+
+    def done_s(self, now_s: float) -> float:
+        """Returns how long it took to bring what it has so far."""
+        if not self.output:
+            return 0.0
+        if self.running_since_s is None:
+            return self.ran_s
+        return self.ran_s + now_s - self.running_since_s
+
+    def begin(self, now_s: float) -> None:
+        """Notes that it runs."""
+        self.running_since_s = now_s
+
+    def end(self, now_s: float) -> None:
+        """Notes that it does not run any more."""
+        self.ran_s = self.done_s(now_s)
+        self.running_since_s = None
 
     def pause(self) -> None:
         """Keeps it from running for a while."""
@@ -67,7 +86,11 @@
         """Returns how far it came."""
         last = -1 if self.last_event is None else self.last_event
         return jobrecords.Progress(
-            self.item.item, tuple(self.output), last, self.failures
+            self.item.item,
+            tuple(self.output),
+            last,
+            self.failures,
+            self.done_s(time.monotonic()),
         )
 
     def go_on_from(self, row: jobrecords.Progress) -> None:
@@ -75,6 +98,7 @@
         self.output = list(row.output)
         self.last_event = None if row.last_event < 0 else row.last_event
         self.failures = row.failures
+        self.ran_s = row.ran_s
 
     def completed(self) -> dialect.ItemResult:
         """Returns the result of an item whose output is whole."""
@@ -157,14 +181,28 @@
         """Returns how many items run, or have a result to be written."""
         return len(self._running)
 
-    def next_item(self, want: Want) -> ItemState | None:
-        """Takes an item that may run now."""
+    def ready(self, moment: Moment) -> list[ItemState]:
+        """Returns the items that may run now."""
         with self._lock:
-            for item in self._pending:
-                if self._is_wanted(item, want):
-                    self._take(item)
-                    return item
-        return None
+            return [
+                item
+                for item in self._pending
+                if item.not_before_s <= moment.now_s
+            ]
+
+    def standing(self, item: ItemState, moment: Moment) -> batchorder.Standing:
+        """Returns what decides an item's turn."""
+        done_s = item.done_s(moment.now_s)
+        is_late = self._is_late(moment, done_s)
+        return batchorder.Standing(self.due_s, done_s, is_late)
+
+    def take(self, item: ItemState) -> bool:
+        """Takes an item that waits, to run it; false if it does not wait."""
+        with self._lock:
+            if item not in self._pending:
+                return False
+            self._take(item)
+            return True
 
     def any_item(self) -> ItemState | None:
         """Takes an item that waits, whether it may run or not."""
@@ -175,25 +213,16 @@
             self._take(item)
             return item
 
-    def count_ready(self, want: Want) -> int:
-        """Returns how many items may run now."""
-        with self._lock:
-            return sum(self._is_wanted(item, want) for item in self._pending)
-
     def _take(self, item: ItemState) -> None:
         self._pending.remove(item)
         self._running.add(item)
 
-    def _is_wanted(self, item: ItemState, want: Want) -> bool:
-        is_late = self._is_late(item, want)
-        return item.not_before_s <= want.now_s and is_late == want.is_late
-
-    def _is_late(self, item: ItemState, want: Want) -> bool:
+    def _is_late(self, moment: Moment, done_s: float) -> bool:
         """Tells whether an item cannot be in time even if it runs now."""
-        age_s = want.wall_s - self.meta.accepted_ms / 1000
+        age_s = moment.wall_s - self.meta.accepted_ms / 1000
         if not self.meta.due_s or age_s > self.meta.retention_s * _LATE_SHARE:
             return False
-        return self.meta.due_s - age_s < want.run_s - item.ran_s
+        return self.meta.due_s - age_s < moment.run_s - done_s
 
     def put_back(self, item: ItemState) -> None:
         """Makes an item that has no result wait for its next run, first."""
--- a/packages/gateway/gateway/leading.py
+++ b/packages/gateway/gateway/leading.py
@@ -98,22 +98,14 @@
     def _on_take_batch(
         self, vm: str, message: slotmessages.TakeBatch
     ) -> slotmessages.TakenBatch:
-        instances: list[str] = []
+        now_s = time.monotonic()
         with self._ledger_lock:
             ledger = self._ledger(message.service)
-            ledger.expire(time.monotonic())
-            for run in message.runs:
-                taken = ledger.take_batch(
-                    run,
-                    vm,
-                    time.monotonic(),
-                    message.excluded,
-                    is_late=message.is_late,
-                )
-                if taken is None:
-                    break
-                instances.append(taken.instance)
-        return slotmessages.TakenBatch(tuple(instances))
+            ledger.expire(now_s)
+            instances = ledger.take_batch(
+                vm, message.runs, now_s, message.excluded
+            )
+        return slotmessages.TakenBatch(instances)
 
     def _on_news(
         self, vm: str, message: slotmessages.News
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -1,6 +1,6 @@
 """Chooses the upstream of each request, for engines through their leader."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 import itertools
 import queue
 import random
@@ -14,6 +14,7 @@
 from bulrushdeal import eventlog
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeald import services
+from gateway import batchorder
 from gateway import configuration
 from gateway import health
 from gateway import heldslots
@@ -167,14 +168,16 @@
         return self._take_alone(service, run, left_out)
 
     def take_batch(
-        self, service: str, count: int, *, is_late: bool = False
-    ) -> list[heldslots.Slot]:
-        """Returns slots that online requests leave, at most `count`.
+        self, service: str, standings: Sequence[batchorder.Standing]
+    ) -> list[heldslots.Slot | None]:
+        """Returns slots that online requests leave.
 
         Args:
             service: The service.
-            count: How many items are ready.
-            is_late: Whether they cannot be in time any more.
+            standings: Of the items that are ready, the first in front.
+
+        Returns:
+            The slots of the first of them; `None` where the engine is gone.
         """
         left_out = self._left_out(service, ())
         if not self._has_engine(service):
@@ -184,27 +187,28 @@
             # upstreams are back, and the items wait for ever.
             if not self._is_trial(service):
                 return []
-            left_out, count = frozenset(), 1
-        runs = tuple(self._name() for _ in range(count))
-        message = slotmessages.TakeBatch(
-            service, runs, tuple(left_out), is_late
+            left_out, standings = frozenset(), standings[:1]
+        runs = tuple(
+            slotledger.BatchRun(self._name(), standing)
+            for standing in standings
         )
+        message = slotmessages.TakeBatch(service, runs, tuple(left_out))
         answer = self._ask_leader(service, message)
         if answer is None:
             return []
-        slots = []
-        for run, instance in zip(runs, answer.instances, strict=False):
-            upstream = self._usable(service, instance)
-            if upstream is None:
-                row = slotmessages.Released(run, "unknown")
-                self._news.put((service, row))
-                continue
-            slots.append(
-                self._slots.hold(
-                    service, run, upstream, is_batch=True, is_late=is_late
-                )
-            )
-        return slots
+        return [
+            self._hold_batch(service, row, instance)
+            for row, instance in zip(runs, answer.instances, strict=False)
+        ]
+
+    def _hold_batch(
+        self, service: str, row: slotledger.BatchRun, instance: str
+    ) -> heldslots.Slot | None:
+        upstream = self._usable(service, instance)
+        if upstream is None:
+            self._news.put((service, slotmessages.Released(row.run, "unknown")))
+            return None
+        return self._slots.hold(service, row.run, upstream, row.standing)
 
     def observed(self, slot: heldslots.Slot, service: str, busy: int) -> None:
         """Notes what an upstream said of its load as it answered."""
@@ -419,13 +423,12 @@
             self._peers.call(ranked[0], message, _TELL_TIMEOUT_S)
 
     def _own_report(self, service: str) -> slotmessages.Report:
-        silent = self._silent()
+        silent, now_s = self._silent(), time.monotonic()
         rows = tuple(
             slotledger.ReportRow(
                 slot.run,
                 slot.upstream.instance,
-                slot.is_batch,
-                slot.is_late,
+                slot.standing and slot.standing.after(now_s - slot.since_s),
                 slot.upstream.instance in silent,
             )
             for slot in self._slots.of_service(service)
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -3,13 +3,14 @@
 from concurrent import futures
 import threading
 import time
-from typing import Any
+from typing import Any, NamedTuple
 
 import result
 
 from bulrushdeal import eventlog
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeald import services
+from gateway import batchorder
 from gateway import configuration
 from gateway import dialect as dialect_lib
 from gateway import eventstream
@@ -33,6 +34,8 @@
 # How soon a slot that online requests leave is taken.
 _FEED_S = 0.1
 _MAX_RUNS = 64
+# Items in one question for slots: few come free in the time between two.
+_MAX_ASKED = 16
 # An engine that sends nothing for so long was cut off or has crashed.
 _SILENCE_S = 2.0
 # For runs to notice that they are ended before their progress is written.
@@ -45,6 +48,15 @@
 _SERVER_ERROR = 500
 
 
+class _Ready(NamedTuple):
+    """An item that may run now."""
+
+    service: str
+    state: jobstate.JobState
+    item: jobstate.ItemState
+    standing: batchorder.Standing
+
+
 class Runner:
     """Claims jobs, runs their items and lists the results."""
 
@@ -175,57 +187,68 @@
             self.feed()
 
     def feed(self) -> None:
-        """Begins to run what may run now.
-
-        First what can be in time: by due times alone, more jobs than the
-        engines can do in time would all be late.
-        """
-        # Services whose leader had no more slots: to ask for each further
-        # job would be a message each, ten times a second.
-        full: set[str] = set()
-        for is_late in (False, True):
-            for state in self._table.by_due_time():
-                if not self._stopping.is_set():
-                    self._feed_safely(state, is_late, full)
-
-    def _feed_safely(
-        self, state: jobstate.JobState, is_late: bool, full: set[str]
-    ) -> None:
+        """Begins to run what may run now, on each service in its order."""
+        moment = jobstate.Moment(time.monotonic(), time.time(), self._run_s)
+        ready: dict[str, list[_Ready]] = {}
+        for state in self._table.by_due_time():
+            if self._stopping.is_set():
+                return
+            for row in self._ready_safely(state, moment):
+                ready.setdefault(row.service, []).append(row)
+        for service, rows in ready.items():
+            self._start(service, rows)
+
+    def _ready_safely(
+        self, state: jobstate.JobState, moment: jobstate.Moment
+    ) -> list["_Ready"]:
         try:
-            self._feed_job(state, is_late, full)
+            return self._ready(state, moment)
         except Exception as error:  # noqa: BLE001 - other jobs are fed.
             _events.warning("not_fed", job=state.meta.job, why=repr(error))
-
-    def _want(self, is_late: bool) -> jobstate.Want:
-        return jobstate.Want(
-            time.monotonic(), time.time(), self._run_s, is_late
-        )
-
-    def _feed_job(
-        self, state: jobstate.JobState, is_late: bool, full: set[str]
-    ) -> None:
-        count = state.count_ready(self._want(is_late))
-        with self._lock:
-            count = min(count, _MAX_RUNS - self._runs)
-        if count <= 0 or state.is_dropped:
-            return
-        if state.is_given_up(time.time()):
+            return []
+
+    def _ready(
+        self, state: jobstate.JobState, moment: jobstate.Moment
+    ) -> list["_Ready"]:
+        items = state.ready(moment)
+        if not items or state.is_dropped:
+            return []
+        if state.is_given_up(moment.wall_s):
             self._give_up(state)
-            return
+            return []
         service = self._service(state)
-        if service is None or service in full:
-            return
-        slots = self._placement.take_batch(service, count, is_late=is_late)
-        if len(slots) < count:
-            full.add(service)
-        for slot in slots:
-            item = state.next_item(self._want(is_late))
-            if item is None:
-                slot.release()
-                continue
+        if service is None:
+            return []
+        return [
+            _Ready(service, state, item, state.standing(item, moment))
+            for item in items
+        ]
+
+    def _start(self, service: str, rows: list["_Ready"]) -> None:
+        """Runs the first of the items that wait, as slots are free."""
+        rows.sort(key=lambda row: batchorder.rank(row.standing))
+        while rows:
             with self._lock:
-                self._runs += 1
-            self._pool.submit(self._run, state, item, slot)
+                count = min(_MAX_ASKED, _MAX_RUNS - self._runs)
+            if count <= 0:
+                return
+            asked, rows = rows[:count], rows[count:]
+            slots = self._placement.take_batch(
+                service, [row.standing for row in asked]
+            )
+            for row, slot in zip(asked, slots, strict=False):
+                if slot is not None:
+                    self._begin(row, slot)
+            if None in slots or len(slots) < _MAX_ASKED:
+                return
+
+    def _begin(self, row: "_Ready", slot: heldslots.Slot) -> None:
+        if not row.state.take(row.item):
+            slot.release()
+            return
+        with self._lock:
+            self._runs += 1
+        self._pool.submit(self._run, row.state, row.item, slot)
 
     def _service(self, state: jobstate.JobState) -> str | None:
         held = self._feed.current()
@@ -262,14 +285,14 @@
         item: jobstate.ItemState,
         slot: heldslots.Slot,
     ) -> None:
-        begun_s = time.monotonic()
+        item.begin(time.monotonic())
         try:
             self._run_item(state, item, slot)
         except Exception as error:  # noqa: BLE001 - the item runs again.
             _events.warning("item_failed", item=item.item.item, why=repr(error))
         finally:
             slot.release()
-            item.ran_s += time.monotonic() - begun_s
+            item.end(time.monotonic())
             # Whatever ended the run, an item without a result runs again:
             # one that stayed behind would never be listed.
             state.put_back(item)
@@ -345,7 +368,7 @@
             return
         answer.close()
         slot.release()
-        took_s = item.ran_s + time.monotonic() - slot.since_s
+        took_s = item.done_s(time.monotonic())
         self._run_s += (took_s - self._run_s) * _RUN_WEIGHT
         self._writer.write(state, item, item.completed(), "")
 
--- a/packages/gateway/gateway/slotledger.py
+++ b/packages/gateway/gateway/slotledger.py
@@ -5,16 +5,14 @@
 batch is decided here, before anything is sent.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 import random
 from typing import Literal, NamedTuple
 
+from gateway import batchorder
 from gateway import outliers
 from gateway import records
 
-# Free slots of each engine that batch leaves alone: an arrival that finds
-# none makes a batch item yield at once, so none has to be kept.
-BATCH_RESERVE = 0
 # An engine's own word on its load counts for so long, less and less: runs of
 # a VM that lost its power go on there, and no VM reports them.
 _OBSERVED_S = 1.5
@@ -29,9 +27,8 @@
 # A VM that reports nothing for so long runs nothing any more.
 _SILENT_S = 3.5
 _MIN_RETRY_S = 0.15
-# Late batch items get nothing for so long after one in time found no slot. VMs
-# ask again each 0.1 s for what waits.
-_UNMET_S = 0.3
+# Batch runs that differ by less in what they have done yield alike.
+_DONE_STEP_S = 1.0
 
 
 # How a run ended, as far as that says something of its engine.
@@ -39,16 +36,22 @@
 
 
 class Run(NamedTuple):
-    """A request that holds a slot."""
+    """A request that holds a slot; only a batch item's has a standing."""
 
     vm: str
     instance: str
-    is_batch: bool
     since_s: float
-    is_late: bool = False
+    standing: batchorder.Standing | None = None
     is_silent: bool = False
 
 
+class BatchRun(NamedTuple):
+    """A run of a batch item that asks for a slot."""
+
+    run: str
+    standing: batchorder.Standing
+
+
 class Grant(NamedTuple):
     """A slot for a request, and the batch runs that have to yield for it."""
 
@@ -76,15 +79,13 @@
     Attributes:
         run: Its name.
         instance: The engine it runs on.
-        is_batch: Whether it is a batch item's.
-        is_late: Whether that cannot be in time any more.
+        standing: Of the batch item, if it is one's, by now.
         is_silent: Whether the engine owes something, and sent nothing lately.
     """
 
     run: str
     instance: str
-    is_batch: bool
-    is_late: bool = False
+    standing: batchorder.Standing | None = None
     is_silent: bool = False
 
 
@@ -118,8 +119,7 @@
         self._observed: dict[str, _Observed] = {}
         self._outliers = outliers.Outliers()
         self._run_s = _FIRST_RUN_S
-        # When a batch item that could be in time last found no slot.
-        self._unmet_s = -_UNMET_S
+        self._waiting = batchorder.Waiting()
 
     def set_engines(self, engines: Iterable[records.Upstream]) -> None:
         """Takes the engines that may get requests."""
@@ -150,7 +150,7 @@
         over = self._fill(best, now_s) - best.slots
         if over <= -1:
             return self._grant(run, vm, best, now_s)
-        victim = self._victim(choices, domain)
+        victim = self._victim(choices, domain, now_s)
         if victim:
             instance = self._runs[victim].instance
             self.release(victim, now_s)
@@ -164,33 +164,54 @@
 
     def take_batch(
         self,
-        run: str,
         vm: str,
+        runs: Sequence[BatchRun],
         now_s: float,
         excluded: Iterable[str] = (),
-        *,
-        is_late: bool = False,
-    ) -> Grant | None:
-        """Gives a slot to a batch item if online requests leave one.
+    ) -> tuple[str, ...]:
+        """Gives slots to batch items if online requests leave any.
+
+        Slots that items of other VMs come before for are left to those.
+
+        Args:
+            vm: Whose items they are.
+            runs: The items, those that come first in front.
+            now_s: By the monotonic clock.
+            excluded: Upstreams that are not to be used.
 
-        More jobs than the engines can do in time, all served by their due
-        times, are all late. An item that cannot be in time any more waits
-        for those that can be, of whichever VM.
+        Returns:
+            The engines of the first of them.
         """
-        if is_late and now_s - self._unmet_s < _UNMET_S:
-            return None
-        choices = [
-            row
-            for row in self._choices(excluded, now_s)
-            if self._fill(row, now_s) + 1 <= row.slots - BATCH_RESERVE
-        ]
-        if not choices:
-            if not is_late:
-                self._unmet_s = now_s
-            return None
-        best = min(choices, key=lambda row: self._rank(row, "", now_s))
-        self._add(run, Run(vm, best.instance, True, now_s, is_late))
-        return Grant(best.instance)
+        left_out = frozenset(excluded)
+        engines: list[str] = []
+        for row in runs:
+            instance = self._batch_engine(vm, row, left_out, now_s)
+            if not instance:
+                break
+            self._add(row.run, Run(vm, instance, now_s, row.standing))
+            engines.append(instance)
+        unmet = [batchorder.rank(row.standing) for row in runs[len(engines) :]]
+        self._waiting.note(vm, unmet, left_out, now_s)
+        return tuple(engines)
+
+    def _batch_engine(
+        self, vm: str, row: BatchRun, left_out: frozenset[str], now_s: float
+    ) -> str:
+        """Returns the engine for a batch item; empty if it has to wait."""
+        room = {
+            choice.instance: int(choice.slots - self._fill(choice, now_s))
+            for choice in self._choices(left_out, now_s)
+        }
+        free = frozenset(name for name, count in room.items() if count > 0)
+        if not free:
+            return ""
+        own = batchorder.rank(row.standing)
+        ahead = self._waiting.ahead(vm, own, free, now_s)
+        if sum(room[name] for name in free) <= ahead:
+            return ""
+        choices = [self._engines[name] for name in free]
+        best = min(choices, key=lambda choice: self._rank(choice, "", now_s))
+        return best.instance
 
     def release(
         self, run: str, now_s: float, *, outcome: Outcome = "unknown"
@@ -205,7 +226,7 @@
         if outcome != "ok":
             return
         self._note(held.instance, now_s, has_failed=False)
-        if not held.is_batch:
+        if held.standing is None:
             took_s = now_s - held.since_s
             self._run_s += (took_s - self._run_s) * _RUN_WEIGHT
 
@@ -233,8 +254,7 @@
                 self.release(run, now_s)
         for run, row in reported.items():
             if run not in self._runs:
-                held = Run(vm, row.instance, row.is_batch, now_s, row.is_late)
-                self._add(run, held)
+                self._add(run, Run(vm, row.instance, now_s, row.standing))
             if row.is_silent and not self._runs[run].is_silent:
                 # It may wait for seconds before it ends as failed.
                 self._runs[run] = self._runs[run]._replace(is_silent=True)
@@ -299,20 +319,26 @@
         is_far = bool(domain) and row.failure_domain != domain
         return (fill >= 1.0, is_far and fill < 1.0, fill, self._rng.random())
 
-    def _victim(self, choices: Iterable[records.Upstream], domain: str) -> str:
-        """Returns the batch run to yield: a late one, near, begun last."""
+    def _victim(
+        self, choices: Iterable[records.Upstream], domain: str, now_s: float
+    ) -> str:
+        """Returns the batch run to yield; empty if there is none.
+
+        The one whose turn would come last, so that those near their end do
+        not yield again and again; of several with as little done a near one.
+        """
         domains = {row.instance: row.failure_domain for row in choices}
-        runs = [
-            (
-                held.is_late,
-                domains[held.instance] == domain,
-                held.since_s,
-                run,
+        runs = []
+        for run, held in self._runs.items():
+            if held.standing is None or held.instance not in domains:
+                continue
+            place = batchorder.rank(held.standing.after(now_s - held.since_s))
+            done_step = int(place.not_done_s / _DONE_STEP_S)
+            is_near = domains[held.instance] == domain
+            runs.append(
+                (place.is_late, place.due_step, done_step, is_near, place, run)
             )
-            for run, held in self._runs.items()
-            if held.is_batch and held.instance in domains
-        ]
-        return max(runs, default=(False, False, 0.0, ""))[3]
+        return max(runs)[-1] if runs else ""
 
     def _most_waiting(self, row: records.Upstream, target_s: float) -> int:
         return int(_WAIT_SHARE * target_s * row.slots / self._run_s)
@@ -324,7 +350,7 @@
         row: records.Upstream,
         now_s: float,
     ) -> Grant:
-        self._add(run, Run(vm, row.instance, False, now_s))
+        self._add(run, Run(vm, row.instance, now_s))
         return Grant(row.instance)
 
     def _add(self, run: str, held: Run) -> None:
--- a/packages/gateway/gateway/slotmessages.py
+++ b/packages/gateway/gateway/slotmessages.py
@@ -34,15 +34,13 @@
 
     Attributes:
         service: The service.
-        runs: Names of the runs, one for each slot asked for.
+        runs: One for each slot asked for, those that come first in front.
         excluded: Upstreams that are not to be used.
-        is_late: Whether the items cannot be in time any more.
     """
 
     service: str
-    runs: tuple[str, ...]
+    runs: tuple[slotledger.BatchRun, ...]
     excluded: tuple[str, ...]
-    is_late: bool
 
 
 class TakenBatch(NamedTuple):
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -244,10 +244,10 @@
     placed = vm.kernel.find(names.PLACEMENT, placement.Placement)
     asked: list[int] = []
 
-    def take(service: str, count: int, *, is_late: bool = False) -> list[Any]:
+    def take(service: str, standings: list[Any]) -> list[Any]:
         # The runner's own thread goes on feeding meanwhile.
         if threading.current_thread() is threading.main_thread():
-            asked.append(count)
+            asked.append(len(standings))
         return []
 
     monkeypatch.setattr(placed, "take_batch", take)
--- a/tests/gateway/test_jobstate.py
+++ b/tests/gateway/test_jobstate.py
@@ -12,10 +12,21 @@
 )
 
 
-def _want(
-    now_s: float = 0.0, *, run_s: float = 5.0, is_late: bool = False
-) -> jobstate.Want:
-    return jobstate.Want(now_s, now_s, run_s, is_late)
+def _at(now_s: float) -> jobstate.Moment:
+    return jobstate.Moment(now_s, now_s, 5.0)
+
+
+def _take(state: jobstate.JobState) -> jobstate.ItemState:
+    item = state.ready(_at(0.0))[0]
+    assert state.take(item)
+    return item
+
+
+def _late(state: jobstate.JobState, now_s: float) -> list[bool]:
+    moment = _at(now_s)
+    return [
+        state.standing(item, moment).is_late for item in state.ready(moment)
+    ]
 
 
 def _state(revision: int) -> jobstate.JobState:
@@ -31,12 +42,12 @@
     table = jobstate.JobTable()
     accepted, scanned = _state(10), _state(12)
     assert table.add(accepted) is accepted
-    item = accepted.next_item(_want())
+    item = _take(accepted)
     assert table.add(scanned) is accepted
     assert accepted.claim_revision == 12
     assert table.add(_state(10)) is accepted
     assert accepted.claim_revision == 12
-    assert item is not None
+    assert not accepted.take(item)
     assert accepted.count_running() == 1
 
 
@@ -55,14 +66,12 @@
     An item put back then would run again, and stand at two positions.
     """
     state = _state(10)
-    item = state.next_item(_want())
-    assert item is not None
+    item = _take(state)
     state.note_listed(item)
     state.put_back(item)
     assert state.count_pending() == 1
     assert state.next_position == 1
-    last = state.next_item(_want())
-    assert last is not None
+    last = _take(state)
     assert state.is_last()
     state.put_back(last)
     assert not state.is_last()
@@ -75,15 +84,36 @@
     Begun after 14 s it is late whatever is done; others may yet be in time.
     """
     state = _state(10)
-    assert state.count_ready(_want(12.0)) == 2
-    assert state.count_ready(_want(14.0)) == 0
-    assert state.count_ready(_want(14.0, is_late=True)) == 2
+    assert _late(state, 12.0) == [False, False]
+    assert _late(state, 14.0) == [True, True]
     # One that ran for three seconds before it was broken off is still in time.
-    item = state.next_item(_want())
-    assert item is not None
-    item.ran_s = 3.0
+    item = _take(state)
+    item.begin(0.0)
+    item.output.append("data 1")
+    item.end(3.0)
     state.put_back(item)
-    assert state.next_item(_want(14.0)) is item
+    assert _late(state, 14.0) == [False, True]
+
+
+def test_a_run_that_brought_nothing_counts_for_nothing() -> None:
+    """An upstream is silent for seconds before its connection is given up."""
+    item = _take(_state(10))
+    item.begin(0.0)
+    item.end(3.0)
+    assert item.done_s(3.0) == 0.0
+
+
+def test_what_ran_elsewhere_counts_after_a_takeover() -> None:
+    """All VMs lose their power with items nearly done.
+
+    Taken for new ones, they would wait behind others and be late.
+    """
+    before, after = _state(10), _state(12)
+    item = _take(before)
+    item.output.append("data 1")
+    item.ran_s = 4.0
+    after.go_on_from((item.progress(),))
+    assert [row.done_s(20.0) for row in after.ready(_at(20.0))] == [4.0, 0.0]
 
 
 def test_an_item_that_waited_long_does_not_wait_for_ever() -> None:
@@ -92,5 +122,5 @@
     They would be given up at the end of their retention.
     """
     state = _state(10)
-    assert state.count_ready(_want(29.0)) == 0
-    assert state.count_ready(_want(31.0)) == 2
+    assert _late(state, 29.0) == [True, True]
+    assert _late(state, 31.0) == [False, False]
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bulrushdeal import eventlog
+from gateway import batchorder
 from gateway import metrics
 from gateway import names
 from gateway import placement
@@ -43,7 +44,7 @@
     vm = scene.add_vm()
     placed = vm.kernel.find(names.PLACEMENT, placement.Placement)
     gatewayscene.until(lambda: placed.take("llm", 0.3, ()).is_ok())
-    assert len(placed.take_batch("llm", 2)) == 2
+    assert len(placed.take_batch("llm", [batchorder.Standing()] * 2)) == 2
     customer = records.Customer("school", (), 0, 0.001, 1)
     owned = vm.kernel.find(names.RATES, rates.Rates)
     while owned.take(customer).is_ok():
--- a/tests/gateway/test_slotledger.py
+++ b/tests/gateway/test_slotledger.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
+from gateway import batchorder
 from gateway import records
 from gateway import slotledger
 
@@ -30,6 +31,23 @@
     return ledger
 
 
+def _batch(
+    ledger: slotledger.Ledger,
+    run: str,
+    vm: str,
+    now_s: float,
+    standing: batchorder.Standing | None = None,
+    excluded: tuple[str, ...] = (),
+) -> str:
+    """Returns the engine that a batch item gets; empty if none."""
+    asked = slotledger.BatchRun(run, standing or batchorder.Standing())
+    engines = ledger.take_batch(vm, [asked], now_s, excluded)
+    return engines[0] if engines else ""
+
+
+_LATE = batchorder.Standing(is_late=True)
+
+
 def _online(
     ledger: slotledger.Ledger, run: str, now_s: float = 0.0
 ) -> slotledger.Grant | slotledger.NoRoom:
@@ -43,9 +61,9 @@
     yields, and the request has its slot.
     """
     ledger = _ledger(1, slots=2)
-    assert ledger.take_batch("b1", "vm2", 0.0) is not None
-    assert ledger.take_batch("b2", "vm2", 1.0) is not None
-    assert ledger.take_batch("b3", "vm2", 1.0) is None
+    assert _batch(ledger, "b1", "vm2", 0.0)
+    assert _batch(ledger, "b2", "vm2", 1.0)
+    assert not _batch(ledger, "b3", "vm2", 1.0)
     grant = _online(ledger, "o1", 2.0)
     assert isinstance(grant, slotledger.Grant)
     assert grant.yields == ("b2",)
@@ -113,8 +131,8 @@
 def test_a_new_leader_learns_what_runs_from_reports() -> None:
     ledger = _ledger(1, slots=2)
     rows = (
-        slotledger.ReportRow("o1", "i-0", False),
-        slotledger.ReportRow("b1", "i-0", True),
+        slotledger.ReportRow("o1", "i-0"),
+        slotledger.ReportRow("b1", "i-0", batchorder.Standing()),
     )
     ledger.report("vm1", rows, 0.0)
     grant = _online(ledger, "o2", 0.1)
@@ -133,8 +151,8 @@
 
 def test_a_late_item_yields_before_one_in_time() -> None:
     ledger = _ledger(1, slots=2)
-    assert ledger.take_batch("late", "vm2", 0.0, is_late=True) is not None
-    assert ledger.take_batch("in time", "vm2", 1.0) is not None
+    assert _batch(ledger, "late", "vm2", 0.0, _LATE)
+    assert _batch(ledger, "in time", "vm2", 1.0)
     taken = _online(ledger, "o1", 2.0)
     assert isinstance(taken, slotledger.Grant)
     assert taken.yields == ("late",)
@@ -142,13 +160,56 @@
 
 def test_late_items_wait_while_others_of_any_vm_find_no_slot() -> None:
     ledger = _ledger(1, slots=1)
-    assert ledger.take_batch("b1", "vm1", 0.0) is not None
-    assert ledger.take_batch("b2", "vm1", 0.1) is None
+    assert _batch(ledger, "b1", "vm1", 0.0)
+    assert not _batch(ledger, "b2", "vm1", 0.1)
     ledger.release("b1", 0.15)
-    assert ledger.take_batch("late", "vm2", 0.2, is_late=True) is None
-    assert ledger.take_batch("b2", "vm1", 0.25) is not None
+    assert not _batch(ledger, "late", "vm2", 0.2, _LATE)
+    assert _batch(ledger, "b2", "vm1", 0.25)
     ledger.release("b2", 0.3)
-    assert ledger.take_batch("late", "vm2", 0.5, is_late=True) is not None
+    assert _batch(ledger, "late", "vm2", 0.5, _LATE)
+
+
+def test_an_item_near_its_end_does_not_yield_again_and_again() -> None:
+    """Each burst takes the slot of the item that was resumed last."""
+    ledger = _ledger(1, slots=2)
+    assert _batch(ledger, "new", "vm2", 0.0)
+    resumed = batchorder.Standing(done_s=4.0)
+    assert _batch(ledger, "resumed", "vm2", 0.5, resumed)
+    taken = _online(ledger, "o1", 1.0)
+    assert isinstance(taken, slotledger.Grant)
+    assert taken.yields == ("new",)
+
+
+def test_what_is_due_last_yields_first() -> None:
+    ledger = _ledger(1, slots=2)
+    assert _batch(ledger, "soon", "vm2", 0.0, batchorder.Standing(10.0))
+    assert _batch(ledger, "later", "vm2", 0.0, batchorder.Standing(30.0, 3.0))
+    taken = _online(ledger, "o1", 1.0)
+    assert isinstance(taken, slotledger.Grant)
+    assert taken.yields == ("later",)
+
+
+def test_a_free_slot_is_left_to_another_vms_item_that_is_due_sooner() -> None:
+    ledger = _ledger(1, slots=1)
+    assert _batch(ledger, "b1", "vm1", 0.0)
+    assert not _batch(ledger, "soon", "vm1", 0.1, batchorder.Standing(10.0))
+    ledger.release("b1", 0.15)
+    assert not _batch(ledger, "later", "vm2", 0.2, batchorder.Standing(30.0))
+    assert _batch(ledger, "soon", "vm1", 0.25, batchorder.Standing(10.0))
+
+
+def test_who_cannot_use_a_free_slot_holds_nobody_up() -> None:
+    """A VM is cut off from one engine; others wait for it to use a slot."""
+    ledger = _ledger(2, slots=1)
+    soon, later = batchorder.Standing(10.0), batchorder.Standing(30.0)
+    assert _batch(ledger, "b1", "vm1", 0.0)
+    assert _batch(ledger, "b2", "vm1", 0.0)
+    assert not _batch(ledger, "soon", "vm1", 0.1, soon, ("i-0",))
+    ledger.release("b1", 0.15)
+    ledger.release("b2", 0.15)
+    assert _batch(ledger, "soon", "vm1", 0.16, soon, ("i-0",)) == "i-1"
+    assert not _batch(ledger, "more", "vm1", 0.17, soon, ("i-0",))
+    assert _batch(ledger, "later", "vm2", 0.2, later) == "i-0"
 
 
 _STEPS = st.lists(
@@ -175,10 +236,10 @@
                     del held[victim]
                 held[run] = taken.instance
         elif kind == "batch":
-            grant = ledger.take_batch(run, "vm1", now_s)
-            if grant is not None:
-                held[run] = grant.instance
-                assert ledger.counts()[grant.instance] <= 4
+            instance = _batch(ledger, run, "vm1", now_s)
+            if instance:
+                held[run] = instance
+                assert ledger.counts()[instance] <= 4
         elif kind == "release" and held:
             name = sorted(held)[number % len(held)]
             del held[name]
@@ -186,7 +247,11 @@
             ledger.release(name, now_s)
         elif kind == "report":
             rows = [
-                slotledger.ReportRow(name, at, name.startswith("batch"))
+                slotledger.ReportRow(
+                    name,
+                    at,
+                    batchorder.Standing() if "batch" in name else None,
+                )
                 for name, at in held.items()
             ]
             ledger.report("vm1", rows, now_s)
--- a/tests/gateway/test_vms.py
+++ b/tests/gateway/test_vms.py
@@ -9,6 +9,7 @@
 
 from bulrushdeald import peers
 from bulrushdeald import services
+from gateway import batchorder
 from gateway import configuration
 from gateway import members
 from gateway import names
@@ -266,7 +267,8 @@
     _know_each_other(*vms)
     first = vms[0].kernel.find(names.PLACEMENT, placement.Placement)
     second = vms[1].kernel.find(names.PLACEMENT, placement.Placement)
-    slots = first.take_batch("llm", 8)
+    batch = first.take_batch("llm", [batchorder.Standing()] * 8)
+    slots = [slot for slot in batch if slot is not None]
     assert len(slots) == 8
     taken = second.take("llm", 0.3, ())
     assert taken.is_ok()
