Gateway: it starts without the daemon's own services and command line

Cause: the gateway imported the daemon's `main` for one function, and with it all services that only the daemon runs and the command line: 215 of 598 modules. Memory is dear on this site as well.

Change: what a process does about its own memory stands in `bulrushdeal.memory`.

Figures: `ru_maxrss` after the imports 42.2 MB before, 33.4 MB after; by `-X importtime` 460 and 337 ms, once each on a busy machine.

--- a/packages/daemon/bulrushdeald/main.py
+++ b/packages/daemon/bulrushdeald/main.py
@@ -1,7 +1,6 @@
 """The program `bulrushdeald`: reads settings, runs the services, stops."""
 
 import faulthandler
-import gc
 import json
 import os
 import signal
@@ -18,6 +17,7 @@
 from bulrushdeal import errors
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import logs
+from bulrushdeal import memory
 from bulrushdeal import settings as settings_lib
 from bulrushdeald import assembly
 from bulrushdeald import defaults
@@ -89,7 +89,7 @@
     except (OSError, errors.UserError) as error:
         _log.error("Cannot start: %s", error)
         return 1
-    keep_started_objects()
+    memory.keep_started_objects()
     stopping.wait()
     _log.info("Stopping gracefully within %g s.", settings.drain_s)
     kernel.stop(settings.drain_s)
@@ -97,18 +97,6 @@
     return 0
 
 
-def keep_started_objects() -> None:
-    """Takes all objects made so far out of the garbage collector's sight.
-
-    The failure: when batch work brings many new objects, the collector looks
-    through all old ones as well, most of them of imported modules, and every
-    stream of this VM stands still meanwhile. It shows as one late token on
-    each of them. What is kept here lives as long as the process.
-    """
-    gc.collect()
-    gc.freeze()
-
-
 def _log_dump(kernel: kernel_lib.Kernel, title: str) -> None:
     # From a thread: a service's lock may be held by the code that the
     # signal interrupted, and would never be released to the handler.
--- a/packages/gateway/gateway/assembly.py
+++ b/packages/gateway/gateway/assembly.py
@@ -9,7 +9,7 @@
 from bulrushdeal import eventlog
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import logs
-from bulrushdeald import main as daemon_main
+from bulrushdeal import memory
 from bulrushdeald import peers
 from bulrushdeald import services
 from bulrushdeald import upstreams
@@ -103,7 +103,7 @@
     except (OSError, errors.UserError) as error:
         sys.stderr.write(f"Cannot start: {error}\n")
         return 1
-    daemon_main.keep_started_objects()
+    memory.keep_started_objects()
     _events.info("started", failure_domain=settings.failure_domain)
     while not stopping.wait(_COUNTS_S):
         calls = [tuple(row) for row in store.counts()]
