Streams: one that falls silent goes on elsewhere while it is still on time

Cause: a stream that may be resumed waited for a second of silence before it went on at another engine; by then its pause is over the target. And one that broke off while the other engines were full was cut, though batch or an earlier stream would leave a slot a moment later.

Change: once a stream has begun, its engine may be silent for 0.65 of the longest pause on time, 0.15 s at least; batch items 0.6 s. Without a slot a stream that has begun tries again for a second.

--- a/packages/daemon/bulrushdeald/services.py
+++ b/packages/daemon/bulrushdeald/services.py
@@ -363,6 +363,9 @@
     def chunks(self) -> Iterator[result.Result[bytes, UpstreamError]]:
         """Yields the body; an error is the last thing it yields."""
 
+    def allow_silence(self, timeout_s: float) -> None:
+        """Sets the longest silence in the rest of the body."""
+
     def cancel(self) -> None:
         """Ends a blocked read at once, from any thread; idempotent."""
 
--- a/packages/daemon/bulrushdeald/upstreams.py
+++ b/packages/daemon/bulrushdeald/upstreams.py
@@ -59,6 +59,12 @@
                 # The upstream closed it first.
                 return
 
+    def allow_silence(self, timeout_s: float) -> None:
+        """Sets how long one read may take from now on."""
+        with self._lock:
+            if not self._is_over:
+                self._socket.settimeout(timeout_s)
+
     def finish(self) -> None:
         """Makes later cancellations harmless."""
         with self._lock:
@@ -120,6 +126,10 @@
             return
         self._is_whole = True
 
+    def allow_silence(self, timeout_s: float) -> None:
+        """See `services.UpstreamAnswer`."""
+        self._exchange.allow_silence(timeout_s)
+
     def cancel(self) -> None:
         """See `services.UpstreamAnswer`."""
         self._exchange.cancel()
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator, Mapping
 import http
+import time
 from typing import Any, NamedTuple
 
 import result
@@ -29,6 +30,13 @@
 # an upstream that was cut off sends nothing, and the caller waits.
 _REPEAT_SILENCE_S = 1.0
 _TARGETS_OF_SILENCE = 3.0
+# The part of the longest pause on time after which a stream goes on elsewhere,
+# and the least: a process may stand still for a tenth of a second.
+_GAP_SHARE = 0.65
+_MIN_GAP_S = 0.15
+# While a stream that broke off finds no slot it tries again, for so long.
+_RESUME_S = 1.0
+_RESUME_PAUSE_S = 0.05
 # Answers up to this size are read whole before the first byte goes on, so
 # that a broken one can be repeated or refused.
 _WHOLE_BYTES = 1 << 20
@@ -149,18 +157,20 @@
         call = self._call
         if call.reason or call.left_s() <= 0 or call.sends >= _MAX_SENDS:
             return False
-        if call.runs == 0:
-            return True
-        return self._route.may_repeat and call.runs < self._route.max_attempts
+        return call.runs == 0 or self._may_run_again()
 
     def _silence_s(self) -> float:
         left_s = max(self._call.left_s(), 0.01)
-        is_last = self._call.runs + 1 >= self._route.max_attempts
-        if not self._route.may_repeat or is_last:
+        if not self._may_run_again(1):
             return left_s
         target_s = self._route.target_latency_s * _TARGETS_OF_SILENCE
         return min(left_s, max(_REPEAT_SILENCE_S, target_s))
 
+    def _may_run_again(self, more: int = 0) -> bool:
+        """Tells whether the request may run once more after `more` runs."""
+        runs = self._call.runs + more
+        return self._route.may_repeat and runs < self._route.max_attempts
+
     def _note(self, failure: sending.Failure) -> None:
         slot = self._slot
         assert slot is not None
@@ -291,6 +301,7 @@
                 whole = splitter.feed(piece.ok_value)
                 self._hear()
                 if whole:
+                    self._expect_more(current)
                     number = eventstream.last_number(whole)
                     if number is not None:
                         self._last_event = number
@@ -302,6 +313,17 @@
             current = self._resume(error)
         raise caller_calls.BrokenAnswerError("the stream broke off")
 
+    def _expect_more(self, opened: sending.Opened) -> None:
+        """Lets a stream that has begun pause only as long as is on time.
+
+        The failure: an upstream is cut off or freezes in the middle of a
+        stream. The caller sees a pause of the time that a first event may
+        take, although another upstream could go on at once.
+        """
+        gap_s = self._route.gap_target_s * _GAP_SHARE
+        if gap_s and self._may_run_again():
+            opened.answer.allow_silence(max(gap_s, _MIN_GAP_S))
+
     def _hear(self) -> None:
         if self._slot is not None:
             self._placement.health.heard(self._slot.upstream.instance)
@@ -324,14 +346,29 @@
         self._call.runs -= 1
         self._note(failure._replace(has_run=True))
         self._drop()
-        if not self._may_send():
-            return None
-        opened = self._open()
+        opened = self._reopen()
         if opened is None or self._is_stream(opened):
             return opened
         self._drop()
         return None
 
+    def _reopen(self) -> sending.Opened | None:
+        """Sends a stream that broke off to another upstream.
+
+        Once its head is out it cannot be refused any more, so it waits a
+        little where a new request would be told to come back.
+        """
+        end_s = time.monotonic() + _RESUME_S
+        while self._may_send():
+            self._no_slot = None
+            opened = self._open()
+            if opened is not None or self._no_slot is None:
+                return opened
+            if time.monotonic() > end_s:
+                return None
+            time.sleep(_RESUME_PAUSE_S)
+        return None
+
     def _refuse(self) -> httpd.Response:
         row = self._refusal()
         self._drop()
--- a/packages/gateway/gateway/records.py
+++ b/packages/gateway/gateway/records.py
@@ -33,6 +33,8 @@
             given up.
         completion_target_s: How long after its submission a batch job is
             due.
+        gap_target_s: The longest pause in a stream that is on time; 0 if
+            nothing is said of it.
         max_waiting_tokens: Tokens of batch items without a result that one
             customer may have on the route, over all VMs; 0 for no bound.
     """
@@ -52,6 +54,7 @@
     retention_s: float
     completion_target_s: float
     max_waiting_tokens: int = 0
+    gap_target_s: float = 0.0
 
     def choose_service(self) -> str | None:
         """Returns a service by chance; `None` if none has a weight."""
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -38,6 +38,8 @@
 _MAX_ASKED = 16
 # An engine that sends nothing for so long was cut off or has crashed.
 _SILENCE_S = 2.0
+# One that has begun to send does not pause so long.
+_GAP_S = 0.6
 # For runs to notice that they are ended before their progress is written.
 _END_S = 1.0
 # Until items were seen to end, and how much each one that ends counts.
@@ -356,6 +358,7 @@
                     item.last_event = event.number
                 if event.data is not None:
                     item.output.append(event.data)
+            answer.allow_silence(_GAP_S)
             item.breaks = 0
             self._placement.health.heard(slot.upstream.instance)
             if state.is_dropped:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+import result
 
 from gateway import configuration
 from gateway import names
@@ -60,6 +61,46 @@
     assert [run.last_event for run in engines[1].runs][-1] in (0, 2)
 
 
+def test_a_stream_goes_on_elsewhere_before_its_pause_is_too_long(
+    scene: gatewayscene.Scene,
+) -> None:
+    """An engine is cut off or freezes after a few events."""
+    engines = [scene.add_engine(), scene.add_engine()]
+    for engine in engines:
+        engine.faults = [Fault("mute", 2)]
+    vm = scene.add_vm()
+    answer = vm.call("POST", "/s/x", b"p")
+    assert answer.is_whole
+    assert _numbers(answer.body) == [1, 2, 3, 4, 5]
+    assert sum(len(engine.runs) for engine in engines) == 2
+
+
+def test_a_stream_that_broke_off_waits_for_a_slot(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An engine dies while a burst of requests has the others full."""
+    engines = [scene.add_engine(), scene.add_engine()]
+    for engine in engines:
+        engine.faults = [Fault("cut", 2)]
+    vm = scene.add_vm()
+    placed = vm.kernel.find(names.PLACEMENT, placement.Placement)
+    take, takes = placed.take, 0
+
+    def full_once(*args: Any) -> Any:
+        nonlocal takes
+        takes += 1
+        if takes == 2:
+            for engine in engines:
+                engine.faults = []
+            return result.Err(placement.NoSlot(0.5, "no free slot"))
+        return take(*args)
+
+    monkeypatch.setattr(placed, "take", full_once)
+    answer = vm.call("POST", "/s/x", b"p")
+    assert answer.is_whole
+    assert _numbers(answer.body) == [1, 2, 3, 4, 5]
+
+
 def test_a_stream_that_may_not_be_resumed_runs_once_and_looks_cut(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -8,6 +8,8 @@
 from bulrushdeal import httpd
 from bulrushdeald import calls
 
+# Below the silence that a first event is allowed.
+_MUTE_S = 0.8
 ATTEMPT = "bulrushdeal-request-attempt-id"
 
 
@@ -28,8 +30,8 @@
     Attributes:
         kind: `cut` breaks off after some events, `part` inside one, `busy`
             refuses without running, `error` and `never` answer 500 and 422,
-            `other` answers for another request, `unsigned` without a
-            signature.
+            `mute` pauses for a while after some events, `other` answers for
+            another request, `unsigned` without a signature.
         after: How many events come before a cut.
     """
 
@@ -47,6 +49,7 @@
         self.faults: list[Fault] = []
         self.runs: list[Run] = []
         self.open = 0
+        self.unmuted = threading.Event()
         self._lock = threading.Lock()
         self._server = httpd.Server("127.0.0.1:0", self._serve, 32)
         self._server.start()
@@ -56,6 +59,7 @@
         return f"127.0.0.1:{self._server.port}"
 
     def close(self) -> None:
+        self.unmuted.set()
         self._server.stop(0.2)
 
     def data(self, number: int) -> str:
@@ -108,6 +112,8 @@
                     if fault.kind == "part":
                         yield event[:5]
                     raise calls.BrokenAnswerError("as told")
+                if fault.kind == "mute" and number == fault.after + 1:
+                    self.unmuted.wait(_MUTE_S)
                 yield event
                 if self.pause_s:
                     time.sleep(self.pause_s)
--- a/tests/support/gatewayscene.py
+++ b/tests/support/gatewayscene.py
@@ -55,7 +55,13 @@
         "version": version,
         "routes": [
             route("once", "/s/once/", "streaming"),
-            route("resumed", "/s/", "streaming", resumable=True),
+            route(
+                "resumed",
+                "/s/",
+                "streaming",
+                resumable=True,
+                gap_aim_ms=300,
+            ),
             route("safe", "/safe/", "safe"),
             route("unsafe", "/unsafe/", "unsafe"),
             route(
--- a/tests/usersplatform/test_operators.py
+++ b/tests/usersplatform/test_operators.py
@@ -63,6 +63,7 @@
     assert read.routes[0].timeout_s == 5.0
     assert not read.routes[0].may_repeat
     assert read.routes[1].may_repeat
+    assert read.routes[1].gap_target_s == 0.3
     assert read.routes[4].max_waiting_tokens == 900
 
 
