Streams: one that does not begin is begun elsewhere while it is still on time

Cause: what is sent to an engine that was just cut off or went dark waits a second for its first event, and is late whatever follows.

Change: the leader tells whether a slot is free or the request has to wait inside the engine. With a free slot a stream that may be repeated is begun elsewhere after 0.6 of its target; one that waits keeps its place, since in a burst leaving it would only add to the load.

--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -30,6 +30,9 @@
 # an upstream that was cut off sends nothing, and the caller waits.
 _REPEAT_SILENCE_S = 1.0
 _TARGETS_OF_SILENCE = 3.0
+# The part of its target after which a stream with a free slot is begun
+# elsewhere; what is left is for that.
+_FIRST_SHARE = 0.6
 # The part of the longest pause on time after which a stream goes on elsewhere,
 # and the least: a process may stand still for a tenth of a second.
 _GAP_SHARE = 0.65
@@ -136,7 +139,7 @@
                 self._request.outgoing,
                 slot,
                 left_s=self._call.caller_left_s(),
-                silence_s=self._silence_s(),
+                silence_s=self._silence_s(slot),
                 last_event=self._last_event,
                 on_open=self._call.on_end,
             )
@@ -159,10 +162,19 @@
             return False
         return call.runs == 0 or self._may_run_again()
 
-    def _silence_s(self) -> float:
+    def _silence_s(self, slot: heldslots.Slot) -> float:
+        """Returns how long an upstream may take until the next byte.
+
+        A stream with a slot of its own begins within a fraction of its
+        target; one that does not is on time if another upstream begins it
+        soon enough.
+        """
         left_s = max(self._call.left_s(), 0.01)
         if not self._may_run_again(1):
             return left_s
+        if slot.is_free and self._route.kind == "streaming":
+            first_s = self._route.target_latency_s * _FIRST_SHARE
+            return min(left_s, max(first_s, _MIN_GAP_S))
         target_s = self._route.target_latency_s * _TARGETS_OF_SILENCE
         return min(left_s, max(_REPEAT_SILENCE_S, target_s))
 
--- a/packages/gateway/gateway/heldslots.py
+++ b/packages/gateway/gateway/heldslots.py
@@ -23,6 +23,8 @@
         self.upstream = upstream
         # Of a batch item; `None` for an online request.
         self.standing = standing
+        # Whether what runs here begins at once, by the engines' leader.
+        self.is_free = False
         self.has_yielded = False
         # What came of it so far.
         self.outcome: slotledger.Outcome = "unknown"
--- a/packages/gateway/gateway/leading.py
+++ b/packages/gateway/gateway/leading.py
@@ -93,7 +93,7 @@
         for run in taken.yields:
             # A run's name begins with its VM's.
             self._yields.put((run.rsplit(".", 2)[0], run))
-        return slotmessages.Taken(taken.instance, 0.0, None)
+        return slotmessages.Taken(taken.instance, 0.0, None, taken.is_queued)
 
     def _on_take_batch(
         self, vm: str, message: slotmessages.TakeBatch
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -161,7 +161,9 @@
                 )
             upstream = self._usable(service, taken.instance)
             if upstream is not None:
-                return result.Ok(self._slots.hold(service, run, upstream))
+                slot = self._slots.hold(service, run, upstream)
+                slot.is_free = not taken.is_queued
+                return result.Ok(slot)
             self._news.put((service, slotmessages.Released(run, "unknown")))
             left_out = left_out | {taken.instance}
             run = self._name()
--- a/packages/gateway/gateway/slotledger.py
+++ b/packages/gateway/gateway/slotledger.py
@@ -27,9 +27,6 @@
 # A VM that reports nothing for so long runs nothing any more.
 _SILENT_S = 3.5
 _MIN_RETRY_S = 0.15
-# Batch runs that differ by less in what they have done yield alike.
-_DONE_STEP_S = 1.0
-
 
 # How a run ended, as far as that says something of its engine.
 Outcome = Literal["unknown", "ok", "failed"]
@@ -53,10 +50,17 @@
 
 
 class Grant(NamedTuple):
-    """A slot for a request, and the batch runs that have to yield for it."""
+    """A slot for a request.
+
+    Attributes:
+        instance: The engine.
+        yields: The batch runs that have to yield for it.
+        is_queued: Whether the request has to wait inside the engine.
+    """
 
     instance: str
     yields: tuple[str, ...] = ()
+    is_queued: bool = False
 
 
 class Occupancy(NamedTuple):
@@ -157,7 +161,8 @@
             grant = self._grant(run, vm, self._engines[instance], now_s)
             return grant._replace(yields=(victim,))
         if over < self._most_waiting(best, target_s):
-            return self._grant(run, vm, best, now_s)
+            grant = self._grant(run, vm, best, now_s)
+            return grant._replace(is_queued=True)
         drain_s = (over + 1) * self._run_s / best.slots
         retry_s = max(_MIN_RETRY_S, drain_s) * self._rng.uniform(1.0, 1.5)
         return NoRoom(retry_s, self._occupancy(choices, now_s))
@@ -324,8 +329,9 @@
     ) -> str:
         """Returns the batch run to yield; empty if there is none.
 
-        The one whose turn would come last, so that those near their end do
-        not yield again and again; of several with as little done a near one.
+        A near one if there is any, since what runs across domains is lost
+        when one is cut off; of these the one whose turn would come last, so
+        that those near their end do not yield again and again.
         """
         domains = {row.instance: row.failure_domain for row in choices}
         runs = []
@@ -333,11 +339,8 @@
             if held.standing is None or held.instance not in domains:
                 continue
             place = batchorder.rank(held.standing.after(now_s - held.since_s))
-            done_step = int(place.not_done_s / _DONE_STEP_S)
             is_near = domains[held.instance] == domain
-            runs.append(
-                (place.is_late, place.due_step, done_step, is_near, place, run)
-            )
+            runs.append((place.is_late, is_near, place, run))
         return max(runs)[-1] if runs else ""
 
     def _most_waiting(self, row: records.Upstream, target_s: float) -> int:
--- a/packages/gateway/gateway/slotmessages.py
+++ b/packages/gateway/gateway/slotmessages.py
@@ -22,11 +22,13 @@
         instance: The engine's name.
         retry_after_s: When to come back.
         occupancy: How full the engines are if there is no room.
+        is_queued: Whether the request has to wait inside the engine.
     """
 
     instance: str
     retry_after_s: float
     occupancy: slotledger.Occupancy | None
+    is_queued: bool = False
 
 
 class TakeBatch(NamedTuple):
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -75,6 +75,41 @@
     assert sum(len(engine.runs) for engine in engines) == 2
 
 
+def test_a_stream_that_does_not_begin_is_begun_elsewhere_on_time(
+    scene: gatewayscene.Scene,
+) -> None:
+    """An engine is cut off and takes what is sent to it without an answer."""
+    engines = [scene.add_engine(), scene.add_engine()]
+    for engine in engines:
+        engine.faults = [Fault("mute", 0)]
+    vm = scene.add_vm()
+    answer = vm.call("POST", "/s/x", b"p")
+    assert answer.is_whole
+    assert _numbers(answer.body) == [1, 2, 3, 4, 5]
+    assert sum(len(engine.runs) for engine in engines) == 2
+
+
+def test_a_stream_that_waits_in_an_engine_is_left_there(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Sent elsewhere in a burst, it would lose its place and add to it."""
+    engines = [scene.add_engine(), scene.add_engine()]
+    for engine in engines:
+        engine.faults = [Fault("mute", 0)]
+    vm = scene.add_vm()
+    placed = vm.kernel.find(names.PLACEMENT, placement.Placement)
+    take = placed.take
+
+    def queued(*args: Any) -> Any:
+        taken = take(*args)
+        taken.unwrap().is_free = False
+        return taken
+
+    monkeypatch.setattr(placed, "take", queued)
+    assert vm.call("POST", "/s/x", b"p").is_whole
+    assert sum(len(engine.runs) for engine in engines) == 1
+
+
 def test_a_stream_that_broke_off_waits_for_a_slot(
     scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
 ) -> None:
