Gateway: what it decides stands in a package of its own

Decisions on slots, the order of batch items, backlogs, outliers and tokens move to `gateway.decisions`.

--- a/packages/gateway/gateway/backlogs.py
+++ b/packages/gateway/gateway/backlogs.py
@@ -17,7 +17,6 @@
 
 from bulrushdeal import codec
 from bulrushdeal import eventlog
-from gateway import backlog
 from gateway import dialect as dialect_lib
 from gateway import jobbook
 from gateway import joblisting
@@ -25,6 +24,7 @@
 from gateway import jobrecords
 from gateway import paging
 from gateway import records
+from gateway.decisions import backlog
 
 _events = eventlog.Events("jobs")
 
--- a/packages/gateway/gateway/slotledger.py
+++ b/packages/gateway/gateway/decisions/slotledger.py
@@ -9,9 +9,9 @@
 import random
 from typing import Literal, NamedTuple
 
-from gateway import batchorder
-from gateway import outliers
 from gateway import records
+from gateway.decisions import batchorder
+from gateway.decisions import outliers
 
 # An engine's own word on its load counts for so long, less and less: runs of
 # a VM that lost its power go on there, and no VM reports them.
--- a/packages/gateway/gateway/heldslots.py
+++ b/packages/gateway/gateway/heldslots.py
@@ -4,9 +4,9 @@
 import threading
 import time
 
-from gateway import batchorder
 from gateway import records
-from gateway import slotledger
+from gateway.decisions import batchorder
+from gateway.decisions import slotledger
 
 
 class Slot:
--- a/packages/gateway/gateway/jobs.py
+++ b/packages/gateway/gateway/jobs.py
@@ -8,7 +8,6 @@
 from bulrushdeal import eventlog
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeald import services
-from gateway import backlog
 from gateway import backlogs
 from gateway import dialect as dialect_lib
 from gateway import jobbook
@@ -18,6 +17,7 @@
 from gateway import members
 from gateway import names
 from gateway import records
+from gateway.decisions import backlog
 
 _events = eventlog.Events("jobs")
 
--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -5,9 +5,9 @@
 import time
 from typing import NamedTuple
 
-from gateway import batchorder
 from gateway import dialect
 from gateway import jobrecords
+from gateway.decisions import batchorder
 
 # A failed or refused item waits so long before it runs again, twice as long
 # each time: one that crashes its upstream must not take them all down.
--- a/packages/gateway/gateway/leading.py
+++ b/packages/gateway/gateway/leading.py
@@ -7,9 +7,9 @@
 
 from bulrushdeal import eventlog
 from bulrushdeald import services
-from gateway import slotledger
 from gateway import slotmessages
 from gateway import upstreamlist
+from gateway.decisions import slotledger
 
 _events = eventlog.Events("leading")
 
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -14,7 +14,6 @@
 from bulrushdeal import eventlog
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeald import services
-from gateway import batchorder
 from gateway import configuration
 from gateway import health
 from gateway import heldslots
@@ -22,9 +21,10 @@
 from gateway import members
 from gateway import names
 from gateway import records
-from gateway import slotledger
 from gateway import slotmessages
 from gateway import upstreamlist
+from gateway.decisions import batchorder
+from gateway.decisions import slotledger
 
 _events = eventlog.Events("placement")
 
--- a/packages/gateway/gateway/rates.py
+++ b/packages/gateway/gateway/rates.py
@@ -19,7 +19,7 @@
 from gateway import members
 from gateway import names
 from gateway import records
-from gateway import tokens
+from gateway.decisions import tokens
 
 _events = eventlog.Events("rates")
 
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -10,7 +10,6 @@
 from bulrushdeal import eventlog
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeald import services
-from gateway import batchorder
 from gateway import configuration
 from gateway import dialect as dialect_lib
 from gateway import eventstream
@@ -28,6 +27,7 @@
 from gateway import resultwriter
 from gateway import sending
 from gateway import takeover
+from gateway.decisions import batchorder
 
 _events = eventlog.Events("runner")
 
--- a/packages/gateway/gateway/sending.py
+++ b/packages/gateway/gateway/sending.py
@@ -14,7 +14,7 @@
 from gateway import names
 from gateway import placement
 from gateway import records
-from gateway import slotledger
+from gateway.decisions import slotledger
 
 FailureKind = Literal["rejected", "unreachable", "broken", "silent", "ended"]
 _SERVER_ERROR = 500
--- a/packages/gateway/gateway/slotmessages.py
+++ b/packages/gateway/gateway/slotmessages.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from gateway import slotledger
+from gateway.decisions import slotledger
 
 
 class Take(NamedTuple):
--- a/tests/gateway/test_backlogs.py
+++ b/tests/gateway/test_backlogs.py
@@ -10,7 +10,6 @@
 
 from bulrushdeal import kernel as kernel_lib
 from bulrushplatform import wire
-from gateway import backlog
 from gateway import backlogs
 from gateway import dialect
 from gateway import jobbook
@@ -18,6 +17,7 @@
 from gateway import jobmessages
 from gateway import jobrecords
 from gateway import names
+from gateway.decisions import backlog
 from support import gatewayengine
 from support import gatewayscene
 from support import gatewaystore
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -8,12 +8,12 @@
 import pytest
 
 from bulrushdeal import eventlog
-from gateway import batchorder
 from gateway import metrics
 from gateway import names
 from gateway import placement
 from gateway import rates
 from gateway import records
+from gateway.decisions import batchorder
 from support import gatewayscene
 
 
--- a/tests/gateway/test_vms.py
+++ b/tests/gateway/test_vms.py
@@ -9,7 +9,6 @@
 
 from bulrushdeald import peers
 from bulrushdeald import services
-from gateway import batchorder
 from gateway import configuration
 from gateway import members
 from gateway import names
@@ -17,6 +16,7 @@
 from gateway import placement
 from gateway import rates
 from gateway import records
+from gateway.decisions import batchorder
 from support import gatewayengine
 from support import gatewayscene
 from support import gatewaystore
--- a/tests/support/batchreplay.py
+++ b/tests/support/batchreplay.py
@@ -8,12 +8,12 @@
 import random
 from typing import NamedTuple
 
-from gateway import batchorder
 from gateway import dialect
 from gateway import jobrecords
 from gateway import jobstate
 from gateway import records
-from gateway import slotledger
+from gateway.decisions import batchorder
+from gateway.decisions import slotledger
 
 RUN_S = 5.0
 _ONLINE_S = 0.75
