--- /dev/null
+++ b/tests/gateway/test_outliers.py
@@ -0,0 +1,156 @@
+"""Which upstreams get nothing for a while because their requests fail."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+
+from gateway import names
+from gateway import records
+from gateway import upstreamlist
+from gateway.decisions import outliers
+from gateway.decisions import slotledger
+from support import gatewayengine
+from support import gatewayscene
+
+_COUNT = 10
+
+
+def _note(
+    rows: outliers.Outliers, ends: str, now_s: float, instance: str = "i-0"
+) -> None:
+    for end in ends:
+        rows.note(instance, now_s, has_failed=end == "x", count=_COUNT)
+
+
+def test_an_upstream_that_fails_is_out_and_comes_back_by_trials() -> None:
+    rows = outliers.Outliers()
+    _note(rows, "....", 0.0, "i-1")
+    _note(rows, "xx", 0.0)
+    assert rows.limit("i-0", 0.0) is None
+    _note(rows, "x", 0.0)
+    assert rows.limit("i-0", 0.9) == 0
+    assert rows.limit("i-0", 1.1) == 1
+    assert rows.limit("i-1", 0.0) is None
+    _note(rows, "..", 1.2)
+    assert rows.limit("i-0", 1.2) == 1
+    _note(rows, ".", 1.3)
+    assert rows.limit("i-0", 1.3) is None
+
+
+def test_a_trial_that_fails_takes_it_out_for_twice_as_long() -> None:
+    rows = outliers.Outliers()
+    _note(rows, "xxx", 0.0)
+    _note(rows, "x", 1.1)
+    assert rows.limit("i-0", 3.0) == 0
+    assert rows.limit("i-0", 3.2) == 1
+
+
+def test_what_fails_everywhere_takes_nobody_out() -> None:
+    """One caller's requests make every upstream answer 500.
+
+    No upstream is at fault; without them the others have less room.
+    """
+    rows = outliers.Outliers()
+    for number in range(_COUNT):
+        _note(rows, "x.", 0.0, f"i-{number}")
+    for number in range(_COUNT):
+        _note(rows, "x.x", 0.1, f"i-{number}")
+    assert all(
+        rows.limit(f"i-{number}", 0.2) is None for number in range(_COUNT)
+    )
+
+
+def test_answers_lost_now_and_then_take_nobody_out() -> None:
+    rng, rows = random.Random(5), outliers.Outliers()
+    for step in range(4000):
+        end = "x" if rng.random() < 0.05 else "."
+        _note(rows, end, step * 0.02, f"i-{rng.randrange(_COUNT)}")
+        assert all(
+            rows.limit(f"i-{number}", step * 0.02) is None
+            for number in range(_COUNT)
+        )
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.integers(0, _COUNT - 1), st.booleans()), max_size=200)
+)
+def test_most_upstreams_are_never_out(ends: list[tuple[int, bool]]) -> None:
+    rows = outliers.Outliers()
+    for step, (number, has_failed) in enumerate(ends):
+        rows.note(
+            f"i-{number}", step * 0.01, has_failed=has_failed, count=_COUNT
+        )
+        out = [
+            number
+            for number in range(_COUNT)
+            if rows.limit(f"i-{number}", step * 0.01) is not None
+        ]
+        assert len(out) <= 3
+
+
+def _failed_share(fails: str) -> float:
+    """Plays ten seconds of requests; one engine fails its own at once.
+
+    Args:
+        fails: The engine that does.
+
+    Returns:
+        Which part of the requests that had a slot failed.
+    """
+    rng = random.Random(2)
+    ledger = slotledger.Ledger(rng)
+    ledger.set_engines(
+        records.Upstream(f"i-{number}", "llm", f"h:{number}", "d", 8, False, 0)
+        for number in range(_COUNT)
+    )
+    ends: list[tuple[float, str, bool]] = []
+    sent = failed = 0
+    for step in range(1000):
+        now_s = step * 0.01
+        for end in [end for end in ends if end[0] <= now_s]:
+            ends.remove(end)
+            ledger.release(end[1], now_s, outcome="failed" if end[2] else "ok")
+        run = f"vm.1.{step}"
+        grant = ledger.take_online(run, "vm", now_s, target_s=0.3)
+        if isinstance(grant, slotledger.NoRoom):
+            continue
+        is_bad = grant.instance == fails
+        sent += 1
+        failed += is_bad
+        ends.append((now_s + (0.01 if is_bad else 0.5), run, is_bad))
+    return failed / sent
+
+
+def test_an_upstream_that_fails_at_once_does_not_draw_requests() -> None:
+    """One engine of ten resets each request; the others take half a second.
+
+    It always has the most free slots: 0.82 of a hundred requests a second
+    go there if it is not taken out.
+    """
+    assert _failed_share("i-3") < 0.02
+    assert _failed_share("none") == 0.0
+
+
+def test_the_vm_that_leads_hears_of_the_failures_of_all(
+    scene: gatewayscene.Scene,
+) -> None:
+    """One engine of four answers 500 to whatever it gets.
+
+    Each VM sees few of the failures; of 120 requests a quarter would go
+    there.
+    """
+    engines = [scene.add_engine() for _ in range(4)]
+    engines[0].faults = [gatewayengine.Fault("error")] * 200
+    vms = [scene.add_vm("vm1"), scene.add_vm("vm2")]
+    for vm in vms:
+        gatewayscene.until(lambda vm=vm: _count(vm) == 4)
+    for number in range(120):
+        vm = vms[number % 2]
+        vm.call("POST", "/unsafe/x", b"p", attempt=f"a{number}")
+    assert len(engines[0].runs) < 15
+
+
+def _count(vm: gatewayscene.Vm) -> int:
+    rows = vm.kernel.find(names.UPSTREAM_LIST, upstreamlist.UpstreamList)
+    return len(rows.usable("llm"))
--- /dev/null
+++ b/tests/gateway/test_slotledger.py
@@ -0,0 +1,258 @@
+"""Who gets a slot of an engine."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+
+from gateway import records
+from gateway.decisions import batchorder
+from gateway.decisions import slotledger
+
+
+def _engines(count: int, slots: int = 8) -> list[records.Upstream]:
+    return [
+        records.Upstream(
+            f"i-{number}",
+            "llm",
+            f"h:{number}",
+            f"d{number % 2}",
+            slots,
+            False,
+            0,
+        )
+        for number in range(count)
+    ]
+
+
+def _ledger(count: int = 2, slots: int = 8) -> slotledger.Ledger:
+    ledger = slotledger.Ledger(random.Random(1))
+    ledger.set_engines(_engines(count, slots))
+    return ledger
+
+
+def _batch(
+    ledger: slotledger.Ledger,
+    run: str,
+    vm: str,
+    now_s: float,
+    standing: batchorder.Standing | None = None,
+    excluded: tuple[str, ...] = (),
+) -> str:
+    """Returns the engine that a batch item gets; empty if none."""
+    asked = slotledger.BatchRun(run, standing or batchorder.Standing())
+    engines = ledger.take_batch(vm, [asked], now_s, excluded)
+    return engines[0] if engines else ""
+
+
+_LATE = batchorder.Standing(is_late=True)
+
+
+def _online(
+    ledger: slotledger.Ledger, run: str, now_s: float = 0.0
+) -> slotledger.Grant | slotledger.NoRoom:
+    return ledger.take_online(run, "vm1", now_s, target_s=0.3)
+
+
+def test_an_online_request_takes_the_slot_of_a_batch_run() -> None:
+    """Batch fills every slot; then a household writes.
+
+    It must not wait the seconds that a batch item takes: the item begun last
+    yields, and the request has its slot.
+    """
+    ledger = _ledger(1, slots=2)
+    assert _batch(ledger, "b1", "vm2", 0.0)
+    assert _batch(ledger, "b2", "vm2", 1.0)
+    assert not _batch(ledger, "b3", "vm2", 1.0)
+    grant = _online(ledger, "o1", 2.0)
+    assert isinstance(grant, slotledger.Grant)
+    assert grant.yields == ("b2",)
+    assert ledger.counts() == {"i-0": 2}
+
+
+def test_a_burst_beyond_the_slots_is_refused_with_when_to_come_back() -> None:
+    """A burst of online requests meets full engines.
+
+    A few may wait inside an engine and are still on time. Each one more would
+    make all that follow late, so it is told at once when to come back.
+    """
+    ledger = _ledger(2)
+    answers = [_online(ledger, f"o{number}") for number in range(40)]
+    granted = [a for a in answers if isinstance(a, slotledger.Grant)]
+    refused = [a for a in answers if isinstance(a, slotledger.NoRoom)]
+    assert 16 <= len(granted) <= 16 + 2 * 3
+    assert refused
+    assert all(0.1 < row.retry_after_s < 2.0 for row in refused)
+    full = slotledger.Occupancy(len(granted), 16)
+    assert {row.occupancy for row in refused} == {full}
+
+
+def test_a_request_stays_in_its_failure_domain_while_it_has_room() -> None:
+    ledger = _ledger(2, slots=3)
+    for number in range(3):
+        grant = ledger.take_online(
+            f"o{number}", "vm1", 0.0, target_s=0.3, domain="d1"
+        )
+        assert isinstance(grant, slotledger.Grant)
+        assert grant.instance == "i-1"
+    grant = ledger.take_online("o3", "vm1", 0.0, target_s=0.3, domain="d1")
+    assert isinstance(grant, slotledger.Grant)
+    assert grant.instance == "i-0"
+
+
+def test_runs_of_a_vm_without_power_count_by_the_engines_own_word() -> None:
+    """All VMs lose power; the engines go on with what they had.
+
+    The new ledger is empty. It would fill the engines' queues and every
+    stream of the next seconds would be late, were it not for what the
+    engines say of themselves.
+    """
+    ledger = _ledger(2)
+    ledger.observe(slotledger.Load("i-0", 8), 0.0)
+    for number in range(6):
+        grant = _online(ledger, f"o{number}", 0.1)
+        assert isinstance(grant, slotledger.Grant)
+        assert grant.instance == "i-1"
+
+
+def test_a_release_that_was_lost_is_made_good_by_the_next_report() -> None:
+    """A VM's connection breaks as it gives a slot back.
+
+    Without the report the slot would seem taken for ever.
+    """
+    ledger = _ledger(1, slots=1)
+    _online(ledger, "o1", 0.0)
+    ledger.report("vm1", (), 0.1)
+    assert ledger.counts() == {"i-0": 1}  # The grant may be on its way.
+    ledger.report("vm1", (), 1.0)
+    assert ledger.counts() == {}
+
+
+def test_a_new_leader_learns_what_runs_from_reports() -> None:
+    ledger = _ledger(1, slots=2)
+    rows = (
+        slotledger.ReportRow("o1", "i-0"),
+        slotledger.ReportRow("b1", "i-0", batchorder.Standing()),
+    )
+    ledger.report("vm1", rows, 0.0)
+    grant = _online(ledger, "o2", 0.1)
+    assert isinstance(grant, slotledger.Grant)
+    assert grant.yields == ("b1",)
+
+
+def test_runs_of_a_silent_vm_are_dropped() -> None:
+    ledger = _ledger(1, slots=1)
+    _online(ledger, "o1", 0.0)
+    ledger.expire(3.0)
+    assert ledger.counts() == {"i-0": 1}
+    ledger.expire(4.0)
+    assert ledger.counts() == {}
+
+
+def test_a_late_item_yields_before_one_in_time() -> None:
+    ledger = _ledger(1, slots=2)
+    assert _batch(ledger, "late", "vm2", 0.0, _LATE)
+    assert _batch(ledger, "in time", "vm2", 1.0)
+    taken = _online(ledger, "o1", 2.0)
+    assert isinstance(taken, slotledger.Grant)
+    assert taken.yields == ("late",)
+
+
+def test_late_items_wait_while_others_of_any_vm_find_no_slot() -> None:
+    ledger = _ledger(1, slots=1)
+    assert _batch(ledger, "b1", "vm1", 0.0)
+    assert not _batch(ledger, "b2", "vm1", 0.1)
+    ledger.release("b1", 0.15)
+    assert not _batch(ledger, "late", "vm2", 0.2, _LATE)
+    assert _batch(ledger, "b2", "vm1", 0.25)
+    ledger.release("b2", 0.3)
+    assert _batch(ledger, "late", "vm2", 0.5, _LATE)
+
+
+def test_an_item_near_its_end_does_not_yield_again_and_again() -> None:
+    """Each burst takes the slot of the item that was resumed last."""
+    ledger = _ledger(1, slots=2)
+    assert _batch(ledger, "new", "vm2", 0.0)
+    resumed = batchorder.Standing(done_s=4.0)
+    assert _batch(ledger, "resumed", "vm2", 0.5, resumed)
+    taken = _online(ledger, "o1", 1.0)
+    assert isinstance(taken, slotledger.Grant)
+    assert taken.yields == ("new",)
+
+
+def test_what_is_due_last_yields_first() -> None:
+    ledger = _ledger(1, slots=2)
+    assert _batch(ledger, "soon", "vm2", 0.0, batchorder.Standing(10.0))
+    assert _batch(ledger, "later", "vm2", 0.0, batchorder.Standing(30.0, 3.0))
+    taken = _online(ledger, "o1", 1.0)
+    assert isinstance(taken, slotledger.Grant)
+    assert taken.yields == ("later",)
+
+
+def test_a_free_slot_is_left_to_another_vms_item_that_is_due_sooner() -> None:
+    ledger = _ledger(1, slots=1)
+    assert _batch(ledger, "b1", "vm1", 0.0)
+    assert not _batch(ledger, "soon", "vm1", 0.1, batchorder.Standing(10.0))
+    ledger.release("b1", 0.15)
+    assert not _batch(ledger, "later", "vm2", 0.2, batchorder.Standing(30.0))
+    assert _batch(ledger, "soon", "vm1", 0.25, batchorder.Standing(10.0))
+
+
+def test_who_cannot_use_a_free_slot_holds_nobody_up() -> None:
+    """A VM is cut off from one engine; others wait for it to use a slot."""
+    ledger = _ledger(2, slots=1)
+    soon, later = batchorder.Standing(10.0), batchorder.Standing(30.0)
+    assert _batch(ledger, "b1", "vm1", 0.0)
+    assert _batch(ledger, "b2", "vm1", 0.0)
+    assert not _batch(ledger, "soon", "vm1", 0.1, soon, ("i-0",))
+    ledger.release("b1", 0.15)
+    ledger.release("b2", 0.15)
+    assert _batch(ledger, "soon", "vm1", 0.16, soon, ("i-0",)) == "i-1"
+    assert not _batch(ledger, "more", "vm1", 0.17, soon, ("i-0",))
+    assert _batch(ledger, "later", "vm2", 0.2, later) == "i-0"
+
+
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["online", "batch", "release", "report"]),
+        st.integers(0, 30),
+    ),
+    max_size=120,
+)
+
+
+@hypothesis.given(_STEPS)
+def test_batch_never_goes_over_the_slots_and_counts_add_up(
+    steps: list[tuple[str, int]],
+) -> None:
+    ledger = _ledger(3, slots=4)
+    held: dict[str, str] = {}
+    for now, (kind, number) in enumerate(steps):
+        run, now_s = f"{kind}{now}", now * 0.01
+        if kind == "online":
+            taken = ledger.take_online(run, "vm1", now_s, target_s=0.3)
+            if isinstance(taken, slotledger.Grant):
+                for victim in taken.yields:
+                    del held[victim]
+                held[run] = taken.instance
+        elif kind == "batch":
+            instance = _batch(ledger, run, "vm1", now_s)
+            if instance:
+                held[run] = instance
+                assert ledger.counts()[instance] <= 4
+        elif kind == "release" and held:
+            name = sorted(held)[number % len(held)]
+            del held[name]
+            ledger.release(name, now_s)
+            ledger.release(name, now_s)
+        elif kind == "report":
+            rows = [
+                slotledger.ReportRow(
+                    name,
+                    at,
+                    batchorder.Standing() if "batch" in name else None,
+                )
+                for name, at in held.items()
+            ]
+            ledger.report("vm1", rows, now_s)
+        assert sum(ledger.counts().values()) == len(held)
