Refused requests come back one after the other

Cause: a request without a slot was told the time in which one place drains, 0.3 s or so, whoever else had been told the same. In a burst all return together into the rest of it; callers come back once, so they are refused for good.

Ruled out: a longer fixed time (it keeps them away when two were refused).

Change: the ledger promises each refused request a time of its own, a third of the places that come free apart, 1.6 s at most (`decisions.returns`). The share adapts to how long runs take and how many slots there are.

--- a/packages/gateway/gateway/decisions/slotledger.py
+++ b/packages/gateway/gateway/decisions/slotledger.py
@@ -12,6 +12,7 @@
 from gateway import records
 from gateway.decisions import batchorder
 from gateway.decisions import outliers
+from gateway.decisions import returns
 
 # An engine's own word on its load counts for so long, less and less: runs of
 # a VM that lost its power go on there, and no VM reports them.
@@ -124,6 +125,7 @@
         self._outliers = outliers.Outliers()
         self._run_s = _FIRST_RUN_S
         self._waiting = batchorder.Waiting()
+        self._returns = returns.Returns()
 
     def set_engines(self, engines: Iterable[records.Upstream]) -> None:
         """Takes the engines that may get requests."""
@@ -164,8 +166,11 @@
             grant = self._grant(run, vm, best, now_s)
             return grant._replace(is_queued=True)
         drain_s = (over + 1) * self._run_s / best.slots
-        retry_s = max(_MIN_RETRY_S, drain_s) * self._rng.uniform(1.0, 1.5)
-        return NoRoom(retry_s, self._occupancy(choices, now_s))
+        drain_s = max(_MIN_RETRY_S, drain_s) * self._rng.uniform(1.0, 1.5)
+        occupancy = self._occupancy(choices, now_s)
+        place_s = self._run_s / occupancy.slots
+        turn_s = self._returns.promise(now_s, place_s)
+        return NoRoom(max(drain_s, turn_s), occupancy)
 
     def take_batch(
         self,
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -9,6 +9,7 @@
 # Types, records, and log lines, which never block.
 _ALLOWED = (
     "collections.abc",
+    "heapq",
     "random",
     "typing",
     "bulrushdeal.eventlog",
