Runner: an error in placement does not end the feeding of items

The part that asks for slots stood outside of the guard, which it was inside of before; one error and the thread that feeds all jobs of the VM would be gone.

Test: placement fails once, and the job is finished (fails without the guard).

--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -198,7 +198,7 @@
             for row in self._ready_safely(state, moment):
                 ready.setdefault(row.service, []).append(row)
         for service, rows in ready.items():
-            self._start(service, rows)
+            self._start_safely(service, rows)
 
     def _ready_safely(
         self, state: jobstate.JobState, moment: jobstate.Moment
@@ -226,6 +226,13 @@
             for item in items
         ]
 
+    def _start_safely(self, service: str, rows: list["_Ready"]) -> None:
+        """Starts items; an error must not end the thread that feeds all."""
+        try:
+            self._start(service, rows)
+        except Exception as error:  # noqa: BLE001 - fed again soon.
+            _events.warning("not_started", service=service, why=repr(error))
+
     def _start(self, service: str, rows: list["_Ready"]) -> None:
         """Runs the first of the items that wait, as slots are free."""
         rows.sort(key=lambda row: batchorder.rank(row.standing))
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -257,6 +257,26 @@
     assert len(asked) == 1
 
 
+def test_an_error_in_placement_does_not_end_the_feeding_of_items(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The thread that feeds all jobs dies, and items are left lying."""
+    scene.add_engine()
+    vm = scene.add_vm()
+    placed = vm.kernel.find(names.PLACEMENT, placement.Placement)
+    take, failed = placed.take_batch, threading.Event()
+
+    def fail_once(service: str, standings: list[Any]) -> list[Any]:
+        if not failed.is_set():
+            failed.set()
+            raise RuntimeError("as told")
+        return take(service, standings)
+
+    monkeypatch.setattr(placed, "take_batch", fail_once)
+    vm.submit("j1", _items(3))
+    assert len(_finished(vm, "j1")) == 3
+
+
 def test_a_job_that_is_given_up_does_not_hold_up_others(
     scene: gatewayscene.Scene,
 ) -> None:
