--- a/tests/gateway/test_batchload.py
+++ b/tests/gateway/test_batchload.py
@@ -53,5 +53,12 @@
     assert in_turn.refused == by_chance.refused == 0
 
 
+def test_long_items_are_not_starved_in_a_flood() -> None:
+    """What is late by its length alone would never be in time."""
+    lengths = (0.7, 0.8, 0.8, 0.9, 1.0, 1.0, 1.1, 1.2, 1.3, 1.6)
+    played = batchreplay.play(_flood()._replace(lengths=lengths))
+    assert played.longest_in_time >= played.in_time / 2
+
+
 def _no_order(standing: batchorder.Standing) -> batchorder.Rank:
     return batchorder.Rank(standing.is_late, 0, 0.0)
--- a/tests/support/batchreplay.py
+++ b/tests/support/batchreplay.py
@@ -37,6 +37,7 @@
         online_per_s: Online requests a second, by time.
         length_s: How long it is played.
         due_s: How long after its acceptance a job is due.
+        lengths: Of the items, one after the other, as parts of `RUN_S`.
     """
 
     slots: int
@@ -44,6 +45,7 @@
     online_per_s: Callable[[float], float]
     length_s: float
     due_s: float = 18.0
+    lengths: tuple[float, ...] = (1.0,)
 
 
 class Outcome(NamedTuple):
@@ -53,11 +55,13 @@
         in_time: The share of the items that ended before they were due.
         yields: How often each item gave its slot up.
         refused: Online requests that found no slot.
+        longest_in_time: The share of the longest items that did.
     """
 
     in_time: float
     yields: tuple[int, ...]
     refused: int
+    longest_in_time: float
 
 
 class _Running(NamedTuple):
@@ -83,6 +87,8 @@
         self._online: dict[str, float] = {}
         self._yields: dict[str, int] = {}
         self._runs = self._in_time = self._refused = 0
+        self._longest = max(pattern.lengths)
+        self._longest_in_time = 0
         self._owed = 0.0
 
     def play(self) -> Outcome:
@@ -98,6 +104,19 @@
             self._in_time / items,
             tuple(self._yields.values()),
             self._refused,
+            self._longest_in_time / max(1, self._count_longest()),
+        )
+
+    def _length(self, name: str) -> float:
+        job, _, item = name.partition("-")
+        lengths = self._pattern.lengths
+        return lengths[(int(job) + int(item)) % len(lengths)]
+
+    def _count_longest(self) -> int:
+        return sum(
+            self._length(name) == self._longest
+            for job in self._jobs
+            for name in job.meta.items
         )
 
     def _name(self, vm: str) -> str:
@@ -110,11 +129,14 @@
                 del self._online[run]
                 self._ledger.release(run, now_s, outcome="ok")
         for run, row in list(self._batch.items()):
-            if row.item.done_s(now_s) >= RUN_S:
+            length = self._length(row.item.item.item)
+            if row.item.done_s(now_s) >= RUN_S * length:
                 del self._batch[run]
                 self._ledger.release(run, now_s, outcome="ok")
                 row.state.note_listed(row.item)
-                self._in_time += now_s <= row.state.due_s
+                if now_s <= row.state.due_s:
+                    self._in_time += 1
+                    self._longest_in_time += length == self._longest
 
     def _arrive(self, now_s: float) -> None:
         self._owed += self._pattern.online_per_s(now_s) * _STEP_S
