Streams: one that ran and did not begin waits for its next slot as well

Cause: read in the diff. A stream that is begun elsewhere after a short silence was answered 502 at once when no other engine had a slot just then; before, it waited for its first engine and was late at worst. Only one that had begun waited for a slot.

Change: whatever has run waits for up to a second, in the one place that takes slots. Test: both cases (the one that did not begin fails without it).

--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -37,9 +37,10 @@
 # and the least: a process may stand still for a tenth of a second.
 _GAP_SHARE = 0.65
 _MIN_GAP_S = 0.15
-# While a stream that broke off finds no slot it tries again, for so long.
-_RESUME_S = 1.0
-_RESUME_PAUSE_S = 0.05
+# While a request that ran finds no slot for its next run it tries again, for
+# so long.
+_NEXT_RUN_S = 1.0
+_NEXT_RUN_PAUSE_S = 0.05
 # Answers up to this size are read whole before the first byte goes on, so
 # that a broken one can be repeated or refused.
 _WHOLE_BYTES = 1 << 20
@@ -107,6 +108,7 @@
         self._answer: services.UpstreamAnswer | None = None
         self._last_event = request.last_event
         self._no_slot: placement.NoSlot | None = None
+        self._wait_until_s = 0.0
 
     def run(self) -> httpd.Response:
         """Returns the answer."""
@@ -122,7 +124,11 @@
                 return response
 
     def _open(self) -> sending.Opened | None:
-        """Sends until an answer's head is sound; `None` to give up."""
+        """Sends until an answer's head is sound; `None` to give up.
+
+        What has run cannot be told to come back any more, so it waits a
+        little for a slot where a new request is refused.
+        """
         while self._may_send():
             taken = self._placement.take(
                 self._request.service,
@@ -131,7 +137,10 @@
             )
             if isinstance(taken, result.Err):
                 self._no_slot = taken.err_value
-                return None
+                if time.monotonic() >= self._wait_until_s:
+                    return None
+                time.sleep(_NEXT_RUN_PAUSE_S)
+                continue
             slot = self._slot = taken.ok_value
             self._tried.append(slot.upstream.instance)
             self._call.sends += 1
@@ -188,6 +197,7 @@
         assert slot is not None
         if failure.has_run:
             self._call.runs += 1
+            self._wait_until_s = time.monotonic() + _NEXT_RUN_S
         _events.warning(
             "send_failed",
             request=self._call.attempt,
@@ -358,29 +368,12 @@
         self._call.runs -= 1
         self._note(failure._replace(has_run=True))
         self._drop()
-        opened = self._reopen()
+        opened = self._open()
         if opened is None or self._is_stream(opened):
             return opened
         self._drop()
         return None
 
-    def _reopen(self) -> sending.Opened | None:
-        """Sends a stream that broke off to another upstream.
-
-        Once its head is out it cannot be refused any more, so it waits a
-        little where a new request would be told to come back.
-        """
-        end_s = time.monotonic() + _RESUME_S
-        while self._may_send():
-            self._no_slot = None
-            opened = self._open()
-            if opened is not None or self._no_slot is None:
-                return opened
-            if time.monotonic() > end_s:
-                return None
-            time.sleep(_RESUME_PAUSE_S)
-        return None
-
     def _refuse(self) -> httpd.Response:
         row = self._refusal()
         self._drop()
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -110,13 +110,14 @@
     assert sum(len(engine.runs) for engine in engines) == 1
 
 
-def test_a_stream_that_broke_off_waits_for_a_slot(
-    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize("fault", [Fault("cut", 2), Fault("mute", 0)])
+def test_a_stream_that_ran_waits_for_its_next_slot(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch, fault: Fault
 ) -> None:
     """An engine dies while a burst of requests has the others full."""
     engines = [scene.add_engine(), scene.add_engine()]
     for engine in engines:
-        engine.faults = [Fault("cut", 2)]
+        engine.faults = [fault]
     vm = scene.add_vm()
     placed = vm.kernel.find(names.PLACEMENT, placement.Placement)
     take, takes = placed.take, 0
