Adapter: cold starts, evacuations and regions are decoded

Cause: three kinds of rules of the shifted deployment had no code. A load header with more than three numbers was dropped whole. Change: the cold time of an entry and of an answer, the cold start of a service, the operators' limits, the keys of evacuations, allowed regions of routes and customers, and the region of each failure domain become typed fields. A cold time that cannot be used leaves the entry in use. Of a load the first three numbers are read. Checked: tests of the adapter.

--- a/packages/gateway/gateway/dialect.py
+++ b/packages/gateway/gateway/dialect.py
@@ -221,6 +221,8 @@
         has_server_stamp: Whether the answer bears the upstream's own stamp.
         is_misdirected: Whether the address now belongs to another instance.
         load: The upstream's load; `None` if not given or unreadable.
+        cold_remaining_s: How long the upstream stays cold; `None` if not
+            given or unreadable.
     """
 
     attempt: str
@@ -228,6 +230,7 @@
     has_server_stamp: bool
     is_misdirected: bool
     load: Load | None
+    cold_remaining_s: float | None = None
 
 
 class JobItem(NamedTuple):
@@ -366,6 +369,14 @@
             key is no such request.
         """
 
+    def decode_evacuation(self, key: str) -> str:
+        """Returns the failure domain that the operators want to evacuate.
+
+        Returns:
+            The name of a failure domain whose upstreams are to get nothing;
+            empty if the key is no such request.
+        """
+
     def retired_write(self, vm: str) -> Write:
         """Returns the write that reports to operators that a VM is empty."""
 
--- a/packages/gateway/gateway/records.py
+++ b/packages/gateway/gateway/records.py
@@ -1,6 +1,8 @@
 """The operators' configuration and the platform's data as typed records."""
 
+from collections.abc import Mapping
 import random
+import types
 from typing import Literal, NamedTuple
 
 RouteKind = Literal["safe", "unsafe", "streaming", "batch"]
@@ -36,6 +38,7 @@
             job is due.
         gap_target_s: The longest pause in a stream that counts as on time;
             0 if there is no target.
+        regions: The regions that its requests may be sent to; empty for all.
         max_waiting_tokens: How many tokens of batch items without a result
             one customer may have on the route, over all VMs; 0 for no
             limit.
@@ -57,6 +60,7 @@
     completion_target_s: float
     max_waiting_tokens: int = 0
     gap_target_s: float = 0.0
+    regions: tuple[str, ...] = ()
 
     def choose_service(self) -> str | None:
         """Returns a random service by weight; `None` if all weights are 0."""
@@ -92,12 +96,17 @@
         max_connections: The operators' connection limit; 0 if not set.
         engine: The capacity of its model engines; `None` if its upstreams
             are not model engines.
+        cold_start_s: How long its upstreams stay cold after a start; 0 if
+            they are never cold.
+        cold_rate_per_s: The rate of requests that a cold upstream tolerates.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: Engine | None
+    cold_start_s: float = 0.0
+    cold_rate_per_s: float = 0.0
 
 
 class CallerLimits(NamedTuple):
@@ -112,7 +121,8 @@
 class Customer(NamedTuple):
     """A customer: its API keys, and its rate and burst over all VMs.
 
-    A `rate_per_s` of 0 means that its rate is not limited.
+    A `rate_per_s` of 0 means that its rate is not limited. `regions` are the
+    regions that its requests may be sent to; empty for all.
     """
 
     name: str
@@ -120,6 +130,7 @@
     priority: int
     rate_per_s: float
     burst: float
+    regions: tuple[str, ...] = ()
 
 
 class Configuration(NamedTuple):
@@ -144,6 +155,8 @@
         is_draining: Whether it must not get new requests.
         started_ms: When it was started, in milliseconds of the epoch; 0 if
             unknown.
+        cold_remaining_s: How long it stays cold from when its entry was
+            written; `None` if the entry does not say.
     """
 
     instance: str
@@ -153,6 +166,18 @@
     slots: int
     is_draining: bool
     started_ms: int
+    cold_remaining_s: float | None = 0.0
+
+
+class ColdLimits(NamedTuple):
+    """How far the operators tolerate more requests to a cold upstream.
+
+    In any second a cold upstream may get its service's `cold_rate_per_s` times
+    `rate_factor`, plus `slack` requests, over all VMs.
+    """
+
+    rate_factor: float
+    slack: float
 
 
 class Settings(NamedTuple):
@@ -178,6 +203,8 @@
         upstream_connect_timeout_s: The time limit for a new connection to
             an upstream.
         cores: The processor cores that the process may use; 0 if unknown.
+        cold_limits: The limits for cold upstreams; `None` if there are none.
+        regions: The region of each failure domain.
     """
 
     vm: str
@@ -194,3 +221,5 @@
     limit_window_s: float
     upstream_connect_timeout_s: float = 0.3
     cores: float = 0.0
+    cold_limits: ColdLimits | None = None
+    regions: Mapping[str, str] = types.MappingProxyType({})
--- a/tests/usersplatform/test_operators.py
+++ b/tests/usersplatform/test_operators.py
@@ -51,6 +51,50 @@
         operators.decode_upstream("servers/i-1", value)
 
 
+@pytest.mark.parametrize(
+    ("value", "cold_s"),
+    [(2500, 2.5), (0, 0.0), (1e12, 1e9), ("9", None), (-1, None), (None, None)],
+)
+def test_an_upstream_without_a_usable_cold_time_is_kept(
+    value: Any, cold_s: float | None
+) -> None:
+    entry = _entry(cold_remaining_ms=value)
+    read = operators.decode_upstream("servers/i-1", entry)
+    assert read.instance == "i-1"
+    assert read.cold_remaining_s == cold_s
+
+
+def test_an_entry_that_states_no_cold_time_is_kept() -> None:
+    read = operators.decode_upstream("servers/i-1", _entry())
+    assert read.cold_remaining_s is None
+
+
+def test_an_evacuation_is_decoded() -> None:
+    assert operators.decode_evacuation("op/evacuate/d1") == "d1"
+    assert operators.decode_evacuation("op/retire/vm1") == ""
+
+
+def test_cold_starts_and_regions_are_decoded() -> None:
+    value = gatewayscene.configuration()
+    value["services"][0].update(cold_start_s=3.0, cold_per_s=6.2)
+    value["routes"][0]["allowed_regions"] = ["north"]
+    value["tenants"][0]["allowed_regions"] = ["north", "south"]
+    read = operators.decode_configuration(json.dumps(value).encode())
+    assert read.services[0].cold_start_s == 3.0
+    assert read.services[0].cold_rate_per_s == 6.2
+    assert read.routes[0].regions == ("north",)
+    assert read.routes[1].regions == ()
+    assert read.customers[0].regions == ("north", "south")
+
+
+@pytest.mark.parametrize("value", ["north", [1], {"north": 1}])
+def test_malformed_regions_are_refused(value: Any) -> None:
+    configuration = gatewayscene.configuration()
+    configuration["routes"][0]["allowed_regions"] = value
+    with pytest.raises(dialect.BadInputError, match="allowed_regions"):
+        operators.decode_configuration(json.dumps(configuration).encode())
+
+
 def test_a_configuration_is_decoded() -> None:
     value = gatewayscene.configuration(7)
     split = [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]
--- a/tests/usersplatform/test_settings.py
+++ b/tests/usersplatform/test_settings.py
@@ -9,6 +9,7 @@
 from bulrushdeal import errors
 from bulrushplatform import settings
 from gateway import dialect
+from gateway import records
 
 _VALID: dict[str, Any] = {
     "node": "front-a-1",
@@ -46,6 +47,16 @@
         settings.decode(data)
 
 
+def test_cold_limits_and_regions_are_decoded() -> None:
+    assert settings.decode(_VALID).cold_limits is None
+    assert settings.decode(_VALID).regions == {}
+    bounds = {**_VALID["bounds"], "cold_overage": 1.5, "cold_slack": 5}
+    data = {**_VALID, "bounds": bounds, "zones": {"a": "north"}}
+    read = settings.decode(data)
+    assert read.cold_limits == records.ColdLimits(1.5, 5)
+    assert read.regions == {"a": "north"}
+
+
 def test_an_unreadable_file_is_a_user_error(tmp_path: pathlib.Path) -> None:
     path = tmp_path / "settings.toml"
     path.write_text("node = ")
--- a/tests/usersplatform/test_wire.py
+++ b/tests/usersplatform/test_wire.py
@@ -92,6 +92,36 @@
     assert load == dialect.Load(3, 0, 8)
 
 
+def test_further_numbers_of_a_load_are_ignored() -> None:
+    for value in ("3,0,8,100", ",".join(["3", "0", "8"] + ["x"] * 17)):
+        headers = (("Bulrushdeal-Server-Load", value),)
+        load = wire.Dialect().decode_answer_headers(200, headers).load
+        assert load == dialect.Load(3, 0, 8)
+
+
+@pytest.mark.parametrize("value", ["3", "-1,0,8", "9" * 5000 + ",0,8"])
+def test_an_unreadable_load_costs_only_itself(value: str) -> None:
+    headers = (
+        ("Bulrushdeal-Server-Load", value),
+        ("Bulrushdeal-Server-Stamp", "x"),
+    )
+    head = wire.Dialect().decode_answer_headers(200, headers)
+    assert head.load is None
+    assert head.has_server_stamp
+
+
+@pytest.mark.parametrize(
+    ("value", "cold_s"),
+    [("1500", 1.5), ("0", 0.0), ("", None), ("-1", None), ("9" * 99, None)],
+)
+def test_the_cold_time_of_an_answer_is_decoded(
+    value: str, cold_s: float | None
+) -> None:
+    headers = (("Bulrushdeal-Cold-Ms", value),)
+    head = wire.Dialect().decode_answer_headers(200, headers)
+    assert head.cold_remaining_s == cold_s
+
+
 def test_job_calls_are_decoded() -> None:
     read = wire.Dialect().decode_job_call
     wait = {"bulrushdeal-wait-ms": "1000"}
