Evacuations: upstreams of evacuated failure domains get nothing

Change: a service holds the evacuated domains at a revision of the store, which only grows, so an older copy undoes nothing. They come with the listing and the watch of the configuration, with the answers to followers, with each ping, and with a configuration that a peer sends, so a VM that starts without the store knows them before it serves. The list of upstreams leaves such upstreams out of the usable ones; what runs there ends by itself. The listing of the operators' keys now reads all pages, and a paged read has the revision of its first page, from which a watch misses nothing.

--- a/packages/gateway/gateway/assembly.py
+++ b/packages/gateway/gateway/assembly.py
@@ -15,6 +15,7 @@
 from bulrushdeald import upstreams
 from gateway import configuration
 from gateway import dialect as dialect_lib
+from gateway import evacuations
 from gateway import forwarding
 from gateway import front
 from gateway import jobdirectory
@@ -56,6 +57,7 @@
     kernel.register_object(names.DIALECT, dialect)
     store_path = storepath.FailoverStore(kernel, store)
     kernel.register_object(names.STORE, store_path)
+    add(names.EVACUATIONS, evacuations.Evacuations())
     add(names.CONFIGURATION, configuration.Feed(kernel))
     add(names.UPSTREAM_LIST, upstreamlist.UpstreamList(kernel))
     add(names.METRICS, metrics.Metrics(kernel, settings))
--- a/packages/gateway/gateway/configuration.py
+++ b/packages/gateway/gateway/configuration.py
@@ -1,6 +1,6 @@
 """Holds the operators' configuration in force; its version never decreases."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 import threading
 import time
 from typing import Any, NamedTuple
@@ -9,8 +9,11 @@
 from bulrushdeal import eventlog
 from bulrushdeal import kernel as kernel_lib
 from gateway import dialect as dialect_lib
+from gateway import evacuations
 from gateway import names
+from gateway import paging
 from gateway import records
+from gateway.decisions import regions as regions_lib
 
 _events = eventlog.Events("configuration")
 
@@ -40,6 +43,7 @@
         services: The services by name.
         customers: The customers by name.
         has_customers: Whether any customer is configured.
+        has_regions: Whether any route or customer is bound to regions.
     """
 
     def __init__(
@@ -52,6 +56,9 @@
         self.services = {row.name: row for row in configuration.services}
         self.customers = {row.name: row for row in configuration.customers}
         self.has_customers = bool(configuration.customers)
+        self.has_regions = any(
+            row.regions for row in configuration.routes
+        ) or any(row.regions for row in configuration.customers)
         self._by_key = {
             key: row for row in configuration.customers for key in row.keys
         }
@@ -78,6 +85,14 @@
         name = host.lower()
         return name in self._by_host or name.rpartition(":")[0] in self._by_host
 
+    def job_regions(
+        self, host: str, path: str, customer: str
+    ) -> frozenset[str] | None:
+        """Returns the regions that a job may be sent to; `None` for all."""
+        return regions_lib.allowed(
+            self.route(host, path), self.customers.get(customer)
+        )
+
     def customer_of(self, key: str) -> records.Customer | None:
         """Returns the customer that an API key belongs to, if any."""
         return self._by_key.get(key)
@@ -90,10 +105,13 @@
         version: The version; 0 if the VM has none.
         packed: The operators' text, compressed with zlib; empty if the VM has
             none.
+        evacuated: The evacuations that the VM knows. A VM that starts while
+            the store is away gets them with its first configuration.
     """
 
     version: int
     packed: bytes
+    evacuated: evacuations.Evacuated = evacuations.Evacuated()
 
 
 class Feed:
@@ -101,6 +119,9 @@
 
     def __init__(self, kernel: kernel_lib.Kernel) -> None:
         self._kernel = kernel
+        self._evacuations = kernel.find(
+            names.EVACUATIONS, evacuations.Evacuations
+        )
         self._lock = threading.Lock()
         self._active: ActiveConfiguration | None = None
         self._callbacks: list[Callable[[], None]] = []
@@ -140,7 +161,10 @@
         it has 41 kB.
         """
         held = self._active
-        return Told(0, b"") if held is None else Told(held.version, held.packed)
+        evacuated = self._evacuations.current()
+        if held is None:
+            return Told(0, b"", evacuated)
+        return Told(held.version, held.packed, evacuated)
 
     def apply_message(self, message: Told, vm: str) -> bool:
         """Applies a configuration that a peer sent, see `apply`.
@@ -149,6 +173,7 @@
             message: The peer's answer.
             vm: The peer, for the log.
         """
+        self._evacuations.apply(message.evacuated, vm)
         decompressor = zlib.decompressobj()
         try:
             value = decompressor.decompress(message.packed, _MAX_TEXT_BYTES)
@@ -236,12 +261,15 @@
             Whether any watch succeeded.
         """
         prefix = self._dialect.store_keys.operators_prefix
-        listed = self._store.list(prefix, "", _CALL_TIMEOUT_S)
+        listed = paging.read_all(self._store, prefix, _CALL_TIMEOUT_S)
         if listed.is_err():
             self._log_store_lost(listed.unwrap_err().message)
             return False
         page = listed.unwrap()
         self._log_store_back()
+        # Evacuations are applied first: with a configuration this VM serves.
+        evacuated = map(self._dialect.decode_evacuation, _keys(page.entries))
+        self._evacuations.apply_listing(filter(None, evacuated), page.revision)
         self._apply_entries(page.entries)
         after = page.revision
         has_watched = False
@@ -260,6 +288,7 @@
             has_watched = True
             self._log_store_back()
             entries = changed.unwrap().entries
+            self._apply_evacuation_events(entries)
             self._apply_entries(entries)
             # Continues after the last change received, not after the revision
             # of the answer: changes that an empty answer has missed would be
@@ -267,6 +296,18 @@
             after = max((row.revision for row in entries), default=after)
         return has_watched
 
+    def _apply_evacuation_events(
+        self, entries: tuple[dialect_lib.Entry, ...]
+    ) -> None:
+        for entry in entries:
+            domain = self._dialect.decode_evacuation(entry.key)
+            if domain:
+                self._evacuations.apply_event(
+                    domain,
+                    entry.revision,
+                    is_evacuated=entry.value is not None,
+                )
+
     def _apply_entries(self, entries: tuple[dialect_lib.Entry, ...]) -> None:
         for entry in entries:
             if entry.value is None:
@@ -288,3 +329,7 @@
         if self._is_store_lost:
             _events.info("store_back")
         self._is_store_lost = False
+
+
+def _keys(entries: Iterable[dialect_lib.Entry]) -> Iterator[str]:
+    return (entry.key for entry in entries if entry.value is not None)
--- a/packages/gateway/gateway/paging.py
+++ b/packages/gateway/gateway/paging.py
@@ -27,16 +27,20 @@
             tenth of an up-to-date one.
 
     Returns:
-        All entries in order of key, with the revision of the last page, or
-        the error of the first call that failed.
+        All entries in order of key, with the revision of the first page, or
+        the error of the first call that failed. Changes after that revision
+        may be included; a watch from it reports them again and misses none.
     """
     entries: list[dialect.Entry] = []
+    revision: int | None = None
     while True:
         listed = store.list(prefix, after, timeout_s, stale=stale)
         if listed.is_err():
             return result.Err(listed.unwrap_err())
         page = listed.unwrap()
         entries.extend(page.entries)
+        if revision is None:
+            revision = page.revision
         if not page.has_more or not page.entries:
-            return result.Ok(dialect.Page(tuple(entries), False, page.revision))
+            return result.Ok(dialect.Page(tuple(entries), False, revision))
         after = page.entries[-1].key
--- a/packages/gateway/gateway/pings.py
+++ b/packages/gateway/gateway/pings.py
@@ -10,6 +10,7 @@
 from bulrushdeald import rendezvous
 from bulrushdeald import services
 from gateway import configuration
+from gateway import evacuations
 from gateway import members
 from gateway import names
 
@@ -32,9 +33,11 @@
 
     Attributes:
         version: The sender's configuration version in force; 0 if none.
+        evacuated: The evacuations that the sender knows.
     """
 
     version: int
+    evacuated: evacuations.Evacuated = evacuations.Evacuated()
 
 
 class Pong(NamedTuple):
@@ -42,9 +45,11 @@
 
     Attributes:
         version: The answering VM's configuration version in force; 0 if none.
+        evacuated: The evacuations that the answering VM knows.
     """
 
     version: int
+    evacuated: evacuations.Evacuated = evacuations.Evacuated()
 
 
 class FetchConfiguration(NamedTuple):
@@ -62,8 +67,8 @@
 
     If the store refuses this VM but serves others, a key that is withdrawn
     meanwhile would go on working here. So each ping carries the version in
-    force, and a new version spreads among the VMs within a few rounds of
-    pings, without the store.
+    force and the evacuations, and new ones spread among the VMs within a few
+    rounds of pings, without the store.
     """
 
     def __init__(self, kernel: kernel_lib.Kernel) -> None:
@@ -79,6 +84,9 @@
         self._members = self._kernel.find(services.MEMBERSHIP, members.Members)
         self._peers = self._kernel.find(services.PEERS, services.Peers)
         self._feed = self._kernel.find(names.CONFIGURATION, configuration.Feed)
+        self._evacuations = self._kernel.find(
+            names.EVACUATIONS, evacuations.Evacuations
+        )
         self._peers.register_handler(
             Ping, services.InlineHandler(self._on_ping)
         )
@@ -112,7 +120,8 @@
     def _on_ping(self, vm: str, message: Ping) -> Pong:
         if message.version > self._version():
             self._fetch_source = vm
-        return Pong(self._version())
+        self._evacuations.apply(message.evacuated, vm)
+        return Pong(self._version(), self._evacuations.current())
 
     def _on_fetch(
         self, vm: str, message: FetchConfiguration
@@ -162,14 +171,20 @@
         )
 
     def _ping(self, domain: str, vm: str) -> None:
-        answer = self._peers.call(vm, Ping(self._version()), _PING_TIMEOUT_S)
+        answer = self._peers.call(vm, self._make_ping(), _PING_TIMEOUT_S)
         self._members.record_ping(domain, vm, answer.is_ok())
-        if answer.is_ok() and answer.unwrap().version > self._version():
+        if answer.is_err():
+            return
+        pong: Pong = answer.unwrap()
+        self._evacuations.apply(pong.evacuated, vm)
+        if pong.version > self._version():
             self._fetch_source = vm
 
     def _is_reachable(self, vm: str) -> bool:
-        ping = Ping(self._version())
-        return self._peers.call(vm, ping, _PING_TIMEOUT_S).is_ok()
+        return self._peers.call(vm, self._make_ping(), _PING_TIMEOUT_S).is_ok()
+
+    def _make_ping(self) -> Ping:
+        return Ping(self._version(), self._evacuations.current())
 
     def _fetch_newer(self) -> None:
         vm, self._fetch_source = self._fetch_source, ""
--- a/packages/gateway/gateway/storereaders.py
+++ b/packages/gateway/gateway/storereaders.py
@@ -14,6 +14,7 @@
 from bulrushdeald import services
 from gateway import configuration
 from gateway import deltas
+from gateway import evacuations
 from gateway import joblisting
 from gateway import members
 from gateway import names
@@ -90,6 +91,7 @@
         vms: The rows of that update.
         jobs_update: Describes the update of the listing of jobs.
         jobs: The rows of that update.
+        evacuated: The evacuations that the answering VM knows.
     """
 
     configuration: int
@@ -99,6 +101,7 @@
     vms: tuple[core_records.Vm, ...]
     jobs_update: ListUpdate
     jobs: joblisting.JobRows
+    evacuated: evacuations.Evacuated = evacuations.Evacuated()
 
 
 class Reading:
@@ -131,6 +134,7 @@
         self._pings = find(names.PINGS, pings.Pings)
         self._peers = find(services.PEERS, services.Peers)
         self._feed = find(names.CONFIGURATION, configuration.Feed)
+        self._evacuations = find(names.EVACUATIONS, evacuations.Evacuations)
         self._upstream_list = find(
             names.UPSTREAM_LIST, upstreamlist.UpstreamList
         )
@@ -195,6 +199,7 @@
             self._members.suspect(vm)
             return False
         followed: Followed = called.unwrap()
+        self._evacuations.apply(followed.evacuated, vm)
         active = self._feed.current()
         if active is None or followed.configuration > active.version:
             self._pings.fetch_from(vm)
@@ -253,6 +258,7 @@
             tuple(vms_answer.delta.rows.values()),
             jobs_answer.update(self._job_listing.age_s()),
             joblisting.from_rows_by_key(jobs_answer.delta.rows),
+            self._evacuations.current(),
         )
 
     def _delta(
--- a/packages/gateway/gateway/upstreamlist.py
+++ b/packages/gateway/gateway/upstreamlist.py
@@ -1,12 +1,14 @@
 """Holds the upstreams that the store lists, also through its outages."""
 
 from collections.abc import Callable
+import threading
 import time
 from typing import Any
 
 from bulrushdeal import eventlog
 from bulrushdeal import kernel as kernel_lib
 from gateway import dialect as dialect_lib
+from gateway import evacuations
 from gateway import names
 from gateway import paging
 from gateway import records
@@ -20,15 +22,22 @@
 class UpstreamList:
     """Holds the last known list, also while the store is unavailable.
 
+    Upstreams in failure domains that are evacuated are listed but not usable.
+
     Only one thread may call `read` and `apply_received`.
     """
 
     def __init__(self, kernel: kernel_lib.Kernel) -> None:
         self._kernel = kernel
+        self._evacuations = kernel.find(
+            names.EVACUATIONS, evacuations.Evacuations
+        )
+        self._evacuations.on_change(self._on_evacuations)
         # A missing entry that was draining is not kept: its upstream leaves.
         self._listing: retainedlist.Listing[records.Upstream] = (
             retainedlist.Listing(lambda row: not row.is_draining)
         )
+        self._lock = threading.Lock()
         self._by_service: dict[str, tuple[records.Upstream, ...]] = {}
         self._by_instance: dict[str, records.Upstream] = {}
         self._read_s: float | None = None
@@ -68,16 +77,30 @@
         self._callbacks.append(callback)
 
     def usable(self, service: str) -> tuple[records.Upstream, ...]:
-        """Returns the upstreams of a service that are not draining."""
+        """Returns the upstreams of a service that may get requests."""
         return self._by_service.get(service, ())
 
+    def why_none(self, service: str) -> str:
+        """Returns why a service has no usable upstream, for callers."""
+        evacuated = self._evacuations.current().domains
+        is_evacuated = any(
+            row.service == service and row.failure_domain in evacuated
+            for row in self._by_instance.values()
+        )
+        if is_evacuated:
+            return "all upstreams are in evacuated failure domains"
+        return "no upstream is listed"
+
     def instances(self) -> frozenset[str]:
         """Returns the names of all upstreams listed."""
         return frozenset(self._by_instance)
 
-    def find(self, instance: str) -> records.Upstream | None:
-        """Returns an upstream by its name; `None` if it is not listed."""
-        return self._by_instance.get(instance)
+    def find_usable(
+        self, service: str, instance: str
+    ) -> records.Upstream | None:
+        """Returns an upstream of a service, if it may get requests."""
+        row = self._by_instance.get(instance)
+        return row if row in self.usable(service) else None
 
     def snapshot(self) -> tuple[tuple[records.Upstream, ...], int]:
         """Returns all upstreams, draining ones too, and the list's version.
@@ -145,17 +168,31 @@
         before = self._by_instance
         if rows == before:
             return
+        with self._lock:
+            self._by_instance = rows
+            self._version += 1
+            self._index()
+        _log_changes(before, rows)
+        self._report_change()
+
+    def _on_evacuations(self) -> None:
+        with self._lock:
+            self._index()
+        self._report_change()
+
+    def _index(self) -> None:
+        """Sorts the usable upstreams by service."""
+        evacuated = self._evacuations.current().domains
         by_service: dict[str, list[records.Upstream]] = {}
-        for instance in sorted(rows):
-            row = rows[instance]
-            if not row.is_draining:
+        for instance in sorted(self._by_instance):
+            row = self._by_instance[instance]
+            if not row.is_draining and row.failure_domain not in evacuated:
                 by_service.setdefault(row.service, []).append(row)
         self._by_service = {
             name: tuple(found) for name, found in by_service.items()
         }
-        self._by_instance = rows
-        self._version += 1
-        _log_changes(before, rows)
+
+    def _report_change(self) -> None:
         for callback in self._callbacks:
             callback()
 
@@ -165,7 +202,7 @@
 ) -> None:
     for instance in sorted(before.keys() | after.keys()):
         old, new = before.get(instance), after.get(instance)
-        if old == new:
+        if old == new or _is_warmer(old, new):
             continue
         if new is None:
             _events.info("gone", upstream=instance)
@@ -177,3 +214,12 @@
             address=new.address,
             slots=new.slots,
         )
+
+
+def _is_warmer(
+    old: records.Upstream | None, new: records.Upstream | None
+) -> bool:
+    """Returns whether an entry differs only in how long it is cold."""
+    if old is None or new is None:
+        return False
+    return old._replace(cold_remaining_s=new.cold_remaining_s) == new
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -6,6 +6,7 @@
 from bulrushdeal import kernel as kernel_lib
 from bulrushplatform import wire
 from gateway import configuration
+from gateway import evacuations
 from gateway import names
 from support import gatewayscene
 from support import gatewaystore
@@ -17,6 +18,7 @@
 
 def _feed(store: gatewaystore.MemoryStore) -> configuration.Feed:
     kernel = kernel_lib.Kernel()
+    kernel.register(names.EVACUATIONS, evacuations.Evacuations())
     kernel.register_object(names.DIALECT, wire.Dialect())
     kernel.register_object(names.STORE, gatewaystore.StoreClient(store))
     feed = configuration.Feed(kernel)
@@ -92,7 +94,7 @@
     sender, receiver = _feed(store), _feed(store)
     sender.start()
     receiver.start()
-    assert sender.to_message() == configuration.Told(0, b"")
+    assert sender.to_message()[:2] == (0, b"")
     rows = gatewayscene.configuration(9)["routes"]
     more = [dict(rows[0], prefix=f"/p{number}/") for number in range(2000)]
     value = _value(9, routes=rows + more)
--- a/tests/gateway/test_storereaders.py
+++ b/tests/gateway/test_storereaders.py
@@ -7,6 +7,7 @@
 
 from bulrushdeal import kernel as kernel_lib
 from gateway import configuration
+from gateway import evacuations
 from gateway import joblisting
 from gateway import jobrecords
 from gateway import jobstore
@@ -206,7 +207,9 @@
     With the older list under the newer version, the follower would send
     requests to that upstream until the next change.
     """
-    found = upstreamlist.UpstreamList(kernel_lib.Kernel())
+    kernel = kernel_lib.Kernel()
+    kernel.register(names.EVACUATIONS, evacuations.Evacuations())
+    found = upstreamlist.UpstreamList(kernel)
     old = records.Upstream("i-0", "llm", "h:1", "d", 8, False, 0)
     new = old._replace(is_draining=True)
     found.apply_received((old,), 0.0)
--- a/tests/support/gatewayscene.py
+++ b/tests/support/gatewayscene.py
@@ -116,7 +116,7 @@
 class Vm:
     """One VM that runs a gateway."""
 
-    def __init__(self, name: str, domain: str, store: Any) -> None:
+    def __init__(self, name: str, domain: str, store: Any, **more: Any) -> None:
         self.name = name
         self.client = gatewaystore.StoreClient(store)
         settings = records.Settings(
@@ -132,7 +132,7 @@
             grace_s=2.0,
             limit_slack=20,
             limit_window_s=5,
-        )
+        )._replace(**more)
         self.kernel: kernel_lib.Kernel = assembly.assemble(
             settings, wire.Dialect(), self.client
         )
@@ -213,10 +213,12 @@
     def configure(self, value: dict[str, Any]) -> None:
         self.store.write("op/config", json.dumps(value).encode())
 
-    def add_engine(self, events: int = 5) -> gatewayengine.Engine:
+    def add_engine(
+        self, events: int = 5, domain: str = "d1", **more: Any
+    ) -> gatewayengine.Engine:
         engine = gatewayengine.Engine(f"i-{len(self.engines)}", events)
         self.engines.append(engine)
-        self.list_engine(engine)
+        self.list_engine(engine, domain=domain, **more)
         return engine
 
     def list_engine(
@@ -224,6 +226,7 @@
         engine: gatewayengine.Engine,
         state: str = "ready",
         domain: str = "d1",
+        **more: Any,
     ) -> None:
         value = {
             "service": "llm",
@@ -232,12 +235,16 @@
             "slots": 8,
             "state": state,
             "sequence": 1,
+            "cold_remaining_ms": 0,
+            **more,
         }
         key = f"servers/{engine.instance}"
         self.store.write(key, json.dumps(value).encode())
 
-    def add_vm(self, name: str = "vm1", domain: str = "d1") -> Vm:
-        vm = Vm(name, domain, self.store)
+    def add_vm(
+        self, name: str = "vm1", domain: str = "d1", **settings: Any
+    ) -> Vm:
+        vm = Vm(name, domain, self.store, **settings)
         self.vms.append(vm)
         vm.start()
         return vm
