Cold upstreams: the VMs share out the rate that a cold upstream takes

Change: an upstream counts as cold for as long as its entry says, for its service's whole cold start if the entry does not say, and after the evacuation of its domain. The VMs of its domain share cold_per_s times the overage, each computing the shares from the list of VMs, so the sum holds without a leader, under two leaders and in a cut; the slack is for lists that differ. A VM that has just started waits for a second. A leader also never grants an engine more in a second than the whole bound, for one that has restarted unseen.

--- a/packages/gateway/gateway/decisions/slotledger.py
+++ b/packages/gateway/gateway/decisions/slotledger.py
@@ -11,6 +11,7 @@
 
 from gateway import records
 from gateway.decisions import batchorder
+from gateway.decisions import coldstarts
 from gateway.decisions import outliers
 from gateway.decisions import retryschedule
 
@@ -164,11 +165,25 @@
         self._run_s = _INITIAL_RUN_S
         self._waiting = batchorder.WaitingItems()
         self._retry_schedule = retryschedule.RetrySchedule()
+        self._starts = coldstarts.SendWindow()
+        self._max_starts: int | None = None
 
-    def set_engines(self, engines: Iterable[records.Upstream]) -> None:
-        """Replaces the set of engines that may get requests."""
+    def set_engines(
+        self,
+        engines: Iterable[records.Upstream],
+        max_starts: int | None = None,
+    ) -> None:
+        """Replaces the set of engines that may get requests.
+
+        Args:
+            engines: The engines.
+            max_starts: The most requests that an engine may get in a second.
+                An engine that has restarted unseen may not take more.
+        """
         self._engines = {row.instance: row for row in engines}
         self._outliers.retain(self._engines)
+        self._starts.retain(self._engines)
+        self._max_starts = max_starts
 
     def take_online(
         self,
@@ -246,6 +261,7 @@
             if not instance:
                 break
             self._add(row.run, Run(vm, instance, now_s, row.priority))
+            self._starts.record(instance, now_s)
             engines.append(instance)
         unplaced = [
             batchorder.rank(row.priority) for row in runs[len(engines) :]
@@ -355,6 +371,10 @@
         ]
 
     def _accepts_more(self, row: records.Upstream, now_s: float) -> bool:
+        if self._max_starts is not None:
+            started = self._starts.count(row.instance, now_s)
+            if started >= self._max_starts:
+                return False
         limit = self._outliers.limit(row.instance, now_s)
         return limit is None or self._counts.get(row.instance, 0) < limit
 
@@ -426,6 +446,7 @@
         now_s: float,
     ) -> Grant:
         self._add(run, Run(vm, row.instance, now_s))
+        self._starts.record(row.instance, now_s)
         return Grant(row.instance)
 
     def _add(self, run: str, held: Run) -> None:
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -4,9 +4,9 @@
 upstreams, and when no leader answers, this VM chooses by itself.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 import itertools
-import queue
+import math
 import random
 import secrets
 import threading
@@ -15,44 +15,31 @@
 
 import result
 
-from bulrushdeal import eventlog
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeald import services
+from gateway import coldsends
 from gateway import configuration
 from gateway import health
 from gateway import heldslots
 from gateway import members
 from gateway import names
+from gateway import reachability
 from gateway import records
+from gateway import slotclient
 from gateway import slotleader
 from gateway import slotmessages
-from gateway import timedcalls
 from gateway import upstreamlist
 from gateway.decisions import batchorder
 from gateway.decisions import slotledger
 
-_events = eventlog.Events("placement")
-
-_REPORT_TIMEOUT_S = 0.25
-_SEND_TIMEOUT_S = 0.3
-# Leaders asked before this VM places a request by itself.
-_MAX_LEADERS = 2
-_REPORT_INTERVAL_S = 1.0
-# How long an update for a leader waits for others to share its message.
-_COALESCE_S = 0.02
 _NO_UPSTREAM_RETRY_S = 0.5
 # The balancer checks each second whether a VM is ready and sends callers to
 # other failure domains after two failed checks. An earlier retry would reach
 # this VM again.
 _CUT_OFF_RETRY_S = 2.0
-# A VM that reaches less than this part of all VMs is on the smaller side of a
-# network partition.
-_MIN_REACHED_FRACTION = 0.5
 # Shortest time between two attempts on a service whose upstreams are all
 # avoided.
 _TRIAL_INTERVAL_S = 0.3
-# An upstream answers within this time even while requests are queued in it.
-_ANSWER_OVERDUE_S = 0.6
 # Without a leader, upstreams of this VM's failure domain are preferred while
 # this VM uses less than this part of their slots.
 _MAX_LOCAL_FILL = 0.5
@@ -82,6 +69,7 @@
         self, kernel: kernel_lib.Kernel, settings: records.Settings
     ) -> None:
         self._kernel = kernel
+        self._settings = settings
         self._domain = settings.failure_domain
         self._vm = settings.vm
         self.health = health.Health()
@@ -91,56 +79,66 @@
         self._run_prefix = f"{settings.vm}.{secrets.token_hex(3)}."
         self._lock = threading.Lock()
         self._slots = heldslots.HeldSlots(self._on_release)
-        # Released runs and engine loads for the leaders, each with its
-        # service; `None` ends the sending thread.
-        self._updates: queue.SimpleQueue[
-            tuple[str, slotmessages.Released | slotledger.Load] | None
-        ] = queue.SimpleQueue()
-        # The leader that each service's last request went to.
-        self._last_leaders: dict[str, str] = {}
         self._last_trial_s: dict[str, float] = {}
-        self._stopping = threading.Event()
 
     def start(self) -> None:
         """Starts to answer other VMs and to report to leaders."""
         find = self._kernel.find
-        self._members = find(services.MEMBERSHIP, members.Members)
-        self._peers = find(services.PEERS, services.Peers)
-        self._timed_calls = timedcalls.TimedCalls(self._peers)
+        vms = find(services.MEMBERSHIP, members.Members)
+        peers = find(services.PEERS, services.Peers)
         self._feed = find(names.CONFIGURATION, configuration.Feed)
         self._upstreams = find(names.UPSTREAM_LIST, upstreamlist.UpstreamList)
-        self._leader = slotleader.SlotLeader(self._upstreams, self._peers)
+        self._reachability = reachability.Reachability(
+            self.health, vms, self._upstreams, self._slots, self._feed
+        )
+        self._cold = coldsends.ColdSends(self._kernel, self._settings)
+        self._leader = slotleader.SlotLeader(
+            self._upstreams, peers, self._cold.cold_start
+        )
         self._leader.start()
+        self._client = slotclient.SlotClient(
+            vms,
+            peers,
+            self._slots,
+            self._reachability.silent,
+            self._has_engine,
+        )
         self._upstreams.on_change(self._on_list_change)
-        self._peers.register_handler(
+        self._feed.on_change(self._on_list_change)
+        peers.register_handler(
             slotmessages.Yield, services.InlineHandler(self._on_yield)
         )
-        self._peers.register_answers(
+        peers.register_answers(
             slotmessages.Taken, slotmessages.TakenBatch, slotmessages.Done
         )
-        for target in (self._send_updates, self._send_reports):
-            threading.Thread(
-                target=target, name="placement", daemon=True
-            ).start()
+        self._client.start()
+        # The list may have been read before this service started.
+        self._on_list_change()
 
     def stop(self, grace_s: float) -> None:
         """Stops the threads."""
         del grace_s
-        self._stopping.set()
-        self._updates.put(None)
+        self._client.stop()
         self._leader.stop()
 
     def dump(self) -> Any:
-        """Returns this VM's slots by upstream and the ledgers it holds."""
-        held = self._slots.counts()
-        return {"held": held, "ledgers": self._leader.dump()}
+        """Returns held slots and cold upstreams, and the ledgers led here."""
+        return {
+            "held": self._slots.counts(),
+            "cold": self._cold.dump(),
+            "ledgers": self._leader.dump(),
+        }
 
     def held(self) -> list[heldslots.Slot]:
         """Returns all slots that this VM holds."""
         return self._slots.all()
 
     def take(
-        self, service: str, target_s: float, excluded: Iterable[str]
+        self,
+        service: str,
+        target_s: float,
+        excluded: Iterable[str],
+        regions: frozenset[str] | None = None,
     ) -> result.Result[heldslots.Slot, NoSlot]:
         """Returns a slot for an online request, or why there is none.
 
@@ -148,20 +146,13 @@
             service: The requested service.
             target_s: The time in which the answer should begin, in seconds.
             excluded: Upstreams that the request was already sent to.
+            regions: The regions that it may be sent to; `None` for all.
         """
+        choice = self._choose_skipped(service, excluded, regions)
+        if isinstance(choice, result.Err):
+            return choice
+        skipped = choice.ok_value
         run = self._new_run_name()
-        tried = frozenset(excluded)
-        skipped = self._skipped_upstreams(service, tried)
-        if all(
-            row.instance in skipped for row in self._upstreams.usable(service)
-        ):
-            # All of them are known not to answer, so waiting is no use.
-            if not self._claim_trial(service):
-                retry_s = _NO_UPSTREAM_RETRY_S
-                if self.is_partitioned():
-                    retry_s = _CUT_OFF_RETRY_S
-                return result.Err(NoSlot(retry_s, "no upstream is reachable"))
-            skipped = tried
         if not self._has_engine(service):
             return self._take_without_leader(service, run, skipped)
         for _ in range(_MAX_GRANTS):
@@ -172,64 +163,68 @@
                 return result.Err(
                     NoSlot(taken.retry_after_s, "no free slot", taken.occupancy)
                 )
-            upstream = self._find_usable(service, taken.instance)
-            if upstream is not None:
-                slot = self._slots.hold(service, run, upstream)
+            slot = self._hold_granted(service, run, taken.instance)
+            if slot is not None:
                 slot.starts_at_once = not taken.is_queued
                 return result.Ok(slot)
-            self._updates.put((service, slotmessages.Released(run, "unknown")))
             skipped = skipped | {taken.instance}
             run = self._new_run_name()
         return self._take_without_leader(service, run, skipped)
 
     def take_batch(
-        self, service: str, priorities: Sequence[batchorder.ItemPriority]
+        self,
+        service: str,
+        priorities: Sequence[batchorder.ItemPriority],
+        regions: frozenset[str] | None = None,
     ) -> list[heldslots.Slot | None]:
         """Returns slots for batch items that online requests do not need.
 
         Args:
             service: The service.
             priorities: The priorities of the ready items, the next item first.
+            regions: The regions that they may be sent to; `None` for all.
 
         Returns:
             Slots for the first items, in order; `None` for an item whose
             engine is no longer usable.
         """
-        skipped = self._skipped_upstreams(service, ())
+        skipped = self._reachability.unreachable(service, ())
         if not self._has_engine(service):
             return []
-        if all(
-            row.instance in skipped for row in self._upstreams.usable(service)
-        ):
+        if not self._has_other(service, skipped):
             # One item is tried: without online requests nothing else
             # detects that upstreams are back, and the items would wait
             # forever.
             if not self._claim_trial(service):
                 return []
             skipped, priorities = frozenset(), priorities[:1]
+        skipped |= self._barred_s(service, regions).keys()
         runs = tuple(
             slotledger.BatchRun(self._new_run_name(), priority)
             for priority in priorities
         )
         message = slotmessages.TakeBatch(service, runs, tuple(skipped))
-        answer = self._call_leader(service, message)
+        answer = self._client.call(service, message)
         if answer is None:
             return []
         return [
-            self._hold_batch(service, row, instance)
+            self._hold_granted(service, row.run, instance, row.priority)
             for row, instance in zip(runs, answer.instances, strict=False)
         ]
 
-    def _hold_batch(
-        self, service: str, row: slotledger.BatchRun, instance: str
+    def _hold_granted(
+        self,
+        service: str,
+        run: str,
+        instance: str,
+        priority: batchorder.ItemPriority | None = None,
     ) -> heldslots.Slot | None:
-        upstream = self._find_usable(service, instance)
-        if upstream is None:
-            self._updates.put(
-                (service, slotmessages.Released(row.run, "unknown"))
-            )
+        """Holds a slot that the leader granted, or gives it back."""
+        upstream = self._upstreams.find_usable(service, instance)
+        if upstream is None or not self._cold.try_send(upstream):
+            self._client.update(service, slotmessages.Released(run, "unknown"))
             return None
-        return self._slots.hold(service, row.run, upstream, row.priority)
+        return self._slots.hold(service, run, upstream, priority)
 
     def report_load(
         self, slot: heldslots.Slot, service: str, busy: int
@@ -241,9 +236,8 @@
             service: The upstream's service.
             busy: Requests that run or wait in the upstream.
         """
-        if self._has_engine(service):
-            load = slotledger.Load(slot.upstream.instance, busy)
-            self._updates.put((service, load))
+        load = slotledger.Load(slot.upstream.instance, busy)
+        self._client.update(service, load)
 
     def preempt_all_batch(self) -> None:
         """Preempts all batch runs of this VM, before it stops."""
@@ -256,25 +250,8 @@
         return bool(self._upstreams.usable(service))
 
     def is_partitioned(self) -> bool:
-        """Returns whether a network partition keeps this VM from a service.
-
-        This is the case when this VM is on the smaller side and all upstreams
-        of some service are on the other, where VMs can still serve it.
-        """
-        if self._members.reached_fraction() >= _MIN_REACHED_FRACTION:
-            return False
-        held, lost = self._feed.current(), self._members.unreachable_domains()
-        if held is None:
-            return False
-        return any(
-            all(
-                row.failure_domain in lost
-                and self.health.is_silent(row.instance)
-                for row in rows
-            )
-            for rows in map(self._upstreams.usable, held.services)
-            if rows
-        )
+        """See `reachability.Reachability`."""
+        return self._reachability.is_partitioned()
 
     def _new_run_name(self) -> str:
         return f"{self._run_prefix}{next(self._run_numbers)}"
@@ -284,48 +261,61 @@
         row = None if held is None else held.services.get(service)
         return row is not None and row.engine is not None
 
-    def _skipped_upstreams(
-        self, service: str, excluded: Iterable[str]
-    ) -> frozenset[str]:
-        skipped = frozenset(excluded)
-        avoided, lost = (
-            self.health.avoided(),
-            self._members.unreachable_domains(),
-        )
+    def _choose_skipped(
+        self,
+        service: str,
+        excluded: Iterable[str],
+        regions: frozenset[str] | None,
+    ) -> result.Result[frozenset[str], NoSlot]:
+        """Returns the upstreams that an online request must not use.
+
+        If that leaves none, returns why and when to retry instead.
+        """
         rows = self._upstreams.usable(service)
-        # Requests into a failure domain that is cut off are lost. If only
-        # the domain's VMs have stopped, its upstreams still send data and
-        # stay usable.
-        unreachable = {
-            row.instance
-            for row in rows
-            if row.instance in avoided
-            or (
-                row.failure_domain in lost
-                and self.health.is_silent(row.instance)
+        if not rows:
+            why = self._upstreams.why_none(service)
+            return result.Err(NoSlot(_NO_UPSTREAM_RETRY_S, why))
+        barred_s = self._barred_s(service, regions)
+        if all(barred_s.get(row.instance) == math.inf for row in rows):
+            return result.Err(
+                NoSlot(_NO_UPSTREAM_RETRY_S, "no upstream in allowed regions")
             )
-        }
-        skipped |= unreachable
-        silent = self._silent_upstreams()
-        # If all upstreams are silent, they are taken as slow and stay usable.
-        if all(row.instance in skipped | silent for row in rows):
-            return skipped
-        return skipped | silent
-
-    def _silent_upstreams(self) -> frozenset[str]:
-        """Returns the upstreams that owe an answer and send nothing.
-
-        Requests can still be sent to an unreachable upstream on open
-        connections, and each waits until its timeout. Skipping the upstream
-        once the first requests wait keeps further ones away.
+        tried = frozenset(excluded)
+        skipped = self._reachability.unreachable(service, tried)
+        if not self._has_other(service, skipped):
+            # All of them are known not to answer, so waiting is no use.
+            if not self._claim_trial(service):
+                retry_s = _NO_UPSTREAM_RETRY_S
+                if self.is_partitioned():
+                    retry_s = _CUT_OFF_RETRY_S
+                return result.Err(NoSlot(retry_s, "no upstream is reachable"))
+            skipped = tried
+        if barred_s and not self._has_other(service, skipped | barred_s.keys()):
+            retry_s = min(_NO_UPSTREAM_RETRY_S, *barred_s.values())
+            return result.Err(NoSlot(retry_s, "cold upstreams have no room"))
+        return result.Ok(skipped | barred_s.keys())
+
+    def _has_other(self, service: str, skipped: frozenset[str]) -> bool:
+        rows = self._upstreams.usable(service)
+        return any(row.instance not in skipped for row in rows)
+
+    def _barred_s(
+        self, service: str, regions: frozenset[str] | None
+    ) -> Mapping[str, float]:
+        """Returns the upstreams that must not get a request now.
+
+        Returns:
+            In how many seconds each may; infinite beyond the allowed regions.
         """
-        now_s = time.monotonic()
-        return frozenset(
-            slot.upstream.instance
-            for slot in self._slots.all()
-            if now_s - slot.held_since_s > _ANSWER_OVERDUE_S
-            and self.health.is_silent(slot.upstream.instance)
-        )
+        rows = self._upstreams.usable(service)
+        barred_s = dict(self._cold.waits_s(rows))
+        if regions is None:
+            return barred_s
+        region_of = self._settings.regions
+        for row in rows:
+            if region_of.get(row.failure_domain) not in regions:
+                barred_s[row.instance] = math.inf
+        return barred_s
 
     def _claim_trial(self, service: str) -> bool:
         """Returns whether a request may now go to avoided upstreams.
@@ -340,28 +330,17 @@
             self._last_trial_s[service] = now_s
             return True
 
-    def _find_usable(
-        self, service: str, instance: str
-    ) -> records.Upstream | None:
-        row = self._upstreams.find(instance)
-        if row is None or row.is_draining or row.service != service:
-            return None
-        return row
-
     def _take_without_leader(
         self, service: str, run: str, excluded: frozenset[str]
     ) -> result.Result[heldslots.Slot, NoSlot]:
         """Chooses an upstream by this VM's own slots, ties at random."""
-        rows = [
-            row
-            for row in self._upstreams.usable(service)
-            if row.instance not in excluded
-        ]
-        if not rows:
-            return result.Err(NoSlot(_NO_UPSTREAM_RETRY_S, "no upstream"))
         counts = self._slots.counts()
-        best = min(
-            rows,
+        rows = sorted(
+            (
+                row
+                for row in self._upstreams.usable(service)
+                if row.instance not in excluded
+            ),
             key=lambda row: (
                 # Leaves room for other VMs' requests, which are not counted.
                 counts.get(row.instance, 0) / row.slots >= _MAX_LOCAL_FILL,
@@ -370,7 +349,10 @@
                 random.random(),
             ),
         )
-        return result.Ok(self._slots.hold(service, run, best))
+        for row in rows:
+            if self._cold.try_send(row):
+                return result.Ok(self._slots.hold(service, run, row))
+        return result.Err(NoSlot(_NO_UPSTREAM_RETRY_S, "no upstream"))
 
     def _request_slot(
         self,
@@ -382,39 +364,17 @@
         message = slotmessages.Take(
             service, run, target_s, tuple(excluded), self._domain
         )
-        answer = self._call_leader(service, message)
+        answer = self._client.call(service, message)
         return answer if isinstance(answer, slotmessages.Taken) else None
 
-    def _call_leader(self, service: str, message: Any) -> Any | None:
-        for vm in self._members.leader_with_backups(service, _MAX_LEADERS):
-            if self._last_leaders.get(service) != vm:
-                # A new leader needs this VM's report before it grants
-                # anything: it would count running requests as free slots
-                # and overfill the engines' queues.
-                self._last_leaders[service] = vm
-                self._peers.call(
-                    vm, self._make_report(service), _REPORT_TIMEOUT_S
-                )
-            answer = self._timed_calls.call(vm, message)
-            if answer.is_ok():
-                return answer.unwrap()
-            self._last_leaders.pop(service, None)
-            self._members.suspect(vm)
-            _events.warning(
-                "leader_lost",
-                service=service,
-                peer=vm,
-                why=answer.unwrap_err().message,
-            )
-        return None
-
     def _on_release(self, service: str, slot: heldslots.Slot) -> None:
-        if self._has_engine(service):
-            row = slotmessages.Released(slot.run, slot.outcome)
-            self._updates.put((service, row))
+        self._client.update(
+            service, slotmessages.Released(slot.run, slot.outcome)
+        )
 
     def _on_list_change(self) -> None:
         self.health.retain(self._upstreams.instances())
+        self._cold.refresh()
         self._leader.refresh()
 
     def _on_yield(
@@ -424,63 +384,3 @@
         for slot in self._slots.find(message.runs):
             slot.preempt()
         return slotmessages.Done()
-
-    def _send_updates(self) -> None:
-        while (row := self._updates.get()) is not None:
-            self._stopping.wait(_COALESCE_S)
-            rows = [row]
-            while not self._updates.empty():
-                more = self._updates.get()
-                if more is None:
-                    return
-                rows.append(more)
-            for service in {service for service, _ in rows}:
-                updates = [item for name, item in rows if name == service]
-                self._send_to_leader(
-                    service,
-                    slotmessages.News(
-                        service,
-                        tuple(
-                            item
-                            for item in updates
-                            if isinstance(item, slotmessages.Released)
-                        ),
-                        tuple(
-                            item
-                            for item in updates
-                            if isinstance(item, slotledger.Load)
-                        ),
-                    ),
-                )
-
-    def _send_to_leader(self, service: str, message: Any) -> None:
-        """Sends a message to the leader without retry.
-
-        If it is lost, a later report corrects the leader's ledger.
-        """
-        ranked = self._members.leaders(service)
-        if ranked:
-            self._peers.call(ranked[0], message, _SEND_TIMEOUT_S)
-
-    def _make_report(self, service: str) -> slotmessages.Report:
-        silent, now_s = self._silent_upstreams(), time.monotonic()
-        rows = tuple(
-            slotledger.ReportRow(
-                slot.run,
-                slot.upstream.instance,
-                slot.priority
-                and slot.priority.after(now_s - slot.held_since_s),
-                slot.upstream.instance in silent,
-            )
-            for slot in self._slots.of_service(service)
-        )
-        return slotmessages.Report(service, rows)
-
-    def _send_reports(self) -> None:
-        reported: set[str] = set()
-        while not self._stopping.wait(_REPORT_INTERVAL_S):
-            busy = self._slots.services()
-            for service in busy | reported:
-                if self._has_engine(service):
-                    self._send_to_leader(service, self._make_report(service))
-            reported = busy
--- a/packages/gateway/gateway/slotleader.py
+++ b/packages/gateway/gateway/slotleader.py
@@ -1,5 +1,6 @@
 """Grants all VMs slots on the engines of the services led by this VM."""
 
+from collections.abc import Callable
 import queue
 import threading
 import time
@@ -9,6 +10,7 @@
 from bulrushdeald import services
 from gateway import slotmessages
 from gateway import upstreamlist
+from gateway.decisions import coldstarts
 from gateway.decisions import slotledger
 
 _events = eventlog.Events("leading")
@@ -20,12 +22,21 @@
     """Holds the slot ledgers of the services that this VM leads.
 
     Any VM answers for any service; the requesting VM chooses the leader.
+
+    Args:
+        upstreams: The engines of the services.
+        peers: The connections to other VMs.
+        cold_start: Returns the cold start of a service, if it has one.
     """
 
     def __init__(
-        self, upstreams: upstreamlist.UpstreamList, peers: services.Peers
+        self,
+        upstreams: upstreamlist.UpstreamList,
+        peers: services.Peers,
+        cold_start: Callable[[str], coldstarts.ColdStart | None],
     ) -> None:
         self._upstreams = upstreams
+        self._cold_start = cold_start
         self._peers = peers
         self._ledger_lock = threading.Lock()
         self._ledgers: dict[str, slotledger.Ledger] = {}
@@ -67,13 +78,20 @@
         """Updates all ledgers to the engines that are listed now."""
         with self._ledger_lock:
             for service, ledger in self._ledgers.items():
-                ledger.set_engines(self._upstreams.usable(service))
+                self._set_engines(service, ledger)
+
+    def _set_engines(self, service: str, ledger: slotledger.Ledger) -> None:
+        cold_start = self._cold_start(service)
+        ledger.set_engines(
+            self._upstreams.usable(service),
+            max_starts=None if cold_start is None else cold_start.max_sent,
+        )
 
     def _ledger(self, service: str) -> slotledger.Ledger:
         ledger = self._ledgers.get(service)
         if ledger is None:
             ledger = self._ledgers[service] = slotledger.Ledger()
-            ledger.set_engines(self._upstreams.usable(service))
+            self._set_engines(service, ledger)
             _events.info("leads", service=service)
         return ledger
 
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -8,7 +8,7 @@
 _FOLDER = pathlib.Path(decisions.__file__).parent
 # Modules of types and records, and the log, which never blocks.
 _ALLOWED = (
-    "collections.abc",
+    "collections",
     "heapq",
     "random",
     "typing",
--- a/tests/gateway/test_slotledger.py
+++ b/tests/gateway/test_slotledger.py
@@ -259,3 +259,29 @@
             ]
             ledger.report("vm1", rows, now_s)
         assert sum(ledger.counts().values()) == len(held)
+
+
+def test_an_engine_that_restarts_unseen_is_not_flooded() -> None:
+    """Its runs have ended, so it has the most free slots of all."""
+    ledger = _ledger(1)
+    ledger.set_engines(_engines(1), max_starts=14)
+    granted_s: list[float] = []
+    for step in range(300):
+        now_s = step * 0.01
+        if isinstance(_online(ledger, f"o{step}", now_s), slotledger.Grant):
+            granted_s.append(now_s)
+            ledger.release(f"o{step}", now_s)
+    most = max(
+        sum(start_s <= at_s < start_s + 1.0 for at_s in granted_s)
+        for start_s in granted_s
+    )
+    assert most == 14
+    assert len(granted_s) >= 2 * 14
+
+
+def test_batch_items_count_as_starts() -> None:
+    ledger = _ledger(1)
+    ledger.set_engines(_engines(1), max_starts=3)
+    engines = [_batch(ledger, f"b{number}", "vm1", 0.0) for number in range(5)]
+    assert engines == ["i-0"] * 3 + [""] * 2
+    assert _batch(ledger, "later", "vm1", 1.2) == "i-0"
