Regions: requests, items and store calls stay in the allowed regions

Cause: allowed regions of routes and customers had no code. Change: online requests and batch items go only to upstreams in the regions that route and customer both allow; a job is not taken over by a VM of another region, which decides so by the job's record without its items; store calls, which carry bodies, are made only through peers of the VM's own region. Where no region is left, requests and jobs are refused at once.

--- a/packages/gateway/gateway/assembly.py
+++ b/packages/gateway/gateway/assembly.py
@@ -55,7 +55,7 @@
     kernel = kernel_lib.Kernel()
     add = kernel.register
     kernel.register_object(names.DIALECT, dialect)
-    store_path = storepath.FailoverStore(kernel, store)
+    store_path = storepath.FailoverStore(kernel, store, settings.regions)
     kernel.register_object(names.STORE, store_path)
     add(names.EVACUATIONS, evacuations.Evacuations())
     add(names.CONFIGURATION, configuration.Feed(kernel))
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -47,12 +47,14 @@
         service: The service of the route that was chosen for it.
         last_event: The id of the last stream event that the caller has;
             `None` to start from the beginning.
+        regions: The regions that it may be sent to; `None` for all.
     """
 
     outgoing: upstreamsender.UpstreamRequest
     route: records.Route
     service: str
     last_event: int | None
+    regions: frozenset[str] | None = None
 
 
 class Forwarder:
@@ -151,6 +153,7 @@
                 self._request.service,
                 self._route.target_latency_s,
                 self._tried_instances,
+                self._request.regions,
             )
             if isinstance(taken, result.Err):
                 self._no_slot = taken.err_value
--- a/packages/gateway/gateway/front.py
+++ b/packages/gateway/gateway/front.py
@@ -27,6 +27,7 @@
 from gateway import refusals
 from gateway import upstreamlist
 from gateway import upstreamsender
+from gateway.decisions import regions
 
 _log = logs.Log("front")
 _events = eventlog.Events("front")
@@ -41,6 +42,7 @@
 # requests are still running.
 _CLOSE_RESERVE_S = 0.3
 _NOT_READY_RETRY_S = 0.5
+_NO_UPSTREAM_RETRY_S = 0.5
 _DEFAULT_DEADLINE_S = 60.0
 _FIRST_ERROR_STATUS = 400
 _READY_PATH = "/ready"
@@ -292,6 +294,9 @@
             response = refusals.refusal_response(
                 refusals.Refusal(refused.status, refused.message)
             )
+        elif not self._has_region(route, customer):
+            _events.warning("refused", request=head.attempt, why=_NO_REGION.why)
+            response = refusals.refusal_response(_NO_REGION)
         elif route.kind == "batch":
             response = self._jobs.submit(
                 head.attempt, name, route, request.path, body.ok_value
@@ -311,6 +316,14 @@
         self._open_calls.remove(call)
         return response
 
+    def _has_region(
+        self, route: records.Route, customer: records.Customer | None
+    ) -> bool:
+        """Returns whether any region is left to which a request may go."""
+        allowed = regions.allowed(route, customer)
+        known = frozenset(self._settings.regions.values())
+        return allowed is None or bool(allowed & known)
+
     def _forward_online(
         self,
         request: httpd.Request,
@@ -360,14 +373,17 @@
     ) -> httpd.Response:
         service = route.choose_service() or route.services[0].service
         if not self._placement.has_upstreams(service):
+            why = self._upstream_list.why_none(service)
             _events.warning(
                 "refused",
                 request=call.attempt,
                 service=service,
-                why="no upstream",
+                why=why,
                 list_age_s=round(self._upstream_list.age_s(), 3),
             )
-            return refusals.refusal_response(_NO_UPSTREAM)
+            return refusals.refusal_response(
+                refusals.Refusal(503, why, _NO_UPSTREAM_RETRY_S)
+            )
         if customer is not None:
             allowed = self._rates.take(customer)
             if isinstance(allowed, result.Err):
@@ -384,7 +400,11 @@
                     )
                 )
         request = forwarding.OnlineRequest(
-            outgoing, route, service, head.last_event
+            outgoing,
+            route,
+            service,
+            head.last_event,
+            regions.allowed(route, customer),
         )
         return self._forwarder.forward(request, call)
 
@@ -425,7 +445,9 @@
 
 _BUSY = refusals.Refusal(503, "this VM has no room now", 0.5)
 _INTERNAL_ERROR = refusals.Refusal(500, "this VM failed to serve the request")
+_NO_REGION = refusals.Refusal(
+    503, "the route and the customer allow no region of this system"
+)
 _NO_CONFIGURATION = refusals.Refusal(
     503, "this VM has no configuration yet", _NOT_READY_RETRY_S
 )
-_NO_UPSTREAM = refusals.Refusal(503, "no upstream is listed", 0.5)
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -53,9 +53,13 @@
 
 
 class _ReadyItem(NamedTuple):
-    """An item that may run now, with its job, service and priority."""
+    """An item that may run now, with its job, service and priority.
+
+    It may only be sent to `regions`; `None` for all.
+    """
 
     service: str
+    regions: frozenset[str] | None
     state: jobstate.JobState
     item: jobstate.ItemState
     priority: batchorder.ItemPriority
@@ -68,6 +72,7 @@
         self, kernel: kernel_lib.Kernel, settings: records.Settings
     ) -> None:
         self._kernel = kernel
+        self._region = settings.regions.get(settings.failure_domain, "")
         self._value_bytes = int(
             settings.max_value_bytes * jobs.VALUE_PAYLOAD_SHARE
         )
@@ -104,6 +109,7 @@
             self._job_store,
             find(names.JOB_LISTING, joblisting.JobListing),
             vms,
+            self._may_hold,
             self._table,
             claims,
             self._on_taken_over,
@@ -145,6 +151,18 @@
         self._directory.announce(accepted.meta.job)
         self._wake.set()
 
+    def _may_hold(self, job: str) -> bool:
+        """Returns whether this VM may read a job's items from the store."""
+        active = self._configuration.current()
+        if active is None or not active.has_regions:
+            return True
+        meta = self._job_store.meta(job)
+        if isinstance(meta, result.Err):
+            return False
+        row = meta.ok_value
+        allowed = active.job_regions(row.host, row.path, row.customer)
+        return allowed is None or self._region in allowed
+
     def _on_taken_over(self, job: str) -> None:
         self._directory.announce(job)
         self._wake.set()
@@ -210,14 +228,15 @@
         moment = jobstate.Moment(
             time.monotonic(), time.time(), self._mean_run_s
         )
-        ready: dict[str, list[_ReadyItem]] = {}
+        ready: dict[tuple[str, frozenset[str] | None], list[_ReadyItem]] = {}
         for state in self._table.by_due_time():
             if self._stopping.is_set():
                 return
             for row in self._try_find_ready(state, moment):
-                ready.setdefault(row.service, []).append(row)
-        for service, rows in ready.items():
-            self._try_start_items(service, rows)
+                key = (row.service, row.regions)
+                ready.setdefault(key, []).append(row)
+        for rows in ready.values():
+            self._try_start_items(rows)
 
     def _try_find_ready(
         self, state: jobstate.JobState, moment: jobstate.Moment
@@ -240,20 +259,35 @@
         service = self._choose_service(state)
         if service is None:
             return []
+        regions = self._regions(state)
         return [
-            _ReadyItem(service, state, item, state.priority(item, moment))
+            _ReadyItem(
+                service, regions, state, item, state.priority(item, moment)
+            )
             for item in items
         ]
 
-    def _try_start_items(self, service: str, rows: list["_ReadyItem"]) -> None:
+    def _regions(self, state: jobstate.JobState) -> frozenset[str] | None:
+        active, meta = self._configuration.current(), state.meta
+        if active is None:
+            return None
+        return active.job_regions(meta.host, meta.path, meta.customer)
+
+    def _try_start_items(self, rows: list["_ReadyItem"]) -> None:
         """Starts items; an error must not end the scheduling thread."""
         try:
-            self._start_items(service, rows)
+            self._start_items(rows)
         except Exception as error:  # noqa: BLE001 - tried again soon.
-            _events.warning("not_started", service=service, why=repr(error))
+            _events.warning(
+                "not_started", service=rows[0].service, why=repr(error)
+            )
 
-    def _start_items(self, service: str, rows: list["_ReadyItem"]) -> None:
-        """Starts items in rank order while slots are free."""
+    def _start_items(self, rows: list["_ReadyItem"]) -> None:
+        """Starts items of one service and its regions in rank order.
+
+        Ends when no slot is free.
+        """
+        service, regions = rows[0].service, rows[0].regions
         rows.sort(key=lambda row: batchorder.rank(row.priority))
         while rows:
             with self._lock:
@@ -262,7 +296,7 @@
                 return
             batch, rows = rows[:count], rows[count:]
             slots = self._placement.take_batch(
-                service, [row.priority for row in batch]
+                service, [row.priority for row in batch], regions
             )
             for row, slot in zip(batch, slots, strict=False):
                 if slot is not None:
--- a/packages/gateway/gateway/storepath.py
+++ b/packages/gateway/gateway/storepath.py
@@ -1,5 +1,6 @@
 """Calls the platform's store, through another VM if direct access fails."""
 
+from collections.abc import Mapping
 import math
 import random
 import threading
@@ -51,11 +52,21 @@
 
     While the store is unavailable to all VMs, one thread probes it and other
     calls fail at once.
+
+    Args:
+        kernel: Finds the peers.
+        direct: The store itself.
+        regions: The region of each failure domain. Calls carry callers' data,
+            which may be bound to a region, so peers of others make none.
     """
 
     def __init__(
-        self, kernel: kernel_lib.Kernel, direct: dialect.Store
+        self,
+        kernel: kernel_lib.Kernel,
+        direct: dialect.Store,
+        regions: Mapping[str, str],
     ) -> None:
+        self._regions = regions
         self._kernel = kernel
         self._direct = direct
         self._peers: services.Peers | None = None
@@ -211,7 +222,8 @@
 
     def _choose_helpers(self) -> tuple[str, ...]:
         """Returns the VMs to call through, the last helper first."""
-        own = self._members.own_vm().vm
+        own = self._members.own_vm()
+        region = self._regions.get(own.failure_domain)
         # The probers are the first to detect that a store that was
         # unavailable to all VMs is back.
         ranked = (
@@ -219,7 +231,13 @@
             if self._is_outage()
             else self._members.leaders("store")
         )
-        others = [vm for vm in ranked if vm != own]
+        if len(frozenset(self._regions.values())) > 1:
+            ranked = tuple(
+                vm
+                for vm in self._members.rank("store")
+                if self._regions.get(self._members.domain(vm)) == region
+            )
+        others = [vm for vm in ranked if vm != own.vm]
         random.shuffle(others)
         if self._helper in others:
             others.remove(self._helper)
--- a/packages/gateway/gateway/takeover.py
+++ b/packages/gateway/gateway/takeover.py
@@ -137,6 +137,7 @@
     """Takes over unclaimed open jobs, and resumes those this VM has claimed.
 
     Args:
+        may_hold: Returns whether this VM's region may have a job's items.
         on_job: Called with the id of each job that this VM starts to run.
     """
 
@@ -146,6 +147,7 @@
         job_store: jobstore.JobStore,
         listing: joblisting.JobListing,
         vms: members.Members,
+        may_hold: Callable[[str], bool],
         table: jobstate.JobTable,
         claims: Claims,
         on_job: Callable[[str], None],
@@ -154,6 +156,7 @@
         self._job_store = job_store
         self._listing = listing
         self._members = vms
+        self._may_hold = may_hold
         self._vm = vms.own_vm().vm
         self._table = table
         self._claims = claims
@@ -277,6 +280,8 @@
             _events.info("dropped", job=job, why="it is not open any more")
 
     def _take_over(self, job: str) -> None:
+        if not self._may_hold(job):
+            return
         claimed = self._claims.take(job)
         if isinstance(claimed, result.Ok):
             self._run_claimed_job(_ClaimedJob(job, claimed.ok_value))
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -261,7 +261,7 @@
     placed = vm.kernel.find(names.PLACEMENT, placement.Placement)
     asked: list[int] = []
 
-    def take(service: str, priorities: list[Any]) -> list[Any]:
+    def take(service: str, priorities: list[Any], regions: Any) -> list[Any]:
         # The runner's own thread also calls this.
         if threading.current_thread() is threading.main_thread():
             asked.append(len(priorities))
@@ -283,11 +283,11 @@
     placed = vm.kernel.find(names.PLACEMENT, placement.Placement)
     take, failed = placed.take_batch, threading.Event()
 
-    def fail_once(service: str, priorities: list[Any]) -> list[Any]:
+    def fail_once(service: str, priorities: list[Any], *rest: Any) -> list[Any]:
         if not failed.is_set():
             failed.set()
             raise RuntimeError("injected failure")
-        return take(service, priorities)
+        return take(service, priorities, *rest)
 
     monkeypatch.setattr(placed, "take_batch", fail_once)
     vm.submit("j1", _items(3))
--- a/tests/gateway/test_storepath.py
+++ b/tests/gateway/test_storepath.py
@@ -114,7 +114,7 @@
     late.
     """
     client = gatewaystore.StoreClient(gatewaystore.MemoryStore())
-    path = storepath.FailoverStore(kernel_lib.Kernel(), client)
+    path = storepath.FailoverStore(kernel_lib.Kernel(), client, {})
     client.is_silent = True
     assert path.get("key", 1.0).unwrap_err().kind == "unknown"
     gatewayscene.until(lambda: path.dump()["is_lost"])
