Reading: one VM reads the store's lists, its backup follows it

Change: the second reader follows the first four times a second and reads once that one's list is older than a second; it still watches the configuration, so a reader that loses the store delays no version. At the first start (the settings say so, and no caller is there yet) VMs wait up to 4 s for the two. Checked: tests of loss of the reader's and the backup's store, of the first start.

--- a/packages/gateway/gateway/configuration.py
+++ b/packages/gateway/gateway/configuration.py
@@ -115,9 +115,17 @@
 
 
 class Feed:
-    """Applies newer versions of the configuration from the store and peers."""
+    """Applies newer versions of the configuration from the store and peers.
 
-    def __init__(self, kernel: kernel_lib.Kernel) -> None:
+    Args:
+        kernel: Finds the store and the dialect.
+        awaits_others: Whether another VM is about to send this one a
+            configuration, until `watch_while` sets a condition.
+    """
+
+    def __init__(
+        self, kernel: kernel_lib.Kernel, *, awaits_others: bool = False
+    ) -> None:
         self._kernel = kernel
         self._evacuations = kernel.find(
             names.EVACUATIONS, evacuations.Evacuations
@@ -129,6 +137,7 @@
         self._stopping = threading.Event()
         self._is_store_lost = False
         self._may_watch: Callable[[], bool] = lambda: False
+        self._awaits_others: Callable[[], bool] = lambda: awaits_others
         self._thread = threading.Thread(
             target=self._run, name="configuration", daemon=True
         )
@@ -186,16 +195,23 @@
         """Returns the configuration in force; `None` before there is any."""
         return self._active
 
-    def watch_while(self, may_watch: Callable[[], bool]) -> None:
+    def watch_while(
+        self,
+        may_watch: Callable[[], bool],
+        awaits_others: Callable[[], bool] = lambda: False,
+    ) -> None:
         """Sets the condition under which this VM watches the store.
 
         Until a condition is set it is false. A VM that has no configuration
-        yet watches in any case.
+        yet watches in any case, unless it is to get one from another VM.
 
         Args:
             may_watch: Returns whether to watch; called before each watch.
+            awaits_others: Returns whether another VM is about to send this
+                one a configuration.
         """
         self._may_watch = may_watch
+        self._awaits_others = awaits_others
 
     def on_change(self, callback: Callable[[], None]) -> None:
         """Registers a callback that runs after each change."""
@@ -252,7 +268,9 @@
             pause_s = min(pause_s * 2, _MAX_RETRY_S)
 
     def _should_watch(self) -> bool:
-        return self._active is None or self._may_watch()
+        if self._active is None:
+            return not self._awaits_others()
+        return self._may_watch()
 
     def _list_and_watch(self) -> bool:
         """Lists the operators' keys, then watches them until a call fails.
--- a/packages/gateway/gateway/records.py
+++ b/packages/gateway/gateway/records.py
@@ -205,6 +205,7 @@
         cores: The processor cores that the process may use; 0 if unknown.
         cold_limits: The limits for cold upstreams; `None` if there are none.
         regions: The region of each failure domain.
+        is_first_start: Whether the whole system starts for the first time.
     """
 
     vm: str
@@ -223,3 +224,4 @@
     cores: float = 0.0
     cold_limits: ColdLimits | None = None
     regions: Mapping[str, str] = types.MappingProxyType({})
+    is_first_start: bool = False
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -72,6 +72,7 @@
         self, kernel: kernel_lib.Kernel, settings: records.Settings
     ) -> None:
         self._kernel = kernel
+        self._is_first_start = settings.is_first_start
         self._region = settings.regions.get(settings.failure_domain, "")
         self._value_bytes = int(
             settings.max_value_bytes * jobs.VALUE_PAYLOAD_SHARE
@@ -109,7 +110,7 @@
             self._job_store,
             find(names.JOB_LISTING, joblisting.JobListing),
             vms,
-            self._may_hold,
+            takeover.Policy(self._may_hold, self._is_first_start),
             self._table,
             claims,
             self._on_taken_over,
--- a/packages/gateway/gateway/storereaders.py
+++ b/packages/gateway/gateway/storereaders.py
@@ -1,4 +1,4 @@
-"""Reads the lists of the store on two VMs, from which the others get them."""
+"""Reads the lists of the store on one VM, from which the others get them."""
 
 from collections.abc import Callable, Mapping
 import math
@@ -29,17 +29,22 @@
 # reader that does not answer, add up to 1.4 s.
 _READ_INTERVAL_S = 0.7
 _FOLLOW_INTERVAL_S = 0.45
+_BACKUP_FOLLOW_INTERVAL_S = 0.25
 _FOLLOW_TIMEOUT_S = 0.25
 # The pause after a read that failed.
 _RETRY_S = 0.25
 # A list of upstreams that a reader read longer ago is not used: the reader has
-# lost the store itself.
+# lost the store itself. The backup finds out first, so that its list is new
+# when the other VMs ask for it.
 _MAX_UPSTREAMS_AGE_S = 1.3
+_MAX_BACKUP_UPSTREAMS_AGE_S = 1.0
 # The same limit for the lists of VMs and jobs, which are less urgent.
 _MAX_OTHER_AGE_S = 2.0
 # After this time, VMs that started together are listed.
 _START_SETTLE_S = 1.5
-# One reader that is asked first, and another in case the first is lost.
+# How long a VM waits for another's configuration at the first start of all.
+_FIRST_START_WAIT_S = 4.0
+# The reader and its backup.
 _READER_COUNT = 2
 
 
@@ -108,14 +113,18 @@
     """Keeps the lists of the store and the configuration up to date.
 
     Each read of the store has a price and counts against its rate limits,
-    which grow more slowly than the number of VMs. So two VMs in different
-    failure domains, the readers, read the lists of upstreams, VMs and jobs
-    and watch the configuration. The other VMs, the followers, ask a reader,
-    and read the store themselves if neither has a fresh list.
+    which grow more slowly than the number of VMs. So one VM, the reader, reads
+    the lists of upstreams, VMs and jobs. Its backup, in another failure domain,
+    follows it closely and reads once the reader's list is not fresh; both watch
+    the configuration. The other VMs, the followers, ask the reader, then the
+    backup, and read the store themselves if neither has a fresh list.
     """
 
-    def __init__(self, kernel: kernel_lib.Kernel) -> None:
+    def __init__(
+        self, kernel: kernel_lib.Kernel, settings: records.Settings
+    ) -> None:
         self._kernel = kernel
+        self._is_first_start = settings.is_first_start
         # Part of all state ids: ids must not repeat after a restart.
         self._run_id = secrets.token_hex(4)
         # The lists as received from the readers.
@@ -144,7 +153,7 @@
         )
         self._peers.register_answers(Followed)
         self._started_s = time.monotonic()
-        self._feed.watch_while(self._should_watch)
+        self._feed.watch_while(self._should_watch, self._awaits_others)
         threading.Thread(target=self._run, name="reading", daemon=True).start()
 
     def stop(self, grace_s: float) -> None:
@@ -153,7 +162,7 @@
         self._stopping.set()
 
     def dump(self) -> Any:
-        """Returns whether this VM is a reader."""
+        """Returns whether this VM is the reader or its backup."""
         return {"is_reader": self._is_reader}
 
     def _should_watch(self) -> bool:
@@ -163,8 +172,22 @@
         reader until it has read the list of VMs. So that not all of them load
         the store with a watch, no VM watches before that has settled.
         """
-        settled_s = time.monotonic() - self._started_s
-        return self._is_reader and settled_s > _START_SETTLE_S
+        return self._is_reader and self._uptime_s() > _START_SETTLE_S
+
+    def _awaits_others(self) -> bool:
+        """Returns whether this VM leaves the store to others that start too.
+
+        At the first start of the whole system no caller is there yet. Once the
+        VMs are listed, all but two get the lists and the configuration from
+        these two.
+        """
+        if not self._is_first_start:
+            return False
+        wait_s = _START_SETTLE_S if self._is_reader else _FIRST_START_WAIT_S
+        return self._uptime_s() < wait_s
+
+    def _uptime_s(self) -> float:
+        return time.monotonic() - self._started_s
 
     def _run(self) -> None:
         while not self._stopping.is_set():
@@ -172,12 +195,19 @@
 
     def _step(self) -> float:
         """Reads or follows once; returns the pause after it in seconds."""
+        if self._is_first_start and self._uptime_s() < _START_SETTLE_S:
+            return _RETRY_S
         readers = self._members.leader_with_backups("readers", _READER_COUNT)
         own = self._members.own_vm().vm
-        if own not in readers and self._follow_any(readers):
-            self._set_reader(False)
-            return _FOLLOW_INTERVAL_S
         self._set_reader(own in readers)
+        if not self._is_reader and self._follow_any(readers):
+            return _FOLLOW_INTERVAL_S
+        if own in readers[1:] and self._follow(
+            readers[0], _MAX_BACKUP_UPSTREAMS_AGE_S
+        ):
+            return _BACKUP_FOLLOW_INTERVAL_S
+        if self._awaits_others():
+            return _RETRY_S
         return _READ_INTERVAL_S if self._upstream_list.read() else _RETRY_S
 
     def _set_reader(self, is_reader: bool) -> None:
@@ -188,7 +218,8 @@
     def _follow_any(self, readers: list[str]) -> bool:
         return any(self._follow(vm) for vm in readers)
 
-    def _follow(self, vm: str) -> bool:
+    def _follow(self, vm: str, max_age_s: float = _MAX_UPSTREAMS_AGE_S) -> bool:
+        """Gets a VM's lists; returns whether it has fresh upstreams."""
         request = Follow(
             self._upstream_replica.state,
             self._vm_replica.state,
@@ -205,7 +236,7 @@
             self._pings.fetch_from(vm)
         self._follow_rest(followed)
         update = followed.upstreams_update
-        if not update.is_fresh(_MAX_UPSTREAMS_AGE_S):
+        if not update.is_fresh(max_age_s):
             return False
         by_instance = {row.instance: row for row in followed.upstreams}
         if not _apply(self._upstream_replica, update, by_instance):
--- a/packages/gateway/gateway/takeover.py
+++ b/packages/gateway/gateway/takeover.py
@@ -31,6 +31,8 @@
 # Shorter than a lease, because this VM's claims from before the restart must be
 # renewed within one.
 _LISTING_WAIT_S = 1.2
+# The same at the first start of the whole system, before which there was none.
+_FIRST_START_LISTING_WAIT_S = 4.0
 _READ_TIMEOUT_S = 1.0
 
 
@@ -133,11 +135,23 @@
     claim: jobstate.HeldClaim
 
 
+class Policy(NamedTuple):
+    """Which jobs a VM takes over, and when it begins to.
+
+    Attributes:
+        may_hold: Returns whether this VM's region may have a job's items.
+        is_first_start: Whether the whole system starts for the first time.
+    """
+
+    may_hold: Callable[[str], bool]
+    is_first_start: bool
+
+
 class Takeover:
     """Takes over unclaimed open jobs, and resumes those this VM has claimed.
 
     Args:
-        may_hold: Returns whether this VM's region may have a job's items.
+        policy: Which jobs to take over.
         on_job: Called with the id of each job that this VM starts to run.
     """
 
@@ -147,7 +161,7 @@
         job_store: jobstore.JobStore,
         listing: joblisting.JobListing,
         vms: members.Members,
-        may_hold: Callable[[str], bool],
+        policy: Policy,
         table: jobstate.JobTable,
         claims: Claims,
         on_job: Callable[[str], None],
@@ -156,11 +170,16 @@
         self._job_store = job_store
         self._listing = listing
         self._members = vms
-        self._may_hold = may_hold
+        self._may_hold = policy.may_hold
         self._vm = vms.own_vm().vm
         self._table = table
         self._claims = claims
         self._on_job = on_job
+        self._listing_wait_s = (
+            _FIRST_START_LISTING_WAIT_S
+            if policy.is_first_start
+            else _LISTING_WAIT_S
+        )
         self._stopping = threading.Event()
         # Number of scans that found each job without a claim.
         self._unclaimed_scans: dict[str, int] = {}
@@ -264,7 +283,7 @@
         """
         if self._listing.is_received():
             return self._listing.rows_or_read()
-        return self._listing.read() if waited_s > _LISTING_WAIT_S else None
+        return self._listing.read() if waited_s > self._listing_wait_s else None
 
     def _renew_and_run(self, claim: joblisting.ClaimRow) -> None:
         renewed = self._claims.renew(claim)
--- a/tests/gateway/test_storereaders.py
+++ b/tests/gateway/test_storereaders.py
@@ -1,6 +1,8 @@
 """Tests which VMs read the store and how the others get its lists."""
 
 from collections.abc import Callable, Sequence
+from concurrent import futures
+import time
 from typing import Any
 
 import pytest
@@ -73,6 +75,67 @@
         gatewayscene.until(lambda vm=vm: not _has(vm, engine.instance))
 
 
+def test_the_backup_reads_nothing_while_the_reader_is_there(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Each list that two VMs read instead of one is paid for twice."""
+    vms = _vms(scene, 4)
+    prefix = "servers/"
+    gatewayscene.until(
+        lambda: sum(_is_reading(vm, prefix) for vm in vms) == 1, 30.0
+    )
+
+
+def _is_reading(vm: gatewayscene.Vm, prefix: str) -> bool:
+    before = vm.client.about(prefix)
+    time.sleep(0.8)
+    return vm.client.about(prefix) > before
+
+
+def test_the_backup_reads_once_the_reader_loses_the_store(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The reader still answers, with lists that grow old."""
+    vms = _vms(scene, 4)
+    first, backup = sorted(
+        _readers(vms), key=lambda vm: -vm.client.about("servers/")
+    )
+    for lost in (first, backup):
+        lost.client.is_down = True
+        path = lost.kernel.find(names.STORE, storepath.FailoverStore)
+        monkeypatch.setattr(path, "_choose_helpers", tuple)
+        started_s = time.monotonic()
+        engine = scene.add_engine()
+        for vm in vms:
+            if vm is not lost:
+                gatewayscene.until(
+                    lambda vm=vm, name=engine.instance: _has(vm, name)
+                )
+        assert time.monotonic() - started_s < 5.0
+        lost.client.is_down = False
+
+
+def test_at_the_first_start_two_vms_read_for_all(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Each call of each VM is paid for before any caller is there."""
+    scene.add_engine()
+
+    def start(number: int) -> gatewayscene.Vm:
+        return scene.add_vm(
+            f"vm{number}", f"d{number % 2}", is_first_start=True
+        )
+
+    with futures.ThreadPoolExecutor() as pool:
+        vms = list(pool.map(start, range(6)))
+    silent = [
+        vm
+        for vm in vms
+        if not vm.client.about("op/") and not vm.client.about("servers/")
+    ]
+    assert len(silent) >= 4
+
+
 def test_a_change_of_the_configuration_reaches_followers(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/usersplatform/test_settings.py
+++ b/tests/usersplatform/test_settings.py
@@ -29,6 +29,8 @@
     assert read.peers_address == "10.1.0.5:7660"
     assert read.min_lease_s == 1.0
     assert read.max_value_bytes == 1 << 20
+    assert not read.is_first_start
+    assert settings.decode({**_VALID, "first_start": True}).is_first_start
 
 
 @pytest.mark.parametrize("name", ["node", "zone", "listen", "platform"])
