Batch: results of one moment are written in one transaction

Change: a result waits 0.2 s for others of its job, unless none runs or the job is about to be due; then all are written at the next positions under one condition. After an attempt without an answer the first results that are stored are recorded, as an earlier attempt may have had fewer.

--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -117,6 +117,13 @@
         return dialect.ItemResult(self.item.item, False, "\n".join(self.output))
 
 
+class FinishedItem(NamedTuple):
+    """An item that has ended, and its result, which is still to be written."""
+
+    item: ItemState
+    row: dialect.ItemResult
+
+
 class HeldClaim(NamedTuple):
     """This VM's claim of a job.
 
@@ -165,6 +172,8 @@
             ItemState(item) for item in items if item.item not in done
         )
         self._running: set[ItemState] = set()
+        # In the order in which their results are to be listed.
+        self._finished: list[FinishedItem] = []
 
     @property
     def due_s(self) -> float:
@@ -181,10 +190,25 @@
         with self._lock:
             return not self._pending and not self._running
 
-    def has_one_unfinished_item(self) -> bool:
-        """Returns whether only one item, a running one, has no result."""
+    def add_finished(self, item: ItemState, row: dialect.ItemResult) -> None:
+        """Records the result of a running item, which is to be written."""
+        with self._lock:
+            self._finished.append(FinishedItem(item, row))
+
+    def finished(self, limit: int) -> list[FinishedItem]:
+        """Returns the first results to be written, at most `limit`."""
         with self._lock:
-            return len(self._running) == 1 and not self._pending
+            return self._finished[:limit]
+
+    def is_running(self, item: ItemState) -> bool:
+        """Returns whether an item runs or has a result still to be written."""
+        with self._lock:
+            return item in self._running
+
+    def are_last(self, rows: list[FinishedItem]) -> bool:
+        """Returns whether all other items have a result."""
+        with self._lock:
+            return not self._pending and len(self._running) == len(rows)
 
     def without_result(self) -> list[ItemState]:
         """Returns the items without a result, waiting ones first."""
@@ -276,6 +300,9 @@
         with self._lock:
             self.next_position += 1
             self._running.discard(item)
+            self._finished = [
+                row for row in self._finished if row.item is not item
+            ]
 
     def restore_progress(self, rows: tuple[jobrecords.Progress, ...]) -> None:
         """Restores the progress that items made on another VM."""
--- a/packages/gateway/gateway/resultwriter.py
+++ b/packages/gateway/gateway/resultwriter.py
@@ -7,10 +7,12 @@
 
 from bulrushdeal import eventlog
 from gateway import dialect as dialect_lib
+from gateway import jobmessages
 from gateway import jobrecords
 from gateway import jobstate
 from gateway import jobstore
 from gateway import takeover
+from gateway.decisions import resultgroups
 
 _events = eventlog.Events("runner")
 
@@ -42,7 +44,7 @@
         row: dialect_lib.ItemResult,
         why: str,
     ) -> None:
-        """Writes a result at the next position.
+        """Writes a result at the next position, with others of its moment.
 
         Retries until the result is written or the job is dropped.
 
@@ -53,9 +55,15 @@
             row: The item's result.
             why: Why the item is given up, for the log; empty if it completed.
         """
+        state.add_finished(item, row)
+        due_in_s = state.due_s - time.time()
+        time.sleep(resultgroups.wait_s(due_in_s, state.count_running() - 1))
         while not state.is_dropped:
             with state.list_lock:
-                is_written = self._try_write(state, item, row)
+                # Another item's thread may have written this result as well.
+                if state.is_running(item):
+                    self._try_write(state)
+                is_written = not state.is_running(item)
             if is_written:
                 _events.sampled_info(
                     "listed",
@@ -67,62 +75,74 @@
                 return
             time.sleep(random.uniform(_MIN_RETRY_PAUSE_S, _MAX_RETRY_PAUSE_S))
 
-    def _try_write(
-        self,
-        state: jobstate.JobState,
-        item: jobstate.ItemState,
-        row: dialect_lib.ItemResult,
-    ) -> bool:
+    def _try_write(self, state: jobstate.JobState) -> None:
+        """Writes the results of finished items in one transaction."""
         if state.is_dropped:
-            return False
+            return
+        rows = state.finished(resultgroups.MAX_RESULTS)
+        made = self._commit(state, rows)
+        if isinstance(made, result.Ok) and isinstance(made.ok_value, int):
+            self._record_written(state, rows)
+            return
+        if isinstance(made, result.Err) and made.err_value.kind != "unknown":
+            return
+        stored = self._stored(state, rows)
+        self._record_written(state, stored)
+        if isinstance(made, result.Ok) and not stored:
+            self._reclaim(state)
+
+    def _commit(
+        self, state: jobstate.JobState, rows: list[jobstate.FinishedItem]
+    ) -> result.Result[int | dialect_lib.Conflict, jobmessages.JobError]:
         keys, job = self._job_store.keys, state.meta.job
-        is_last = state.has_one_unfinished_item()
-        key = keys.result(job, state.next_position)
-        left = state.meta.open_record(state.tokens() - item.item.tokens)
-        writes = [dialect_lib.Write(key, jobrecords.pack(row))]
-        if not is_last:
-            opened = jobrecords.pack(left)
-            writes.append(dialect_lib.Write(keys.open_job(job), opened))
-        made = self._job_store.commit(
-            (
-                dialect_lib.RevisionCondition(key, 0),
-                dialect_lib.RevisionCondition(
-                    keys.claim(job), state.claim.revision
-                ),
-            ),
-            tuple(writes),
-            (keys.open_job(job), keys.claim(job)) if is_last else (),
+        claim = dialect_lib.RevisionCondition(
+            keys.claim(job), state.claim.revision
         )
-        if isinstance(made, result.Err) and made.err_value.kind != "unknown":
-            return False
-        is_written = isinstance(made, result.Ok) and isinstance(
-            made.ok_value, int
+        expected = [claim]
+        writes = []
+        for position, finished in enumerate(rows, state.next_position):
+            key = keys.result(job, position)
+            expected.append(dialect_lib.RevisionCondition(key, 0))
+            value = jobrecords.pack(finished.row)
+            writes.append(dialect_lib.Write(key, value))
+        if state.are_last(rows):
+            deletes = (keys.open_job(job), keys.claim(job))
+            return self._job_store.commit(
+                tuple(expected), tuple(writes), deletes
+            )
+        tokens = sum(finished.item.item.tokens for finished in rows)
+        left = state.meta.open_record(state.tokens() - tokens)
+        writes.append(
+            dialect_lib.Write(keys.open_job(job), jobrecords.pack(left))
         )
-        if is_written or self._is_stored(key, row):
-            self._record_written(state, item, row, is_last)
-            return True
-        if isinstance(made, result.Ok):
-            self._reclaim(state)
-        return False
+        return self._job_store.commit(tuple(expected), tuple(writes), ())
+
+    def _stored(
+        self, state: jobstate.JobState, rows: list[jobstate.FinishedItem]
+    ) -> list[jobstate.FinishedItem]:
+        """Returns the results that an attempt without an answer has written.
 
-    def _is_stored(self, key: str, row: dialect_lib.ItemResult) -> bool:
-        """Returns whether an attempt whose reply was lost wrote the result."""
-        got = self._store.get(key, _READ_TIMEOUT_S)
-        if got.is_err():
-            return False
-        entry = got.unwrap()
-        return entry is not None and entry.value == jobrecords.pack(row)
+        These are the first ones: an earlier attempt may have had fewer.
+        """
+        keys, job = self._job_store.keys, state.meta.job
+        stored = []
+        for position, finished in enumerate(rows, state.next_position):
+            got = self._store.get(keys.result(job, position), _READ_TIMEOUT_S)
+            entry = None if got.is_err() else got.unwrap()
+            if entry is None or entry.value != jobrecords.pack(finished.row):
+                break
+            stored.append(finished)
+        return stored
 
     def _record_written(
-        self,
-        state: jobstate.JobState,
-        item: jobstate.ItemState,
-        row: dialect_lib.ItemResult,
-        is_last: bool,
+        self, state: jobstate.JobState, rows: list[jobstate.FinishedItem]
     ) -> None:
-        self._job_store.cache_result(state.meta.job, state.next_position, row)
-        state.mark_listed(item)
-        if is_last:
+        for finished in rows:
+            self._job_store.cache_result(
+                state.meta.job, state.next_position, finished.row
+            )
+            state.mark_listed(finished.item)
+        if rows and state.is_done():
             self._table.remove(state.meta.job)
             _events.info("finished", job=state.meta.job)
 
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -1,6 +1,7 @@
 """Tests batch jobs on whole gateways, with failures while they run."""
 
 import base64
+import random
 import threading
 import time
 from typing import Any
@@ -12,6 +13,7 @@
 from gateway import jobdirectory
 from gateway import joblisting
 from gateway import jobmessages
+from gateway import jobstore
 from gateway import members
 from gateway import names
 from gateway import placement
@@ -138,6 +140,45 @@
     assert len({row["id"] for row in rows}) == len(rows) == 6
 
 
+def test_results_of_one_moment_are_one_change(
+    scene: gatewayscene.Scene,
+) -> None:
+    scene.add_engine()
+    vm = scene.add_vm()
+    vm.submit("j1", _items(6))
+    assert len(_finished(vm, "j1")) == 6
+    keys = vm.kernel.find(names.JOB_STORE, jobstore.JobStore).keys
+    revisions = {
+        row.revision
+        for key, row in scene.store.rows.items()
+        if key.startswith(keys.results("j1"))
+    }
+    assert len(revisions) <= 2
+    assert keys.open_job("j1") not in scene.store.rows
+    assert keys.claim("j1") not in scene.store.rows
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_results_are_listed_once_while_answers_are_lost(
+    scene: gatewayscene.Scene, seed: int
+) -> None:
+    """An attempt without an answer had fewer results than the next one."""
+    rng = random.Random(seed)
+    engines = [scene.add_engine(events=rng.randint(5, 30)) for _ in range(3)]
+    for engine in engines:
+        engine.pause_s = rng.uniform(0.0, 0.05)
+    vm = scene.add_vm()
+    vm.submit("j1", _items(18))
+    for _ in range(12):
+        vm.client.lost_commits = rng.randint(0, 3)
+        vm.client.refuses_commits = rng.random() < 0.3
+        time.sleep(0.1)
+    vm.client.refuses_commits = False
+    rows = _finished(vm, "j1")
+    assert len({row["id"] for row in rows}) == len(rows) == 18
+    assert all(row["state"] == "completed" for row in rows)
+
+
 def test_without_the_store_a_job_is_refused_not_lost(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/gateway/test_jobstate.py
+++ b/tests/gateway/test_jobstate.py
@@ -73,9 +73,11 @@
     assert state.count_pending() == 1
     assert state.next_position == 1
     last = _take(state)
-    assert state.has_one_unfinished_item()
+    row = dialect.ItemResult(last.item.item, True, "")
+    assert state.are_last([jobstate.FinishedItem(last, row)])
+    assert not state.are_last([])
     state.put_back(last)
-    assert not state.has_one_unfinished_item()
+    assert not state.are_last([])
     assert state.without_result() == [last]
 
 
