--- a/packages/gateway/gateway/decisions/slotledger.py
+++ b/packages/gateway/gateway/decisions/slotledger.py
@@ -212,7 +212,8 @@
         """
         choices = self._eligible_engines(excluded, now_s)
         if not choices:
-            return Refusal(_MIN_RETRY_S, Occupancy(0, 0))
+            retry_s = self._next_start_s(excluded, now_s)
+            return Refusal(retry_s, Occupancy(0, 0))
         best = min(choices, key=lambda row: self._sort_key(row, domain, now_s))
         excess = self._estimated_load(best, now_s) - best.slots
         if excess <= -1:
@@ -378,6 +379,16 @@
         limit = self._outliers.limit(row.instance, now_s)
         return limit is None or self._counts.get(row.instance, 0) < limit
 
+    def _next_start_s(self, excluded: Iterable[str], now_s: float) -> float:
+        """Returns in how many seconds an engine may get its next request."""
+        left_out = frozenset(excluded)
+        waits_s = [
+            self._starts.free_in_s(name, self._max_starts, now_s)
+            for name in self._engines
+            if self._max_starts is not None and name not in left_out
+        ]
+        return max(_MIN_RETRY_S, min(waits_s, default=0.0))
+
     def _occupancy(
         self, choices: Iterable[records.Upstream], now_s: float
     ) -> Occupancy:
--- a/tests/gateway/test_slotledger.py
+++ b/tests/gateway/test_slotledger.py
@@ -277,6 +277,9 @@
     )
     assert most == 14
     assert len(granted_s) >= 2 * 14
+    refused = _online(ledger, "late", granted_s[-1])
+    assert isinstance(refused, slotledger.Refusal)
+    assert 0.15 <= refused.retry_after_s <= 1.1
 
 
 def test_batch_items_count_as_starts() -> None:
