Domains: a VM whose process has stopped shows no network partition

Each VM pings and calls VMs that do not listen yet; two refused connections made their domain, also its own, count as cut off: 28 times in two seconds. An owner that counts itself alone grants a fiftieth of each rate: of the requests of the second after power came back 334 were refused as over their customer's rate, told to come back after up to 9 s, against none in the 12 s before. Change: a call says whether the host refused, closed or reset the connection. What was in members is now decisions.domainloss.

--- a/packages/daemon/bulrushdeald/links.py
+++ b/packages/daemon/bulrushdeald/links.py
@@ -83,6 +83,8 @@
         self.last_used_s = time.monotonic()
         self.was_connected = False
         self.failure = ""
+        # See `services.PeerError`.
+        self.has_host_answered = False
         self._hello = hello
         self._traffic = traffic
         self._on_end = on_end
@@ -151,7 +153,11 @@
                 self._pending.pop(request_id, None)
         if pending_call.frame is None:
             return result.Err(
-                services.PeerError("timeout", f"{self.target.vm}: no answer")
+                services.PeerError(
+                    "timeout",
+                    f"{self.target.vm}: no answer",
+                    self.has_host_answered,
+                )
             )
         return result.Ok(pending_call.frame)
 
@@ -159,7 +165,11 @@
         self, message: str
     ) -> result.Result[wire.Frame, services.PeerError]:
         return result.Err(
-            services.PeerError("unreachable", f"{self.target.vm}: {message}")
+            services.PeerError(
+                "unreachable",
+                f"{self.target.vm}: {message}",
+                self.has_host_answered,
+            )
         )
 
     def _run(self) -> None:
@@ -173,6 +183,8 @@
                 connection.release()
         except _CONNECTION_ERRORS as error:
             self.failure = repr(error)
+            cause = error.__cause__ or error
+            self.has_host_answered = isinstance(cause, ConnectionError)
         finally:
             self._end()
 
@@ -184,6 +196,7 @@
         while (data := connection.receive()) is not None:
             self._on_answer(data)
         self.failure = "the peer closed the connection"
+        self.has_host_answered = True
 
     def _exchange_hellos(self, connection: websocket.Connection) -> None:
         connection.send(wire.pack(1, self._hello))
--- a/packages/daemon/bulrushdeald/peers.py
+++ b/packages/daemon/bulrushdeald/peers.py
@@ -44,10 +44,12 @@
     Attributes:
         failures: Failures in a row, with a lost connection as one; at most 10.
         until_s: The end of the wait, by the monotonic clock.
+        has_host_answered: See `services.PeerError`.
     """
 
     failures: int
     until_s: float
+    has_host_answered: bool
 
 
 class _Addresses(NamedTuple):
@@ -192,10 +194,12 @@
     ) -> result.Result[Any, services.PeerError]:
         link = self._link(name, target)
         if link is None:
+            backoff = self._backoffs.get(name)
             return result.Err(
                 services.PeerError(
                     "unreachable",
                     f"{name}: no connection, and none may be opened now",
+                    backoff is not None and backoff.has_host_answered,
                 )
             )
         answer = link.call(message, timeout_s)
@@ -258,7 +262,9 @@
             wait_s = min(_FIRST_BACKOFF_S * 2**failures, _MAX_BACKOFF_S)
             wait_s *= random.uniform(0.5, 1.0)
             self._backoffs[name] = _Backoff(
-                min(failures + 1, 10), time.monotonic() + wait_s
+                min(failures + 1, 10),
+                time.monotonic() + wait_s,
+                link.has_host_answered,
             )
         if not link.was_connected:
             _log.debug("No connection to %s: %s", name, link.failure)
--- a/packages/daemon/bulrushdeald/services.py
+++ b/packages/daemon/bulrushdeald/services.py
@@ -126,10 +126,13 @@
             and may have taken effect. `refused`: the peer has no handler for
             the message, the handler failed, or too many requests waited.
         message: Text for the log.
+        has_host_answered: Whether the VM's host refused, closed or reset the
+            connection: the network reaches it, and its process has stopped.
     """
 
     kind: Literal["unreachable", "timeout", "refused"]
     message: str
+    has_host_answered: bool = False
 
 
 class InlineHandler:
--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -14,11 +14,13 @@
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import records as core_records
 from bulrushdeald import rendezvous
+from bulrushdeald import services
 from gateway import dialect as dialect_lib
 from gateway import names
 from gateway import paging
 from gateway import records
 from gateway import retainedlist
+from gateway.decisions import domainloss
 from gateway.decisions import leaders
 from gateway.decisions import leases
 
@@ -28,12 +30,6 @@
 # An unanswered renewal is the first sign that the path to the store is lost.
 # The shorter timeout leaves time for another renewal within the lease.
 _RENEW_TIMEOUT_S = 0.5
-# Consecutive failed calls or pings to different VMs of a failure domain after
-# which it counts as cut off.
-_MAX_MISSES = 2
-# A failure domain counts as cut off for this long after the last failed ping.
-# Its upstreams that have lost the store too expire there before that.
-DOMAIN_LOST_S = 5.0
 # A VM that did not answer is not chosen as a leader for this long.
 SUSPECT_S = 1.5
 _MAX_SUSPECTS = 1000
@@ -93,10 +89,7 @@
         self._probe: Callable[[str], bool] = lambda vm: False
         self.ping_requested = threading.Event()
         self._domains = {settings.vm: settings.failure_domain}
-        # Consecutive failed calls and pings, by failure domain.
-        self._missed_pings: dict[str, int] = {}
-        # When the last of these failed, on the monotonic clock.
-        self._last_miss_s: dict[str, float] = {}
+        self._domain_loss = domainloss.DomainLoss()
         self._stopping = threading.Event()
 
     def start(self) -> None:
@@ -118,7 +111,7 @@
         return {
             "vms": [row.vm for row in self._rows],
             "suspects": sorted(self._suspects),
-            "missed_pings": dict(self._missed_pings),
+            "missed_pings": self._domain_loss.dump(),
         }
 
     def own_vm(self) -> core_records.Vm:
@@ -214,31 +207,18 @@
         ]
 
     def unreachable_domains(self) -> frozenset[str]:
-        """Returns the failure domains that count as cut off.
+        """Returns the failure domains that count as cut off."""
+        return self._domain_loss.lost(time.monotonic())
 
-        This state expires after `DOMAIN_LOST_S` unless further pings fail.
-        When all VMs of a domain are removed, pings to them fail at first and
-        are then no longer sent; without the expiry the domain would count as
-        cut off for ever.
-        """
-        if not any(self._missed_pings.values()):
-            return frozenset()
-        since_s = time.monotonic() - DOMAIN_LOST_S
-        return frozenset(
-            domain
-            for domain, missed in self._missed_pings.items()
-            if missed >= _MAX_MISSES and self._last_miss_s[domain] > since_s
-        )
-
-    def suspect(self, vm: str) -> None:
+    def suspect(self, vm: str, error: services.PeerError) -> None:
         """Records that a VM did not answer and leaves it out as a leader.
 
         Its failure domain is pinged at once. If that ping, to another VM of
-        the domain, fails too, the domain counts as cut off.
+        the domain, gets no answer either, the domain counts as cut off.
         """
         domain = self.domain(vm)
         if self._mark_suspected(vm) and domain:
-            self._record_miss(domain)
+            self._record_miss(domain, error)
             self.ping_requested.set()
 
     def set_probe(self, probe: Callable[[str], bool]) -> None:
@@ -264,13 +244,18 @@
             _events.warning("suspected", peer=vm, for_s=SUSPECT_S)
         return is_new
 
-    def _record_miss(self, domain: str) -> None:
-        self._last_miss_s[domain] = time.monotonic()
-        missed = self._missed_pings[domain] = (
-            self._missed_pings.get(domain, 0) + 1
+    def _record_miss(self, domain: str, error: services.PeerError) -> None:
+        is_lost = self._domain_loss.record_miss(
+            domain,
+            time.monotonic(),
+            has_host_answered=(
+                error.has_host_answered or error.kind == "refused"
+            ),
         )
-        if missed == _MAX_MISSES:
-            _events.warning("domain_lost", failure_domain=domain)
+        if is_lost:
+            _events.warning(
+                "domain_lost", failure_domain=domain, why=error.message
+            )
 
     def reached_fraction(self) -> float:
         """Returns the fraction of all VMs that this VM can reach.
@@ -287,15 +272,16 @@
         )
         return reached / len(rows)
 
-    def record_ping(self, domain: str, vm: str, was_answered: bool) -> None:
-        """Records whether a VM of a failure domain answered a ping."""
-        if not was_answered:
+    def record_ping(
+        self, domain: str, vm: str, error: services.PeerError | None
+    ) -> None:
+        """Records a ping to a VM of a failure domain, and how it failed."""
+        if error is not None:
             self._mark_suspected(vm)
-            self._record_miss(domain)
+            self._record_miss(domain, error)
             return
-        if self._missed_pings.get(domain, 0) >= _MAX_MISSES:
+        if self._domain_loss.record_answer(domain, time.monotonic()):
             _events.info("domain_back", failure_domain=domain)
-        self._missed_pings[domain] = 0
 
     def domain(self, vm: str) -> str:
         """Returns a VM's failure domain; empty if it is not listed."""
--- a/packages/gateway/gateway/pings.py
+++ b/packages/gateway/gateway/pings.py
@@ -172,7 +172,7 @@
 
     def _ping(self, domain: str, vm: str) -> None:
         answer = self._peers.call(vm, self._make_ping(), _PING_TIMEOUT_S)
-        self._members.record_ping(domain, vm, answer.is_ok())
+        self._members.record_ping(domain, vm, answer.err())
         if answer.is_err():
             return
         pong: Pong = answer.unwrap()
--- a/packages/gateway/gateway/rates.py
+++ b/packages/gateway/gateway/rates.py
@@ -134,7 +134,7 @@
             answer = self._timed_calls.call(vm, message)
             if answer.is_ok():
                 return self._to_result(answer.unwrap())
-            self._members.suspect(vm)
+            self._members.suspect(vm, answer.unwrap_err())
             # The owner may only be slow and may have taken the token. A
             # second owner beside it would give out the whole rate again.
             if answer.unwrap_err().kind == "timeout":
@@ -207,7 +207,7 @@
             owner, Spend(customer, is_forwarded=True), _FORWARD_TIMEOUT_S
         )
         if answer.is_err():
-            self._members.suspect(owner)
+            self._members.suspect(owner, answer.unwrap_err())
             return None
         spent: Spent = answer.unwrap()
         return spent
--- a/packages/gateway/gateway/slotclient.py
+++ b/packages/gateway/gateway/slotclient.py
@@ -94,7 +94,7 @@
             if answer.is_ok():
                 return answer.unwrap()
             self._last_leaders.pop(service, None)
-            self._members.suspect(vm)
+            self._members.suspect(vm, answer.unwrap_err())
             _events.warning(
                 "leader_lost",
                 service=service,
--- a/packages/gateway/gateway/storereaders.py
+++ b/packages/gateway/gateway/storereaders.py
@@ -227,7 +227,7 @@
         )
         called = self._peers.call(vm, request, _FOLLOW_TIMEOUT_S)
         if called.is_err():
-            self._members.suspect(vm)
+            self._members.suspect(vm, called.unwrap_err())
             return False
         followed: Followed = called.unwrap()
         self._evacuations.apply(followed.evacuated, vm)
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bulrushdeald import peers
+from bulrushdeald import services
 from gateway import configuration
 from gateway import jobdirectory
 from gateway import joblisting
@@ -279,7 +280,9 @@
     vm = scene.add_vm("vm2", "d2")
     membership = vm.kernel.find("membership", members.Members)
     for _ in range(2):
-        membership.record_ping("d1", "vm1", was_answered=False)
+        membership.record_ping(
+            "d1", "vm1", services.PeerError("timeout", "no answer")
+        )
     assert membership.unreachable_domains() == {"d1"}
     vm.submit("j1", _items(3))
     assert len(_finished(vm, "j1")) == 3
--- a/tests/gateway/test_vms.py
+++ b/tests/gateway/test_vms.py
@@ -17,10 +17,13 @@
 from gateway import rates
 from gateway import records
 from gateway.decisions import batchorder
+from gateway.decisions import domainloss
 from support import gatewayengine
 from support import gatewayscene
 from support import gatewaystore
 
+_SILENT = services.PeerError("timeout", "no answer")
+
 
 def _wait_until_listed(*vms: gatewayscene.Vm) -> None:
     for vm in vms:
@@ -153,11 +156,11 @@
     own = vms[0].kernel.find(names.PINGS, pings.Pings)
     monkeypatch.setattr(own, "_ping", lambda domain, vm: None)
     for _ in range(3):
-        found.suspect("vm2")
+        found.suspect("vm2", _SILENT)
     assert not found.unreachable_domains()
-    found.record_ping("d2", "vm3", was_answered=False)
+    found.record_ping("d2", "vm3", _SILENT)
     assert found.unreachable_domains() == {"d2"}
-    found.record_ping("d2", "vm3", was_answered=True)
+    found.record_ping("d2", "vm3", None)
     assert not found.unreachable_domains()
 
 
@@ -203,7 +206,7 @@
     assert 16 <= len(leaders) <= 20
     # If none of them is reachable, any VM may lead, including this one.
     for name in leaders:
-        found.suspect(name)
+        found.suspect(name, _SILENT)
     assert found.leaders("rate 1")
 
 
@@ -219,9 +222,9 @@
     vm = scene.add_vm("vm1", "d1")
     found = vm.kernel.find("membership", members.Members)
     for _ in range(2):
-        found.record_ping("d2", "vm2", was_answered=False)
+        found.record_ping("d2", "vm2", _SILENT)
     assert found.unreachable_domains() == {"d2"}
-    later_s = time.monotonic() + members.DOMAIN_LOST_S + 0.1
+    later_s = time.monotonic() + domainloss.DOMAIN_LOST_S + 0.1
     monkeypatch.setattr(time, "monotonic", lambda: later_s)
     assert not found.unreachable_domains()
 
@@ -338,3 +341,25 @@
     assert not vm.front().is_ready()
     vm.client.is_down = False
     gatewayscene.until(vm.front().is_ready)
+
+
+def test_a_vm_whose_process_stops_shows_no_cut(
+    scene: gatewayscene.Scene,
+) -> None:
+    """All processes of a domain are killed; their host refuses connections.
+
+    Its own customers would get next to nothing from a VM that takes the
+    other domains for cut off.
+    """
+    vms = [scene.add_vm("vm1", "d1"), scene.add_vm("vm2", "d2")]
+    vms.append(scene.add_vm("vm3", "d2"))
+    _wait_until_listed(*vms)
+    found = vms[0].kernel.find("membership", members.Members)
+    for vm in vms[1:]:
+        vm.kernel.find("peers", peers.WebsocketPeers).stop(0.1)
+    gatewayscene.until(
+        lambda: found.is_suspected("vm2") or found.is_suspected("vm3")
+    )
+    time.sleep(0.6)
+    assert not found.unreachable_domains()
+    assert found.reached_fraction() == 1.0
