Rates: a new owner starts with its part of the tolerated overage, too

Cause: an owner whose process starts again had 10 tokens for each customer whatever its rate; callers of a second without service come back at once, in a burst of 1.9 times the mean. A VM that reached no owner told callers to come back after up to 9 s, the time of its own next token, though owners start within one. Change: besides half of the slack a new owner starts with a third of the overage of rate and burst in the window, which the operators' bound leaves for just this: owners that replace each other. Without an owner the retry is after 0.2 to 0.4 s at most. Checked: a property over rates, bursts and two kills in one window keeps the operators' bound; a replay of the returning callers.

--- a/packages/gateway/gateway/decisions/tokens.py
+++ b/packages/gateway/gateway/decisions/tokens.py
@@ -9,6 +9,10 @@
 Role = Literal["owner", "stand_in", "doubtful"]
 # Share of the rate that a VM grants while the owner may grant tokens as well.
 _DOUBTFUL_SHARE = 0.5
+# Parts of the tolerated excess that a new owner starts with: two owners, rarely
+# three, may start within one window.
+_SLACK_SHARE = 0.5
+_OVERAGE_SHARE = 1 / 3
 
 
 class Denied(NamedTuple):
@@ -21,6 +25,25 @@
     retry_after_s: float
 
 
+class Excess(NamedTuple):
+    """The tokens beyond rate and burst that operators tolerate in a window.
+
+    Attributes:
+        slack: A number of tokens.
+        overage: Besides, this part of rate and burst in the window.
+        window_s: The length of the window, in seconds.
+    """
+
+    slack: float
+    overage: float
+    window_s: float
+
+    def initial_tokens(self, rate_per_s: float, burst: float) -> float:
+        """Returns how many tokens a new owner of a customer starts with."""
+        overage = self.overage * (rate_per_s * self.window_s + burst)
+        return self.slack * _SLACK_SHARE + overage * _OVERAGE_SHARE
+
+
 class Bucket:
     """A token bucket that is refilled at a rate up to a burst.
 
@@ -64,13 +87,13 @@
     that was restarted has no replacement beside it and grants the whole rate.
 
     Args:
-        initial_tokens: The tokens at the beginning, limited to the burst.
-        window_s: The window in which operators count tokens, in seconds.
+        excess: The excess that the operators tolerate, part of which the
+            bucket starts with, limited to the burst.
     """
 
-    def __init__(self, initial_tokens: float, window_s: float) -> None:
-        self._initial_tokens = initial_tokens
-        self._window_s = window_s
+    def __init__(self, excess: Excess) -> None:
+        self._excess = excess
+        self._window_s = excess.window_s
         self._bucket: Bucket | None = None
         self._created_s = 0.0
         self._last_used_s = 0.0
@@ -96,7 +119,8 @@
         """
         was_idle = now_s - self._last_used_s > self._window_s
         if self._bucket is None or (role != "owner" and was_idle):
-            self._bucket = Bucket(min(burst, self._initial_tokens), now_s)
+            initial_tokens = self._excess.initial_tokens(rate_per_s, burst)
+            self._bucket = Bucket(min(burst, initial_tokens), now_s)
             self._created_s = now_s
         self._last_used_s = now_s
         if role == "doubtful" and now_s - self._created_s < self._window_s:
--- a/packages/gateway/gateway/rates.py
+++ b/packages/gateway/gateway/rates.py
@@ -7,6 +7,7 @@
 """
 
 import heapq
+import random
 import threading
 import time
 from typing import Any, NamedTuple
@@ -28,9 +29,9 @@
 # For a request forwarded to the owner on behalf of a VM that cannot reach it.
 _FORWARD_TIMEOUT_S = 0.25
 _MAX_OWNERS = 2
-# Part of the tolerated excess that a new owner starts with: two owners may
-# start within one window.
-_OPENING_SHARE = 0.5
+# A VM that reaches no owner tells callers to come back this soon: owners start
+# again within a second, or others take their place.
+_OWNER_LOST_RETRY_S = 0.4
 # Part of its even share of the rate that a VM allows when it reaches no owner.
 # The owner that the other VMs reach still gives out the whole rate.
 _FALLBACK_SHARE = 0.5
@@ -77,8 +78,11 @@
     ) -> None:
         self._kernel = kernel
         self._vm = settings.vm
-        self._opening_tokens = settings.limit_slack * _OPENING_SHARE
-        self._window_s = settings.limit_window_s
+        self._excess = tokens.Excess(
+            settings.limit_slack,
+            settings.limit_overage,
+            settings.limit_window_s,
+        )
         self._lock = threading.Lock()
         self._owned_buckets: dict[str, tokens.OwnedBucket] = {}
         self._fallback_buckets: dict[str, tokens.Bucket] = {}
@@ -175,7 +179,10 @@
                 customer.burst * fraction,
                 now_s,
             )
-        return result.Ok(None) if denied is None else result.Err(denied)
+        if denied is None:
+            return result.Ok(None)
+        retry_s = _OWNER_LOST_RETRY_S * random.uniform(0.5, 1.0)
+        return result.Err(tokens.Denied(min(denied.retry_after_s, retry_s)))
 
     def _on_spend(self, vm: str, message: Spend) -> Spent:
         del vm
@@ -243,7 +250,7 @@
             self._owned_buckets.clear()
             _events.warning("buckets_cleared", most=_MAX_BUCKETS)
         bucket = self._owned_buckets[customer] = tokens.OwnedBucket(
-            self._opening_tokens, self._window_s
+            self._excess
         )
         return bucket
 
--- a/packages/gateway/gateway/records.py
+++ b/packages/gateway/gateway/records.py
@@ -200,6 +200,8 @@
         limit_slack: Requests beyond a customer's rate and burst that the
             operators tolerate in any window of `limit_window_s`.
         limit_window_s: The length of that window.
+        limit_overage: Part of a customer's rate and burst in such a window
+            that the operators tolerate beyond them, besides `limit_slack`.
         upstream_connect_timeout_s: The time limit for a new connection to
             an upstream.
         cores: The processor cores that the process may use; 0 if unknown.
@@ -225,3 +227,4 @@
     cold_limits: ColdLimits | None = None
     regions: Mapping[str, str] = types.MappingProxyType({})
     is_first_start: bool = False
+    limit_overage: float = 0.0
--- a/tests/gateway/test_tokens.py
+++ b/tests/gateway/test_tokens.py
@@ -5,6 +5,8 @@
 
 from gateway.decisions import tokens
 
+_EXCESS = tokens.Excess(slack=20, overage=0.0, window_s=5.0)
+
 
 @hypothesis.given(
     st.floats(1, 40),
@@ -54,7 +56,7 @@
 
     Both VMs would grant the whole rate within one window.
     """
-    bucket = tokens.OwnedBucket(10.0, 5.0)
+    bucket = tokens.OwnedBucket(_EXCESS)
     assert _count_granted(bucket, 100.0, "doubtful") <= 10 + 0.5 * 40 * 5
 
 
@@ -63,7 +65,7 @@
 
     The owner has granted the tokens that the VM's bucket gained meanwhile.
     """
-    bucket = tokens.OwnedBucket(10.0, 5.0)
+    bucket = tokens.OwnedBucket(_EXCESS)
     for begin_s in (100.0, 160.0):
         assert (
             _count_granted(bucket, begin_s, "doubtful") <= 10 + 0.5 * 40 * 5 + 1
@@ -77,5 +79,38 @@
     The callers come back at once. At half of the rate a third of the largest
     customers' requests was refused in those seconds.
     """
-    bucket = tokens.OwnedBucket(10.0, 5.0)
+    bucket = tokens.OwnedBucket(_EXCESS)
     assert _count_granted(bucket, 100.0, "owner") >= 40 * 5
+
+
+@hypothesis.given(st.floats(1, 200), st.floats(1, 200), st.floats(0.0, 4.0))
+def test_an_owner_that_was_killed_exceeds_no_window(
+    rate_per_s: float, burst: float, killed_s: float
+) -> None:
+    """Its process starts again at once, twice, with no memory."""
+    excess = tokens.Excess(slack=20, overage=0.1, window_s=5.0)
+    before = tokens.Bucket(burst, 0.0)
+    granted = 0
+    for begin_s, end_s in ((0.0, killed_s), (killed_s, 4.5), (4.5, 5.0)):
+        bucket = tokens.OwnedBucket(excess)
+        for step in range(int((end_s - begin_s) * 250)):
+            now_s = begin_s + step / 250
+            source = before if begin_s == 0.0 else None
+            denied = (
+                bucket.take(rate_per_s, burst, now_s, "owner")
+                if source is None
+                else source.take(rate_per_s, burst, now_s)
+            )
+            granted += denied is None
+    allowed = (rate_per_s * 5 + burst) * 1.1 + 20
+    assert granted <= allowed + 1
+
+
+def test_an_owner_that_was_killed_takes_a_burst_of_returning_callers() -> None:
+    """Callers of 0.8 s come back in the first half second of an owner."""
+    bucket = tokens.OwnedBucket(tokens.Excess(20, 0.1, 5.0))
+    granted = sum(
+        bucket.take(60.0, 60.0, 100.0 + at / 200, "owner") is None
+        for at in range(100)
+    )
+    assert granted >= 50
