Rates: refused requests are told to come back one after the other

Cause: all requests refused over a customer's rate were told the time of its next token, 0 to 23 ms, came back together after the least wait and were refused for good; an owner without any configuration yet told 2 s.

--- a/packages/gateway/gateway/decisions/tokens.py
+++ b/packages/gateway/gateway/decisions/tokens.py
@@ -2,6 +2,8 @@
 
 from typing import Literal, NamedTuple
 
+from gateway.decisions import retryschedule
+
 # The role of a VM for a customer. `owner`: the VM grants the customer's tokens
 # while all VMs reach each other. `stand_in`: the owner is beyond a network cut,
 # and each side of the cut grants its share of the rate. `doubtful`: this VM
@@ -95,6 +97,7 @@
         self._excess = excess
         self._window_s = excess.window_s
         self._bucket: Bucket | None = None
+        self._retry_schedule = retryschedule.RetrySchedule()
         self._created_s = 0.0
         self._last_used_s = 0.0
 
@@ -125,4 +128,12 @@
         self._last_used_s = now_s
         if role == "doubtful" and now_s - self._created_s < self._window_s:
             rate_per_s *= _DOUBTFUL_SHARE
-        return self._bucket.take(rate_per_s, burst, now_s)
+        denied = self._bucket.take(rate_per_s, burst, now_s)
+        if denied is None:
+            return None
+        # Callers that were all told the time of the next token would meet
+        # there, and all but one be refused again.
+        reserved_s = self._retry_schedule.reserve(
+            now_s, 1.0 / max(rate_per_s, 0.01)
+        )
+        return Denied(max(denied.retry_after_s, reserved_s))
--- a/packages/gateway/gateway/rates.py
+++ b/packages/gateway/gateway/rates.py
@@ -191,6 +191,8 @@
         if row is None:
             # The calling VM has a newer configuration. Without the customer's
             # row this VM refuses requests until it has that version, too.
+            if held is None:
+                return Spent(False, _OWNER_LOST_RETRY_S)
             return Spent(False, configuration.WATCH_WAIT_S)
         if row.rate_per_s <= 0:
             return Spent(True, 0.0)
--- a/tests/gateway/test_tokens.py
+++ b/tests/gateway/test_tokens.py
@@ -114,3 +114,33 @@
         for at in range(100)
     )
     assert granted >= 50
+
+
+def _refused_for_good(retry_s: float | None) -> int:
+    """Plays 60 callers that come at once and retry once, beside others.
+
+    Args:
+        retry_s: When a refused caller retries; `None` for when it was told.
+    """
+    bucket = tokens.OwnedBucket(tokens.Excess(20, 0.0, 5.0))
+    arrivals = [(0.0, False)] * 60
+    arrivals += [(step / 25, False) for step in range(75)]
+    refused = 0
+    while arrivals:
+        arrivals.sort()
+        at_s, is_retry = arrivals.pop(0)
+        denied = bucket.take(40.0, 40.0, at_s, "owner")
+        if denied is None:
+            continue
+        if is_retry:
+            refused += 1
+            continue
+        wait_s = denied.retry_after_s if retry_s is None else retry_s
+        arrivals.append((at_s + wait_s, True))
+    return refused
+
+
+def test_refused_callers_do_not_come_back_together() -> None:
+    spread = _refused_for_good(None)
+    together = _refused_for_good(0.05)
+    assert spread < 0.6 * together
