Slots: an engine that may have restarted unseen is bound only where due

Cause: a leader bound every engine to what a cold one may get in a second, also where a warm one takes far more, as on deployments with a small cold_per_s. An entry that was read before the configuration never counted as cold. Change: the bound is always kept where an engine's slots and the length of runs allow no more anyway, and else for the length of a cold start after a failure. Entries are judged again once their service is known; shares follow a new rate.

--- a/packages/gateway/gateway/coldsends.py
+++ b/packages/gateway/gateway/coldsends.py
@@ -82,6 +82,7 @@
                 now_s,
             )
             self._window.retain(row.instance for row in rows)
+            self._shares = {}
         if started or ended:
             _events.info("cold", upstreams=started, evacuated_before=ended)
 
--- a/packages/gateway/gateway/decisions/coldstarts.py
+++ b/packages/gateway/gateway/decisions/coldstarts.py
@@ -108,21 +108,24 @@
 
         Args:
             rows: All listed upstreams.
-            durations_s: The cold start of each service that has one.
+            durations_s: The cold start of each service that is known to have
+                one.
             now_s: The current time by the monotonic clock.
 
         Returns:
             The upstreams that count as cold anew.
         """
-        before, self._rows = self._rows, {row.instance: row for row in rows}
+        before = self._rows
+        self._rows = {
+            row.instance: row for row in rows if row.service in durations_s
+        }
         started: list[str] = []
         for name, row in self._rows.items():
-            duration_s = durations_s.get(row.service)
-            if duration_s is None or before.get(name) == row:
+            if before.get(name) == row:
                 continue
             told_s = row.cold_remaining_s
             if told_s is None:
-                told_s = duration_s
+                told_s = durations_s[row.service]
             if self._extend(name, min(told_s, _MAX_COLD_S), now_s):
                 started.append(name)
         for name in self._cold_until_s.keys() - self._rows.keys():
--- a/packages/gateway/gateway/decisions/slotledger.py
+++ b/packages/gateway/gateway/decisions/slotledger.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Mapping, Sequence
+import math
 import random
 from typing import Literal, NamedTuple
 
@@ -166,24 +167,30 @@
         self._waiting = batchorder.WaitingItems()
         self._retry_schedule = retryschedule.RetrySchedule()
         self._starts = coldstarts.SendWindow()
-        self._max_starts: int | None = None
+        self._cold_start: coldstarts.ColdStart | None = None
+        self._last_failed_s: dict[str, float] = {}
 
     def set_engines(
         self,
         engines: Iterable[records.Upstream],
-        max_starts: int | None = None,
+        cold_start: coldstarts.ColdStart | None = None,
     ) -> None:
         """Replaces the set of engines that may get requests.
 
         Args:
             engines: The engines.
-            max_starts: The most requests that an engine may get in a second.
-                An engine that has restarted unseen may not take more.
+            cold_start: Their cold start; `None` if they have none. Any of them
+                may have restarted unseen.
         """
         self._engines = {row.instance: row for row in engines}
         self._outliers.retain(self._engines)
         self._starts.retain(self._engines)
-        self._max_starts = max_starts
+        self._cold_start = cold_start
+        self._last_failed_s = {
+            name: failed_s
+            for name, failed_s in self._last_failed_s.items()
+            if name in self._engines
+        }
 
     def take_online(
         self,
@@ -316,6 +323,8 @@
         self, instance: str, now_s: float, *, has_failed: bool
     ) -> None:
         if instance in self._engines:
+            if has_failed:
+                self._last_failed_s[instance] = now_s
             self._outliers.record(
                 instance,
                 now_s,
@@ -372,20 +381,35 @@
         ]
 
     def _accepts_more(self, row: records.Upstream, now_s: float) -> bool:
-        if self._max_starts is not None:
-            started = self._starts.count(row.instance, now_s)
-            if started >= self._max_starts:
-                return False
+        most = self._max_starts(row, now_s)
+        if most is not None and self._starts.count(row.instance, now_s) >= most:
+            return False
         limit = self._outliers.limit(row.instance, now_s)
         return limit is None or self._counts.get(row.instance, 0) < limit
 
+    def _max_starts(self, row: records.Upstream, now_s: float) -> int | None:
+        """Returns how many requests an engine may get in a second.
+
+        An engine that has restarted unseen is cold. Where a warm one takes
+        fewer requests a second than a cold one may get, the bound costs
+        nothing and is always kept. Otherwise it is kept after failures.
+        """
+        if self._cold_start is None:
+            return None
+        most = self._cold_start.max_sent
+        if row.slots / self._run_s <= most:
+            return most
+        failed_s = self._last_failed_s.get(row.instance, -math.inf)
+        return most if now_s - failed_s < self._cold_start.duration_s else None
+
     def _next_start_s(self, excluded: Iterable[str], now_s: float) -> float:
         """Returns in how many seconds an engine may get its next request."""
         left_out = frozenset(excluded)
         waits_s = [
-            self._starts.free_in_s(name, self._max_starts, now_s)
-            for name in self._engines
-            if self._max_starts is not None and name not in left_out
+            self._starts.free_in_s(name, most, now_s)
+            for name, row in self._engines.items()
+            if name not in left_out
+            and (most := self._max_starts(row, now_s)) is not None
         ]
         return max(_MIN_RETRY_S, min(waits_s, default=0.0))
 
--- a/packages/gateway/gateway/slotleader.py
+++ b/packages/gateway/gateway/slotleader.py
@@ -81,10 +81,8 @@
                 self._set_engines(service, ledger)
 
     def _set_engines(self, service: str, ledger: slotledger.Ledger) -> None:
-        cold_start = self._cold_start(service)
         ledger.set_engines(
-            self._upstreams.usable(service),
-            max_starts=None if cold_start is None else cold_start.max_sent,
+            self._upstreams.usable(service), self._cold_start(service)
         )
 
     def _ledger(self, service: str) -> slotledger.Ledger:
--- a/tests/gateway/test_coldstarts.py
+++ b/tests/gateway/test_coldstarts.py
@@ -133,6 +133,12 @@
     assert found.cold(2.0) == {"i-0": 2.0}
 
 
+def test_an_entry_that_came_before_the_configuration_counts() -> None:
+    found = coldstarts.ColdUpstreams()
+    assert found.update([_upstream(cold_s=3.0)], {}, 0.0) == []
+    assert found.update([_upstream(cold_s=3.0)], _COLD, 0.5) == ["i-0"]
+
+
 def test_an_upstream_that_is_gone_is_forgotten() -> None:
     found = coldstarts.ColdUpstreams()
     found.update([_upstream(cold_s=3.0)], _COLD, 0.0)
