Start: no garbage collection while modules are imported

Cause: a process listens 0.4 to 0.6 s after power is back on half a core, nearly all of it imports; collections look at the same objects again and again. Change: collection is off until the gateway has started, which freezes what is there.

--- a/packages/core/bulrushdeal/memory.py
+++ b/packages/core/bulrushdeal/memory.py
@@ -4,7 +4,7 @@
 
 
 def freeze_startup_objects() -> None:
-    """Excludes all existing objects from garbage collection for good.
+    """Excludes all existing objects from garbage collection, and enables it.
 
     When batch work creates many new objects, a full collection also traverses
     all old ones, most of which belong to imported modules. Every stream of the
@@ -13,3 +13,4 @@
     """
     gc.collect()
     gc.freeze()
+    gc.enable()
