--- a/packages/gateway/gateway/decisions/slotledger.py
+++ b/packages/gateway/gateway/decisions/slotledger.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Iterable, Mapping, Sequence
-import math
 import random
 from typing import Literal, NamedTuple
 
@@ -15,6 +14,7 @@
 from gateway.decisions import coldstarts
 from gateway.decisions import outliers
 from gateway.decisions import retryschedule
+from gateway.decisions import startlimits
 
 # Load that an engine reports beyond the known runs counts with a weight that
 # falls to zero over this time. Runs of a VM that lost power continue on the
@@ -166,9 +166,7 @@
         self._run_s = _INITIAL_RUN_S
         self._waiting = batchorder.WaitingItems()
         self._retry_schedule = retryschedule.RetrySchedule()
-        self._starts = coldstarts.SendWindow()
-        self._cold_start: coldstarts.ColdStart | None = None
-        self._last_failed_s: dict[str, float] = {}
+        self._start_limits = startlimits.StartLimits()
 
     def set_engines(
         self,
@@ -184,13 +182,7 @@
         """
         self._engines = {row.instance: row for row in engines}
         self._outliers.retain(self._engines)
-        self._starts.retain(self._engines)
-        self._cold_start = cold_start
-        self._last_failed_s = {
-            name: failed_s
-            for name, failed_s in self._last_failed_s.items()
-            if name in self._engines
-        }
+        self._start_limits.configure(self._engines, cold_start)
 
     def take_online(
         self,
@@ -219,8 +211,14 @@
         """
         choices = self._eligible_engines(excluded, now_s)
         if not choices:
-            retry_s = self._next_start_s(excluded, now_s)
-            return Refusal(retry_s, Occupancy(0, 0))
+            left_out = frozenset(excluded)
+            rows = (
+                row
+                for row in self._engines.values()
+                if row.instance not in left_out
+            )
+            wait_s = self._start_limits.wait_s(rows, self._run_s, now_s)
+            return Refusal(max(_MIN_RETRY_S, wait_s), Occupancy(0, 0))
         best = min(choices, key=lambda row: self._sort_key(row, domain, now_s))
         excess = self._estimated_load(best, now_s) - best.slots
         if excess <= -1:
@@ -269,7 +267,7 @@
             if not instance:
                 break
             self._add(row.run, Run(vm, instance, now_s, row.priority))
-            self._starts.record(instance, now_s)
+            self._start_limits.record_start(instance, now_s)
             engines.append(instance)
         unplaced = [
             batchorder.rank(row.priority) for row in runs[len(engines) :]
@@ -324,7 +322,7 @@
     ) -> None:
         if instance in self._engines:
             if has_failed:
-                self._last_failed_s[instance] = now_s
+                self._start_limits.record_failure(instance, now_s)
             self._outliers.record(
                 instance,
                 now_s,
@@ -381,38 +379,11 @@
         ]
 
     def _accepts_more(self, row: records.Upstream, now_s: float) -> bool:
-        most = self._max_starts(row, now_s)
-        if most is not None and self._starts.count(row.instance, now_s) >= most:
+        if not self._start_limits.allows(row, self._run_s, now_s):
             return False
         limit = self._outliers.limit(row.instance, now_s)
         return limit is None or self._counts.get(row.instance, 0) < limit
 
-    def _max_starts(self, row: records.Upstream, now_s: float) -> int | None:
-        """Returns how many requests an engine may get in a second.
-
-        An engine that has restarted unseen is cold. Where a warm one takes
-        fewer requests a second than a cold one may get, the bound costs
-        nothing and is always kept. Otherwise it is kept after failures.
-        """
-        if self._cold_start is None:
-            return None
-        most = self._cold_start.max_sent
-        if row.slots / self._run_s <= most:
-            return most
-        failed_s = self._last_failed_s.get(row.instance, -math.inf)
-        return most if now_s - failed_s < self._cold_start.duration_s else None
-
-    def _next_start_s(self, excluded: Iterable[str], now_s: float) -> float:
-        """Returns in how many seconds an engine may get its next request."""
-        left_out = frozenset(excluded)
-        waits_s = [
-            self._starts.free_in_s(name, most, now_s)
-            for name, row in self._engines.items()
-            if name not in left_out
-            and (most := self._max_starts(row, now_s)) is not None
-        ]
-        return max(_MIN_RETRY_S, min(waits_s, default=0.0))
-
     def _occupancy(
         self, choices: Iterable[records.Upstream], now_s: float
     ) -> Occupancy:
@@ -481,7 +452,7 @@
         now_s: float,
     ) -> Grant:
         self._add(run, Run(vm, row.instance, now_s))
-        self._starts.record(row.instance, now_s)
+        self._start_limits.record_start(row.instance, now_s)
         return Grant(row.instance)
 
     def _add(self, run: str, held: Run) -> None:
--- /dev/null
+++ b/packages/gateway/gateway/itemrun.py
@@ -0,0 +1,163 @@
+"""Runs one batch item on an upstream, from its last event on."""
+
+import time
+
+import result
+
+from bulrushdeal import eventlog
+from bulrushdeald import services
+from gateway import dialect as dialect_lib
+from gateway import eventstream
+from gateway import heldslots
+from gateway import jobstate
+from gateway import placement
+from gateway import resultwriter
+from gateway import upstreamsender
+
+_events = eventlog.Events("runner")
+
+# An engine that sends nothing for this long has crashed or is unreachable.
+_MAX_SILENCE_S = 2.0
+# Once it has begun to send, an engine does not pause for this long.
+_MAX_CHUNK_GAP_S = 0.6
+# Initial value of the moving average of run durations, and the weight of each
+# completed item in it.
+_INITIAL_RUN_S = 5.0
+_RUN_WEIGHT = 0.1
+_HTTP_OK = 200
+_HTTP_UNPROCESSABLE = 422
+_HTTP_SERVER_ERROR = 500
+
+
+class ItemRun:
+    """Sends items to upstreams, reads their output and writes their results.
+
+    Attributes:
+        mean_run_s: How long a whole run takes, in seconds.
+    """
+
+    def __init__(
+        self,
+        dialect: dialect_lib.Dialect,
+        sender: upstreamsender.Sender,
+        placer: placement.Placement,
+        writer: resultwriter.ResultWriter,
+    ) -> None:
+        self._dialect = dialect
+        self._sender = sender
+        self._placement = placer
+        self._writer = writer
+        self.mean_run_s = _INITIAL_RUN_S
+
+    def run(
+        self,
+        state: jobstate.JobState,
+        item: jobstate.ItemState,
+        slot: heldslots.Slot,
+    ) -> None:
+        """Runs an item once, until its end, a failure or a preemption."""
+        outgoing = upstreamsender.UpstreamRequest(
+            item.item.item,
+            "POST",
+            item.item.path,
+            self._dialect.item_headers(item.item, state.meta.host),
+            item.item.body,
+            state.meta.customer,
+        )
+        sent = self._sender.send(
+            outgoing,
+            slot,
+            deadline_s=-1.0,
+            max_silence_s=_MAX_SILENCE_S,
+            last_event_id=item.last_event,
+            on_connected=slot.set_cancel_callback,
+        )
+        if isinstance(sent, result.Err):
+            failure = sent.err_value
+            if not slot.is_preempted:
+                item.pause()
+            self._log_interruption(state, item, slot, failure.why)
+            return
+        answer = sent.ok_value.answer
+        try:
+            if answer.status == _HTTP_OK:
+                self._read_stream(state, item, slot, answer)
+            else:
+                self._handle_error_status(state, item, answer)
+        finally:
+            answer.cancel()
+            answer.close()
+
+    def _read_stream(
+        self,
+        state: jobstate.JobState,
+        item: jobstate.ItemState,
+        slot: heldslots.Slot,
+        answer: services.UpstreamAnswer,
+    ) -> None:
+        splitter = eventstream.Splitter()
+        why = ""
+        for chunk in answer.chunks():
+            if isinstance(chunk, result.Err):
+                why = chunk.err_value.message
+                break
+            for event in eventstream.parse(splitter.feed(chunk.ok_value)):
+                if event.event_id is not None:
+                    item.last_event = event.event_id
+                if event.data is not None:
+                    item.output.append(event.data)
+            answer.set_read_timeout(_MAX_CHUNK_GAP_S)
+            item.consecutive_pauses = 0
+            self._placement.health.record_data(slot.upstream.instance)
+            if state.is_dropped:
+                return
+        if why or splitter.has_partial_event:
+            if not slot.is_preempted:
+                slot.outcome = "failed"
+                item.pause()
+            self._log_interruption(state, item, slot, why or "cut in an event")
+            return
+        answer.close()
+        slot.release()
+        took_s = item.elapsed_s(time.monotonic())
+        self.mean_run_s += (took_s - self.mean_run_s) * _RUN_WEIGHT
+        self._writer.write(state, item, item.completed(), "")
+
+    def _handle_error_status(
+        self,
+        state: jobstate.JobState,
+        item: jobstate.ItemState,
+        answer: services.UpstreamAnswer,
+    ) -> None:
+        if answer.status == _HTTP_UNPROCESSABLE:
+            self._writer.write(state, item, item.errored(), "cannot be done")
+            return
+        if answer.status == _HTTP_SERVER_ERROR:
+            item.failures += 1
+        if item.failures >= state.meta.max_attempts:
+            self._writer.write(state, item, item.errored(), "attempts used up")
+            return
+        _events.warning(
+            "item_refused",
+            job=state.meta.job,
+            item=item.item.item,
+            status=answer.status,
+            failures=item.failures,
+        )
+        item.pause()
+
+    def _log_interruption(
+        self,
+        state: jobstate.JobState,
+        item: jobstate.ItemState,
+        slot: heldslots.Slot,
+        why: str,
+    ) -> None:
+        _events.info(
+            "yielded" if slot.is_preempted else "broke_off",
+            job=state.meta.job,
+            item=item.item.item,
+            upstream=slot.upstream.instance,
+            last_event=item.last_event,
+            why=why,
+        )
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -12,8 +12,8 @@
 from bulrushdeald import services
 from gateway import configuration
 from gateway import dialect as dialect_lib
-from gateway import eventstream
 from gateway import heldslots
+from gateway import itemrun
 from gateway import jobdirectory
 from gateway import joblisting
 from gateway import jobmessages
@@ -37,19 +37,8 @@
 _MAX_RUNS = 64
 # Items per request for slots; few slots become free between two requests.
 _MAX_SLOTS_PER_REQUEST = 16
-# An engine that sends nothing for this long has crashed or is unreachable.
-_MAX_SILENCE_S = 2.0
-# Once it has begun to send, an engine does not pause for this long.
-_MAX_CHUNK_GAP_S = 0.6
 # How long a shutdown waits for cancelled runs before it writes their progress.
 _CANCEL_WAIT_S = 1.0
-# Initial value of the moving average of run durations, and the weight of each
-# completed item in it.
-_INITIAL_RUN_S = 5.0
-_RUN_WEIGHT = 0.1
-_HTTP_OK = 200
-_HTTP_UNPROCESSABLE = 422
-_HTTP_SERVER_ERROR = 500
 
 
 class _ReadyItem(NamedTuple):
@@ -85,18 +74,15 @@
             _MAX_RUNS, thread_name_prefix="items"
         )
         self._run_count = 0
-        self._mean_run_s = _INITIAL_RUN_S
 
     def start(self) -> None:
         """Starts the threads that find jobs, run items and write progress."""
         find = self._kernel.find
         self._store = find(names.STORE, dialect_lib.Store)
-        self._dialect = find(names.DIALECT, dialect_lib.Dialect)
         self._configuration = find(names.CONFIGURATION, configuration.Feed)
         self._placement = find(names.PLACEMENT, placement.Placement)
         self._job_store = find(names.JOB_STORE, jobstore.JobStore)
         self._directory = find(names.JOB_DIRECTORY, jobdirectory.JobDirectory)
-        self._sender = upstreamsender.Sender(self._kernel)
         self._progress = progresswriter.ProgressWriter(
             self._job_store, self._table, self._value_bytes
         )
@@ -105,6 +91,12 @@
         self._writer = resultwriter.ResultWriter(
             self._store, self._job_store, self._table, claims
         )
+        self._item_run = itemrun.ItemRun(
+            find(names.DIALECT, dialect_lib.Dialect),
+            upstreamsender.Sender(self._kernel),
+            self._placement,
+            self._writer,
+        )
         self._takeover = takeover.Takeover(
             self._store,
             self._job_store,
@@ -227,7 +219,7 @@
     def schedule(self) -> None:
         """Starts the items that may run now, in rank order per service."""
         moment = jobstate.Moment(
-            time.monotonic(), time.time(), self._mean_run_s
+            time.monotonic(), time.time(), self._item_run.mean_run_s
         )
         ready: dict[tuple[str, frozenset[str] | None], list[_ReadyItem]] = {}
         for state in self._table.by_due_time():
@@ -350,7 +342,7 @@
     ) -> None:
         item.begin(time.monotonic())
         try:
-            self._run_item(state, item, slot)
+            self._item_run.run(state, item, slot)
         except Exception as error:  # noqa: BLE001 - the item is retried.
             _events.warning("item_failed", item=item.item.item, why=repr(error))
         finally:
@@ -362,115 +354,3 @@
             with self._lock:
                 self._run_count -= 1
             self._wake.set()
-
-    def _run_item(
-        self,
-        state: jobstate.JobState,
-        item: jobstate.ItemState,
-        slot: heldslots.Slot,
-    ) -> None:
-        outgoing = upstreamsender.UpstreamRequest(
-            item.item.item,
-            "POST",
-            item.item.path,
-            self._dialect.item_headers(item.item, state.meta.host),
-            item.item.body,
-            state.meta.customer,
-        )
-        sent = self._sender.send(
-            outgoing,
-            slot,
-            deadline_s=-1.0,
-            max_silence_s=_MAX_SILENCE_S,
-            last_event_id=item.last_event,
-            on_connected=slot.set_cancel_callback,
-        )
-        if isinstance(sent, result.Err):
-            failure = sent.err_value
-            if not slot.is_preempted:
-                item.pause()
-            self._log_interruption(state, item, slot, failure.why)
-            return
-        answer = sent.ok_value.answer
-        try:
-            if answer.status == _HTTP_OK:
-                self._read_stream(state, item, slot, answer)
-            else:
-                self._handle_error_status(state, item, answer)
-        finally:
-            answer.cancel()
-            answer.close()
-
-    def _read_stream(
-        self,
-        state: jobstate.JobState,
-        item: jobstate.ItemState,
-        slot: heldslots.Slot,
-        answer: services.UpstreamAnswer,
-    ) -> None:
-        splitter = eventstream.Splitter()
-        why = ""
-        for chunk in answer.chunks():
-            if isinstance(chunk, result.Err):
-                why = chunk.err_value.message
-                break
-            for event in eventstream.parse(splitter.feed(chunk.ok_value)):
-                if event.event_id is not None:
-                    item.last_event = event.event_id
-                if event.data is not None:
-                    item.output.append(event.data)
-            answer.set_read_timeout(_MAX_CHUNK_GAP_S)
-            item.consecutive_pauses = 0
-            self._placement.health.record_data(slot.upstream.instance)
-            if state.is_dropped:
-                return
-        if why or splitter.has_partial_event:
-            if not slot.is_preempted:
-                slot.outcome = "failed"
-                item.pause()
-            self._log_interruption(state, item, slot, why or "cut in an event")
-            return
-        answer.close()
-        slot.release()
-        took_s = item.elapsed_s(time.monotonic())
-        self._mean_run_s += (took_s - self._mean_run_s) * _RUN_WEIGHT
-        self._writer.write(state, item, item.completed(), "")
-
-    def _handle_error_status(
-        self,
-        state: jobstate.JobState,
-        item: jobstate.ItemState,
-        answer: services.UpstreamAnswer,
-    ) -> None:
-        if answer.status == _HTTP_UNPROCESSABLE:
-            self._writer.write(state, item, item.errored(), "cannot be done")
-            return
-        if answer.status == _HTTP_SERVER_ERROR:
-            item.failures += 1
-        if item.failures >= state.meta.max_attempts:
-            self._writer.write(state, item, item.errored(), "attempts used up")
-            return
-        _events.warning(
-            "item_refused",
-            job=state.meta.job,
-            item=item.item.item,
-            status=answer.status,
-            failures=item.failures,
-        )
-        item.pause()
-
-    def _log_interruption(
-        self,
-        state: jobstate.JobState,
-        item: jobstate.ItemState,
-        slot: heldslots.Slot,
-        why: str,
-    ) -> None:
-        _events.info(
-            "yielded" if slot.is_preempted else "broke_off",
-            job=state.meta.job,
-            item=item.item.item,
-            upstream=slot.upstream.instance,
-            last_event=item.last_event,
-            why=why,
-        )
