Cold upstreams: the cold time of an answer counts, too

Cause: the header was decoded and not used. Change: an answer that says how long its upstream stays cold makes it count as cold for that long. The window of a start and of a share is one constant; names. Checked: a whole VM and an engine that says so; tests of cold starts, forwarding and the ledger.

--- a/packages/gateway/gateway/coldsends.py
+++ b/packages/gateway/gateway/coldsends.py
@@ -19,9 +19,6 @@
 
 _events = eventlog.Events("coldstarts")
 
-# A process that has just started does not know what it sent before.
-_START_S = 1.1
-
 
 class ColdSends:
     """Counts requests to upstreams and limits those to cold ones.
@@ -86,6 +83,11 @@
         if started or ended:
             _events.info("cold", upstreams=started, evacuated_before=ended)
 
+    def record_cold(self, instance: str, cold_s: float) -> None:
+        """Records that an upstream has said how long it stays cold."""
+        with self._lock:
+            self._cold.extend(instance, cold_s, time.monotonic())
+
     def waits_s(self, rows: Iterable[records.Upstream]) -> Mapping[str, float]:
         """Returns the cold upstreams to which this VM may send nothing now.
 
@@ -121,7 +123,9 @@
         if not limit:
             return float("inf")
         free_s = self._window.free_in_s(upstream.instance, limit, now_s)
-        return max(free_s, self._started_s + _START_S - now_s)
+        # A process that has just started does not know what it sent before.
+        unknown_s = self._started_s + coldstarts.WINDOW_S - now_s
+        return max(free_s, unknown_s)
 
     def _share(self, upstream: records.Upstream) -> int:
         rows = self._members.entry_vms()
--- a/packages/gateway/gateway/decisions/coldstarts.py
+++ b/packages/gateway/gateway/decisions/coldstarts.py
@@ -14,7 +14,7 @@
 # The operators count requests in any window of this length. The rest is for
 # requests that are sent later than they were counted.
 _COUNTED_WINDOW_S = 1.0
-_WINDOW_S = _COUNTED_WINDOW_S + 0.1
+WINDOW_S = _COUNTED_WINDOW_S + 0.1
 # Longer times are not believed.
 _MAX_COLD_S = 60.0
 
@@ -72,7 +72,7 @@
         recent = self._recent(instance, now_s)
         if len(recent) < limit:
             return 0.0
-        return recent[-limit] + _WINDOW_S - now_s
+        return recent[-limit] + WINDOW_S - now_s
 
     def retain(self, instances: Iterable[str]) -> None:
         """Drops the counts of all upstreams but these."""
@@ -82,7 +82,7 @@
 
     def _recent(self, instance: str, now_s: float) -> collections.deque[float]:
         recent = self._sent_s.setdefault(instance, collections.deque())
-        while recent and recent[0] <= now_s - _WINDOW_S:
+        while recent and recent[0] <= now_s - WINDOW_S:
             recent.popleft()
         return recent
 
@@ -126,7 +126,7 @@
             told_s = row.cold_remaining_s
             if told_s is None:
                 told_s = durations_s[row.service]
-            if self._extend(name, min(told_s, _MAX_COLD_S), now_s):
+            if self.extend(name, told_s, now_s):
                 started.append(name)
         for name in self._cold_until_s.keys() - self._rows.keys():
             del self._cold_until_s[name]
@@ -142,7 +142,7 @@
         for name in instances:
             row = self._rows.get(name)
             if row is not None and row.service in durations_s:
-                self._extend(name, durations_s[row.service], now_s)
+                self.extend(name, durations_s[row.service], now_s)
 
     def cold(self, now_s: float) -> dict[str, float]:
         """Returns the cold upstreams, and in how many seconds each is warm."""
@@ -152,8 +152,15 @@
             if until_s > now_s
         }
 
-    def _extend(self, name: str, cold_s: float, now_s: float) -> bool:
-        """Keeps an upstream cold for longer; returns whether it was warm."""
+    def extend(self, name: str, cold_s: float, now_s: float) -> bool:
+        """Counts an upstream as cold for at least `cold_s` more.
+
+        Returns:
+            Whether it is cold now and was not before.
+        """
+        if name not in self._rows:
+            return False
+        cold_s = min(cold_s, _MAX_COLD_S)
         until_s = self._cold_until_s.get(name, 0.0)
         if now_s + cold_s > until_s:
             self._cold_until_s[name] = now_s + cold_s
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -198,7 +198,7 @@
             if not self._claim_trial(service):
                 return []
             skipped, priorities = frozenset(), priorities[:1]
-        skipped |= self._barred_s(service, regions).keys()
+        skipped |= self._waits_s(service, regions).keys()
         runs = tuple(
             slotledger.BatchRun(self._new_run_name(), priority)
             for priority in priorities
@@ -239,6 +239,10 @@
         load = slotledger.Load(slot.upstream.instance, busy)
         self._client.update(service, load)
 
+    def record_cold(self, instance: str, cold_s: float) -> None:
+        """Records that an upstream has said how long it stays cold."""
+        self._cold.record_cold(instance, cold_s)
+
     def preempt_all_batch(self) -> None:
         """Preempts all batch runs of this VM, before it stops."""
         for slot in self._slots.all():
@@ -275,8 +279,8 @@
         if not rows:
             why = self._upstreams.why_none(service)
             return result.Err(NoSlot(_NO_UPSTREAM_RETRY_S, why))
-        barred_s = self._barred_s(service, regions)
-        if all(barred_s.get(row.instance) == math.inf for row in rows):
+        waits_s = self._waits_s(service, regions)
+        if all(waits_s.get(row.instance) == math.inf for row in rows):
             return result.Err(
                 NoSlot(_NO_UPSTREAM_RETRY_S, "no upstream in allowed regions")
             )
@@ -290,32 +294,33 @@
                     retry_s = _CUT_OFF_RETRY_S
                 return result.Err(NoSlot(retry_s, "no upstream is reachable"))
             skipped = tried
-        if barred_s and not self._has_other(service, skipped | barred_s.keys()):
-            retry_s = min(_NO_UPSTREAM_RETRY_S, *barred_s.values())
+        if waits_s and not self._has_other(service, skipped | waits_s.keys()):
+            retry_s = min(_NO_UPSTREAM_RETRY_S, *waits_s.values())
             return result.Err(NoSlot(retry_s, "cold upstreams have no room"))
-        return result.Ok(skipped | barred_s.keys())
+        return result.Ok(skipped | waits_s.keys())
 
     def _has_other(self, service: str, skipped: frozenset[str]) -> bool:
         rows = self._upstreams.usable(service)
         return any(row.instance not in skipped for row in rows)
 
-    def _barred_s(
+    def _waits_s(
         self, service: str, regions: frozenset[str] | None
     ) -> Mapping[str, float]:
         """Returns the upstreams that must not get a request now.
 
         Returns:
-            In how many seconds each may; infinite beyond the allowed regions.
+            In how many seconds each may get one; infinite for those beyond
+            the allowed regions.
         """
         rows = self._upstreams.usable(service)
-        barred_s = dict(self._cold.waits_s(rows))
+        waits_s = dict(self._cold.waits_s(rows))
         if regions is None:
-            return barred_s
+            return waits_s
         region_of = self._settings.regions
         for row in rows:
             if region_of.get(row.failure_domain) not in regions:
-                barred_s[row.instance] = math.inf
-        return barred_s
+                waits_s[row.instance] = math.inf
+        return waits_s
 
     def _claim_trial(self, service: str) -> bool:
         """Returns whether a request may now go to avoided upstreams.
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -179,6 +179,10 @@
             answer.cancel()
             answer.close()
             return _broken("the answer belongs to another request")
+        if head.cold_remaining_s:
+            self._placement.record_cold(
+                upstream.instance, head.cold_remaining_s
+            )
         if head.is_not_executed:
             why = f"status {answer.status}, not run"
             if head.is_misdirected:
--- a/tests/gateway/test_coldsends.py
+++ b/tests/gateway/test_coldsends.py
@@ -156,6 +156,17 @@
     gatewayscene.until(lambda: engine.instance in _cold(vm))
 
 
+def test_an_engine_whose_answers_say_so_is_cold(
+    scene: gatewayscene.Scene,
+) -> None:
+    _configure(scene, cold_start_s=8.0, cold_per_s=2.0)
+    engine = scene.add_engine()
+    vm = _add_vm(scene)
+    engine.cold_ms = 5000
+    assert vm.call("POST", "/s/x", b"p").status == 200
+    assert 3.0 < _cold(vm)[engine.instance] <= 5.0
+
+
 def test_an_entry_without_a_usable_cold_time_counts_as_cold(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -50,6 +50,7 @@
         faults: The faults of the next requests, in order.
         runs: The requests that were executed, in order.
         open: The number of open streams.
+        cold_ms: How long its answers say that it stays cold; 0 for nothing.
     """
 
     def __init__(self, instance: str, events: int = 5) -> None:
@@ -59,6 +60,7 @@
         self.faults: list[Fault] = []
         self.runs: list[Run] = []
         self.open = 0
+        self.cold_ms = 0
         self._closing = threading.Event()
         self._lock = threading.Lock()
         self._server = httpd.Server("127.0.0.1:0", self._serve, 32)
@@ -103,6 +105,8 @@
         if fault.kind == "other":
             attempt = "another"
         headers = [("Bulrushdeal-Request-Attempt-Id", attempt)]
+        if self.cold_ms:
+            headers.append(("Bulrushdeal-Cold-Ms", str(self.cold_ms)))
         if fault.kind != "unsigned":
             headers.append(("Bulrushdeal-Server-Stamp", "signed"))
         status = {"error": 500, "never": 422}.get(fault.kind, 200)
