Rates: callers that were refused get every token that comes

Cause: the schedule of retry times keeps two slots of three for new requests; for a customer with two requests a second a single refusal told 1.5 s where the next token comes after 0.5 s. Change: for rates the schedule gives each token to one of those that come back.

--- a/packages/gateway/gateway/decisions/retryschedule.py
+++ b/packages/gateway/gateway/decisions/retryschedule.py
@@ -16,9 +16,14 @@
 
 
 class RetrySchedule:
-    """The retry times that were given to refused requests."""
+    """The retry times that were given to refused requests.
 
-    def __init__(self) -> None:
+    Args:
+        slots_per_retry: One slot in this many is reserved for retries.
+    """
+
+    def __init__(self, slots_per_retry: float = _SLOTS_PER_RETRY) -> None:
+        self._slots_per_retry = slots_per_retry
         self._due_s: list[float] = []
 
     def reserve(self, now_s: float, slot_interval_s: float) -> float:
@@ -33,7 +38,8 @@
         """
         while self._due_s and self._due_s[0] <= now_s:
             heapq.heappop(self._due_s)
-        reserved_s = (len(self._due_s) + 1) * slot_interval_s * _SLOTS_PER_RETRY
+        retry_interval_s = slot_interval_s * self._slots_per_retry
+        reserved_s = (len(self._due_s) + 1) * retry_interval_s
         retry_s = min(reserved_s, _MAX_RETRY_S)
         heapq.heappush(self._due_s, now_s + retry_s)
         return retry_s
--- a/packages/gateway/gateway/decisions/tokens.py
+++ b/packages/gateway/gateway/decisions/tokens.py
@@ -11,6 +11,9 @@
 Role = Literal["owner", "stand_in", "doubtful"]
 # Share of the rate that a VM grants while the owner may grant tokens as well.
 _DOUBTFUL_SHARE = 0.5
+# All tokens go to callers that come back: most customers have one or two a
+# second, and use less than that.
+_TOKENS_PER_RETRY = 1.0
 # Parts of the tolerated excess that a new owner starts with: two owners, rarely
 # three, may start within one window.
 _SLACK_SHARE = 0.5
@@ -97,7 +100,7 @@
         self._excess = excess
         self._window_s = excess.window_s
         self._bucket: Bucket | None = None
-        self._retry_schedule = retryschedule.RetrySchedule()
+        self._retry_schedule = retryschedule.RetrySchedule(_TOKENS_PER_RETRY)
         self._created_s = 0.0
         self._last_used_s = 0.0
 
