Start: the callers' port is open while the modules are imported

Change: the port is opened first, by a module that imports next to nothing; connections wait in the system's queue. The front waits up to 0.3 s for the configuration and the list before it serves these. Readiness is told as before, once the gateway serves.

--- a/packages/core/bulrushdeal/httpd.py
+++ b/packages/core/bulrushdeal/httpd.py
@@ -154,6 +154,8 @@
             thread of the connection.
         threads: The maximum number of connections served at once.
         busy: The response to a refused connection; 503 by default.
+        listener: A socket that listens on the address already; `None` to bind
+            one at the start.
     """
 
     def __init__(
@@ -162,6 +164,7 @@
         handler: Handler,
         threads: int = DEFAULT_THREADS,
         busy: Response | None = None,
+        listener: socket.socket | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._handler = handler
@@ -174,6 +177,7 @@
             timeout=_SOCKET_TIMEOUT_S,
         )
         self._server.busy_response = _serialize(busy or _BUSY_RESPONSE)
+        self._server.listener = listener
         self._thread: threading.Thread | None = None
 
     @property
--- a/packages/core/bulrushdeal/httpwire.py
+++ b/packages/core/bulrushdeal/httpwire.py
@@ -239,6 +239,8 @@
 
     Attributes:
         busy_response: The bytes of the whole response to a refused connection.
+        listener: A socket that listens on the address already; `None` to bind
+            one.
     """
 
     ConnectionClass = _Connection
@@ -249,6 +251,7 @@
     # Without a limit an endless header would exhaust the memory.
     max_request_header_size = _MAX_HEADER_BYTES
     busy_response = b""
+    listener: socket.socket | None = None
 
     def __init__(
         self,
@@ -270,6 +273,14 @@
             accepted_queue_timeout=0,
         )
 
+    def bind(self, family: Any, type: Any, proto: int = 0) -> Any:
+        """Uses the given listener, or binds the address."""
+        if self.listener is None:
+            return super().bind(family, type, proto)
+        self.socket = self.listener
+        self.bind_addr = self.listener.getsockname()
+        return self.socket
+
     def process_conn(self, conn: Any) -> None:
         """Queues a connection, or refuses it if the queue is full."""
         try:
--- a/packages/gateway/gateway/assembly.py
+++ b/packages/gateway/gateway/assembly.py
@@ -1,6 +1,7 @@
 """Assembles the gateway's services and runs them until a graceful stop."""
 
 import signal
+import socket
 import sys
 import threading
 from typing import Any
@@ -50,6 +51,7 @@
     settings: records.Settings,
     dialect: dialect_lib.Dialect,
     store: dialect_lib.Store,
+    listener: socket.socket | None = None,
 ) -> kernel_lib.Kernel:
     """Returns a kernel with all services, registered in dependency order."""
     kernel = kernel_lib.Kernel()
@@ -76,7 +78,7 @@
     add(names.JOBS, jobs.Jobs(kernel, settings))
     add("retirements", vmretirement.Retirements(kernel))
     add(names.FORWARDER, forwarding.Forwarder(kernel))
-    add(names.FRONT, front.Front(kernel, settings))
+    add(names.FRONT, front.Front(kernel, settings, listener))
     # Registered last and therefore stopped first, so that other VMs continue
     # its jobs at once.
     add("runner", runner.Runner(kernel, settings))
@@ -87,8 +89,16 @@
     settings: records.Settings,
     dialect: dialect_lib.Dialect,
     store: dialect_lib.Store,
+    listener: socket.socket | None = None,
 ) -> int:
-    """Runs the gateway until SIGTERM or SIGINT; returns the exit status."""
+    """Runs the gateway until SIGTERM or SIGINT; returns the exit status.
+
+    Args:
+        settings: The settings of the process.
+        dialect: The platform's encodings.
+        store: The platform's store.
+        listener: The socket that callers connect to, if it listens already.
+    """
     logs.configure("warning")
     writer = eventlog.configure(settings.vm, sys.stdout)
     stopping = threading.Event()
@@ -104,7 +114,7 @@
     signal.signal(signal.SIGTERM, handle_stop)
     signal.signal(signal.SIGINT, handle_stop)
     signal.signal(signal.SIGHUP, handle_reload)
-    kernel = assemble(settings, dialect, store)
+    kernel = assemble(settings, dialect, store, listener)
     try:
         kernel.start()
     except (OSError, errors.UserError) as error:
--- a/packages/gateway/gateway/front.py
+++ b/packages/gateway/gateway/front.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers, the readiness check and the graceful stop."""
 
 from collections.abc import Callable
+import socket
 import time
 from typing import Any, Literal
 
@@ -41,6 +42,8 @@
 # The part of the grace period that is reserved for closing connections when
 # requests are still running.
 _CLOSE_RESERVE_S = 0.3
+_CONFIGURATION_WAIT_S = 0.3
+_CONFIGURATION_POLL_S = 0.005
 _NOT_READY_RETRY_S = 0.5
 _NO_UPSTREAM_RETRY_S = 0.5
 _DEFAULT_DEADLINE_S = 60.0
@@ -52,13 +55,22 @@
     """Serves callers once this VM has a configuration.
 
     Until then it refuses their requests.
+
+    Args:
+        kernel: Finds the services that this class depends on.
+        settings: The settings of the process.
+        listener: The socket that callers connect to, if it listens already.
     """
 
     def __init__(
-        self, kernel: kernel_lib.Kernel, settings: records.Settings
+        self,
+        kernel: kernel_lib.Kernel,
+        settings: records.Settings,
+        listener: socket.socket | None = None,
     ) -> None:
         self._kernel = kernel
         self._settings = settings
+        self._listener = listener
         self._open_calls = opencalls.OpenCalls()
         self._departures = departures.Departures()
         self._deadlines = deadlines.Deadlines()
@@ -86,7 +98,10 @@
             self._serve,
             _CALLER_THREADS,
             refusals.refusal_response(_BUSY),
+            self._listener,
         )
+        if self._listener is not None and not self._settings.is_first_start:
+            self._wait_for_configuration()
         self._feed.on_change(self._apply_connection_limits)
         self._apply_connection_limits()
         self._server.start()
@@ -95,6 +110,21 @@
         )
         self._ready_server.start()
 
+    def _wait_for_configuration(self) -> None:
+        """Waits a moment for what requests need that were sent meanwhile.
+
+        Their callers connected while this process started and would be refused
+        some milliseconds before the store answers.
+        """
+        end_s = time.monotonic() + _CONFIGURATION_WAIT_S
+        while not self._has_configuration() and time.monotonic() < end_s:
+            time.sleep(_CONFIGURATION_POLL_S)
+
+    def _has_configuration(self) -> bool:
+        return (
+            self._feed.current() is not None and self._upstream_list.is_known()
+        )
+
     @property
     def port(self) -> int:
         """The port that callers connect to."""
@@ -160,8 +190,7 @@
         """
         return (
             self._state == "serving"
-            and self._feed.current() is not None
-            and self._upstream_list.is_known()
+            and self._has_configuration()
             and not self._placement.is_partitioned()
         )
 
--- a/tests/gateway/test_startup.py
+++ b/tests/gateway/test_startup.py
@@ -1,8 +1,12 @@
 """The start of the gateway's process."""
 
+from concurrent import futures
+import socket
 import subprocess
 import sys
 
+from support import gatewayscene
+
 # Modules that only the other programs need.
 _UNNEEDED_MODULES = ("bulrushdeald.assembly", "bulrushdeald.callers", "cleo")
 
@@ -21,3 +25,22 @@
     ).stdout.split()
     assert "gateway.assembly" in loaded
     assert not set(_UNNEEDED_MODULES) & set(loaded)
+
+
+def test_a_request_sent_before_the_start_is_served(
+    scene: gatewayscene.Scene,
+) -> None:
+    """All processes are killed, and callers connect while they start again.
+
+    Refused, they would try another VM that is starting, too, and give up.
+    """
+    scene.add_engine()
+    listener = socket.create_server(("127.0.0.1", 0))
+    vm = gatewayscene.Vm("vm1", "d1", scene.store, listener=listener)
+    scene.vms.append(vm)
+    with futures.ThreadPoolExecutor() as pool:
+        answer = pool.submit(
+            vm.call_port, listener.getsockname()[1], "POST", "/s/x", b"p"
+        )
+        vm.start()
+        assert answer.result().status == 200
--- a/tests/support/gatewayscene.py
+++ b/tests/support/gatewayscene.py
@@ -116,7 +116,14 @@
 class Vm:
     """One VM that runs a gateway."""
 
-    def __init__(self, name: str, domain: str, store: Any, **more: Any) -> None:
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        store: Any,
+        listener: socket.socket | None = None,
+        **more: Any,
+    ) -> None:
         self.name = name
         self.client = gatewaystore.StoreClient(store)
         settings = records.Settings(
@@ -134,7 +141,7 @@
             limit_window_s=5,
         )._replace(**more)
         self.kernel: kernel_lib.Kernel = assembly.assemble(
-            settings, wire.Dialect(), self.client
+            settings, wire.Dialect(), self.client, listener
         )
 
     def start(self) -> None:
@@ -161,6 +168,18 @@
         port = self.front().port
         return http.client.HTTPConnection("127.0.0.1", port, timeout=10)
 
+    def call_port(
+        self, port: int, method: str, path: str, body: bytes
+    ) -> Answer:
+        """Calls this VM at a port, also before it has started."""
+        return _call(
+            http.client.HTTPConnection("127.0.0.1", port, timeout=10),
+            method,
+            path,
+            body,
+            {**HEADERS, "Bulrushdeal-Deadline-Ms": "4000"},
+        )
+
     def call(
         self,
         method: str,
@@ -169,24 +188,13 @@
         attempt: str = "a1",
         headers: Mapping[str, str] | None = None,
     ) -> Answer:
-        connection = self.connect()
         sent = {
             **HEADERS,
             "Bulrushdeal-Request-Attempt-Id": attempt,
             "Bulrushdeal-Deadline-Ms": "4000",
             **(headers or {}),
         }
-        try:
-            connection.request(method, path, body, sent)
-            response = connection.getresponse()
-            got = {name.lower(): text for name, text in response.getheaders()}
-            try:
-                data, is_whole = response.read(), True
-            except (http.client.IncompleteRead, OSError) as error:
-                data, is_whole = getattr(error, "partial", b""), False
-            return Answer(response.status, got, data, is_whole)
-        finally:
-            connection.close()
+        return _call(self.connect(), method, path, body, sent)
 
     def submit(self, job: str, items: list[dict[str, Any]]) -> Answer:
         body = json.dumps({"items": items}).encode()
@@ -201,6 +209,26 @@
         )
 
 
+def _call(
+    connection: http.client.HTTPConnection,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: Mapping[str, str],
+) -> Answer:
+    try:
+        connection.request(method, path, body, dict(headers))
+        response = connection.getresponse()
+        got = {name.lower(): text for name, text in response.getheaders()}
+        try:
+            data, is_whole = response.read(), True
+        except (http.client.IncompleteRead, OSError) as error:
+            data, is_whole = getattr(error, "partial", b""), False
+        return Answer(response.status, got, data, is_whole)
+    finally:
+        connection.close()
+
+
 class Scene:
     """A store with the engines and VMs that use it."""
 
