--- a/tests/gateway/test_coldsends.py
+++ b/tests/gateway/test_coldsends.py
@@ -1,5 +1,6 @@
 """Whole gateways beside upstreams that have just started."""
 
+from concurrent import futures
 import time
 from typing import Any
 
@@ -7,6 +8,7 @@
 from gateway import names
 from gateway import placement
 from gateway import records
+from gateway import upstreamlist
 from support import gatewayengine
 from support import gatewayscene
 
@@ -66,6 +68,22 @@
     assert len(engine.runs) == 3
 
 
+def test_requests_that_are_placed_at_once_share_the_rate(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Several threads choose the same cold engine before one of them sends."""
+    _configure(scene, cold_start_s=8.0, cold_per_s=3.0)
+    engine = scene.add_engine(cold_remaining_ms=8000)
+    vm = _add_vm(scene)
+    time.sleep(_START_S)
+    placed = vm.kernel.find(names.PLACEMENT, placement.Placement)
+    found = vm.kernel.find(names.UPSTREAM_LIST, upstreamlist.UpstreamList)
+    row = found.find_usable("llm", engine.instance)
+    assert row is not None
+    with futures.ThreadPoolExecutor(8) as pool:
+        assert sum(pool.map(placed._cold.try_send, [row] * 8)) == 3
+
+
 def test_warm_engines_take_what_a_cold_one_may_not(
     scene: gatewayscene.Scene,
 ) -> None:
