--- a/tests/gateway/test_startup.py
+++ b/tests/gateway/test_startup.py
@@ -1,12 +1,16 @@
 """The start of the gateway's process."""
 
 from concurrent import futures
+import os
+import pathlib
+import signal
 import socket
 import subprocess
 import sys
 
 from support import gatewayscene
 
+_RUN = pathlib.Path(__file__).parents[2] / "platform" / "run.py"
 # Modules that only the other programs need.
 _UNNEEDED_MODULES = ("bulrushdeald.assembly", "bulrushdeald.callers", "cleo")
 
@@ -44,3 +48,17 @@
         )
         vm.start()
         assert answer.result().status == 200
+
+
+def test_a_stop_during_the_start_is_no_error(tmp_path: pathlib.Path) -> None:
+    """The platform stops a process whose modules are still imported."""
+    settings = tmp_path / "settings.toml"
+    os.mkfifo(settings)
+    process = subprocess.Popen(
+        [sys.executable, str(_RUN)],
+        env={**os.environ, "BULRUSHDEAL_CONFIG": str(settings)},
+    )
+    # Opens once the process reads its settings, before most imports.
+    with settings.open("w"):
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(10) == 0
--- a/tests/soak/kept.py
+++ b/tests/soak/kept.py
@@ -16,5 +16,6 @@
     Kept(31, "the stand-in engine executed an incomplete request"),
     Kept(147, "VMs missing from VM lists owned customers that others owned"),
     Kept(148, "as 147; also the end of another lease deleted an entry"),
+    Kept(859889, "SIGTERM ended a process that was starting, with an error"),
     Kept(831990, "likely three owners in one window, each with opening tokens"),
 )
