--- a/tests/gateway/test_coldsends.py
+++ b/tests/gateway/test_coldsends.py
@@ -118,16 +118,7 @@
     _configure(scene, cold_start_s=8.0, cold_per_s=2.0)
     engine = scene.add_engine(cold_remaining_ms=8000)
     vm = _add_vm(scene)
-    items = [
-        {
-            "id": f"i{number}",
-            "path": "/b/1",
-            "headers": {},
-            "body": "aGk=",
-            "tokens": 1,
-        }
-        for number in range(8)
-    ]
+    items = [gatewayscene.item(f"i{number}") for number in range(8)]
     assert vm.submit("j1", items).status == 202
     gatewayscene.until(lambda: vm.results("j1").json()["next"] == 8)
     assert _most_in_a_second(engine) <= 3
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -83,14 +83,7 @@
     vm = scene.add_vm()
     _evacuate(scene, "d1")
     gatewayscene.until(lambda: _known(vm) == ("d1",))
-    item = {
-        "id": "i1",
-        "path": "/b/1",
-        "headers": {},
-        "body": "aGk=",
-        "tokens": 1,
-    }
-    assert vm.submit("j1", [item]).status == 202
+    assert vm.submit("j1", [gatewayscene.item()]).status == 202
     gatewayscene.until(lambda: vm.results("j1").json()["next"] == 1)
     assert not near.runs
     assert far.runs
--- a/tests/gateway/test_regions.py
+++ b/tests/gateway/test_regions.py
@@ -17,16 +17,6 @@
     scene.configure(value)
 
 
-def _item() -> dict[str, Any]:
-    return {
-        "id": "i1",
-        "path": "/b/1",
-        "headers": {},
-        "body": "aGk=",
-        "tokens": 1,
-    }
-
-
 def test_route_and_customer_bind_both() -> None:
     value = gatewayscene.configuration()
     customer = records.Customer("c", (), 0, 0.0, 0.0, ("north", "south"))
@@ -89,7 +79,7 @@
     vm = scene.add_vm(regions=_REGIONS)
     for answer in (
         vm.call("POST", "/s/x", b"p"),
-        vm.submit("j1", [_item()]),
+        vm.submit("j1", [gatewayscene.item()]),
     ):
         assert answer.status == 503
         assert "region" in answer.json()["error"]
@@ -101,7 +91,7 @@
     near, far = scene.add_engine(), scene.add_engine(domain="d2")
     _configure(scene, allowed_regions=["south"])
     vm = scene.add_vm(regions=_REGIONS)
-    assert vm.submit("j1", [_item()]).status == 202
+    assert vm.submit("j1", [gatewayscene.item()]).status == 202
     gatewayscene.until(lambda: vm.results("j1").json()["next"] == 1)
     assert far.runs
     assert not near.runs
@@ -116,7 +106,7 @@
     _configure(scene, allowed_regions=["south"])
     dying = scene.add_vm("vm1", "d2", regions=_REGIONS)
     other = scene.add_vm("vm2", "d1", regions=_REGIONS)
-    assert dying.submit("j1", [_item()]).status == 202
+    assert dying.submit("j1", [gatewayscene.item()]).status == 202
     gatewayscene.until(lambda: engine.open == 1)
     dying.lose_power()
     scans = other.client.about("jobs/j1/meta")
--- a/tests/support/gatewayscene.py
+++ b/tests/support/gatewayscene.py
@@ -99,6 +99,17 @@
     return value
 
 
+def item(name: str = "i1") -> dict[str, Any]:
+    """Returns an item of a batch job as a caller submits it."""
+    return {
+        "id": name,
+        "path": "/b/1",
+        "headers": {},
+        "body": "aGk=",
+        "tokens": 1,
+    }
+
+
 def free_address() -> str:
     """Returns a free address that no other process takes in the meantime.
 
