Members: a list of VMs never gives way to an older one

A follower that asks the reader and then its backup may get a list that was read earlier; nothing kept it from replacing the newer one. Change: a received list that was read before the one that is held is ignored. Checked: a unit test fails without the guard; tests of readers, directories and VMs. That this was the cause is likely, not shown: the finding stays open.

--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -37,6 +37,8 @@
 # reads the store itself. A reader reads every 0.9 s, and a failing read takes
 # up to another 0.8 s.
 _MAX_RECEIVED_AGE_S = 2.0
+# How far the age of a received list may be wrong.
+_ROUND_TRIP_S = 0.05
 # The most VMs that are probed per update of the list, all at once. Each probe
 # may take its whole timeout, and the same thread renews this VM's lease.
 _MAX_PROBES = 8
@@ -306,14 +308,24 @@
     ) -> None:
         """Stores a list that a reader sent, to be applied by the next update.
 
+        A list that was read before the one that is held is ignored. The backup
+        of a reader is behind it, and a VM that has just registered would be
+        dropped for a moment by those that ask the backup.
+
         Args:
             rows: All VMs; `None` if they have not changed.
             age_s: How long ago the reader read them, in seconds.
         """
+        read_s = time.monotonic() - age_s
         with self._lock:
+            if (
+                read_s
+                < max(self._received_read_s, self._read_s) - _ROUND_TRIP_S
+            ):
+                return
             if rows is not None:
                 self._received = rows
-            self._received_read_s = time.monotonic() - age_s
+            self._received_read_s = read_s
 
     def is_known(self) -> bool:
         """Returns whether the list was ever read."""
--- a/tests/gateway/test_storereaders.py
+++ b/tests/gateway/test_storereaders.py
@@ -20,6 +20,7 @@
 from gateway import storereaders
 from gateway import upstreamlist
 from support import gatewayscene
+from support import gatewaystore
 
 
 def _vms(scene: gatewayscene.Scene, count: int) -> list[gatewayscene.Vm]:
@@ -282,3 +283,16 @@
     rows, version = found.snapshot()
     assert rows == (old,)
     assert version != found.snapshot()[1]
+
+
+def test_a_list_of_vms_never_gives_way_to_an_older_one() -> None:
+    """A follower asks the backup, which has not heard of a new VM yet."""
+    vm = gatewayscene.Vm("vm1", "d1", gatewaystore.MemoryStore())
+    found = vm.kernel.find("membership", members.Members)
+    one = (found.own_vm(),)
+    both = (*one, found.own_vm()._replace(vm="vm2"))
+    found.apply_received(both, 0.0)
+    found.apply_received(one, 0.5)
+    assert found._received == both
+    found.apply_received(one, 0.0)
+    assert found._received == one
