Logs: broken sends tell whether the upstream ended, and which request it was

Change: send_failed and broke_off have the request's fingerprint (customer, method, host, path and body) and upstream_ended, which is true if the upstream's host refuses a connection just after the break. The function for fingerprints moves from the daemon's calls of models to the core, where the gateway finds it. Batch items record a broken stream as other requests do.

Checked: a test of the probe; tests of the gateway and of the HTTP client pass; formatter, linter and mypy clean.

--- a/packages/daemon/bulrushdeald/completions.py
+++ b/packages/daemon/bulrushdeald/completions.py
@@ -1,11 +1,11 @@
 """Parses and checks calls to a model engine, online or from a batch."""
 
-import hashlib
 import json
 from typing import Any, NamedTuple
 
 import result
 
+from bulrushdeal import fingerprints
 from bulrushdeal import records
 from bulrushdeald import refusals
 from bulrushdeald import services
@@ -140,15 +140,6 @@
         "",
         call.prompt_prefix,
         call.expected_tokens,
-        fingerprint(customer, call.path, call.body),
+        fingerprints.fingerprint(customer, call.path, call.body),
         deadline_s,
     )
-
-
-def fingerprint(customer: str, path: str, body: bytes) -> str:
-    """Returns a hash that stays the same when the request is sent again."""
-    digest = hashlib.sha256()
-    for part in (customer.encode(), path.encode(), body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()
--- a/packages/daemon/bulrushdeald/modelcalls.py
+++ b/packages/daemon/bulrushdeald/modelcalls.py
@@ -7,6 +7,7 @@
 
 import result
 
+from bulrushdeal import fingerprints
 from bulrushdeal import httpd
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeald import bodies
@@ -301,7 +302,7 @@
 
 
 def _fingerprint(model_call: completions.Call, call: calls.Call) -> str:
-    return completions.fingerprint(
+    return fingerprints.fingerprint(
         call.customer, model_call.path, model_call.body
     )
 
--- a/packages/daemon/bulrushdeald/plainservices.py
+++ b/packages/daemon/bulrushdeald/plainservices.py
@@ -8,12 +8,12 @@
 
 import result
 
+from bulrushdeal import fingerprints
 from bulrushdeal import httpd
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import records
 from bulrushdeald import bodies
 from bulrushdeald import calls
-from bulrushdeald import completions
 from bulrushdeald import defaults
 from bulrushdeald import dispatch
 from bulrushdeald import headers as headers_lib
@@ -141,7 +141,7 @@
             _PlainRequest(
                 service,
                 sending,
-                completions.fingerprint(
+                fingerprints.fingerprint(
                     call.customer, request_line, fingerprinted
                 ),
             )
--- a/packages/daemon/bulrushdeald/quarantine.py
+++ b/packages/daemon/bulrushdeald/quarantine.py
@@ -22,7 +22,7 @@
     """A crash of an upstream while it ran a request.
 
     Attributes:
-        fingerprint: Identifies the request; see `completions.fingerprint`.
+        fingerprint: Identifies the request; see `fingerprints.fingerprint`.
         crash_id: Unique, so that a notice that arrives twice counts once.
         age_s: Seconds from the crash until this record was made.
     """
--- a/packages/daemon/bulrushdeald/services.py
+++ b/packages/daemon/bulrushdeald/services.py
@@ -423,6 +423,13 @@
                 `Slot.on_yield` can be passed here.
         """
 
+    def refuses_connections(self, upstream: records.Upstream) -> bool:
+        """Returns whether the upstream's host refuses a new connection.
+
+        This tells an upstream whose process has ended from one that closed a
+        connection or whose answer was lost. Opens a connection.
+        """
+
 
 class UsageEvent(NamedTuple):
     """A request or batch item that was answered.
--- a/packages/daemon/bulrushdeald/upstreams.py
+++ b/packages/daemon/bulrushdeald/upstreams.py
@@ -21,6 +21,9 @@
 from bulrushdeald import services
 
 _READ_BYTES = 64 * 1024
+# A host that is reached refuses a connection within a round trip. The answer
+# to a caller waits for this.
+_PROBE_TIMEOUT_S = 0.1
 _BODILESS_STATUSES = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 _READ_ERRORS = (
     OSError,
@@ -252,6 +255,20 @@
             Answer(connection, exchange, response, method, return_connection)
         )
 
+    def refuses_connections(self, upstream: records.Upstream) -> bool:
+        """See `services.Upstreams`."""
+        host, _, port = upstream.address.rpartition(":")
+        try:
+            socket.create_connection(
+                (host, int(port)), _PROBE_TIMEOUT_S
+            ).close()
+        except ConnectionRefusedError:
+            return True
+        except (OSError, ValueError):
+            # A host that is cut off does not show whether the process lives.
+            return False
+        return False
+
     def _connect(
         self, address: str, use_new_connection: bool
     ) -> result.Result[connections.Connection, services.UpstreamError]:
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -250,6 +250,8 @@
             upstream=slot.upstream.instance,
             kind=failure.kind,
             has_run=failure.may_have_run,
+            upstream_ended=failure.has_upstream_ended,
+            fingerprint=self._request.outgoing.fingerprint(),
             why=failure.why,
             sends=self._call.sends,
             age_s=round(self._call.age_s(), 3),
--- a/packages/gateway/gateway/itemrun.py
+++ b/packages/gateway/gateway/itemrun.py
@@ -73,14 +73,12 @@
         )
         if isinstance(sent, result.Err):
             failure = sent.err_value
-            if not slot.is_preempted:
-                item.pause()
-            self._log_interruption(state, item, slot, failure.why)
+            self._record_interruption(state, item, slot, outgoing, failure)
             return
         answer = sent.ok_value.answer
         try:
             if answer.status == _HTTP_OK:
-                self._read_stream(state, item, slot, answer)
+                self._read_stream(state, item, slot, outgoing, answer)
             else:
                 self._handle_error_status(state, item, answer)
         finally:
@@ -92,13 +90,14 @@
         state: jobstate.JobState,
         item: jobstate.ItemState,
         slot: heldslots.Slot,
+        outgoing: upstreamsender.UpstreamRequest,
         answer: services.UpstreamAnswer,
     ) -> None:
         splitter = eventstream.Splitter()
-        why = ""
+        error: services.UpstreamError | None = None
         for chunk in answer.chunks():
             if isinstance(chunk, result.Err):
-                why = chunk.err_value.message
+                error = chunk.err_value
                 break
             events = eventstream.parse(splitter.feed(chunk.ok_value))
             if events:
@@ -113,11 +112,11 @@
             self._placement.health.record_data(slot.upstream.instance)
             if state.is_dropped:
                 return
-        if why or splitter.has_partial_event:
-            if not slot.is_preempted:
-                slot.outcome = "failed"
-                item.pause()
-            self._log_interruption(state, item, slot, why or "cut in an event")
+        if error is None and splitter.has_partial_event:
+            error = services.UpstreamError("crashed", "ran", "cut in an event")
+        if error is not None:
+            failure = self._sender.record_failure(slot, error)
+            self._record_interruption(state, item, slot, outgoing, failure)
             return
         answer.close()
         slot.release()
@@ -148,18 +147,23 @@
         )
         item.pause()
 
-    def _log_interruption(
+    def _record_interruption(
         self,
         state: jobstate.JobState,
         item: jobstate.ItemState,
         slot: heldslots.Slot,
-        why: str,
+        outgoing: upstreamsender.UpstreamRequest,
+        failure: upstreamsender.Failure,
     ) -> None:
+        if not slot.is_preempted:
+            item.pause()
         _events.info(
             "yielded" if slot.is_preempted else "broke_off",
             job=state.meta.job,
             item=item.item.item,
             upstream=slot.upstream.instance,
             last_event=item.last_event,
-            why=why,
+            upstream_ended=failure.has_upstream_ended,
+            fingerprint=outgoing.fingerprint(),
+            why=failure.why,
         )
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -6,6 +6,7 @@
 
 import result
 
+from bulrushdeal import fingerprints
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import records as core_records
 from bulrushdeald import services
@@ -49,6 +50,12 @@
     body: bytes
     customer: str
 
+    def fingerprint(self) -> str:
+        """Returns a hash that the request has however often it is sent."""
+        host = self.headers.get("host", "")
+        line = f"{self.method} {host}{self.target}"
+        return fingerprints.fingerprint(self.customer, line, self.body)
+
 
 class Failure(NamedTuple):
     """A send that produced no answer to pass on to the caller.
@@ -61,11 +68,13 @@
             VM cancelled the send.
         may_have_run: Whether the request may have run.
         why: The reason for the log.
+        has_upstream_ended: Whether the upstream's process ended under it.
     """
 
     kind: FailureKind
     may_have_run: bool
     why: str
+    has_upstream_ended: bool = False
 
 
 class OpenAnswer(NamedTuple):
@@ -120,15 +129,8 @@
             customer=outgoing.customer,
             last_event=last_event_id,
         )
-        target = core_records.Upstream(
-            upstream.instance,
-            "plain",
-            upstream.address,
-            upstream.instance,
-            upstream.failure_domain,
-        )
         sent = self._upstreams.send(
-            target,
+            _target(upstream),
             outgoing.method,
             outgoing.target,
             headers,
@@ -161,7 +163,8 @@
             return Failure("unreachable", may_have_run, error.message)
         if error.kind == "timeout":
             return Failure("silent", may_have_run, error.message)
-        return Failure("broken", may_have_run, error.message)
+        has_ended = self._upstreams.refuses_connections(_target(upstream))
+        return Failure("broken", may_have_run, error.message, has_ended)
 
     def _check_answer(
         self,
@@ -212,6 +215,17 @@
             self._placement.report_load(upstream, head.load)
 
 
+def _target(upstream: records.Upstream) -> core_records.Upstream:
+    """Returns an upstream as the HTTP client takes it."""
+    return core_records.Upstream(
+        upstream.instance,
+        "plain",
+        upstream.address,
+        upstream.instance,
+        upstream.failure_domain,
+    )
+
+
 def _outcome(
     checked: result.Result[OpenAnswer, Failure],
 ) -> slotrecords.Outcome:
--- a/tests/daemon/test_upstreams.py
+++ b/tests/daemon/test_upstreams.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import json
+import socket
 import threading
 from typing import Any
 
@@ -48,6 +49,18 @@
     return body
 
 
+def test_an_upstream_that_only_broke_off_is_told_from_one_that_ended(
+    client: upstreams.HttpUpstreams,
+) -> None:
+    """Guards against a lost answer that is taken for the upstream's end."""
+    server = socket.create_server(("127.0.0.1", 0))
+    host, port = server.getsockname()
+    row = pathfakes.plain_row(f"{host}:{port}")
+    assert not client.refuses_connections(row)
+    server.close()
+    assert client.refuses_connections(row)
+
+
 @pytest.mark.parametrize(
     ("script", "expected"),
     [
