--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -1,6 +1,7 @@
 """A fake upstream with the platform's protocol and faults set by tests."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+import socket
 import threading
 import time
 from typing import NamedTuple
@@ -55,6 +56,9 @@
         load: The load that its answers and refusals state; empty for none, or
             for the true one with a capacity.
         capacity: Its slots and memory; `None` if they are not limited.
+        poisons: The bodies of requests under which it ends.
+        on_end: Called when it has ended.
+        has_ended: Whether it has ended and not started again.
     """
 
     def __init__(
@@ -72,10 +76,21 @@
         self.open = 0
         self.cold_ms = 0
         self.load = ""
+        self.poisons: set[bytes] = set()
+        self.on_end: Callable[[], None] = lambda: None
         self._closing = threading.Event()
+        self._ended = threading.Event()
         self._lock = threading.Lock()
-        self._server = httpd.Server("127.0.0.1:0", self._serve, 32)
-        self._server.start()
+        self._server = self._start_server("127.0.0.1:0")
+
+    def _start_server(self, address: str) -> httpd.Server:
+        server = httpd.Server(address, self._serve, 32)
+        server.start()
+        return server
+
+    @property
+    def has_ended(self) -> bool:
+        return self._ended.is_set()
 
     @property
     def address(self) -> str:
@@ -85,7 +100,37 @@
         self._closing.set()
         if self.capacity:
             self.capacity.restart()
-        self._server.stop(0.2)
+        if not self.has_ended:
+            self._server.stop(0.2)
+
+    def end(self) -> None:
+        """Ends like a process that crashes: its answers break off.
+
+        Connections are refused by then, as its listener closes first.
+        """
+        with self._lock:
+            if self.has_ended:
+                return
+            threading.Thread(
+                target=self._server.stop, args=(0.1,), daemon=True
+            ).start()
+            while self._is_listening():
+                time.sleep(0.001)
+            self._ended.set()
+        if self.capacity:
+            self.capacity.restart()
+        self.on_end()
+
+    def start_again(self, instance: str) -> None:
+        """Starts at the same address, as another instance."""
+        self.instance = instance
+        self._ended = threading.Event()
+        self._server = self._start_server(self.address)
+
+    def _is_listening(self) -> bool:
+        host, _, port = self.address.rpartition(":")
+        with socket.socket() as sock:
+            return sock.connect_ex((host, int(port))) == 0
 
     def data(self, number: int) -> str:
         return f"data {number}"
@@ -119,6 +164,8 @@
                 time.monotonic(),
             )
         )
+        if body in self.poisons:
+            self.end()
         if fault.kind == "other":
             attempt = "another"
         headers = [("Bulrushdeal-Request-Attempt-Id", attempt), *self._load()]
@@ -131,6 +178,8 @@
             if self.capacity and ticket:
                 self.capacity.leave(ticket)
             body = b"answer to " + request.target.encode()
+            if self.has_ended:
+                raise calls.BrokenAnswerError("the engine has ended")
             headers.append(("Content-Length", str(len(body))))
             return httpd.Response(status, tuple(headers), (body,))
         headers.append(("Content-Type", "text/event-stream"))
@@ -161,8 +210,11 @@
 
     def _events(self, last: int, fault: Fault) -> Iterator[bytes]:
         self.open += 1
+        ended = self._ended
         try:
             for number in range(last + 1, self.events + 1):
+                if ended.is_set():
+                    raise calls.BrokenAnswerError("the engine has ended")
                 event = f"id: {number}\ndata: {self.data(number)}\n\n".encode()
                 if fault.kind in ("cut", "part") and number > fault.after:
                     if fault.kind == "part":
