Quarantine: crashes are put down to the request that explains them

Cause: the daemon counted crashes by request and left it to isolation to tell the cause from what ran beside it. The gateway cannot isolate: after each ordinary crash of an engine eight streams would wait for eight engines. Counted alone, batch items that move with the cause from one engine to the next would be refused as well. And a VM that was cut off while a crash was told never learned of it: its query went to VMs of its own domain, which had missed it too, and a notice that found no answer was dropped.

Change: a crash names its upstream and how long the request ran. The requests to refuse are a greedy cover of the crashes; upstreams that crash together count once; a run that reaches its end clears a request at all VMs, and the ids of cleared crashes are kept so that late notices change nothing. A request that must be finished may be held back instead, for 15 s and four times longer after each further crash. Notices that were not answered are sent again each second for a minute, and the query, by digest, goes to VMs of all domains.

--- a/packages/daemon/bulrushdeald/crashnotifier.py
+++ b/packages/daemon/bulrushdeald/crashnotifier.py
@@ -1,8 +1,11 @@
 """Notifies peers of requests that were running when an upstream crashed."""
 
+from collections.abc import Iterable
 import itertools
 import random
 import threading
+import time
+from typing import NamedTuple
 
 from bulrushdeal import logs
 from bulrushdeal import records
@@ -15,11 +18,29 @@
 # bounds how long an unreachable peer delays the answer.
 _CALL_TIMEOUT_S = 0.3
 _QUERY_INTERVAL_S = 10.0
+# Until a VM that has just started has asked another one.
+_FIRST_QUERY_POLL_S = 0.2
+_RESEND_INTERVAL_S = 1.0
+# How long a notice is sent again to a VM that did not answer; one that is away
+# for longer asks for it.
+_RESEND_FOR_S = 60.0
 # Number of VMs notified in each other failure domain; they relay the notice
 # within their domain.
 _RELAYS_PER_DOMAIN = 2
 
 
+class Delivery(NamedTuple):
+    """A notice on its way; `threads` send it, each to one VM."""
+
+    threads: tuple[threading.Thread, ...] = ()
+
+    def wait(self) -> None:
+        """Waits until the VMs have answered or the call timeout has passed."""
+        end_s = time.monotonic() + _CALL_TIMEOUT_S
+        for thread in self.threads:
+            thread.join(max(0.0, end_s - time.monotonic()))
+
+
 class CrashNotices:
     """Sends and handles `quarantine.CrashNotice` messages."""
 
@@ -35,6 +56,8 @@
         self._quarantine = crashes
         self._lock = lock
         self._sequence = itertools.count()
+        # Until when notices are sent again, by the VMs that missed one.
+        self._resend_until_s: dict[str, float] = {}
         self._stopping = threading.Event()
 
     def start(self) -> None:
@@ -45,48 +68,82 @@
         )
         self._peers.register_handler(quarantine.CrashQuery, self._handle_query)
         threading.Thread(
-            target=self._query_peers, name="crash-query", daemon=True
+            target=self._run, name="crash-query", daemon=True
         ).start()
 
     def stop(self) -> None:
         """Asks the query thread to end; does not wait for it."""
         self._stopping.set()
 
-    def crashed(self, fingerprint: str) -> None:
+    def crashed(
+        self, fingerprint: str, upstream: str, ran_s: float
+    ) -> Delivery:
         """Records a crash and notifies the peers.
 
-        Returns when the peers have answered or the call timeout has passed.
+        Before the caller gets its answer, the returned delivery is to be
+        waited for. Without the wait, the caller of a request that crashed two
+        engines could retry it at once through a VM of another domain that has
+        not been notified yet, and crash a third engine.
+
+        Args:
+            fingerprint: The request; nothing is recorded if it is empty.
+            upstream: The upstream that crashed.
+            ran_s: How long the request had been running there, in seconds.
         """
         if not fingerprint:
-            return
+            return Delivery()
         vm = self._membership.own_vm().vm
         crash_id = f"{vm}/{self._membership.incarnation()}"
         crash = quarantine.Crash(
-            fingerprint, f"{crash_id}/{next(self._sequence)}"
+            fingerprint,
+            f"{crash_id}/{next(self._sequence)}",
+            upstream=upstream,
+            ran_s=ran_s,
         )
         with self._lock:
             self._quarantine.add(crash)
         _log.warning("A request was running when an upstream crashed.")
-        self._notify_peers((crash,))
+        return self._notify_peers(quarantine.CrashNotice((crash,)))
+
+    def completed(self, fingerprint: str) -> None:
+        """Clears a request that ran to its end, here and at the peers."""
+        with self._lock:
+            cleared = self._quarantine.clear(fingerprint)
+        if cleared:
+            self._notify_peers(quarantine.CrashNotice((), cleared=cleared))
 
     def _handle_notice(
         self, vm: str, notice: quarantine.CrashNotice
     ) -> quarantine.CrashNotice:
         del vm
+        new = self._apply(notice)
+        if notice.relay and (new.crashes or new.cleared):
+            self._send(self._domain_peers(), new)
+        return quarantine.CrashNotice(())
+
+    def _apply(self, notice: quarantine.CrashNotice) -> quarantine.CrashNotice:
+        """Records what a notice reports; returns what was new."""
         with self._lock:
-            new = tuple(
+            cleared = self._quarantine.discard(notice.cleared)
+            crashes = tuple(
                 crash for crash in notice.crashes if self._quarantine.add(crash)
             )
-        if notice.relay and new:
-            self._send(self._domain_peers(), quarantine.CrashNotice(new))
-        return quarantine.CrashNotice(())
+        return quarantine.CrashNotice(crashes, cleared=cleared)
 
     def _handle_query(
         self, vm: str, query: quarantine.CrashQuery
     ) -> quarantine.CrashNotice:
-        del vm, query
+        del vm
         with self._lock:
-            return quarantine.CrashNotice(self._quarantine.crashes())
+            if query.digest == self._quarantine.digest():
+                return quarantine.CrashNotice(())
+            return self._all()
+
+    def _all(self) -> quarantine.CrashNotice:
+        """Returns all that this VM knows; the caller holds the lock."""
+        return quarantine.CrashNotice(
+            self._quarantine.crashes(), cleared=self._quarantine.cleared()
+        )
 
     def _domain_peers(self) -> list[str]:
         own = self._membership.own_vm()
@@ -108,48 +165,70 @@
             for vm in random.sample(vms, min(_RELAYS_PER_DOMAIN, len(vms)))
         ]
 
-    def _notify_peers(self, crashes: tuple[quarantine.Crash, ...]) -> None:
-        """Notifies VMs of all failure domains and waits for their answers.
-
-        Without the wait, the caller of a request that crashed two engines
-        could retry it at once through a VM of another domain that has not
-        been notified yet, and crash a third engine.
-        """
-        threads = self._send(
-            self._choose_relays(), quarantine.CrashNotice(crashes, True)
-        ) + self._send(self._domain_peers(), quarantine.CrashNotice(crashes))
-        for thread in threads:
-            thread.join(_CALL_TIMEOUT_S)
+    def _notify_peers(self, notice: quarantine.CrashNotice) -> Delivery:
+        """Notifies VMs of all failure domains."""
+        relayed = notice._replace(relay=True)
+        threads = (
+            *self._send(self._choose_relays(), relayed),
+            *self._send(self._domain_peers(), notice),
+        )
+        return Delivery(threads)
 
     def _send(
-        self, vms: list[str], notice: quarantine.CrashNotice
-    ) -> list[threading.Thread]:
+        self, vms: Iterable[str], notice: quarantine.CrashNotice
+    ) -> tuple[threading.Thread, ...]:
         """Sends a notice to VMs in parallel; returns the sending threads."""
-        threads = [
+        threads = tuple(
             threading.Thread(
-                target=self._peers.call,
-                args=(vm, notice, _CALL_TIMEOUT_S),
+                target=self._deliver,
+                args=(vm, notice),
                 name="crash-notice",
                 daemon=True,
             )
             for vm in vms
-        ]
+        )
         for thread in threads:
             thread.start()
         return threads
 
-    def _query_peers(self) -> None:
-        """Fetches crashes that this VM missed while it was down or cut off."""
-        while not self._stopping.is_set():
-            others = self._domain_peers() or self._choose_relays()
-            if others:
-                self._query(random.choice(others))
-            self._stopping.wait(_QUERY_INTERVAL_S if others else 1.0)
-
-    def _query(self, vm: str) -> None:
-        answer = self._peers.call(vm, quarantine.CrashQuery(), 1.0)
+    def _deliver(self, vm: str, notice: quarantine.CrashNotice) -> None:
+        """Sends a notice to a VM; one that misses it gets it again later."""
+        answer = self._peers.call(vm, notice, _CALL_TIMEOUT_S)
         if answer.is_err():
-            return
+            with self._lock:
+                until_s = time.monotonic() + _RESEND_FOR_S
+                self._resend_until_s.setdefault(vm, until_s)
+
+    def _run(self) -> None:
+        """Exchanges what was missed in a cut or while a VM was down."""
+        query_s, pause_s = 0.0, _FIRST_QUERY_POLL_S
+        while not self._stopping.wait(pause_s):
+            self._resend()
+            if time.monotonic() < query_s:
+                continue
+            # A VM of another domain knows what a cut kept from this one.
+            others = [*self._domain_peers(), *self._choose_relays()]
+            if others and self._query(random.choice(others)):
+                query_s = time.monotonic() + _QUERY_INTERVAL_S
+                pause_s = _RESEND_INTERVAL_S
+
+    def _resend(self) -> None:
+        now_s = time.monotonic()
         with self._lock:
-            for crash in answer.unwrap().crashes:
-                self._quarantine.add(crash)
+            due, self._resend_until_s = self._resend_until_s, {}
+            notice = self._all()._replace(relay=True)
+        for vm, until_s in due.items():
+            answer = self._peers.call(vm, notice, _CALL_TIMEOUT_S)
+            if answer.is_err() and now_s < until_s:
+                with self._lock:
+                    self._resend_until_s[vm] = until_s
+
+    def _query(self, vm: str) -> bool:
+        """Asks a VM for what it knows; returns whether it answered."""
+        with self._lock:
+            query = quarantine.CrashQuery(self._quarantine.digest())
+        answer = self._peers.call(vm, query, 1.0)
+        if answer.is_err():
+            return False
+        self._apply(answer.unwrap())
+        return True
--- a/packages/daemon/bulrushdeald/quarantine.py
+++ b/packages/daemon/bulrushdeald/quarantine.py
@@ -2,13 +2,15 @@
 
 A request may crash each upstream that runs it, and its caller may retry it,
 also through other VMs. Such a crash shows as a connection that breaks before
-the answer is complete. After one crash a request is a suspect and runs only
-on an upstream that runs no other suspect, so that a second crash separates it
-from requests that merely ran at the same time. After a second crash it is
-refused at once. This holds on each VM that the crash notice reached; the
-notice is sent before the caller gets its answer.
+the answer is complete. After one crash a request is a suspect; after a second
+one it is refused at once, unless another request explains the crashes better.
+A run that reaches its end clears a request. All this holds on each VM that the
+crash notice reached; the notice is sent before the caller gets its answer.
 """
 
+from collections.abc import Iterable, Mapping
+import hashlib
+import heapq
 from typing import NamedTuple
 
 from bulrushdeal import clock as clock_lib
@@ -16,6 +18,13 @@
 CRASHES_TO_REFUSE = 2
 RETENTION_S = 3600.0
 _MAX_REQUESTS = 10_000
+# VMs see the end of the same upstream at about the same time, and it takes
+# longer to start again.
+_SAME_CRASH_S = 1.0
+# A request that must be finished gets further runs, after pauses that grow: it
+# may have met several crashes by chance.
+_FIRST_HOLD_S = 15.0
+_HOLD_GROWTH = 4
 
 
 class Crash(NamedTuple):
@@ -25,11 +34,15 @@
         fingerprint: Identifies the request; see `fingerprints.fingerprint`.
         crash_id: Unique, so that a notice that arrives twice counts once.
         age_s: Seconds from the crash until this record was made.
+        upstream: The upstream that crashed; empty if unknown.
+        ran_s: How long the request had been running on it, in seconds.
     """
 
     fingerprint: str
     crash_id: str
     age_s: float = 0.0
+    upstream: str = ""
+    ran_s: float = 0.0
 
 
 class CrashNotice(NamedTuple):
@@ -37,16 +50,35 @@
 
     Attributes:
         crashes: The crashes.
-        relay: Whether the peer forwards the crashes that are new to it to the
-            VMs of its failure domain.
+        relay: Whether the peer forwards what is new to it to the VMs of its
+            failure domain.
+        cleared: The ids of crashes that no longer count, because the request
+            has run to its end since.
     """
 
     crashes: tuple[Crash, ...]
     relay: bool = False
+    cleared: tuple[str, ...] = ()
 
 
 class CrashQuery(NamedTuple):
-    """Asks a peer for its recorded crashes; answered by a `CrashNotice`."""
+    """Asks a peer for its recorded crashes; answered by a `CrashNotice`.
+
+    Attributes:
+        digest: The sender's `Quarantine.digest`. If the peer's is the same,
+            its answer is empty.
+    """
+
+    digest: str = ""
+
+
+class _Run(NamedTuple):
+    """A run that ended with a crash; times are of the monotonic clock."""
+
+    crash_id: str
+    upstream: str
+    began_s: float
+    ended_s: float
 
 
 class Quarantine:
@@ -54,7 +86,11 @@
 
     def __init__(self, clock: clock_lib.Clock) -> None:
         self._clock = clock
-        self._crashes: dict[str, dict[str, float]] = {}
+        self._runs: dict[str, dict[str, _Run]] = {}
+        # When crashes were cleared, by their ids.
+        self._cleared: dict[str, float] = {}
+        # The requests to refuse; `None` if it has to be worked out again.
+        self._refused: frozenset[str] | None = frozenset()
 
     def add(self, crash: Crash) -> bool:
         """Records a crash and returns whether it is a new one.
@@ -63,38 +99,194 @@
         """
         if not crash.fingerprint or crash.age_s > RETENTION_S:
             return False
-        known = self._crashes.setdefault(crash.fingerprint, {})
-        if crash.crash_id in known:
+        known = self._runs.get(crash.fingerprint, {})
+        if crash.crash_id in known or crash.crash_id in self._cleared:
             return False
-        known[crash.crash_id] = self._clock.monotonic_s() - crash.age_s
+        ended_s = self._clock.monotonic_s() - crash.age_s
+        self._runs.setdefault(crash.fingerprint, known)[crash.crash_id] = _Run(
+            crash.crash_id, crash.upstream, ended_s - crash.ran_s, ended_s
+        )
+        self._refused = None
         self._prune()
         return True
 
+    def clear(self, fingerprint: str) -> tuple[str, ...]:
+        """Clears a request that has run to its end.
+
+        Returns:
+            The ids of its crashes, which no longer count.
+        """
+        crash_ids = tuple(self._runs.get(fingerprint, ()))
+        self.discard(crash_ids)
+        return crash_ids
+
+    def discard(self, crash_ids: Iterable[str]) -> tuple[str, ...]:
+        """Discards crashes by their ids, also those still to be reported.
+
+        Returns:
+            The ids that were not discarded before.
+        """
+        now_s = self._clock.monotonic_s()
+        new = tuple(row for row in crash_ids if row not in self._cleared)
+        if not new:
+            return ()
+        self._cleared |= dict.fromkeys(new, now_s)
+        for fingerprint, runs in list(self._runs.items()):
+            if runs.keys().isdisjoint(new):
+                continue
+            left = {key: run for key, run in runs.items() if key not in new}
+            self._runs[fingerprint] = left
+            if not left:
+                del self._runs[fingerprint]
+        self._refused = None
+        self._prune()
+        return new
+
+    def is_empty(self) -> bool:
+        """Returns whether no crash is recorded."""
+        return not self._runs
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Returns whether the request was running when an upstream crashed."""
-        return fingerprint in self._crashes
+        return fingerprint in self._runs
 
     def is_refused(self, fingerprint: str) -> bool:
         """Returns whether the request has crashed too often to run again."""
-        return len(self._crashes.get(fingerprint, ())) >= CRASHES_TO_REFUSE
+        return fingerprint in self.refused()
+
+    def is_held_back(self, fingerprint: str) -> bool:
+        """Returns whether a request that must be finished has to wait."""
+        if not self.is_refused(fingerprint):
+            return False
+        runs = self._runs[fingerprint].values()
+        excess = max(0, len(runs) - CRASHES_TO_REFUSE)
+        hold_s = _FIRST_HOLD_S * _HOLD_GROWTH**excess
+        last_s = max(run.ended_s for run in runs)
+        return bool(self._clock.monotonic_s() < last_s + hold_s)
+
+    def refused(self) -> frozenset[str]:
+        """Returns the fingerprints of the requests to refuse."""
+        if self._refused is None:
+            self._refused = _find_culprits(self._runs)
+        return self._refused
 
     def crashes(self) -> tuple[Crash, ...]:
         """Returns all recorded crashes."""
         now_s = self._clock.monotonic_s()
         return tuple(
-            Crash(fingerprint, crash_id, now_s - at_s)
-            for fingerprint, known in self._crashes.items()
-            for crash_id, at_s in known.items()
+            Crash(
+                fingerprint,
+                run.crash_id,
+                now_s - run.ended_s,
+                run.upstream,
+                run.ended_s - run.began_s,
+            )
+            for fingerprint, runs in self._runs.items()
+            for run in runs.values()
         )
 
+    def cleared(self) -> tuple[str, ...]:
+        """Returns the ids of the crashes that no longer count."""
+        return tuple(self._cleared)
+
+    def digest(self) -> str:
+        """Returns a hash that VMs share that know the same."""
+        crash_ids = {key for runs in self._runs.values() for key in runs}
+        text = "\n".join([*sorted(crash_ids), "", *sorted(self._cleared)])
+        return hashlib.sha256(text.encode()).hexdigest()
+
     def _prune(self) -> None:
         oldest_s = self._clock.monotonic_s() - RETENTION_S
         old = [
             fingerprint
-            for fingerprint, known in self._crashes.items()
-            if max(known.values()) < oldest_s
+            for fingerprint, runs in self._runs.items()
+            if max(run.ended_s for run in runs.values()) < oldest_s
         ]
         for fingerprint in old:
-            del self._crashes[fingerprint]
-        while len(self._crashes) > _MAX_REQUESTS:
-            del self._crashes[next(iter(self._crashes))]
+            del self._runs[fingerprint]
+        while len(self._runs) > _MAX_REQUESTS:
+            del self._runs[next(iter(self._runs))]
+        self._cleared = {
+            key: at_s for key, at_s in self._cleared.items() if at_s >= oldest_s
+        }
+        while len(self._cleared) > _MAX_REQUESTS:
+            del self._cleared[next(iter(self._cleared))]
+
+
+def _find_culprits(
+    runs_of: Mapping[str, Mapping[str, _Run]],
+) -> frozenset[str]:
+    """Returns the requests that the crashes are put down to.
+
+    Other requests ran on the upstreams too, and some move from one that
+    crashed to the next. So the request with the most crashes is blamed first,
+    and these crashes no longer count against the others (a greedy set cover).
+    Of requests with as many, one that ended its upstreams sooner is blamed.
+    """
+    repeated = {
+        fingerprint: tuple(runs.values())
+        for fingerprint, runs in runs_of.items()
+        if len(runs) >= CRASHES_TO_REFUSE
+    }
+    crash_of = _group_runs(run for runs in repeated.values() for run in runs)
+    heap = [_rank(name, runs) for name, runs in repeated.items()]
+    heapq.heapify(heap)
+    explained: set[int] = set()
+    culprits: set[str] = set()
+    while heap:
+        name = heapq.heappop(heap)[-1]
+        runs = tuple(
+            run
+            for run in repeated[name]
+            if crash_of[run.crash_id] not in explained
+        )
+        if _count_separate(runs) < CRASHES_TO_REFUSE:
+            continue
+        rank = _rank(name, runs)
+        if heap and rank > heap[0]:
+            heapq.heappush(heap, rank)
+            continue
+        culprits.add(name)
+        explained |= {crash_of[run.crash_id] for run in runs}
+    return frozenset(culprits)
+
+
+def _rank(name: str, runs: Iterable[_Run]) -> tuple[int, float, str]:
+    """Returns a key that sorts the request to blame first to the front."""
+    rows = tuple(runs)
+    ran_s = sum(run.ended_s - run.began_s for run in rows)
+    return -_count_separate(rows), ran_s, name
+
+
+def _group_runs(runs: Iterable[_Run]) -> dict[str, int]:
+    """Numbers the crashes; runs of the same crash get the same number."""
+    numbers: dict[str, int] = {}
+    previous: _Run | None = None
+    for run in sorted(runs, key=lambda row: (row.upstream, row.ended_s)):
+        is_same = (
+            previous is not None
+            and run.upstream != ""
+            and run.upstream == previous.upstream
+            and run.ended_s - previous.ended_s <= _SAME_CRASH_S
+        )
+        number = len(numbers)
+        if is_same and previous is not None:
+            number = numbers[previous.crash_id]
+        numbers[run.crash_id] = number
+        previous = run
+    return numbers
+
+
+def _count_separate(runs: Iterable[_Run]) -> int:
+    """Counts runs that came one after the other.
+
+    If upstreams crash together, from a loss of power for example, that says
+    nothing of a request that ran on several of them.
+    """
+    count, last_s = 0, float("-inf")
+    for run in sorted(runs, key=lambda row: row.ended_s):
+        # VMs state ages that differ a little, so the middle of a run decides.
+        if (run.began_s + run.ended_s) / 2 >= last_s:
+            count += 1
+            last_s = run.ended_s
+    return count
--- a/packages/daemon/bulrushdeald/router.py
+++ b/packages/daemon/bulrushdeald/router.py
@@ -374,7 +374,12 @@
                 self._counts_changed(upstream, is_urgent=False)
             self._dispatch(upstream)
         if outcome == "crashed":
-            self._crash_notices.crashed(slot.work.fingerprint)
+            ran_s = self._clock.monotonic_s() - slot.start_s
+            self._crash_notices.crashed(
+                slot.work.fingerprint, upstream.upstream, ran_s
+            ).wait()
+        elif outcome == "ok" and slot.is_suspect:
+            self._crash_notices.completed(slot.work.fingerprint)
 
     def _record_outcome(
         self, slot: slots.Slot, outcome: services.Outcome
--- a/tests/daemon/test_quarantine.py
+++ b/tests/daemon/test_quarantine.py
@@ -1,8 +1,31 @@
 """Tests of crash counts by request."""
 
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+
 from bulrushdeal import clock as clock_lib
 from bulrushdeald import quarantine
 
+_POISON = "poison"
+_RUN_S = 0.1
+_REQUESTS = ("a", "b", "c", "d")
+
+
+def _crash(
+    name: str, upstream: str, age_s: float = 0.0, ran_s: float = _RUN_S
+) -> quarantine.Crash:
+    crash_id = f"{name}/{upstream}"
+    return quarantine.Crash(name, crash_id, age_s, upstream, ran_s)
+
+
+def _quarantine(*crashes: quarantine.Crash) -> quarantine.Quarantine:
+    made = quarantine.Quarantine(clock_lib.FakeClock())
+    for crash in crashes:
+        made.add(crash)
+    return made
+
 
 def test_a_notice_that_comes_twice_counts_once() -> None:
     # Guards against the refusal of a request that saw only one crash: its
@@ -29,3 +52,129 @@
     assert not quarantine.Quarantine(clock).add(reported)
     crashes.add(quarantine.Crash("other", "crash-2"))
     assert not crashes.is_suspect("f")
+
+
+def test_a_bystander_of_two_crashes_is_not_refused() -> None:
+    """Guards against refusing what only moved along with the cause."""
+    crashes = _quarantine(
+        _crash(_POISON, "e1", 3.0),
+        _crash("bystander", "e1", 3.0, 1.5),
+        _crash(_POISON, "e2", 2.0),
+        _crash("bystander", "e2", 2.0, 0.9),
+    )
+    assert crashes.refused() == {_POISON}
+
+
+def test_a_later_crash_corrects_whom_the_crashes_are_put_down_to() -> None:
+    """Guards against a bystander that stays refused in place of the cause."""
+    rows = [
+        _crash(name, upstream, age_s, ran_s)
+        for name, ran_s in ((_POISON, 0.2), ("bystander", 0.1))
+        for upstream, age_s in (("e1", 3.0), ("e2", 2.0))
+    ]
+    crashes = _quarantine(*rows)
+    assert crashes.refused() == {"bystander"}
+    crashes.add(_crash(_POISON, "e3", 1.0, 0.2))
+    assert crashes.refused() == {_POISON}
+
+
+def test_upstreams_that_crash_together_count_once() -> None:
+    """Guards against refusing a common request after a loss of power."""
+    crashes = _quarantine(_crash("common", "e1"), _crash("common", "e2"))
+    assert not crashes.is_refused("common")
+
+
+def test_a_request_that_ran_to_its_end_is_cleared_for_good() -> None:
+    """Guards against a cleared crash that a late notice brings back."""
+    crashes = _quarantine(_crash("common", "e1", 9.0))
+    cleared = crashes.clear("common")
+    assert crashes.is_empty()
+    assert not crashes.add(_crash("common", "e1", 9.0))
+    crashes.add(_crash("common", "e2"))
+    assert not crashes.is_refused("common")
+    other = quarantine.Quarantine(clock_lib.FakeClock())
+    other.discard(cleared)
+    assert not other.add(_crash("common", "e1", 9.0))
+
+
+def test_an_item_that_must_be_finished_is_tried_more_and_more_rarely() -> None:
+    """Guards against an item that ends upstreams for ever, or never ends."""
+    clock = clock_lib.FakeClock()
+    crashes = quarantine.Quarantine(clock)
+    holds_s: list[float] = []
+    for number in range(5):
+        crashes.add(_crash("item", f"e{number}", ran_s=0.0))
+        begin_s = clock.now_s
+        while crashes.is_held_back("item"):
+            clock.sleep_s(1.0)
+        holds_s.append(clock.now_s - begin_s)
+    assert holds_s == [0.0, 15.0, 60.0, 240.0, 960.0]
+
+
+@hypothesis.given(
+    series=st.lists(st.sets(st.sampled_from(_REQUESTS)), max_size=8),
+    seed=st.integers(0, 1000),
+)
+def test_the_request_in_all_crashes_is_stopped(
+    series: list[set[str]], seed: int
+) -> None:
+    """Guards against bystanders that hide which request is the cause.
+
+    Upstreams end one after the other under one request, each with other
+    requests on it; those that are refused no longer run.
+    """
+    rng = random.Random(seed)
+    clock = clock_lib.FakeClock()
+    crashes = quarantine.Quarantine(clock)
+    for number, bystanders in enumerate(series):
+        if crashes.is_refused(_POISON):
+            break
+        for name in {_POISON, *bystanders}:
+            if not crashes.is_refused(name):
+                ran_s = _RUN_S if name == _POISON else rng.uniform(0.0, 1.0)
+                crashes.add(_crash(name, f"e{number}", 0.0, ran_s))
+        clock.sleep_s(1.0)
+    # Each crash beyond the second has at least one bystander that all
+    # crashes so far had in common and that is refused from then on.
+    ends = sum(row.fingerprint == _POISON for row in crashes.crashes())
+    assert ends <= quarantine.CRASHES_TO_REFUSE + len(_REQUESTS)
+    if len(series) > quarantine.CRASHES_TO_REFUSE + len(_REQUESTS):
+        assert crashes.is_refused(_POISON)
+    if not any(series):
+        assert ends <= quarantine.CRASHES_TO_REFUSE
+
+
+@hypothesis.given(
+    rows=st.lists(
+        st.tuples(
+            st.sampled_from(_REQUESTS),
+            st.sampled_from(("e1", "e2", "e3")),
+            st.integers(0, 5),
+        ),
+        max_size=12,
+    ),
+    cleared=st.sets(st.integers(0, 11)),
+    seed=st.integers(0, 1000),
+)
+def test_vms_agree_in_whichever_order_notices_come(
+    rows: list[tuple[str, str, int]], cleared: set[int], seed: int
+) -> None:
+    """Guards against VMs that refuse different requests for good."""
+    notices = [
+        quarantine.Crash(name, f"c{number}", float(age_s), upstream, _RUN_S)
+        for number, (name, upstream, age_s) in enumerate(rows)
+    ]
+    rng = random.Random(seed)
+    found = []
+    for _ in range(2):
+        crashes = quarantine.Quarantine(clock_lib.FakeClock())
+        steps: list[quarantine.Crash | str] = [*notices, *notices]
+        steps += [f"c{number}" for number in cleared]
+        rng.shuffle(steps)
+        for step in steps:
+            if isinstance(step, str):
+                crashes.discard([step])
+            else:
+                crashes.add(step)
+        found.append((crashes.refused(), crashes.digest()))
+    assert found[0] == found[1]
