Gateway: a request under which upstreams ended is not sent again

What callers saw: streams cut off and refusals for want of engines, in waves.

Cause: the gateway judged each attempt by itself. The daemon has had a quarantine for such requests from the start; the gateway, which serves the routed HTTP and the batch jobs on the users' platform, was built beside it and never got it. Neither VM nor leader kept what ran on an engine as it ended, so taipei-a-2, taipei-b-1 and hsinchu-1 each sent it twice.

Change: the service crash records puts the daemon's quarantine and notifier to use. A break after which the upstream's host refuses a connection counts against the request's fingerprint; other VMs are told before the caller has its answer; two such ends, put down to this request, and it is refused with 503 and no time to come back. Batch items wait instead, since they may not be given up before their retention is over, and of items that were on an engine as it ended one starts at a time, until it answers: started together they would be told apart by chance only. A run that reaches its end clears a request. Answers above a megabyte, whose breaks were not recorded at all, count as well.

Why it works: the fingerprint is that of customer, method, host, path and body, so a new attempt id, VM, route or slot makes no difference; the records are a set that only grows, so that VMs agree in whichever order notices come.

--- a/packages/gateway/gateway/assembly.py
+++ b/packages/gateway/gateway/assembly.py
@@ -15,6 +15,7 @@
 from bulrushdeald import services
 from bulrushdeald import upstreams
 from gateway import configuration
+from gateway import crashrecords
 from gateway import dialect as dialect_lib
 from gateway import evacuations
 from gateway import forwarding
@@ -67,6 +68,7 @@
     add(services.MEMBERSHIP, members.Members(kernel, settings))
     add(services.PEERS, peers.WebsocketPeers(kernel, settings, _PEER_IDLE_S))
     add("store path", store_path)
+    add(names.CRASH_RECORDS, crashrecords.CrashRecords(kernel))
     add(names.PINGS, pings.Pings(kernel))
     add(names.JOB_STORE, jobstore.JobStore(kernel))
     add(names.JOB_LISTING, joblisting.JobListing(kernel))
--- /dev/null
+++ b/packages/gateway/gateway/crashrecords.py
@@ -0,0 +1,132 @@
+"""Keeps requests under which upstreams ended from ending more of them.
+
+The records are those of the daemon, in `quarantine` and `crashnotifier`. Here
+no request waits to run apart from the others that ran on an upstream as it
+ended: that would hold up callers after each ordinary crash.
+"""
+
+import threading
+from typing import Any, NamedTuple
+
+from bulrushdeal import clock as clock_lib
+from bulrushdeal import eventlog
+from bulrushdeal import kernel as kernel_lib
+from bulrushdeald import crashnotifier
+from bulrushdeald import quarantine
+from bulrushdeald import services
+from gateway import heldslots
+from gateway import members
+
+_events = eventlog.Events("crashes")
+
+
+class Counts(NamedTuple):
+    """How many requests upstreams ended under, and how many are refused."""
+
+    recorded: int
+    refused: int
+
+
+class CrashRecords:
+    """Knows which requests are not to run again; thread-safe."""
+
+    def __init__(self, kernel: kernel_lib.Kernel) -> None:
+        self._kernel = kernel
+        self._clock = clock_lib.SystemClock()
+        self._lock = threading.Lock()
+        self._quarantine = quarantine.Quarantine(self._clock)
+        self._logged: frozenset[str] = frozenset()
+
+    def start(self) -> None:
+        """Starts to exchange records with other VMs."""
+        find = self._kernel.find
+        self._notices = crashnotifier.CrashNotices(
+            find(services.PEERS, services.Peers),
+            find(services.MEMBERSHIP, members.Members),
+            self._quarantine,
+            self._lock,
+        )
+        self._notices.start()
+
+    def stop(self, grace_s: float) -> None:
+        """Stops the exchange."""
+        del grace_s
+        self._notices.stop()
+
+    def dump(self) -> Any:
+        """Returns the recorded crashes, and the requests that are refused."""
+        with self._lock:
+            return {
+                "crashes": self._quarantine.crashes(),
+                "refused": sorted(self._quarantine.refused()),
+            }
+
+    def record_crash(
+        self, fingerprint: str, slot: heldslots.Slot
+    ) -> crashnotifier.Delivery:
+        """Records that an upstream ended under a request; tells other VMs.
+
+        Args:
+            fingerprint: The request.
+            slot: Where it ran.
+
+        Returns:
+            The notices, to be waited for before the caller's answer.
+        """
+        ran_s = self._clock.monotonic_s() - slot.held_since_s
+        instance = slot.upstream.instance
+        return self._notices.crashed(fingerprint, instance, ran_s)
+
+    def may_be_recorded(self) -> bool:
+        """Returns whether any request is; without, none need be looked up."""
+        return not self._quarantine.is_empty()
+
+    def record_completion(self, fingerprint: str) -> None:
+        """Records that a request ran to its end, which clears it."""
+        self._notices.completed(fingerprint)
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Returns whether an upstream ended while it ran a request."""
+        with self._lock:
+            return self._quarantine.is_suspect(fingerprint)
+
+    def is_refused(self, fingerprint: str) -> bool:
+        """Returns whether a request is not to run again."""
+        with self._lock:
+            self._log_refused()
+            return self._quarantine.is_refused(fingerprint)
+
+    def is_held_back(self, fingerprint: str) -> bool:
+        """Returns whether a request that must be finished has to wait."""
+        with self._lock:
+            self._log_refused()
+            return self._quarantine.is_held_back(fingerprint)
+
+    def counts(self) -> Counts:
+        """Returns how many requests are known."""
+        with self._lock:
+            rows = {row.fingerprint for row in self._quarantine.crashes()}
+            return Counts(len(rows), len(self._quarantine.refused()))
+
+    def _log_refused(self) -> None:
+        """Logs what has changed; the caller holds the lock."""
+        refused = self._quarantine.refused()
+        if refused == self._logged:
+            return
+        for fingerprint in refused - self._logged:
+            crashes = [
+                {
+                    "upstream": row.upstream,
+                    "ran_s": round(row.ran_s, 3),
+                    "age_s": round(row.age_s, 3),
+                    "noticed_by": row.crash_id.partition("/")[0],
+                }
+                for row in self._quarantine.crashes()
+                if row.fingerprint == fingerprint
+            ]
+            _events.warning(
+                "quarantined", fingerprint=fingerprint, crashes=crashes
+            )
+        for fingerprint in self._logged - refused:
+            _events.info("released", fingerprint=fingerprint)
+        self._logged = refused
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -11,6 +11,7 @@
 from bulrushdeal import httpd
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeald import calls as caller_calls
+from bulrushdeald import crashnotifier
 from bulrushdeald import services
 from gateway import eventstream
 from gateway import grantlog
@@ -133,6 +134,8 @@
         self._no_slot: placement.NoSlot | None = None
         self._slot_wait_until_s = 0.0
         self._sent_s = 0.0
+        # What tells other VMs of upstreams that ended under the request.
+        self._crash_notices: list[crashnotifier.Delivery] = []
 
     def run(self) -> httpd.Response:
         """Forwards the request and returns the answer or a refusal."""
@@ -200,7 +203,12 @@
         call = self._call
         if call.reason or call.remaining_s() <= 0 or call.sends >= _MAX_SENDS:
             return False
-        return call.runs == 0 or self._may_run_again()
+        if call.runs and not self._may_run_again():
+            return False
+        return not self._is_quarantined()
+
+    def _is_quarantined(self) -> bool:
+        return self._sender.is_refused(self._request.outgoing)
 
     def _requester(self) -> requesters.Requester:
         """Returns who sends the request and how long it can wait for a slot.
@@ -242,6 +250,7 @@
         if failure.may_have_run:
             self._call.runs += 1
             self._slot_wait_until_s = time.monotonic() + _RERUN_SLOT_WAIT_S
+        self._crash_notices.append(failure.crash_notices)
         if failure.kind == "silent" and self._route.kind == "streaming":
             self._stream_timeouts.record_given_up()
         _events.warning(
@@ -257,6 +266,16 @@
             age_s=round(self._call.age_s(), 3),
         )
 
+    def _record_break(self, error: services.UpstreamError) -> None:
+        """Records that an answer broke after its head had come."""
+        slot = self._slot
+        assert slot is not None
+        outgoing = self._request.outgoing
+        failure = self._sender.record_failure(outgoing, slot, error)
+        # The run was counted when the head came.
+        self._call.runs -= 1
+        self._record_failure(failure._replace(may_have_run=True))
+
     def _release(self) -> None:
         """Closes the current answer and releases its slot, if there are any."""
         answer, self._answer = self._answer, None
@@ -316,6 +335,7 @@
         if self._call.reason:
             return self._refuse()
         self._call.mark_answered()
+        self._sender.record_completion(self._request.outgoing)
         data = b"".join(parts)
         headers = opened.answer.headers
         opened.answer.close()
@@ -332,17 +352,16 @@
         yield from parts
         for piece in chunks:
             if isinstance(piece, result.Err):
+                self._record_break(piece.err_value)
+                self._wait_for_crash_notices()
                 raise caller_calls.BrokenAnswerError(piece.err_value.message)
             yield piece.ok_value
+        self._sender.record_completion(self._request.outgoing)
 
     def _handle_broken_answer(
         self, error: services.UpstreamError
     ) -> httpd.Response | None:
-        slot = self._slot
-        assert slot is not None
-        failure = self._sender.record_failure(slot, error)
-        self._call.runs -= 1
-        self._record_failure(failure._replace(may_have_run=True))
+        self._record_break(error)
         self._release()
         return None if self._may_send() else self._refuse()
 
@@ -415,9 +434,11 @@
                     yield whole_events
             if error is None and not splitter.has_partial_event:
                 self._call.mark_answered()
+                self._sender.record_completion(self._request.outgoing)
                 self._close_answer()
                 return
             current = self._resume(error)
+        self._wait_for_crash_notices()
         raise caller_calls.BrokenAnswerError("the stream broke off")
 
     def _limit_gap(self, opened: upstreamsender.OpenAnswer) -> None:
@@ -455,13 +476,9 @@
         Returns:
             The open answer that continues the stream; `None` if there is none.
         """
-        slot = self._slot
-        assert slot is not None
         if error is None:
             error = services.UpstreamError("crashed", "ran", "cut in an event")
-        failure = self._sender.record_failure(slot, error)
-        self._call.runs -= 1
-        self._record_failure(failure._replace(may_have_run=True))
+        self._record_break(error)
         self._release()
         opened = self._open_answer()
         if opened is None or self._is_stream(opened):
@@ -469,9 +486,15 @@
         self._release()
         return None
 
+    def _wait_for_crash_notices(self) -> None:
+        """Waits until other VMs know; the caller may try again at any."""
+        for notices in self._crash_notices:
+            notices.wait()
+
     def _refuse(self) -> httpd.Response:
         refusal = self._refusal()
         self._release()
+        self._wait_for_crash_notices()
         _events.warning(
             "refused",
             request=self._call.attempt,
@@ -501,6 +524,8 @@
             return refusals.Refusal(504, "no answer in time")
         if call.runs:
             return refusals.Refusal(502, "the upstream's answer broke off")
+        if self._is_quarantined():
+            return _QUARANTINED
         if self._no_slot is not None:
             return refusals.Refusal(
                 503, self._no_slot.reason, self._no_slot.retry_after_s
@@ -508,6 +533,12 @@
         return refusals.Refusal(503, "no upstream took it", _BUSY_RETRY_S)
 
 
+# No time to come back at, since the request would be refused again.
+_QUARANTINED = refusals.Refusal(
+    503, "upstreams ended each time that they ran this request"
+)
+
+
 def _with_length(
     headers: tuple[tuple[str, str], ...], length: int
 ) -> tuple[tuple[str, str], ...]:
--- a/packages/gateway/gateway/itemrun.py
+++ b/packages/gateway/gateway/itemrun.py
@@ -6,6 +6,7 @@
 
 from bulrushdeal import eventlog
 from bulrushdeald import services
+from gateway import crashrecords
 from gateway import dialect as dialect_lib
 from gateway import eventstream
 from gateway import grantlog
@@ -40,8 +41,10 @@
         sender: upstreamsender.Sender,
         placer: placement.Placement,
         writer: resultwriter.ResultWriter,
+        crashes: crashrecords.CrashRecords,
     ) -> None:
         self._dialect = dialect
+        self._crashes = crashes
         self._sender = sender
         self._placement = placer
         self._writer = writer
@@ -55,14 +58,7 @@
     ) -> None:
         """Runs an item once, until its end, a failure or a preemption."""
         grantlog.log(slot, job=state.meta.job, item=item.item.item)
-        outgoing = upstreamsender.UpstreamRequest(
-            item.item.item,
-            "POST",
-            item.item.path,
-            self._dialect.item_headers(item.item, state.meta.host),
-            item.item.body,
-            state.meta.customer,
-        )
+        outgoing = self._request(state, item)
         sent = self._sender.send(
             outgoing,
             slot,
@@ -85,6 +81,41 @@
             answer.cancel()
             answer.close()
 
+    def _request(
+        self, state: jobstate.JobState, item: jobstate.ItemState
+    ) -> upstreamsender.UpstreamRequest:
+        return upstreamsender.UpstreamRequest(
+            item.item.item,
+            "POST",
+            item.item.path,
+            self._dialect.item_headers(item.item, state.meta.host),
+            item.item.body,
+            state.meta.customer,
+        )
+
+    def is_held_back(
+        self, state: jobstate.JobState, item: jobstate.ItemState
+    ) -> bool:
+        """Returns whether an item waits because upstreams ended under it."""
+        return self._crashes.may_be_recorded() and self._crashes.is_held_back(
+            self._fingerprint(state, item)
+        )
+
+    def is_suspect(
+        self, state: jobstate.JobState, item: jobstate.ItemState
+    ) -> bool:
+        """Returns whether an upstream ended while it ran the item."""
+        return self._crashes.may_be_recorded() and self._crashes.is_suspect(
+            self._fingerprint(state, item)
+        )
+
+    def _fingerprint(
+        self, state: jobstate.JobState, item: jobstate.ItemState
+    ) -> str:
+        if not item.fingerprint:
+            item.fingerprint = self._request(state, item).fingerprint()
+        return item.fingerprint
+
     def _read_stream(
         self,
         state: jobstate.JobState,
@@ -101,6 +132,7 @@
                 break
             events = eventstream.parse(splitter.feed(chunk.ok_value))
             if events:
+                item.is_answering = True
                 self._placement.record_first_event(slot)
             for event in events:
                 if event.event_id is not None:
@@ -115,11 +147,12 @@
         if error is None and splitter.has_partial_event:
             error = services.UpstreamError("crashed", "ran", "cut in an event")
         if error is not None:
-            failure = self._sender.record_failure(slot, error)
+            failure = self._sender.record_failure(outgoing, slot, error)
             self._record_interruption(state, item, slot, outgoing, failure)
             return
         answer.close()
         slot.release()
+        self._sender.record_completion(outgoing)
         now_s = time.monotonic()
         self.times.record(item.elapsed_s(now_s), item.span_s(now_s))
         self._writer.write(state, item, item.completed(), "")
--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -62,6 +62,9 @@
         first_began_s: When the first run began, by the monotonic clock; `None`
             before it or if it was on another VM.
         cost: What a run costs; `None` until it is decoded.
+        fingerprint: Identifies the request however often it comes; empty until
+            it is needed.
+        is_answering: Whether the current run has sent an event.
     """
 
     def __init__(self, item: dialect.JobItem) -> None:
@@ -75,6 +78,8 @@
         self.running_since_s: float | None = None
         self.first_began_s: float | None = None
         self.cost: requestcosts.RequestCost | None = None
+        self.fingerprint = ""
+        self.is_answering = False
 
     def elapsed_s(self, now_s: float) -> float:
         """Returns how long the output so far took, in seconds."""
@@ -87,6 +92,7 @@
     def begin(self, now_s: float) -> None:
         """Marks the item as running."""
         self.running_since_s = now_s
+        self.is_answering = False
         if self.first_began_s is None and not self.output:
             self.first_began_s = now_s
 
--- a/packages/gateway/gateway/metrics.py
+++ b/packages/gateway/gateway/metrics.py
@@ -11,6 +11,7 @@
 from bulrushdeal import httpd
 from bulrushdeal import kernel as kernel_lib
 from gateway import configuration
+from gateway import crashrecords
 from gateway import dialect as dialect_lib
 from gateway import names
 from gateway import placement
@@ -102,6 +103,7 @@
         for left in rates_.lowest_balances(_MAX_CUSTOMERS):
             tokens.add_metric([left.customer], left.tokens)
         yield tokens
+        yield self._crash_records()
         lost = prometheus_core.CounterMetricFamily(
             "bulrushdeal_log_lines_lost",
             "Lines of the log that found no room.",
@@ -122,6 +124,20 @@
         slots.add_metric(["batch"], sum(row.is_batch for row in held))
         return slots
 
+    def _crash_records(self) -> prometheus_core.Metric:
+        crashes = self._kernel.find(
+            names.CRASH_RECORDS, crashrecords.CrashRecords
+        )
+        counts = crashes.counts()
+        requests = prometheus_core.GaugeMetricFamily(
+            "bulrushdeal_crash_requests",
+            "Requests under which upstreams ended, and those not run again.",
+            labels=["state"],
+        )
+        requests.add_metric(["recorded"], counts.recorded)
+        requests.add_metric(["refused"], counts.refused)
+        return requests
+
     def _waiting_requests(self) -> prometheus_core.Metric:
         """Returns the waiting requests of services that this VM leads."""
         placer = self._kernel.find(names.PLACEMENT, placement.Placement)
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -11,6 +11,7 @@
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeald import services
 from gateway import configuration
+from gateway import crashrecords
 from gateway import dialect as dialect_lib
 from gateway import heldslots
 from gateway import itemrun
@@ -76,6 +77,8 @@
             _MAX_RUNS, thread_name_prefix="items"
         )
         self._run_count = 0
+        # The suspect that began last, as long as it runs.
+        self._trial: jobstate.ItemState | None = None
 
     def start(self) -> None:
         """Starts the threads that find jobs, run items and write progress."""
@@ -99,6 +102,7 @@
             upstreamsender.Sender(self._kernel),
             self._placement,
             self._writer,
+            find(names.CRASH_RECORDS, crashrecords.CrashRecords),
         )
         self._takeover = takeover.Takeover(
             self._store,
@@ -267,6 +271,7 @@
                 self._cost(item),
             )
             for item in items
+            if not self._item_run.is_held_back(state, item)
         ]
 
     def _cost(self, item: jobstate.ItemState) -> requestcosts.RequestCost:
@@ -296,6 +301,7 @@
         """
         service, regions = rows[0].service, rows[0].regions
         rows.sort(key=lambda row: batchorder.rank(row.priority))
+        rows = self._separate_suspects(rows)
         while rows:
             with self._lock:
                 count = min(_MAX_SLOTS_PER_REQUEST, _MAX_RUNS - self._run_count)
@@ -314,10 +320,32 @@
             if None in slots or len(slots) < _MAX_SLOTS_PER_REQUEST:
                 return
 
+    def _separate_suspects(
+        self, rows: list["_ReadyItem"]
+    ) -> list["_ReadyItem"]:
+        """Returns the items that may start, at most one suspect among them.
+
+        The next suspect starts once the one before it answers or has ended.
+        If they started together and their engine ended again, they could not
+        be told apart.
+        """
+        trial = self._trial
+        may_try = trial is None or trial.is_answering
+        kept: list[_ReadyItem] = []
+        for row in rows:
+            is_suspect = self._item_run.is_suspect(row.state, row.item)
+            if not is_suspect or may_try:
+                kept.append(row)
+            may_try = may_try and not is_suspect
+        return kept
+
     def _submit_run(self, row: "_ReadyItem", slot: heldslots.Slot) -> None:
         if not row.state.take(row.item):
             slot.release()
             return
+        if self._item_run.is_suspect(row.state, row.item):
+            row.item.is_answering = False
+            self._trial = row.item
         with self._lock:
             self._run_count += 1
         self._pool.submit(self._run, row.state, row.item, slot)
@@ -368,6 +396,8 @@
             # However the run ended, an item without a result waits for its
             # next run. Left among the running ones, it would never get one.
             state.put_back(item)
+            if self._trial is item:
+                self._trial = None
             with self._lock:
                 self._run_count -= 1
             self._wake.set()
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -9,7 +9,9 @@
 from bulrushdeal import fingerprints
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import records as core_records
+from bulrushdeald import crashnotifier
 from bulrushdeald import services
+from gateway import crashrecords
 from gateway import dialect as dialect_lib
 from gateway import heldslots
 from gateway import names
@@ -69,12 +71,14 @@
         may_have_run: Whether the request may have run.
         why: The reason for the log.
         has_upstream_ended: Whether the upstream's process ended under it.
+        crash_notices: What tells other VMs of this, on its way.
     """
 
     kind: FailureKind
     may_have_run: bool
     why: str
     has_upstream_ended: bool = False
+    crash_notices: crashnotifier.Delivery = crashnotifier.Delivery()
 
 
 class OpenAnswer(NamedTuple):
@@ -91,6 +95,9 @@
         self._dialect = kernel.find(names.DIALECT, dialect_lib.Dialect)
         self._upstreams = kernel.find(services.UPSTREAMS, services.Upstreams)
         self._placement = kernel.find(names.PLACEMENT, placement.Placement)
+        self._crashes = kernel.find(
+            names.CRASH_RECORDS, crashrecords.CrashRecords
+        )
 
     def send(
         self,
@@ -139,18 +146,23 @@
             on_connected=on_connected,
         )
         if isinstance(sent, result.Err):
-            return result.Err(self.record_failure(slot, sent.err_value))
+            error = sent.err_value
+            return result.Err(self.record_failure(outgoing, slot, error))
         checked = self._check_answer(outgoing, upstream, sent.ok_value)
         slot.outcome = _outcome(checked)
         return checked
 
     def record_failure(
-        self, slot: heldslots.Slot, error: services.UpstreamError
+        self,
+        outgoing: UpstreamRequest,
+        slot: heldslots.Slot,
+        error: services.UpstreamError,
     ) -> Failure:
         """Records an upstream's failure and classifies it.
 
         Sets the slot's outcome to `failed`, unless this VM cancelled the
-        send, and marks an unreachable upstream as failed in health.
+        send, and marks an unreachable upstream as failed in health. An
+        upstream that ended counts against the request.
         """
         upstream, may_have_run = slot.upstream, error.ran != "not_run"
         if error.kind == "cancelled":
@@ -163,8 +175,22 @@
             return Failure("unreachable", may_have_run, error.message)
         if error.kind == "timeout":
             return Failure("silent", may_have_run, error.message)
-        has_ended = self._upstreams.refuses_connections(_target(upstream))
-        return Failure("broken", may_have_run, error.message, has_ended)
+        failure = Failure("broken", may_have_run, error.message)
+        if not self._upstreams.refuses_connections(_target(upstream)):
+            return failure
+        notices = self._crashes.record_crash(outgoing.fingerprint(), slot)
+        return failure._replace(has_upstream_ended=True, crash_notices=notices)
+
+    def record_completion(self, outgoing: UpstreamRequest) -> None:
+        """Records that a request ran to its end at an upstream."""
+        if self._crashes.may_be_recorded():
+            self._crashes.record_completion(outgoing.fingerprint())
+
+    def is_refused(self, outgoing: UpstreamRequest) -> bool:
+        """Returns whether a request has ended too many upstreams."""
+        return self._crashes.may_be_recorded() and self._crashes.is_refused(
+            outgoing.fingerprint()
+        )
 
     def _check_answer(
         self,
