Gateway: the crashes of refused requests outlive a loss of power of all VMs

Cause: what VMs tell each other of crashes is in their memory. If all lose power at once, a request that was refused ends upstreams again until it is known anew.

Change: a VM that finds a request refused through a crash that it noticed writes the request's crashes to the platform's store, one key a request, and removes it when a run reaches its end. A VM that starts reads them once; not at the first start of the whole system.

The stand-in engine's listener needs TCP_NODELAY: without it each answer took 45 ms and a test of placement never ended.

--- a/packages/gateway/gateway/assembly.py
+++ b/packages/gateway/gateway/assembly.py
@@ -68,7 +68,7 @@
     add(services.MEMBERSHIP, members.Members(kernel, settings))
     add(services.PEERS, peers.WebsocketPeers(kernel, settings, _PEER_IDLE_S))
     add("store path", store_path)
-    add(names.CRASH_RECORDS, crashrecords.CrashRecords(kernel))
+    add(names.CRASH_RECORDS, crashrecords.CrashRecords(kernel, settings))
     add(names.PINGS, pings.Pings(kernel))
     add(names.JOB_STORE, jobstore.JobStore(kernel))
     add(names.JOB_LISTING, joblisting.JobListing(kernel))
--- a/packages/gateway/gateway/crashrecords.py
+++ b/packages/gateway/gateway/crashrecords.py
@@ -5,6 +5,7 @@
 ended: that would hold up callers after each ordinary crash.
 """
 
+from collections.abc import Mapping
 import threading
 from typing import Any, NamedTuple
 
@@ -14,8 +15,12 @@
 from bulrushdeald import crashnotifier
 from bulrushdeald import quarantine
 from bulrushdeald import services
+from gateway import crashstore
+from gateway import dialect as dialect_lib
 from gateway import heldslots
 from gateway import members
+from gateway import names
+from gateway import records
 
 _events = eventlog.Events("crashes")
 
@@ -30,8 +35,11 @@
 class CrashRecords:
     """Knows which requests are not to run again; thread-safe."""
 
-    def __init__(self, kernel: kernel_lib.Kernel) -> None:
+    def __init__(
+        self, kernel: kernel_lib.Kernel, settings: records.Settings
+    ) -> None:
         self._kernel = kernel
+        self._is_first_start = settings.is_first_start
         self._clock = clock_lib.SystemClock()
         self._lock = threading.Lock()
         self._quarantine = quarantine.Quarantine(self._clock)
@@ -47,11 +55,40 @@
             self._lock,
         )
         self._notices.start()
+        dialect = find(names.DIALECT, dialect_lib.Dialect)
+        self._store = crashstore.CrashStore(
+            find(names.STORE, dialect_lib.Store),
+            dialect.store_keys.own_prefix,
+            self._add,
+            self._crashes_to_keep,
+        )
+        self._store.start(has_records=not self._is_first_start)
 
     def stop(self, grace_s: float) -> None:
         """Stops the exchange."""
         del grace_s
         self._notices.stop()
+        self._store.stop()
+
+    def _add(self, crashes: tuple[quarantine.Crash, ...]) -> None:
+        with self._lock:
+            for crash in crashes:
+                self._quarantine.add(crash)
+
+    def _crashes_to_keep(
+        self, fingerprint: str
+    ) -> tuple[quarantine.Crash, ...]:
+        with self._lock:
+            if not self._quarantine.is_refused(fingerprint):
+                return ()
+            return self._crashes_of(fingerprint)
+
+    def _crashes_of(self, fingerprint: str) -> tuple[quarantine.Crash, ...]:
+        return tuple(
+            row
+            for row in self._quarantine.crashes()
+            if row.fingerprint == fingerprint
+        )
 
     def dump(self) -> Any:
         """Returns the recorded crashes, and the requests that are refused."""
@@ -75,7 +112,10 @@
         """
         ran_s = self._clock.monotonic_s() - slot.held_since_s
         instance = slot.upstream.instance
-        return self._notices.crashed(fingerprint, instance, ran_s)
+        notices = self._notices.crashed(fingerprint, instance, ran_s)
+        if self.is_refused(fingerprint):
+            self._store.update(fingerprint)
+        return notices
 
     def may_be_recorded(self) -> bool:
         """Returns whether any request is; without, none need be looked up."""
@@ -83,7 +123,10 @@
 
     def record_completion(self, fingerprint: str) -> None:
         """Records that a request ran to its end, which clears it."""
+        was_refused = self.is_refused(fingerprint)
         self._notices.completed(fingerprint)
+        if was_refused:
+            self._store.update(fingerprint)
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Returns whether an upstream ended while it ran a request."""
@@ -114,19 +157,21 @@
         if refused == self._logged:
             return
         for fingerprint in refused - self._logged:
-            crashes = [
-                {
-                    "upstream": row.upstream,
-                    "ran_s": round(row.ran_s, 3),
-                    "age_s": round(row.age_s, 3),
-                    "noticed_by": row.crash_id.partition("/")[0],
-                }
-                for row in self._quarantine.crashes()
-                if row.fingerprint == fingerprint
-            ]
+            crashes = self._crashes_of(fingerprint)
             _events.warning(
-                "quarantined", fingerprint=fingerprint, crashes=crashes
+                "quarantined",
+                fingerprint=fingerprint,
+                crashes=[_log_fields(row) for row in crashes],
             )
         for fingerprint in self._logged - refused:
             _events.info("released", fingerprint=fingerprint)
         self._logged = refused
+
+
+def _log_fields(crash: quarantine.Crash) -> Mapping[str, Any]:
+    return {
+        "upstream": crash.upstream,
+        "ran_s": round(crash.ran_s, 3),
+        "age_s": round(crash.age_s, 3),
+        "noticed_by": crash.crash_id.partition("/")[0],
+    }
--- a/tests/gateway/test_repeatedcrashes.py
+++ b/tests/gateway/test_repeatedcrashes.py
@@ -5,8 +5,12 @@
 import time
 from typing import Any
 
+import pytest
+
 from bulrushdeald import quarantine
+from gateway import crashrecords
 from gateway import members
+from gateway import names
 from support import gatewayengine
 from support import gatewayscene
 
@@ -61,6 +65,88 @@
     assert vms[0].call("POST", "/s/once/x", b"other", attempt="o").is_whole
 
 
+def _send(vm: gatewayscene.Vm, path: str, attempt: str) -> int:
+    return vm.call("POST", path, _POISON, attempt=attempt).status
+
+
+@pytest.mark.parametrize("kind", ["once", "resumed", "safe", "unsafe"])
+def test_requests_of_all_kinds_are_stopped(
+    scene: gatewayscene.Scene, kind: str
+) -> None:
+    """Guards against a way to an upstream on which ends are not counted."""
+    engines = _add_engines(scene, 4)
+    (vm,) = _add_vms(scene, 1)
+    path = {"once": "/s/once/x", "resumed": "/s/x"}.get(kind, f"/{kind}/x")
+    for number in range(4):
+        assert _send(vm, path, f"p{number}") in (502, 503)
+    assert _count_ended(engines) == quarantine.CRASHES_TO_REFUSE
+
+
+def test_a_break_at_an_upstream_that_lives_does_not_count(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against refusing a request because its answers were lost."""
+    (engine,) = _add_engines(scene, 1)
+    (vm,) = _add_vms(scene, 1)
+    engine.faults = [gatewayengine.Fault("cut")] * 3
+    for number in range(3):
+        assert vm.call("POST", "/s/once/x", b"p", f"a{number}").status == 502
+    assert vm.call("POST", "/s/once/x", b"p", "last").is_whole
+
+
+def test_a_request_is_stopped_at_an_address_that_is_used_again(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against counting by address, which others take over."""
+    (engine,) = _add_engines(scene, 1)
+    (vm,) = _add_vms(scene, 1)
+    for number in range(quarantine.CRASHES_TO_REFUSE):
+        assert _send(vm, "/s/once/x", f"p{number}") == 502
+        assert engine.has_ended
+        engine.start_again(f"again-{number}")
+        scene.list_engine(engine)
+        gatewayscene.until(
+            lambda: vm.call("POST", "/safe/y", b"other", "o").status == 200
+        )
+    assert _send(vm, "/s/once/x", "last") == 503
+    assert not engine.has_ended
+
+
+def test_a_request_is_stopped_though_its_leader_and_all_who_saw_it_are_gone(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against crashes that only the VMs that saw them remember."""
+    engines = _add_engines(scene, 6)
+    vms = _add_vms(scene, 3)
+    leaders = vms[0].kernel.find("membership", members.Members).leaders("llm")
+    vms.sort(key=lambda vm: vm.name == leaders[-1])
+    for number, vm in enumerate(vms[: quarantine.CRASHES_TO_REFUSE]):
+        assert _send(vm, "/s/once/x", f"p{number}") == 502
+        vm.lose_power()
+    assert _send(vms[-1], "/s/once/x", "last") == 503
+    assert _count_ended(engines) == quarantine.CRASHES_TO_REFUSE
+
+
+def test_a_request_is_stopped_after_all_vms_lost_power(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against crashes that are kept in memory only."""
+    engines = _add_engines(scene, 6)
+    vms = _add_vms(scene, 2)
+    for number, vm in enumerate(vms):
+        assert _send(vm, "/s/once/x", f"p{number}") == 502
+    gatewayscene.until(
+        lambda: any("/crashes/" in key for key in scene.store.rows)
+    )
+    for vm in vms:
+        vm.lose_power()
+    started = scene.add_vm("vm2", "d0")
+    found = started.kernel.find(names.CRASH_RECORDS, crashrecords.CrashRecords)
+    gatewayscene.until(found.may_be_recorded)
+    assert _send(started, "/s/once/x", "last") == 503
+    assert _count_ended(engines) == quarantine.CRASHES_TO_REFUSE
+
+
 def test_a_batch_item_that_ends_upstreams_is_held_back(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -81,10 +81,14 @@
         self._closing = threading.Event()
         self._ended = threading.Event()
         self._lock = threading.Lock()
-        self._server = self._start_server("127.0.0.1:0")
-
-    def _start_server(self, address: str) -> httpd.Server:
-        server = httpd.Server(address, self._serve, 32)
+        self._server = self._start_server(0)
+
+    def _start_server(self, port: int) -> httpd.Server:
+        # A port of the server's own choice could not be bound again.
+        listener = socket.create_server(("127.0.0.1", port), backlog=128)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        server = httpd.Server(address, self._serve, 32, listener=listener)
         server.start()
         return server
 
@@ -125,7 +129,7 @@
         """Starts at the same address, as another instance."""
         self.instance = instance
         self._ended = threading.Event()
-        self._server = self._start_server(self.address)
+        self._server = self._start_server(self._server.port)
 
     def _is_listening(self) -> bool:
         host, _, port = self.address.rpartition(":")
