Soak: requests under which engines end, sent again and again at all VMs

Engines end under them, refuse connections, leave the list after a second and come back at the same address as another instance. The oracle asks over all VMs, cut off or not, what the users ask of those in touch: three ends, and three more runs at most from 3 s after the third on.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,6 +17,8 @@
 _DEADLINE_S = 3.0
 _MAX_TRIES = 3
 _HOST = "h.example"
+# The path prefixes of the kinds that differ from their names.
+_PREFIXES = {"once": "s/once", "resumed": "s"}
 
 
 class Attempt(NamedTuple):
@@ -134,6 +136,8 @@
         attempts: The requests that were sent, without probes and job calls.
         jobs: The jobs, also those that were not accepted.
         probes: The ids of the probe requests.
+        poisons: The bodies of the requests under which engines end, by the
+            ids of attempts and items.
     """
 
     def __init__(self, fleet: fleet_lib.Fleet, rng: random.Random) -> None:
@@ -142,6 +146,7 @@
         self.attempts: list[Attempt] = []
         self.jobs: list[Job] = []
         self.probes: set[str] = set()
+        self.poisons: dict[str, bytes] = {}
         self._stopping = threading.Event()
         self._threads: list[threading.Thread] = []
 
@@ -152,6 +157,7 @@
             + [self._exceed_rate]
             + [self._submit_jobs] * 2
             + [self._send_bursts] * 12
+            + [self._send_poisons] * 2
         )
         for number, target in enumerate(targets):
             rng = random.Random(f"{self._seed} {number}")
@@ -218,6 +224,36 @@
             )
             self._stopping.wait(0.02)
 
+    def _send_poisons(self, rng: random.Random, name: str) -> None:
+        """Sends each request under which engines end again and again."""
+        for number in range(100_000):
+            if self._stopping.wait(rng.uniform(0.05, 0.5)):
+                return
+            for body in tuple(self._fleet.poisons):
+                attempt_id = f"{name}.{number}.{body.decode().split()[1]}"
+                self.poisons[attempt_id] = body
+                vm = rng.choice(self._fleet.vms)
+                self._send_poison(vm, attempt_id, body)
+
+    def _send_poison(
+        self, vm: fleet_lib.Vm, attempt_id: str, body: bytes
+    ) -> None:
+        kind = body.decode().split()[1]
+        if kind != "batch":
+            path = f"/{_PREFIXES.get(kind, kind)}/poison"
+            self.call(vm, "POST", path, body, attempt_id)
+            return
+        row = {
+            "id": f"{attempt_id}-item",
+            "path": "/b/poison",
+            "headers": {},
+            "body": base64.b64encode(body).decode(),
+            "tokens": 9,
+        }
+        self.poisons[f"{attempt_id}-item"] = body
+        submission = json.dumps({"items": [row]}).encode()
+        self.call(vm, "POST", f"/b/{attempt_id}", submission, attempt_id)
+
     def _send(
         self,
         connections: dict[str, http.client.HTTPConnection],
@@ -229,7 +265,7 @@
         *,
         is_burst: bool = False,
     ) -> Attempt:
-        prefix = {"once": "s/once", "resumed": "s"}.get(kind, kind)
+        prefix = _PREFIXES.get(kind, kind)
         body = f"body of {attempt_id}".encode()
         attempt = Attempt(
             attempt_id, kind, key, body, time.monotonic(), prompt, is_burst
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,7 +25,7 @@
     Attributes:
         at_s: When it begins, in seconds since the start of the series.
         for_s: How long it lasts, in seconds.
-        kind: A key of `GENERAL` or `CAPACITY`.
+        kind: A key of `GENERAL`, `CAPACITY` or `POISON`.
         number: Selects the affected VM, link or upstream, and details of some
             kinds.
         how: The variant of the kind, from `_VARIANTS`; empty without variants.
@@ -69,6 +69,18 @@
     return sorted(faults)
 
 
+def draw_poison(rng: random.Random, length_s: float) -> list[Fault]:
+    """Returns one or two faults of the kind `poison`.
+
+    More would leave the fleet without engines.
+    """
+    kinds = rng.sample(_VARIANTS["poison"], rng.choice((1, 2)))
+    return [
+        Fault(round(rng.uniform(1.0, length_s / 2), 2), 0.0, "poison", 0, kind)
+        for kind in kinds
+    ]
+
+
 class Player:
     """Injects faults, each on its own thread.
 
@@ -106,7 +118,7 @@
                     self._locks[vm.name].release()
 
     def _run(self, fault: Fault) -> None:
-        (GENERAL | CAPACITY)[fault.kind](self, fault)
+        (GENERAL | CAPACITY | POISON)[fault.kind](self, fault)
 
     def _target_vm(self, fault: Fault) -> fleet_lib.Vm:
         return self._fleet.vms[fault.number % len(self._fleet.vms)]
@@ -243,6 +255,9 @@
             self._restart_vm(leader, fault)
         self._fleet.long_prompts.clear()
 
+    def _send_poison(self, fault: Fault) -> None:
+        self._fleet.poisons.add(f"poison {fault.how}".encode())
+
     def _withdraw_key(self, fault: Fault) -> None:
         if "key-1" in self.revoked_s:
             return
@@ -300,6 +315,7 @@
     "replace": ("drain", "gone"),
     "lie": ("0,0,8,25", "99,99,8,800", "8,0,8,0", f"-1,{'9' * 18},8,x"),
     "leader": ("pause", "kill"),
+    "poison": ("safe", "unsafe", "once", "resumed", "batch"),
     "spoil": ("cut", "part", "busy", "error", "other", "unsigned"),
 }
 GENERAL: dict[str, Callable[[Player, Fault], None]] = {
@@ -324,3 +340,7 @@
     "lie": Player._state_false_load,
     "leader": Player._disturb_leader,
 }
+# Requests under which engines end, drawn apart for the same reason.
+POISON: dict[str, Callable[[Player, Fault], None]] = {
+    "poison": Player._send_poison,
+}
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -26,6 +26,9 @@
 # The processor time that the interpreter takes to start; a program cannot
 # handle signals before that. The gateway's imports take longer.
 _INTERPRETER_START_TICKS = 6
+# How long an engine that ended stays on the list, and until it is back.
+_SILENCE_S = 1.0
+_START_S = 0.5
 # The number of events in the stream of each engine.
 EVENTS_PER_STREAM = 12
 _EVENT_INTERVAL_S = 0.02
@@ -64,7 +67,7 @@
         engine: The server that answers as the engine.
     """
 
-    def __init__(self, name: str, domain: str) -> None:
+    def __init__(self, name: str, domain: str, poisons: set[bytes]) -> None:
         self.name = name
         self.domain = domain
         self.started_ms = int(time.time() * 1000)
@@ -73,6 +76,7 @@
             name, EVENTS_PER_STREAM, self.capacity
         )
         self.engine.pause_s = _EVENT_INTERVAL_S
+        self.engine.poisons = poisons
 
     @property
     def address(self) -> tuple[str, int]:
@@ -129,6 +133,8 @@
         vms: The VMs.
         replaced_upstreams: Upstreams that were replaced; their engines stay up.
         long_prompts: Set while callers send a burst of long prompts.
+        poisons: The bodies under which engines end, once faults have begun
+            to send them.
     """
 
     def __init__(self, folder: pathlib.Path, number: int, vms: int) -> None:
@@ -137,8 +143,10 @@
         self.version = 0
         self.keys = {"school": ["key-0"], "limited": ["key-limited"]}
         self.problems: list[str] = []
+        self.poisons: set[bytes] = set()
         self.upstreams = [
-            Upstream(f"i-{index}", f"d{index % 3}") for index in range(4)
+            self._make_upstream(f"i-{index}", f"d{index % 3}")
+            for index in range(4)
         ]
         self.vms = [
             Vm(f"vm{index}", f"d{index % 3}", f"127.{number}.1.{index + 1}")
@@ -153,6 +161,38 @@
         for upstream in self.upstreams:
             self.list_upstream(upstream)
 
+    def _make_upstream(self, name: str, domain: str) -> Upstream:
+        upstream = Upstream(name, domain, self.poisons)
+        upstream.engine.on_end = lambda: self._on_end(upstream)
+        return upstream
+
+    def _on_end(self, upstream: Upstream) -> None:
+        """Refuses connections to an engine that ends; starts it again later."""
+        for vm in self.vms:
+            if upstream.name in vm.upstreams:
+                vm.upstreams[upstream.name].stop_listening()
+        threading.Thread(
+            target=self._revive, args=(upstream,), daemon=True
+        ).start()
+
+    def _revive(self, upstream: Upstream) -> None:
+        """Starts an engine again at its address, as another instance."""
+        time.sleep(_SILENCE_S)
+        old = upstream.name
+        self.unlist(old)
+        time.sleep(_START_S)
+        with self._listing_lock:
+            upstream.name = f"{old.split('.')[0]}.{self.store.rows.revision}"
+            upstream.started_ms = int(time.time() * 1000)
+            upstream.engine.start_again(upstream.name)
+            for vm in self.vms:
+                link = vm.upstreams.pop(old, None)
+                if link is not None:
+                    link.listen_again()
+                    vm.upstreams[upstream.name] = link
+            if upstream in self.upstreams:
+                self.list_upstream(upstream)
+
     def _add_links(self, vm: Vm) -> None:
         for other in self.vms:
             if other is not vm:
@@ -221,7 +261,7 @@
     def replace(self, upstream: Upstream) -> Upstream:
         """Replaces an upstream by a new one with another name."""
         name = f"{upstream.name.split('.')[0]}.{self.store.rows.revision}"
-        new = Upstream(name, upstream.domain)
+        new = self._make_upstream(name, upstream.domain)
         with self._listing_lock:
             self.upstreams[self.upstreams.index(upstream)] = new
             self.replaced_upstreams.append(upstream)
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -11,6 +11,7 @@
 
 _CHUNK_BYTES = 65536
 _POLL_S = 0.05
+_BACKLOG = 256
 # Linger of 0 s: `close` sends a TCP reset, so that the peer does not take the
 # truncated data for a complete stream.
 _LINGER_RESET = struct.pack("ii", 1, 0)
@@ -52,7 +53,9 @@
         self.delay_s = 0.0
         self._lock = threading.Lock()
         self._connections: set[_Connection] = set()
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self._listener = socket.create_server(
+            ("127.0.0.1", 0), backlog=_BACKLOG
+        )
         self.address: tuple[str, int] = self._listener.getsockname()
         self._is_closed = False
         threading.Thread(target=self._accept, daemon=True).start()
@@ -73,6 +76,22 @@
             for connection in self._connections:
                 connection.is_stalled = True
 
+    def stop_listening(self) -> None:
+        """Refuses new connections, like a host on which nothing listens."""
+        # `close` alone would not wake the thread that accepts.
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind(self.address)
+
+    def listen_again(self) -> None:
+        """Accepts connections again after `stop_listening`."""
+        if self._is_closed:
+            return
+        self._listener.listen(_BACKLOG)
+        threading.Thread(target=self._accept, daemon=True).start()
+
     def close(self) -> None:
         """Stops accepting connections and resets the open ones."""
         self._is_closed = True
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -20,6 +20,11 @@
 _REVOCATION_S = 12.0
 _EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: data (\d+)\n\n")
 _MAX_ITEM_ATTEMPTS = 3
+# A request under which so many engines have ended may be sent to so many more
+# after the time in which VMs must know.
+_MAX_ENDS = 3
+_MAX_LATE_RUNS = 3
+_SETTLED_S = 3.0
 _LARGEST_SHARE = 0.1
 # A share of fewer requests says little.
 _MIN_LARGE_REQUESTS = 10
@@ -41,7 +46,7 @@
     problems = list(fleet.problems)
     known_ids = {attempt.attempt_id for attempt in callers.attempts}
     known_ids |= {item for job in callers.jobs for item in job.items}
-    known_ids |= callers.probes
+    known_ids |= callers.probes | callers.poisons.keys()
     problems += [
         f"{name} ran, but no caller sent it" for name in runs.keys() - known_ids
     ]
@@ -53,9 +58,31 @@
         problems += _check_job(job, runs)
     problems += _check_rate(callers, runs)
     problems += _check_large(callers)
+    problems += _check_poisons(fleet, callers, runs)
     return problems
 
 
+def _check_poisons(
+    fleet: fleet_lib.Fleet,
+    callers: callers_lib.Callers,
+    runs: Mapping[str, list[gatewayengine.Run]],
+) -> Iterable[str]:
+    """Checks that a request under which engines end is stopped at all VMs."""
+    for body in fleet.poisons:
+        ran_s = sorted(
+            run.at_s
+            for name, sent in callers.poisons.items()
+            if sent == body
+            for run in runs.get(name, ())
+        )
+        if len(ran_s) < _MAX_ENDS:
+            continue
+        known_s = ran_s[_MAX_ENDS - 1] + _SETTLED_S
+        late = sum(at_s > known_s for at_s in ran_s)
+        if late > _MAX_LATE_RUNS:
+            yield f"{body.decode()} ran {len(ran_s)} times, {late} of them late"
+
+
 def _check_attempt(
     attempt: callers_lib.Attempt,
     runs: list[gatewayengine.Run],
--- a/tests/soak/playing.py
+++ b/tests/soak/playing.py
@@ -61,6 +61,7 @@
         + faults.draw(
             random.Random(f"{seed} capacity"), length_s, faults.CAPACITY
         )
+        + faults.draw_poison(random.Random(f"{seed} poison"), length_s)
     )
     fleet = fleet_lib.Fleet(folder, number, vms)
     callers = callers_lib.Callers(fleet, rng)
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -57,7 +57,7 @@
             for the true one with a capacity.
         capacity: Its slots and memory; `None` if they are not limited.
         poisons: The bodies of requests under which it ends.
-        on_end: Called when it has ended.
+        on_end: Called as it ends, before its answers break off.
         has_ended: Whether it has ended and not started again.
     """
 
@@ -120,10 +120,10 @@
             ).start()
             while self._is_listening():
                 time.sleep(0.001)
+            self.on_end()
             self._ended.set()
         if self.capacity:
             self.capacity.restart()
-        self.on_end()
 
     def start_again(self, instance: str) -> None:
         """Starts at the same address, as another instance."""
