Crash records: an upstream that leaves as planned is no crash

Cause, by reading: an upstream that has drained ends under the requests that last longer, above all batch items. While the upstreams of a service are replaced one after the other an item can meet two such ends, and would wait 15 s as a suspect that it is not.

Change: an end counts only if the upstream was listed and not draining. What crashes stays listed until its heartbeats are missed.

--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -338,6 +338,13 @@
         """Returns whether a usable upstream of a service is listed."""
         return bool(self._upstreams.usable(service))
 
+    def is_usable(self, upstream: records.Upstream) -> bool:
+        """Returns whether an upstream is listed and does not leave."""
+        listed = self._upstreams.find_usable(
+            upstream.service, upstream.instance
+        )
+        return listed is not None
+
     def is_partitioned(self) -> bool:
         """See `reachability.Reachability`."""
         return self._reachability.is_partitioned()
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -176,11 +176,20 @@
         if error.kind == "timeout":
             return Failure("silent", may_have_run, error.message)
         failure = Failure("broken", may_have_run, error.message)
-        if not self._upstreams.refuses_connections(_target(upstream)):
+        if not self._has_crashed(upstream):
             return failure
         notices = self._crashes.record_crash(outgoing.fingerprint(), slot)
         return failure._replace(has_upstream_ended=True, crash_notices=notices)
 
+    def _has_crashed(self, upstream: records.Upstream) -> bool:
+        """Returns whether an upstream's process ended, and not as planned.
+
+        One that leaves may end under requests that last long.
+        """
+        return self._placement.is_usable(
+            upstream
+        ) and self._upstreams.refuses_connections(_target(upstream))
+
     def record_completion(self, outgoing: UpstreamRequest) -> None:
         """Records that a request ran to its end at an upstream."""
         if self._crashes.may_be_recorded():
