--- a/tests/soak/kept.py
+++ b/tests/soak/kept.py
@@ -18,5 +18,6 @@
     Kept(148, "as 147; also the end of another lease deleted an entry"),
     Kept(859889, "SIGTERM ended a process that was starting, with an error"),
     Kept(187819, "SIGTERM ended an interpreter that was paused at its start"),
+    Kept(302, "not traced; likely as 831990, seen with --length-s 10"),
     Kept(831990, "likely three owners in one window, each with opening tokens"),
 )
