Soak: the store refuses a request that its sender broke off

Cause: a link cut after the head of a commit left an empty body, on which the stand-in raised KeyError: a traceback in the soak's output, no problem counted.

Change: 400, as the stand-in engine does.

--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -143,6 +143,9 @@
 
     def _serve(self, request: httpd.Request) -> httpd.Response:
         body = request.body.read()
+        if request.length_bytes > len(body):
+            # The sender broke off; an incomplete request changes nothing.
+            return httpd.json_response(400, {})
         fault = self.fault
         if fault == "busy":
             return httpd.json_response(503, {})
