Tests: an end in the middle of a long answer counts

The break of an answer above a megabyte, which is relayed before it is whole, was recorded nowhere until the crash records came; the test fails without the record in the rest of such an answer. The stand-in engine can give long answers and end in the middle of one.

--- a/tests/gateway/test_repeatedcrashes.py
+++ b/tests/gateway/test_repeatedcrashes.py
@@ -90,6 +90,22 @@
     assert _count_ended(engines) == quarantine.CRASHES_TO_REFUSE
 
 
+def test_an_end_in_the_middle_of_a_long_answer_counts(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against answers that are relayed before they are whole."""
+    engines = _add_engines(scene, 4)
+    for engine in engines:
+        engine.long_answer_bytes = 2_000_000
+    (vm,) = _add_vms(scene, 1)
+    for number in range(2):
+        answer = vm.call("POST", "/unsafe/x", _POISON, f"p{number}")
+        assert (answer.status, answer.is_whole) == (200, False)
+    assert _send(vm, "/unsafe/x", "last") == 503
+    assert vm.call("POST", "/unsafe/x", b"other", "other").is_whole
+    assert _count_ended(engines) == quarantine.CRASHES_TO_REFUSE
+
+
 def test_a_break_at_an_upstream_that_lives_does_not_count(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -56,7 +56,10 @@
         load: The load that its answers and refusals state; empty for none, or
             for the true one with a capacity.
         capacity: Its slots and memory; `None` if they are not limited.
-        poisons: The bodies of requests under which it ends.
+        long_answer_bytes: The length of answers that are no streams; 0 for
+            short ones.
+        poisons: The bodies of requests under which it ends; with long answers
+            in the middle of one.
         on_end: Called as it ends, before its answers break off.
         has_ended: Whether it has ended and not started again.
     """
@@ -76,6 +79,7 @@
         self.open = 0
         self.cold_ms = 0
         self.load = ""
+        self.long_answer_bytes = 0
         self.poisons: set[bytes] = set()
         self.on_end: Callable[[], None] = lambda: None
         self._closing = threading.Event()
@@ -168,7 +172,8 @@
                 time.monotonic(),
             )
         )
-        if body in self.poisons:
+        ends = body in self.poisons
+        if ends and not self.long_answer_bytes:
             self.end()
         if fault.kind == "other":
             attempt = "another"
@@ -181,6 +186,12 @@
         if status != 200 or not is_stream:
             if self.capacity and ticket:
                 self.capacity.leave(ticket)
+            if self.long_answer_bytes:
+                length = ("Content-Length", str(self.long_answer_bytes))
+                headers.append(length)
+                return httpd.Response(
+                    status, tuple(headers), self._long_answer(ends)
+                )
             body = b"answer to " + request.target.encode()
             if self.has_ended:
                 raise calls.BrokenAnswerError("the engine has ended")
@@ -190,6 +201,14 @@
         events = self._stream(last, fault, ticket)
         return httpd.Response(200, tuple(headers), events)
 
+    def _long_answer(self, ends: bool) -> Iterator[bytes]:
+        first_bytes = self.long_answer_bytes * 3 // 4
+        yield b"x" * first_bytes
+        if ends:
+            self.end()
+            raise calls.BrokenAnswerError("the engine has ended")
+        yield b"x" * (self.long_answer_bytes - first_bytes)
+
     def _load(self) -> tuple[tuple[str, str], ...]:
         load = self.load or (self.capacity.load() if self.capacity else "")
         return (("Bulrushdeal-Server-Load", load),) if load else ()
