--- a/packages/daemon/bulrushdeald/crashnotifier.py
+++ b/packages/daemon/bulrushdeald/crashnotifier.py
@@ -201,15 +201,15 @@
 
     def _run(self) -> None:
         """Exchanges what was missed in a cut or while a VM was down."""
-        query_s, pause_s = 0.0, _FIRST_QUERY_POLL_S
+        next_query_s, pause_s = 0.0, _FIRST_QUERY_POLL_S
         while not self._stopping.wait(pause_s):
             self._resend()
-            if time.monotonic() < query_s:
+            if time.monotonic() < next_query_s:
                 continue
             # A VM of another domain knows what a cut kept from this one.
             others = [*self._domain_peers(), *self._choose_relays()]
             if others and self._query(random.choice(others)):
-                query_s = time.monotonic() + _QUERY_INTERVAL_S
+                next_query_s = time.monotonic() + _QUERY_INTERVAL_S
                 pause_s = _RESEND_INTERVAL_S
 
     def _resend(self) -> None:
--- a/packages/daemon/bulrushdeald/quarantine.py
+++ b/packages/daemon/bulrushdeald/quarantine.py
@@ -18,7 +18,7 @@
 CRASHES_TO_REFUSE = 2
 RETENTION_S = 3600.0
 _MAX_REQUESTS = 10_000
-# VMs see the end of the same upstream at about the same time, and it takes
+# VMs see the crash of the same upstream at about the same time, and it takes
 # longer to start again.
 _SAME_CRASH_S = 1.0
 # A request that must be finished gets further runs, after pauses that grow: it
@@ -221,7 +221,7 @@
     Other requests ran on the upstreams too, and some move from one that
     crashed to the next. So the request with the most crashes is blamed first,
     and these crashes no longer count against the others (a greedy set cover).
-    Of requests with as many, one that ended its upstreams sooner is blamed.
+    Of requests with as many, one that crashed its upstreams sooner is blamed.
     """
     repeated = {
         fingerprint: tuple(runs.values())
--- a/packages/daemon/bulrushdeald/services.py
+++ b/packages/daemon/bulrushdeald/services.py
@@ -426,7 +426,7 @@
     def refuses_connections(self, upstream: records.Upstream) -> bool:
         """Returns whether the upstream's host refuses a new connection.
 
-        This tells an upstream whose process has ended from one that closed a
+        This tells an upstream that has crashed from one that closed a
         connection or whose answer was lost. Opens a connection.
         """
 
--- a/packages/gateway/gateway/crashrecords.py
+++ b/packages/gateway/gateway/crashrecords.py
@@ -1,8 +1,8 @@
-"""Keeps requests under which upstreams ended from ending more of them.
+"""Keeps requests that crash upstreams from crashing more of them.
 
 The records are those of the daemon, in `quarantine` and `crashnotifier`. Here
-no request waits to run apart from the others that ran on an upstream as it
-ended: that would hold up callers after each ordinary crash.
+no request waits to run apart from the others that ran on a crashed upstream:
+that would hold up callers after each ordinary crash.
 """
 
 from collections.abc import Mapping
@@ -26,7 +26,7 @@
 
 
 class Counts(NamedTuple):
-    """How many requests upstreams ended under, and how many are refused."""
+    """How many requests were on crashed upstreams, and how many are refused."""
 
     recorded: int
     refused: int
@@ -101,7 +101,7 @@
     def record_crash(
         self, fingerprint: str, slot: heldslots.Slot
     ) -> crashnotifier.Delivery:
-        """Records that an upstream ended under a request; tells other VMs.
+        """Records that an upstream crashed under a request; tells other VMs.
 
         Args:
             fingerprint: The request.
@@ -117,9 +117,9 @@
             self._store.update(fingerprint)
         return notices
 
-    def may_be_recorded(self) -> bool:
-        """Returns whether any request is; without, none need be looked up."""
-        return not self._quarantine.is_empty()
+    def is_empty(self) -> bool:
+        """Returns whether no request is recorded, so that none is refused."""
+        return self._quarantine.is_empty()
 
     def record_completion(self, fingerprint: str) -> None:
         """Records that a request ran to its end, which clears it."""
@@ -129,7 +129,7 @@
             self._store.update(fingerprint)
 
     def is_suspect(self, fingerprint: str) -> bool:
-        """Returns whether an upstream ended while it ran a request."""
+        """Returns whether an upstream crashed while it ran a request."""
         with self._lock:
             return self._quarantine.is_suspect(fingerprint)
 
--- a/packages/gateway/gateway/crashstore.py
+++ b/packages/gateway/gateway/crashstore.py
@@ -1,7 +1,7 @@
 """Keeps the crashes of refused requests in the platform's store.
 
 If all VMs lose power at once, what they told each other is lost. A request
-that was refused would then end upstreams again until it is known anew.
+that was refused would then crash upstreams again until it is known anew.
 """
 
 from collections.abc import Callable
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -134,7 +134,7 @@
         self._no_slot: placement.NoSlot | None = None
         self._slot_wait_until_s = 0.0
         self._sent_s = 0.0
-        # What tells other VMs of upstreams that ended under the request.
+        # What tells other VMs of upstreams that crashed under the request.
         self._crash_notices: list[crashnotifier.Delivery] = []
 
     def run(self) -> httpd.Response:
@@ -259,7 +259,7 @@
             upstream=slot.upstream.instance,
             kind=failure.kind,
             has_run=failure.may_have_run,
-            upstream_ended=failure.has_upstream_ended,
+            upstream_crashed=failure.has_upstream_crashed,
             fingerprint=self._request.outgoing.fingerprint(),
             why=failure.why,
             sends=self._call.sends,
@@ -535,7 +535,7 @@
 
 # No time to come back at, since the request would be refused again.
 _QUARANTINED = refusals.Refusal(
-    503, "upstreams ended each time that they ran this request"
+    503, "upstreams crashed each time that they ran this request"
 )
 
 
--- a/packages/gateway/gateway/itemrun.py
+++ b/packages/gateway/gateway/itemrun.py
@@ -96,16 +96,16 @@
     def is_held_back(
         self, state: jobstate.JobState, item: jobstate.ItemState
     ) -> bool:
-        """Returns whether an item waits because upstreams ended under it."""
-        return self._crashes.may_be_recorded() and self._crashes.is_held_back(
+        """Returns whether an item waits because it crashed upstreams."""
+        return not self._crashes.is_empty() and self._crashes.is_held_back(
             self._fingerprint(state, item)
         )
 
     def is_suspect(
         self, state: jobstate.JobState, item: jobstate.ItemState
     ) -> bool:
-        """Returns whether an upstream ended while it ran the item."""
-        return self._crashes.may_be_recorded() and self._crashes.is_suspect(
+        """Returns whether an upstream crashed while it ran the item."""
+        return not self._crashes.is_empty() and self._crashes.is_suspect(
             self._fingerprint(state, item)
         )
 
@@ -196,7 +196,7 @@
             item=item.item.item,
             upstream=slot.upstream.instance,
             last_event=item.last_event,
-            upstream_ended=failure.has_upstream_ended,
+            upstream_crashed=failure.has_upstream_crashed,
             fingerprint=outgoing.fingerprint(),
             why=failure.why,
         )
--- a/packages/gateway/gateway/metrics.py
+++ b/packages/gateway/gateway/metrics.py
@@ -131,7 +131,7 @@
         counts = crashes.counts()
         requests = prometheus_core.GaugeMetricFamily(
             "bulrushdeal_crash_requests",
-            "Requests under which upstreams ended, and those not run again.",
+            "Requests that ran on crashed upstreams, and those not run again.",
             labels=["state"],
         )
         requests.add_metric(["recorded"], counts.recorded)
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -326,7 +326,7 @@
         """Returns the items that may start, at most one suspect among them.
 
         The next suspect starts once the one before it answers or has ended.
-        If they started together and their engine ended again, they could not
+        If they started together and their engine crashed again, they could not
         be told apart.
         """
         trial = self._trial
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -70,14 +70,14 @@
             VM cancelled the send.
         may_have_run: Whether the request may have run.
         why: The reason for the log.
-        has_upstream_ended: Whether the upstream's process ended under it.
+        has_upstream_crashed: Whether the upstream crashed while it ran it.
         crash_notices: What tells other VMs of this, on its way.
     """
 
     kind: FailureKind
     may_have_run: bool
     why: str
-    has_upstream_ended: bool = False
+    has_upstream_crashed: bool = False
     crash_notices: crashnotifier.Delivery = crashnotifier.Delivery()
 
 
@@ -161,8 +161,8 @@
         """Records an upstream's failure and classifies it.
 
         Sets the slot's outcome to `failed`, unless this VM cancelled the
-        send, and marks an unreachable upstream as failed in health. An
-        upstream that ended counts against the request.
+        send, and marks an unreachable upstream as failed in health. A crash
+        counts against the request.
         """
         upstream, may_have_run = slot.upstream, error.ran != "not_run"
         if error.kind == "cancelled":
@@ -179,12 +179,14 @@
         if not self._has_crashed(upstream):
             return failure
         notices = self._crashes.record_crash(outgoing.fingerprint(), slot)
-        return failure._replace(has_upstream_ended=True, crash_notices=notices)
+        return failure._replace(
+            has_upstream_crashed=True, crash_notices=notices
+        )
 
     def _has_crashed(self, upstream: records.Upstream) -> bool:
-        """Returns whether an upstream's process ended, and not as planned.
+        """Returns whether an upstream's process has exited unexpectedly.
 
-        One that leaves may end under requests that last long.
+        One that drains may exit while it still runs long requests.
         """
         return self._placement.is_usable(
             upstream
@@ -192,12 +194,12 @@
 
     def record_completion(self, outgoing: UpstreamRequest) -> None:
         """Records that a request ran to its end at an upstream."""
-        if self._crashes.may_be_recorded():
+        if not self._crashes.is_empty():
             self._crashes.record_completion(outgoing.fingerprint())
 
     def is_refused(self, outgoing: UpstreamRequest) -> bool:
-        """Returns whether a request has ended too many upstreams."""
-        return self._crashes.may_be_recorded() and self._crashes.is_refused(
+        """Returns whether a request has crashed too many upstreams."""
+        return not self._crashes.is_empty() and self._crashes.is_refused(
             outgoing.fingerprint()
         )
 
--- a/tests/gateway/test_repeatedcrashes.py
+++ b/tests/gateway/test_repeatedcrashes.py
@@ -1,4 +1,4 @@
-"""Tests with requests under which each upstream that runs them ends."""
+"""Tests with requests that crash each upstream that runs them."""
 
 import base64
 from concurrent import futures
@@ -19,7 +19,7 @@
 
 _POISON = b"poison"
 _SENDS = 8
-# How long an upstream that has ended stays on the list.
+# How long a crashed upstream stays on the list.
 _SILENCE_S = 0.5
 # Longer than an item waits after a failure.
 _LONGEST_PAUSE_S = 5.0
@@ -31,7 +31,7 @@
     engines = [scene.add_engine(domain=f"d{n % 2}") for n in range(count)]
     for engine in engines:
         engine.poisons.add(_POISON)
-        engine.on_end = functools.partial(_unlist_later, scene, engine)
+        engine.on_crash = functools.partial(_unlist_later, scene, engine)
     return engines
 
 
@@ -55,21 +55,21 @@
     return gatewayscene.item(name) | {"body": encoded}
 
 
-def _count_ended(engines: list[gatewayengine.Engine]) -> int:
-    return sum(engine.has_ended for engine in engines)
+def _count_crashed(engines: list[gatewayengine.Engine]) -> int:
+    return sum(engine.has_crashed for engine in engines)
 
 
-def test_a_request_that_ends_upstreams_is_stopped_at_all_vms(
+def test_a_request_that_crashes_upstreams_is_stopped_at_all_vms(
     scene: gatewayscene.Scene,
 ) -> None:
-    """Guards against one that ends an upstream each time it is sent again."""
+    """Guards against one that crashes an upstream whenever it is sent."""
     engines = _add_engines(scene, 6)
     vms = _add_vms(scene, 3)
     for number in range(_SENDS):
         vm = vms[number % len(vms)]
         answer = vm.call("POST", "/s/once/x", _POISON, attempt=f"p{number}")
         assert answer.status in (502, 503)
-    assert _count_ended(engines) == quarantine.CRASHES_TO_REFUSE
+    assert _count_crashed(engines) == quarantine.CRASHES_TO_REFUSE
     assert vms[0].call("POST", "/s/once/x", b"other", attempt="o").is_whole
 
 
@@ -81,16 +81,16 @@
 def test_requests_of_all_kinds_are_stopped(
     scene: gatewayscene.Scene, kind: str
 ) -> None:
-    """Guards against a way to an upstream on which ends are not counted."""
+    """Guards against a way to an upstream on which crashes are not counted."""
     engines = _add_engines(scene, 4)
     (vm,) = _add_vms(scene, 1)
     path = {"once": "/s/once/x", "resumed": "/s/x"}.get(kind, f"/{kind}/x")
     for number in range(4):
         assert _send(vm, path, f"p{number}") in (502, 503)
-    assert _count_ended(engines) == quarantine.CRASHES_TO_REFUSE
+    assert _count_crashed(engines) == quarantine.CRASHES_TO_REFUSE
 
 
-def test_an_end_in_the_middle_of_a_long_answer_counts(
+def test_a_crash_in_the_middle_of_a_long_answer_counts(
     scene: gatewayscene.Scene,
 ) -> None:
     """Guards against answers that are relayed before they are whole."""
@@ -103,7 +103,7 @@
         assert (answer.status, answer.is_whole) == (200, False)
     assert _send(vm, "/unsafe/x", "last") == 503
     assert vm.call("POST", "/unsafe/x", b"other", "other").is_whole
-    assert _count_ended(engines) == quarantine.CRASHES_TO_REFUSE
+    assert _count_crashed(engines) == quarantine.CRASHES_TO_REFUSE
 
 
 def test_a_break_at_an_upstream_that_lives_does_not_count(
@@ -132,10 +132,10 @@
         (engine,) = [row for row in engines if row.open]
         scene.list_engine(engine, "draining")
         gatewayscene.until(lambda: not _is_usable(vm, engine))
-        engine.end()
+        engine.crash()
         stream.result()
     found = vm.kernel.find(names.CRASH_RECORDS, crashrecords.CrashRecords)
-    assert not found.may_be_recorded()
+    assert found.is_empty()
 
 
 def _is_usable(vm: gatewayscene.Vm, engine: gatewayengine.Engine) -> bool:
@@ -151,14 +151,14 @@
     (vm,) = _add_vms(scene, 1)
     for number in range(quarantine.CRASHES_TO_REFUSE):
         assert _send(vm, "/s/once/x", f"p{number}") == 502
-        assert engine.has_ended
+        assert engine.has_crashed
         engine.start_again(f"again-{number}")
         scene.list_engine(engine)
         gatewayscene.until(
             lambda: vm.call("POST", "/safe/y", b"other", "o").status == 200
         )
     assert _send(vm, "/s/once/x", "last") == 503
-    assert not engine.has_ended
+    assert not engine.has_crashed
 
 
 def test_a_request_is_stopped_though_its_leader_and_all_who_saw_it_are_gone(
@@ -173,7 +173,7 @@
         assert _send(vm, "/s/once/x", f"p{number}") == 502
         vm.lose_power()
     assert _send(vms[-1], "/s/once/x", "last") == 503
-    assert _count_ended(engines) == quarantine.CRASHES_TO_REFUSE
+    assert _count_crashed(engines) == quarantine.CRASHES_TO_REFUSE
 
 
 def test_a_request_is_stopped_after_all_vms_lost_power(
@@ -191,15 +191,15 @@
         vm.lose_power()
     started = scene.add_vm("vm2", "d0")
     found = started.kernel.find(names.CRASH_RECORDS, crashrecords.CrashRecords)
-    gatewayscene.until(found.may_be_recorded)
+    gatewayscene.until(lambda: not found.is_empty())
     assert _send(started, "/s/once/x", "last") == 503
-    assert _count_ended(engines) == quarantine.CRASHES_TO_REFUSE
+    assert _count_crashed(engines) == quarantine.CRASHES_TO_REFUSE
 
 
-def test_a_batch_item_that_ends_upstreams_is_held_back(
+def test_a_batch_item_that_crashes_upstreams_is_held_back(
     scene: gatewayscene.Scene,
 ) -> None:
-    """Guards against an item that ends an upstream at each of its runs."""
+    """Guards against an item that crashes an upstream at each of its runs."""
     engines = _add_engines(scene, 6)
     (vm,) = _add_vms(scene, 1)
     poison = _item("bad", _POISON)
@@ -209,6 +209,6 @@
         lambda: len(vm.results("job").json()["results"]) == len(rows)
     )
     time.sleep(_LONGEST_PAUSE_S)
-    assert _count_ended(engines) == quarantine.CRASHES_TO_REFUSE
+    assert _count_crashed(engines) == quarantine.CRASHES_TO_REFUSE
     results = vm.results("job").json()["results"]
     assert {row["id"] for row in results} == {row["id"] for row in rows}
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -136,7 +136,7 @@
         attempts: The requests that were sent, without probes and job calls.
         jobs: The jobs, also those that were not accepted.
         probes: The ids of the probe requests.
-        poisons: The bodies of the requests under which engines end, by the
+        poisons: The bodies of the requests that crash engines, by the
             ids of attempts and items.
     """
 
@@ -225,7 +225,7 @@
             self._stopping.wait(0.02)
 
     def _send_poisons(self, rng: random.Random, name: str) -> None:
-        """Sends each request under which engines end again and again."""
+        """Sends each request that crashes engines again and again."""
         for number in range(100_000):
             if self._stopping.wait(rng.uniform(0.05, 0.5)):
                 return
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -340,7 +340,7 @@
     "lie": Player._state_false_load,
     "leader": Player._disturb_leader,
 }
-# Requests under which engines end, drawn apart for the same reason.
+# Requests that crash engines, drawn apart for the same reason.
 POISON: dict[str, Callable[[Player, Fault], None]] = {
     "poison": Player._send_poison,
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -26,7 +26,7 @@
 # The processor time that the interpreter takes to start; a program cannot
 # handle signals before that. The gateway's imports take longer.
 _INTERPRETER_START_TICKS = 6
-# How long an engine that ended stays on the list, and until it is back.
+# How long a crashed engine stays on the list, and until it is back.
 _SILENCE_S = 1.0
 _START_S = 0.5
 # The number of events in the stream of each engine.
@@ -133,7 +133,7 @@
         vms: The VMs.
         replaced_upstreams: Upstreams that were replaced; their engines stay up.
         long_prompts: Set while callers send a burst of long prompts.
-        poisons: The bodies under which engines end, once faults have begun
+        poisons: The bodies that crash engines, once faults have begun
             to send them.
     """
 
@@ -163,11 +163,11 @@
 
     def _make_upstream(self, name: str, domain: str) -> Upstream:
         upstream = Upstream(name, domain, self.poisons)
-        upstream.engine.on_end = lambda: self._on_end(upstream)
+        upstream.engine.on_crash = lambda: self._on_crash(upstream)
         return upstream
 
-    def _on_end(self, upstream: Upstream) -> None:
-        """Refuses connections to an engine that ends; starts it again later."""
+    def _on_crash(self, upstream: Upstream) -> None:
+        """Refuses connections to a crashed engine; starts it again later."""
         for vm in self.vms:
             if upstream.name in vm.upstreams:
                 vm.upstreams[upstream.name].stop_listening()
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -20,9 +20,9 @@
 _REVOCATION_S = 12.0
 _EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: data (\d+)\n\n")
 _MAX_ITEM_ATTEMPTS = 3
-# A request under which so many engines have ended may be sent to so many more
+# A request that has crashed so many engines may be sent to so many more
 # after the time in which VMs must know.
-_MAX_ENDS = 3
+_MAX_CRASHES = 3
 _MAX_LATE_RUNS = 3
 _SETTLED_S = 3.0
 _LARGEST_SHARE = 0.1
@@ -67,7 +67,7 @@
     callers: callers_lib.Callers,
     runs: Mapping[str, list[gatewayengine.Run]],
 ) -> Iterable[str]:
-    """Checks that a request under which engines end is stopped at all VMs."""
+    """Checks that a request that crashes engines is stopped at all VMs."""
     for body in fleet.poisons:
         ran_s = sorted(
             run.at_s
@@ -75,9 +75,9 @@
             if sent == body
             for run in runs.get(name, ())
         )
-        if len(ran_s) < _MAX_ENDS:
+        if len(ran_s) < _MAX_CRASHES:
             continue
-        known_s = ran_s[_MAX_ENDS - 1] + _SETTLED_S
+        known_s = ran_s[_MAX_CRASHES - 1] + _SETTLED_S
         late = sum(at_s > known_s for at_s in ran_s)
         if late > _MAX_LATE_RUNS:
             yield f"{body.decode()} ran {len(ran_s)} times, {late} of them late"
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -58,10 +58,10 @@
         capacity: Its slots and memory; `None` if they are not limited.
         long_answer_bytes: The length of answers that are no streams; 0 for
             short ones.
-        poisons: The bodies of requests under which it ends; with long answers
-            in the middle of one.
-        on_end: Called as it ends, before its answers break off.
-        has_ended: Whether it has ended and not started again.
+        poisons: The bodies of requests that crash it; with long answers in
+            the middle of one.
+        on_crash: Called as it crashes, before its answers break off.
+        has_crashed: Whether it has crashed and not started again.
     """
 
     def __init__(
@@ -81,9 +81,9 @@
         self.load = ""
         self.long_answer_bytes = 0
         self.poisons: set[bytes] = set()
-        self.on_end: Callable[[], None] = lambda: None
+        self.on_crash: Callable[[], None] = lambda: None
         self._closing = threading.Event()
-        self._ended = threading.Event()
+        self._crashed = threading.Event()
         self._lock = threading.Lock()
         self._server = self._start_server(0)
 
@@ -97,8 +97,8 @@
         return server
 
     @property
-    def has_ended(self) -> bool:
-        return self._ended.is_set()
+    def has_crashed(self) -> bool:
+        return self._crashed.is_set()
 
     @property
     def address(self) -> str:
@@ -108,31 +108,31 @@
         self._closing.set()
         if self.capacity:
             self.capacity.restart()
-        if not self.has_ended:
+        if not self.has_crashed:
             self._server.stop(0.2)
 
-    def end(self) -> None:
-        """Ends like a process that crashes: its answers break off.
+    def crash(self) -> None:
+        """Stops as a process that crashes: its answers break off.
 
         Connections are refused by then, as its listener closes first.
         """
         with self._lock:
-            if self.has_ended:
+            if self.has_crashed:
                 return
             threading.Thread(
                 target=self._server.stop, args=(0.1,), daemon=True
             ).start()
             while self._is_listening():
                 time.sleep(0.001)
-            self.on_end()
-            self._ended.set()
+            self.on_crash()
+            self._crashed.set()
         if self.capacity:
             self.capacity.restart()
 
     def start_again(self, instance: str) -> None:
         """Starts at the same address, as another instance."""
         self.instance = instance
-        self._ended = threading.Event()
+        self._crashed = threading.Event()
         self._server = self._start_server(self._server.port)
 
     def _is_listening(self) -> bool:
@@ -172,9 +172,9 @@
                 time.monotonic(),
             )
         )
-        ends = body in self.poisons
-        if ends and not self.long_answer_bytes:
-            self.end()
+        is_poison = body in self.poisons
+        if is_poison and not self.long_answer_bytes:
+            self.crash()
         if fault.kind == "other":
             attempt = "another"
         headers = [("Bulrushdeal-Request-Attempt-Id", attempt), *self._load()]
@@ -190,23 +190,23 @@
                 length = ("Content-Length", str(self.long_answer_bytes))
                 headers.append(length)
                 return httpd.Response(
-                    status, tuple(headers), self._long_answer(ends)
+                    status, tuple(headers), self._long_answer(is_poison)
                 )
             body = b"answer to " + request.target.encode()
-            if self.has_ended:
-                raise calls.BrokenAnswerError("the engine has ended")
+            if self.has_crashed:
+                raise calls.BrokenAnswerError("the engine has crashed")
             headers.append(("Content-Length", str(len(body))))
             return httpd.Response(status, tuple(headers), (body,))
         headers.append(("Content-Type", "text/event-stream"))
         events = self._stream(last, fault, ticket)
         return httpd.Response(200, tuple(headers), events)
 
-    def _long_answer(self, ends: bool) -> Iterator[bytes]:
+    def _long_answer(self, is_poison: bool) -> Iterator[bytes]:
         first_bytes = self.long_answer_bytes * 3 // 4
         yield b"x" * first_bytes
-        if ends:
-            self.end()
-            raise calls.BrokenAnswerError("the engine has ended")
+        if is_poison:
+            self.crash()
+            raise calls.BrokenAnswerError("the engine has crashed")
         yield b"x" * (self.long_answer_bytes - first_bytes)
 
     def _load(self) -> tuple[tuple[str, str], ...]:
@@ -233,11 +233,11 @@
 
     def _events(self, last: int, fault: Fault) -> Iterator[bytes]:
         self.open += 1
-        ended = self._ended
+        crashed = self._crashed
         try:
             for number in range(last + 1, self.events + 1):
-                if ended.is_set():
-                    raise calls.BrokenAnswerError("the engine has ended")
+                if crashed.is_set():
+                    raise calls.BrokenAnswerError("the engine has crashed")
                 event = f"id: {number}\ndata: {self.data(number)}\n\n".encode()
                 if fault.kind in ("cut", "part") and number > fault.after:
                     if fault.kind == "part":
