Logs: what an upstream's address did after a break, runs, time left, failures

The lines of a send that crashed its upstream behind a proxy and of one that merely lost its answer were the same, and nothing told how many failures of an item a VM knew of when it took a job over. So the hypotheses of the incident could not be told apart by logs.

send_failed and broke_off say what the address did with a new connection (refuses, accepts, unreachable), send_failed also how often the request ran beside max_attempts and how much time is left to state; listed has the start of the upstream, taken_over the failures known. No decision changed.

--- a/packages/daemon/bulrushdeald/services.py
+++ b/packages/daemon/bulrushdeald/services.py
@@ -28,6 +28,8 @@
 OPERATORS = "operators"
 
 ExecutionStatus = Literal["not_run", "ran", "unknown"]
+# What an address does with a new connection.
+AddressState = Literal["refuses", "accepts", "unreachable"]
 
 
 class Entry(NamedTuple):
@@ -423,11 +425,11 @@
                 `Slot.on_yield` can be passed here.
         """
 
-    def refuses_connections(self, upstream: records.Upstream) -> bool:
-        """Returns whether the upstream's host refuses a new connection.
+    def probe_address(self, upstream: records.Upstream) -> AddressState:
+        """Returns what the upstream's address does with a new connection.
 
-        This tells an upstream that has crashed from one that closed a
-        connection or whose answer was lost. Opens a connection.
+        One that refuses it has no process. One that accepts it may belong to a
+        proxy, or to a process that was started since. Opens a connection.
         """
 
 
--- a/packages/daemon/bulrushdeald/upstreams.py
+++ b/packages/daemon/bulrushdeald/upstreams.py
@@ -255,7 +255,9 @@
             Answer(connection, exchange, response, method, return_connection)
         )
 
-    def refuses_connections(self, upstream: records.Upstream) -> bool:
+    def probe_address(
+        self, upstream: records.Upstream
+    ) -> services.AddressState:
         """See `services.Upstreams`."""
         host, _, port = upstream.address.rpartition(":")
         try:
@@ -263,11 +265,11 @@
                 (host, int(port)), _PROBE_TIMEOUT_S
             ).close()
         except ConnectionRefusedError:
-            return True
+            return "refuses"
         except (OSError, ValueError):
             # A host that is cut off does not show whether the process lives.
-            return False
-        return False
+            return "unreachable"
+        return "accepts"
 
     def _connect(
         self, address: str, use_new_connection: bool
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -260,10 +260,14 @@
             kind=failure.kind,
             has_run=failure.may_have_run,
             upstream_crashed=failure.has_upstream_crashed,
+            address=failure.address_state,
             fingerprint=self._request.outgoing.fingerprint(),
             why=failure.why,
             sends=self._call.sends,
+            runs=self._call.runs,
+            max_attempts=self._route.max_attempts,
             age_s=round(self._call.age_s(), 3),
+            left_s=round(self._call.caller_remaining_s(), 3),
         )
 
     def _record_break(self, error: services.UpstreamError) -> None:
--- a/packages/gateway/gateway/itemrun.py
+++ b/packages/gateway/gateway/itemrun.py
@@ -197,6 +197,8 @@
             upstream=slot.upstream.instance,
             last_event=item.last_event,
             upstream_crashed=failure.has_upstream_crashed,
+            address=failure.address_state,
+            failures=item.failures,
             fingerprint=outgoing.fingerprint(),
             why=failure.why,
         )
--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -261,6 +261,10 @@
         """Returns how many items run or have a result still to be written."""
         return len(self._running)
 
+    def count_failures(self) -> int:
+        """Returns how often items without a result have failed so far."""
+        return sum(item.failures for item in self.without_result())
+
     def ready(self, moment: Moment) -> list[ItemState]:
         """Returns the items that may run now."""
         with self._lock:
--- a/packages/gateway/gateway/upstreamlist.py
+++ b/packages/gateway/gateway/upstreamlist.py
@@ -213,6 +213,7 @@
             service=new.service,
             address=new.address,
             slots=new.slots,
+            started_ms=new.started_ms,
         )
 
 
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -71,6 +71,8 @@
         may_have_run: Whether the request may have run.
         why: The reason for the log.
         has_upstream_crashed: Whether the upstream crashed while it ran it.
+        address_state: What the upstream's address did with a new connection
+            just after a break; empty if it was not probed.
         crash_notices: What tells other VMs of this, on its way.
     """
 
@@ -78,6 +80,7 @@
     may_have_run: bool
     why: str
     has_upstream_crashed: bool = False
+    address_state: services.AddressState | Literal[""] = ""
     crash_notices: crashnotifier.Delivery = crashnotifier.Delivery()
 
 
@@ -176,22 +179,18 @@
         if error.kind == "timeout":
             return Failure("silent", may_have_run, error.message)
         failure = Failure("broken", may_have_run, error.message)
-        if not self._has_crashed(upstream):
+        # One that drains may exit while it still runs long requests.
+        if not self._placement.is_usable(upstream):
+            return failure
+        address_state = self._upstreams.probe_address(_target(upstream))
+        failure = failure._replace(address_state=address_state)
+        if address_state != "refuses":
             return failure
         notices = self._crashes.record_crash(outgoing.fingerprint(), slot)
         return failure._replace(
             has_upstream_crashed=True, crash_notices=notices
         )
 
-    def _has_crashed(self, upstream: records.Upstream) -> bool:
-        """Returns whether an upstream's process has exited unexpectedly.
-
-        One that drains may exit while it still runs long requests.
-        """
-        return self._placement.is_usable(
-            upstream
-        ) and self._upstreams.refuses_connections(_target(upstream))
-
     def record_completion(self, outgoing: UpstreamRequest) -> None:
         """Records that a request ran to its end at an upstream."""
         if not self._crashes.is_empty():
--- a/tests/daemon/test_upstreams.py
+++ b/tests/daemon/test_upstreams.py
@@ -56,9 +56,9 @@
     server = socket.create_server(("127.0.0.1", 0))
     host, port = server.getsockname()
     row = pathfakes.plain_row(f"{host}:{port}")
-    assert not client.refuses_connections(row)
+    assert client.probe_address(row) == "accepts"
     server.close()
-    assert client.refuses_connections(row)
+    assert client.probe_address(row) == "refuses"
 
 
 @pytest.mark.parametrize(
