--- a/tests/gateway/test_repeatedcrashes.py
+++ b/tests/gateway/test_repeatedcrashes.py
@@ -14,6 +14,7 @@
 from gateway import members
 from gateway import names
 from gateway import upstreamlist
+from soak import links
 from support import gatewayengine
 from support import gatewayscene
 
@@ -21,6 +22,9 @@
 _SENDS = 8
 # How long a crashed upstream stays on the list.
 _SILENCE_S = 0.5
+# From a request's third crash on, until when all VMs have to know.
+_SETTLED_S = 3.0
+_SEND_INTERVAL_S = 0.3
 # Longer than an item waits after a failure.
 _LONGEST_PAUSE_S = 5.0
 
@@ -118,6 +122,86 @@
     assert vm.call("POST", "/s/once/x", b"p", "last").is_whole
 
 
+class _Forwarder:
+    """An engine behind an address that accepts whether or not it runs.
+
+    Attributes:
+        crashes_s: When the engine crashed, on the monotonic clock.
+    """
+
+    def __init__(self, scene: gatewayscene.Scene, number: int) -> None:
+        self._scene = scene
+        self._domain = f"d{number % 2}"
+        self._starts = 0
+        self._engine = gatewayengine.Engine(f"i-{number}")
+        scene.engines.append(self._engine)
+        self._link = links.Link(self._engine_address)
+        self.crashes_s: list[float] = []
+        self._engine.poisons.add(_POISON)
+        self._list()
+
+    def close(self) -> None:
+        self._link.close()
+
+    def start_again_after_crashes(
+        self, after_s: float, *, keeps_name: bool = False
+    ) -> None:
+        """Has a supervisor start the engine again after each crash."""
+
+        def on_crash() -> None:
+            self.crashes_s.append(time.monotonic())
+            threading.Timer(after_s, self._start_again, [keeps_name]).start()
+
+        self._engine.on_crash = on_crash
+
+    def _engine_address(self) -> tuple[str, int]:
+        host, _, port = self._engine.address.rpartition(":")
+        return host, int(port)
+
+    def _start_again(self, keeps_name: bool) -> None:
+        old, name = self._engine.instance, self._engine.instance
+        if not keeps_name:
+            self._starts += 1
+            name = f"{old.partition('.')[0]}.{self._starts}"
+            self._scene.store.write(f"servers/{old}", None)
+        self._engine.start_again(name)
+        self._list()
+
+    def _list(self) -> None:
+        self._scene.list_engine(
+            self._engine,
+            domain=self._domain,
+            address=self._link.host_port,
+            born=int(time.time() * 1000),
+        )
+
+
+@pytest.mark.parametrize(
+    ("after_s", "keeps_name"),
+    [(0.05, False), (0.05, True), (1.0, False)],
+    ids=["another-instance", "the-same-instance", "resets-meanwhile"],
+)
+def test_a_request_is_stopped_though_the_addresses_of_its_victims_accept(
+    scene: gatewayscene.Scene, after_s: float, *, keeps_name: bool
+) -> None:
+    """Guards against taking a crash behind a proxy for a lost answer."""
+    engines = [_Forwarder(scene, number) for number in range(6)]
+    for engine in engines:
+        engine.start_again_after_crashes(after_s, keeps_name=keeps_name)
+    vms = _add_vms(scene, 3)
+    end_s = time.monotonic() + 3 * _SETTLED_S
+    while time.monotonic() < end_s:
+        for number, vm in enumerate(vms):
+            assert _send(vm, "/s/once/x", f"p{number}") in (502, 503)
+            time.sleep(_SEND_INTERVAL_S)
+    crashes_s = sorted(at_s for row in engines for at_s in row.crashes_s)
+    known_s = crashes_s[2] + _SETTLED_S if len(crashes_s) > 2 else end_s
+    assert [at_s for at_s in crashes_s if at_s > known_s] == []
+    assert vms[0].call("POST", "/s/once/x", b"other", attempt="o").is_whole
+    for engine in engines:
+        engine.close()
+
+
 def test_an_upstream_that_leaves_as_planned_does_not_count(
     scene: gatewayscene.Scene,
 ) -> None:
