Crash records: what the platform lists tells a crash where the address lives on

What callers see: a request that crashes engines goes on crashing them at all VMs, if the engines stand behind a proxy or are started again at once.

Cause: a break counted as a crash only if the host refused a connection just after it. A proxy accepts, and so does a process that was started since; the break then passed for a lost answer, and nothing was remembered.

Change: a run that breaks off or falls silent without that proof is watched for three heartbeats and 2 s. It counts if its upstream's entry lapses, starts again under its name, or gives its address to another; not if the upstream drains, its domain is evacuated, or the request runs to its end meanwhile. A lost answer at an upstream that stays listed counts for nothing. The decision is gateway.decisions.upstreamfates, without input and output; the time follows from the heartbeat in the settings.

--- a/packages/daemon/bulrushdeald/crashnotifier.py
+++ b/packages/daemon/bulrushdeald/crashnotifier.py
@@ -76,7 +76,11 @@
         self._stopping.set()
 
     def crashed(
-        self, fingerprint: str, upstream: str, ran_s: float
+        self,
+        fingerprint: str,
+        upstream: str,
+        ran_s: float,
+        age_s: float = 0.0,
     ) -> Delivery:
         """Records a crash and notifies the peers.
 
@@ -89,6 +93,7 @@
             fingerprint: The request; nothing is recorded if it is empty.
             upstream: The upstream that crashed.
             ran_s: How long the request had been running there, in seconds.
+            age_s: How long ago it crashed, in seconds.
         """
         if not fingerprint:
             return Delivery()
@@ -97,6 +102,7 @@
         crash = quarantine.Crash(
             fingerprint,
             f"{crash_id}/{next(self._sequence)}",
+            age_s,
             upstream=upstream,
             ran_s=ran_s,
         )
--- a/packages/gateway/gateway/crashrecords.py
+++ b/packages/gateway/gateway/crashrecords.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Mapping
 import threading
+import time
 from typing import Any, NamedTuple
 
 from bulrushdeal import clock as clock_lib
@@ -15,12 +16,16 @@
 from bulrushdeald import crashnotifier
 from bulrushdeald import quarantine
 from bulrushdeald import services
+from gateway import brokenruns
 from gateway import crashstore
 from gateway import dialect as dialect_lib
+from gateway import evacuations
 from gateway import heldslots
 from gateway import members
 from gateway import names
 from gateway import records
+from gateway import upstreamlist
+from gateway.decisions import upstreamfates
 
 _events = eventlog.Events("crashes")
 
@@ -40,6 +45,7 @@
     ) -> None:
         self._kernel = kernel
         self._is_first_start = settings.is_first_start
+        self._heartbeat_s = settings.heartbeat_s
         self._clock = clock_lib.SystemClock()
         self._lock = threading.Lock()
         self._quarantine = quarantine.Quarantine(self._clock)
@@ -55,6 +61,13 @@
             self._lock,
         )
         self._notices.start()
+        self._broken_runs = brokenruns.BrokenRuns(
+            find(names.UPSTREAM_LIST, upstreamlist.UpstreamList),
+            find(names.EVACUATIONS, evacuations.Evacuations),
+            self._heartbeat_s,
+            self._on_crash,
+        )
+        self._broken_runs.start()
         dialect = find(names.DIALECT, dialect_lib.Dialect)
         self._store = crashstore.CrashStore(
             find(names.STORE, dialect_lib.Store),
@@ -117,12 +130,41 @@
             self._store.update(fingerprint)
         return notices
 
+    def record_break(self, fingerprint: str, slot: heldslots.Slot) -> None:
+        """Records that a request's run broke off at an upstream.
+
+        The run counts as one that crashed its upstream if the list shows this
+        in the next seconds.
+        """
+        now_s = time.monotonic()
+        ran_s = now_s - slot.held_since_s
+        self._broken_runs.add(
+            upstreamfates.BrokenRun(fingerprint, slot.upstream, ran_s, now_s)
+        )
+
+    def _on_crash(
+        self, run: upstreamfates.BrokenRun, fate: upstreamfates.Fate
+    ) -> None:
+        age_s = time.monotonic() - run.broke_s
+        instance = run.upstream.instance
+        _events.warning(
+            "crash_found",
+            fingerprint=run.fingerprint,
+            upstream=instance,
+            fate=fate,
+            age_s=round(age_s, 3),
+        )
+        self._notices.crashed(run.fingerprint, instance, run.ran_s, age_s)
+        if self.is_refused(run.fingerprint):
+            self._store.update(run.fingerprint)
+
     def is_empty(self) -> bool:
-        """Returns whether no request is recorded, so that none is refused."""
-        return self._quarantine.is_empty()
+        """Returns whether no request is recorded and none is watched."""
+        return self._quarantine.is_empty() and self._broken_runs.is_empty()
 
     def record_completion(self, fingerprint: str) -> None:
         """Records that a request ran to its end, which clears it."""
+        self._broken_runs.discard(fingerprint)
         was_refused = self.is_refused(fingerprint)
         self._notices.completed(fingerprint)
         if was_refused:
--- a/packages/gateway/gateway/records.py
+++ b/packages/gateway/gateway/records.py
@@ -202,6 +202,7 @@
         limit_window_s: The length of that window.
         limit_overage: Part of a customer's rate and burst in such a window
             that the operators tolerate beyond them, besides `limit_slack`.
+        heartbeat_s: How often upstreams write their entries to the store.
         upstream_connect_timeout_s: The time limit for a new connection to
             an upstream.
         cores: The processor cores that the process may use; 0 if unknown.
@@ -224,6 +225,7 @@
     grace_s: float
     limit_slack: float
     limit_window_s: float
+    heartbeat_s: float = 1.0
     upstream_connect_timeout_s: float = 0.3
     cores: float = 0.0
     cold_limits: ColdLimits | None = None
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -153,6 +153,9 @@
             return result.Err(self.record_failure(outgoing, slot, error))
         checked = self._check_answer(outgoing, upstream, sent.ok_value)
         slot.outcome = _outcome(checked)
+        if isinstance(checked, result.Err) and checked.err_value.may_have_run:
+            # A proxy may answer by itself for an upstream that has crashed.
+            self._crashes.record_break(outgoing.fingerprint(), slot)
         return checked
 
     def record_failure(
@@ -165,7 +168,7 @@
 
         Sets the slot's outcome to `failed`, unless this VM cancelled the
         send, and marks an unreachable upstream as failed in health. A crash
-        counts against the request.
+        counts against the request, also one that the list shows only later.
         """
         upstream, may_have_run = slot.upstream, error.ran != "not_run"
         if error.kind == "cancelled":
@@ -177,14 +180,15 @@
             )
             return Failure("unreachable", may_have_run, error.message)
         if error.kind == "timeout":
+            self._crashes.record_break(outgoing.fingerprint(), slot)
             return Failure("silent", may_have_run, error.message)
         failure = Failure("broken", may_have_run, error.message)
         # One that drains may exit while it still runs long requests.
-        if not self._placement.is_usable(upstream):
-            return failure
-        address_state = self._upstreams.probe_address(_target(upstream))
-        failure = failure._replace(address_state=address_state)
-        if address_state != "refuses":
+        if self._placement.is_usable(upstream):
+            address_state = self._upstreams.probe_address(_target(upstream))
+            failure = failure._replace(address_state=address_state)
+        if failure.address_state != "refuses":
+            self._crashes.record_break(outgoing.fingerprint(), slot)
             return failure
         notices = self._crashes.record_crash(outgoing.fingerprint(), slot)
         return failure._replace(
--- a/tests/gateway/test_repeatedcrashes.py
+++ b/tests/gateway/test_repeatedcrashes.py
@@ -222,6 +222,38 @@
     assert found.is_empty()
 
 
+def test_a_lost_answer_does_not_count_though_its_upstream_leaves_later(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against counting a break whose request has run to its end."""
+    (engine,) = _add_engines(scene, 1)
+    (vm,) = _add_vms(scene, 1)
+    found = vm.kernel.find(names.CRASH_RECORDS, crashrecords.CrashRecords)
+    engine.faults = [gatewayengine.Fault("cut", 2)]
+    assert vm.call("POST", "/s/once/x", b"p", "a0").is_whole is False
+    assert not found.is_empty()
+    assert vm.call("POST", "/s/once/x", b"p", "a1").is_whole
+    scene.store.write(f"servers/{engine.instance}", None)
+    gatewayscene.until(lambda: not _is_usable(vm, engine))
+    assert found.is_empty()
+
+
+def test_a_break_just_before_a_planned_end_does_not_count(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against counting breaks at upstreams that drain afterwards."""
+    (engine,) = _add_engines(scene, 1)
+    (vm,) = _add_vms(scene, 1)
+    found = vm.kernel.find(names.CRASH_RECORDS, crashrecords.CrashRecords)
+    engine.faults = [gatewayengine.Fault("cut", 2)]
+    assert vm.call("POST", "/s/once/x", b"p", "a0").is_whole is False
+    scene.list_engine(engine, "draining")
+    gatewayscene.until(found.is_empty)
+    scene.store.write(f"servers/{engine.instance}", None)
+    gatewayscene.until(lambda: not _is_usable(vm, engine))
+    assert found.counts().recorded == 0
+
+
 def _is_usable(vm: gatewayscene.Vm, engine: gatewayengine.Engine) -> bool:
     listed = vm.kernel.find(names.UPSTREAM_LIST, upstreamlist.UpstreamList)
     return listed.find_usable("llm", engine.instance) is not None
