Jobs: failed runs of an item are stored at once, so that they outlive their VM

What the operators see: an item that no engine can do goes to engines again after each loss of a VM.

Cause: the count of failures was part of an item's progress, but progress was written only every two seconds and only if an event had come. An item that fails at once has none, so its count died with the VM.

Change: a failed run has the progress of its job written soon, failures of one moment together; of rows that do not fit into one value those with failures go first. It costs one call to the store for each moment of failures of a job.

--- a/packages/gateway/gateway/itemrun.py
+++ b/packages/gateway/gateway/itemrun.py
@@ -1,5 +1,6 @@
 """Runs one batch item on an upstream, from its last event on."""
 
+from collections.abc import Callable
 import time
 
 import result
@@ -31,6 +32,9 @@
 class ItemRun:
     """Sends items to upstreams, reads their output and writes their results.
 
+    Args:
+        on_failure: Called after each run that counts as failed.
+
     Attributes:
         times: How long items take.
     """
@@ -42,12 +46,14 @@
         placer: placement.Placement,
         writer: resultwriter.ResultWriter,
         crashes: crashrecords.CrashRecords,
+        on_failure: Callable[[], None],
     ) -> None:
         self._dialect = dialect
         self._crashes = crashes
         self._sender = sender
         self._placement = placer
         self._writer = writer
+        self._on_failure = on_failure
         self.times = itemtimes.ItemTimes()
 
     def run(
@@ -168,6 +174,7 @@
             return
         if answer.status == _HTTP_SERVER_ERROR:
             item.failures += 1
+            self._on_failure()
         if item.failures >= state.meta.max_attempts:
             self._writer.write(state, item, item.errored(), "attempts used up")
             return
--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -261,9 +261,13 @@
         """Returns how many items run or have a result still to be written."""
         return len(self._running)
 
-    def count_failures(self) -> int:
-        """Returns how often items without a result have failed so far."""
-        return sum(item.failures for item in self.without_result())
+    def failures(self) -> dict[str, int]:
+        """Returns the failed runs of each item without a result, if any."""
+        return {
+            item.item.item: item.failures
+            for item in self.without_result()
+            if item.failures
+        }
 
     def ready(self, moment: Moment) -> list[ItemState]:
         """Returns the items that may run now."""
--- a/packages/gateway/gateway/progresswriter.py
+++ b/packages/gateway/gateway/progresswriter.py
@@ -2,6 +2,8 @@
 
 import random
 import threading
+import time
+from typing import NamedTuple
 
 import result
 
@@ -17,11 +19,28 @@
 # Progress that a VM loses with its power; an item takes about 5 s. Each write
 # costs one call to the store.
 _WRITE_INTERVAL_S = 2.0
+# Failures of one moment share a write. Failed items pause for longer.
+_FAILURES_WAIT_S = 0.05
+
+
+class _Written(NamedTuple):
+    """What the last progress written for a job had of its items.
+
+    Attributes:
+        events: The number of their events.
+        failures: The items with failed runs, and how many each had.
+    """
+
+    events: int = 0
+    failures: frozenset[tuple[str, int]] = frozenset()
 
 
 class ProgressWriter:
     """Writes the progress of items periodically, and when a job is handed over.
 
+    Failed runs are written at once: an item that fails each time would
+    otherwise begin with all its attempts at each VM that takes it over.
+
     The output of unfinished items is held in memory. If all VMs are killed or
     lose power while their engines are full, every item would otherwise start
     from the beginning, just when the backlog of waiting items arrives as well.
@@ -36,8 +55,8 @@
         self._job_store = job_store
         self._table = table
         self._value_bytes = value_bytes
-        # The number of events in the last progress written for each job.
-        self._written_events: dict[str, int] = {}
+        self._written: dict[str, _Written] = {}
+        self._has_failures = threading.Event()
         self._stopping = threading.Event()
 
     def start(self) -> None:
@@ -47,6 +66,11 @@
     def stop(self) -> None:
         """Stops the periodic writes."""
         self._stopping.set()
+        self._has_failures.set()
+
+    def write_failures(self) -> None:
+        """Has the jobs with failed runs written soon."""
+        self._has_failures.set()
 
     def hand_over(self, state: jobstate.JobState) -> bool:
         """Writes a job's progress and releases its claim.
@@ -59,21 +83,37 @@
         return self._write(state, (claim,)).is_ok()
 
     def _run(self) -> None:
-        while not self._stopping.wait(
-            _WRITE_INTERVAL_S * random.uniform(0.8, 1.2)
-        ):
-            states = self._table.by_due_time()
-            self._written_events = {
-                state.meta.job: self._write_if_changed(state)
-                for state in states
-                if not self._stopping.is_set()
-            }
-
-    def _write_if_changed(self, state: jobstate.JobState) -> int:
-        """Writes new progress; returns the number of events last written."""
-        before = self._written_events.get(state.meta.job, 0)
-        events = sum(len(item.output) for item in state.without_result())
-        if not events or events == before or state.is_dropped:
+        next_s = 0.0
+        while not self._stopping.is_set():
+            if time.monotonic() >= next_s:
+                interval_s = _WRITE_INTERVAL_S * random.uniform(0.8, 1.2)
+                next_s = time.monotonic() + interval_s
+            if self._has_failures.wait(max(next_s - time.monotonic(), 0.0)):
+                self._stopping.wait(_FAILURES_WAIT_S)
+                self._has_failures.clear()
+            self._write_all(only_failures=time.monotonic() < next_s)
+
+    def _write_all(self, *, only_failures: bool) -> None:
+        """Writes the jobs that have changed, or only those that have failed."""
+        self._written = {
+            state.meta.job: self._write_if_changed(state, only_failures)
+            for state in self._table.by_due_time()
+            if not self._stopping.is_set()
+        }
+
+    def _write_if_changed(
+        self, state: jobstate.JobState, only_failures: bool
+    ) -> _Written:
+        """Writes new progress; returns what was last written."""
+        before = self._written.get(state.meta.job, _Written())
+        now = _Written(
+            sum(len(item.output) for item in state.without_result()),
+            frozenset(state.failures().items()),
+        )
+        has_events = now.events not in (0, before.events)
+        has_failures = not now.failures <= before.failures
+        is_due = has_failures or (has_events and not only_failures)
+        if not is_due or state.is_dropped:
             return before
         try:
             made = self._write(state, ())
@@ -82,7 +122,7 @@
                 "progress_failed", job=state.meta.job, why=repr(error)
             )
             return before
-        return events if made.is_ok() else before
+        return now if made.is_ok() else before
 
     def _write(
         self, state: jobstate.JobState, deletes: tuple[str, ...]
@@ -100,9 +140,16 @@
 def _fit_rows(
     rows: list[jobrecords.Progress], max_bytes: int
 ) -> tuple[jobrecords.Progress, ...]:
-    """Returns the rows that fit into one value, most output first."""
+    """Returns the rows that fit into one value.
+
+    Those with failed runs come first, then those with the most output.
+    """
     kept = []
-    for row in sorted(rows, key=_estimate_bytes, reverse=True):
+    for row in sorted(
+        rows,
+        key=lambda row: (row.failures > 0, _estimate_bytes(row)),
+        reverse=True,
+    ):
         max_bytes -= _estimate_bytes(row)
         if max_bytes > 0:
             kept.append(row)
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -103,6 +103,7 @@
             self._placement,
             self._writer,
             find(names.CRASH_RECORDS, crashrecords.CrashRecords),
+            self._progress.write_failures,
         )
         self._takeover = takeover.Takeover(
             self._store,
--- a/packages/gateway/gateway/takeover.py
+++ b/packages/gateway/gateway/takeover.py
@@ -323,7 +323,7 @@
             job=job,
             listed=state.next_position,
             left=state.count_pending(),
-            failures=state.count_failures(),
+            failures=sum(state.failures().values()),
         )
         self._on_job(job)
         if state.is_done():
