Jobs: an item with unsigned answers of 500 or 422 is held back

What the operators see: an item that an upstream answers 500 or 422 without its signature runs every four seconds without an end.

Cause: an answer without a signature was a broken run whatever its status, so it counted neither as a failure nor as an end. Who wrote it is not known, so the item may not be given up for it either.

Change: from the second such answer on the item waits 15 s, then four times longer each time, until its retention gives it up.

--- a/packages/gateway/gateway/itemrun.py
+++ b/packages/gateway/gateway/itemrun.py
@@ -195,7 +195,9 @@
         outgoing: upstreamsender.UpstreamRequest,
         failure: upstreamsender.Failure,
     ) -> None:
-        if not slot.is_preempted:
+        if failure.status in (_HTTP_UNPROCESSABLE, _HTTP_SERVER_ERROR):
+            item.pause_after_unsigned_failure()
+        elif not slot.is_preempted:
             item.pause()
         _events.info(
             "yielded" if slot.is_preempted else "broke_off",
--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -15,6 +15,9 @@
 # that an item that crashes its upstream does not take all upstreams down.
 _FIRST_PAUSE_S = 0.25
 _MAX_PAUSE_S = 4.0
+# An item whose failures are not certain is neither given up nor run often.
+_FIRST_HOLD_S = 15.0
+_HOLD_GROWTH = 4
 
 
 # How many removed jobs keep their time of removal.
@@ -51,6 +54,8 @@
         last_event: The id of the last event; `None` before the first.
         failures: The number of failed attempts; `JobMeta.max_attempts` bounds
             it.
+        unsigned_failures: The number of answers that said that it failed, but
+            lacked the signature of an upstream.
         consecutive_pauses: The number of pauses since an upstream last sent
             data, at most 10; sets the length of the next pause.
         not_before_s: The earliest time of the next run, by the monotonic
@@ -72,6 +77,7 @@
         self.output: list[str] = []
         self.last_event: int | None = None
         self.failures = 0
+        self.unsigned_failures = 0
         self.consecutive_pauses = 0
         self.not_before_s = 0.0
         self.ran_s = 0.0
@@ -117,6 +123,15 @@
         self.consecutive_pauses = min(self.consecutive_pauses + 1, 10)
         self.not_before_s = time.monotonic() + pause_s
 
+    def pause_after_unsigned_failure(self) -> None:
+        """Delays the next run, from the second such failure on for long."""
+        self.unsigned_failures += 1
+        if self.unsigned_failures == 1:
+            self.pause()
+            return
+        growth = _HOLD_GROWTH ** (self.unsigned_failures - 2)
+        self.not_before_s = time.monotonic() + _FIRST_HOLD_S * growth
+
     def progress(self) -> jobrecords.Progress:
         """Returns the progress to store for another VM."""
         last_event = -1 if self.last_event is None else self.last_event
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -70,6 +70,7 @@
             VM cancelled the send.
         may_have_run: Whether the request may have run.
         why: The reason for the log.
+        status: The status of an answer that is not passed on; 0 without one.
         has_upstream_crashed: Whether the upstream crashed while it ran it.
         address_state: What the upstream's address did with a new connection
             just after a break; empty if it was not probed.
@@ -79,6 +80,7 @@
     kind: FailureKind
     may_have_run: bool
     why: str
+    status: int = 0
     has_upstream_crashed: bool = False
     address_state: services.AddressState | Literal[""] = ""
     crash_notices: crashnotifier.Delivery = crashnotifier.Delivery()
@@ -243,7 +245,8 @@
             answer.cancel()
             answer.close()
             return _broken(
-                f"status {answer.status}: no signature or no not-run header"
+                f"status {answer.status}: no signature or no not-run header",
+                answer.status,
             )
         self._report_load(upstream, head)
         return result.Ok(OpenAnswer(answer, head))
@@ -276,8 +279,8 @@
     return "unknown" if checked.err_value.kind == "rejected" else "failed"
 
 
-def _broken(why: str) -> result.Err[Failure]:
-    return result.Err(Failure("broken", True, why))
+def _broken(why: str, status: int = 0) -> result.Err[Failure]:
+    return result.Err(Failure("broken", True, why, status))
 
 
 def _read_to_end(answer: services.UpstreamAnswer) -> None:
--- a/tests/gateway/test_failingitems.py
+++ b/tests/gateway/test_failingitems.py
@@ -1,8 +1,11 @@
 """Tests items that fail at each run, with what the VMs remember of that."""
 
 import base64
+import time
 from typing import Any
 
+import pytest
+
 from gateway import runner
 from support import gatewayengine
 from support import gatewayscene
@@ -11,6 +14,9 @@
 # How often an item may be answered 500, as a multiple of its attempts.
 _TOLERANCE = 3
 _VMS = 7
+# How often an item may be answered 422.
+_MAX_NEVER = 3
+_UNSIGNED_S = 8.0
 
 
 def _item(name: str) -> dict[str, Any]:
@@ -56,3 +62,17 @@
     assert len(engine.runs) <= _TOLERANCE * _MAX_ATTEMPTS
     (row,) = vms[-1].results("job").json()["results"]
     assert row["state"] == "errored"
+
+
+@pytest.mark.parametrize("kind", ["unsigned-error", "unsigned-never"])
+def test_failures_without_a_signature_do_not_go_on_and_on(
+    scene: gatewayscene.Scene, kind: str
+) -> None:
+    """Guards against taking each of them for a run that only broke off."""
+    engine = scene.add_engine()
+    engine.faults = [gatewayengine.Fault(kind)] * 100
+    vm = scene.add_vm()
+    assert vm.submit("job", [_item("bad")]).status == 202
+    time.sleep(_UNSIGNED_S)
+    assert 0 < len(engine.runs) <= _MAX_NEVER
+    assert not _is_listed(vm)
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -32,9 +32,10 @@
     Attributes:
         kind: `cut` breaks the stream off after some events, `part` inside
             an event; `busy` refuses the request without executing it;
-            `error` and `never` answer 500 and 422; `mute` pauses the stream
-            for `_MUTE_S` after some events; `other` answers with the id of
-            another request, `unsigned` without the server's stamp.
+            `error` and `never` answer 500 and 422, `unsigned-error` and
+            `unsigned-never` do so without the server's stamp; `mute` pauses
+            the stream for `_MUTE_S` after some events; `other` answers with
+            the id of another request, `unsigned` without the server's stamp.
         after: How many events precede a `cut`, `part` or `mute`.
     """
 
@@ -180,9 +181,10 @@
         headers = [("Bulrushdeal-Request-Attempt-Id", attempt), *self._load()]
         if self.cold_ms:
             headers.append(("Bulrushdeal-Cold-Ms", str(self.cold_ms)))
-        if fault.kind != "unsigned":
+        if not fault.kind.startswith("unsigned"):
             headers.append(("Bulrushdeal-Server-Stamp", "signed"))
-        status = {"error": 500, "never": 422}.get(fault.kind, 200)
+        kind = fault.kind.removeprefix("unsigned-")
+        status = {"error": 500, "never": 422}.get(kind, 200)
         if status != 200 or not is_stream:
             if self.capacity and ticket:
                 self.capacity.leave(ticket)
