Soak: a link that is reset resets its connections

A connection of a link was closed while a thread read from it. The system keeps such a connection until the read ends, so the other side saw nothing: each fault named reset was a silence. Shown by a connection over a link: no reset in 1.0 s before, at once now. The read is ended first, without a word to the other side, so that what it gets is a reset.

--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -1,6 +1,7 @@
 """A loopback TCP proxy for one link that injects network faults."""
 
 from collections.abc import Callable
+import contextlib
 import socket
 import struct
 import threading
@@ -24,13 +25,19 @@
         self.client = client
         self.server = server
         self.is_stalled = False
+        self.is_reset = False
 
     def reset(self) -> None:
+        self.is_reset = True
         for end in (self.client, self.server):
             try:
                 end.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
                 )
+                # Ends the read of the thread that forwards. Until it ends,
+                # the system would keep the closed connection, silent.
+                with contextlib.suppress(OSError):
+                    end.shutdown(socket.SHUT_RD)
                 end.close()
             except OSError:
                 continue
@@ -155,7 +162,8 @@
                         return
                     time.sleep(_POLL_S)
                 sink.sendall(data)
-            sink.shutdown(socket.SHUT_WR)
+            if not connection.is_reset:
+                sink.shutdown(socket.SHUT_WR)
         except OSError:
             # One side has failed: the reset lets the other notice it at once.
             connection.reset()
