Crash records: no blame for what came after the crash; silence counts too

Cause: for an engine that has crashed a proxy goes on accepting, and each request that it breaks off was taken for one that ran as the engine crashed. These are short, so they were blamed first. And a run that its caller gave up, or that fell silent on an engine whose entry had lapsed by then, counted for nothing.

Change: runs that began after the first break at one start of an upstream do not count, at the VM that saw them and over all VMs (crashes carry the start of the upstream); nor do breaks after which the upstream answered others. Runs that were silent count though the entry had lapsed before, unless their failure domain is cut off or evacuated.

--- a/packages/daemon/bulrushdeald/crashnotifier.py
+++ b/packages/daemon/bulrushdeald/crashnotifier.py
@@ -81,6 +81,7 @@
         upstream: str,
         ran_s: float,
         age_s: float = 0.0,
+        started_ms: int = 0,
     ) -> Delivery:
         """Records a crash and notifies the peers.
 
@@ -94,6 +95,8 @@
             upstream: The upstream that crashed.
             ran_s: How long the request had been running there, in seconds.
             age_s: How long ago it crashed, in seconds.
+            started_ms: When the upstream had started, in milliseconds of the
+                epoch; 0 if unknown.
         """
         if not fingerprint:
             return Delivery()
@@ -103,8 +106,9 @@
             fingerprint,
             f"{crash_id}/{next(self._sequence)}",
             age_s,
-            upstream=upstream,
-            ran_s=ran_s,
+            upstream,
+            ran_s,
+            started_ms,
         )
         with self._lock:
             self._quarantine.add(crash)
--- a/packages/daemon/bulrushdeald/quarantine.py
+++ b/packages/daemon/bulrushdeald/quarantine.py
@@ -19,8 +19,11 @@
 RETENTION_S = 3600.0
 _MAX_REQUESTS = 10_000
 # VMs see the crash of the same upstream at about the same time, and it takes
-# longer to start again.
+# longer to start again. If its start is known, all that breaks on it is one
+# crash.
 _SAME_CRASH_S = 1.0
+# VMs state ages that differ by the time that a notice takes.
+_AGE_TOLERANCE_S = 0.05
 # A request that must be finished gets further runs, after pauses that grow: it
 # may have met several crashes by chance.
 _FIRST_HOLD_S = 15.0
@@ -36,6 +39,8 @@
         age_s: Seconds from the crash until this record was made.
         upstream: The upstream that crashed; empty if unknown.
         ran_s: How long the request had been running on it, in seconds.
+        started_ms: When the upstream had started, in milliseconds of the
+            epoch; 0 if unknown.
     """
 
     fingerprint: str
@@ -43,6 +48,7 @@
     age_s: float = 0.0
     upstream: str = ""
     ran_s: float = 0.0
+    started_ms: int = 0
 
 
 class CrashNotice(NamedTuple):
@@ -79,6 +85,7 @@
     upstream: str
     began_s: float
     ended_s: float
+    started_ms: int
 
 
 class Quarantine:
@@ -104,7 +111,11 @@
             return False
         ended_s = self._clock.monotonic_s() - crash.age_s
         self._runs.setdefault(crash.fingerprint, known)[crash.crash_id] = _Run(
-            crash.crash_id, crash.upstream, ended_s - crash.ran_s, ended_s
+            crash.crash_id,
+            crash.upstream,
+            ended_s - crash.ran_s,
+            ended_s,
+            crash.started_ms,
         )
         self._refused = None
         self._prune()
@@ -180,6 +191,7 @@
                 now_s - run.ended_s,
                 run.upstream,
                 run.ended_s - run.began_s,
+                run.started_ms,
             )
             for fingerprint, runs in self._runs.items()
             for run in runs.values()
@@ -223,12 +235,15 @@
     and these crashes no longer count against the others (a greedy set cover).
     Of requests with as many, one that crashed its upstreams sooner is blamed.
     """
+    crash_of = _group_runs(
+        run for runs in runs_of.values() for run in runs.values()
+    )
+    began_before = _find_causes(runs_of, crash_of)
     repeated = {
-        fingerprint: tuple(runs.values())
-        for fingerprint, runs in runs_of.items()
+        fingerprint: tuple(runs)
+        for fingerprint, runs in began_before.items()
         if len(runs) >= CRASHES_TO_REFUSE
     }
-    crash_of = _group_runs(run for runs in repeated.values() for run in runs)
     heap = [_rank(name, runs) for name, runs in repeated.items()]
     heapq.heapify(heap)
     explained: set[int] = set()
@@ -251,6 +266,32 @@
     return frozenset(culprits)
 
 
+def _find_causes(
+    runs_of: Mapping[str, Mapping[str, _Run]], crash_of: Mapping[str, int]
+) -> dict[str, list[_Run]]:
+    """Returns the runs that had begun before their upstream crashed.
+
+    A proxy goes on accepting requests for an upstream that has crashed, and
+    breaks them off. These came after the crash, so they have not caused it.
+    """
+    crashed_s: dict[int, float] = {}
+    for runs in runs_of.values():
+        for run in runs.values():
+            number = crash_of[run.crash_id]
+            crashed_s[number] = min(
+                run.ended_s, crashed_s.get(number, run.ended_s)
+            )
+    return {
+        fingerprint: [
+            run
+            for run in runs.values()
+            if run.began_s
+            <= crashed_s[crash_of[run.crash_id]] + _AGE_TOLERANCE_S
+        ]
+        for fingerprint, runs in runs_of.items()
+    }
+
+
 def _rank(name: str, runs: Iterable[_Run]) -> tuple[int, float, str]:
     """Returns a key that sorts the request to blame first to the front."""
     rows = tuple(runs)
@@ -262,13 +303,10 @@
     """Numbers the crashes; runs of the same crash get the same number."""
     numbers: dict[str, int] = {}
     previous: _Run | None = None
-    for run in sorted(runs, key=lambda row: (row.upstream, row.ended_s)):
-        is_same = (
-            previous is not None
-            and run.upstream != ""
-            and run.upstream == previous.upstream
-            and run.ended_s - previous.ended_s <= _SAME_CRASH_S
-        )
+    for run in sorted(
+        runs, key=lambda row: (row.upstream, row.started_ms, row.ended_s)
+    ):
+        is_same = previous is not None and _is_same_crash(previous, run)
         number = len(numbers)
         if is_same and previous is not None:
             number = numbers[previous.crash_id]
@@ -277,6 +315,16 @@
     return numbers
 
 
+def _is_same_crash(first: _Run, second: _Run) -> bool:
+    if not second.upstream or second.upstream != first.upstream:
+        return False
+    if second.started_ms != first.started_ms:
+        return False
+    if second.started_ms:
+        return True
+    return second.ended_s - first.ended_s <= _SAME_CRASH_S
+
+
 def _count_separate(runs: Iterable[_Run]) -> int:
     """Counts runs that came one after the other.
 
--- a/packages/gateway/gateway/brokenruns.py
+++ b/packages/gateway/gateway/brokenruns.py
@@ -5,14 +5,13 @@
 import time
 
 from gateway import evacuations
+from gateway import members
 from gateway import upstreamlist
 from gateway.decisions import upstreamfates
 
 # Only the newest are watched. If so many break at once, requests crash nothing.
 _MAX_RUNS = 1000
 
-OnCrash = Callable[[upstreamfates.BrokenRun, upstreamfates.Fate], None]
-
 
 class BrokenRuns:
     """Finds out which broken runs were on upstreams that crashed; thread-safe.
@@ -20,38 +19,37 @@
     Args:
         upstream_list: The list of upstreams.
         evacuated: The evacuated failure domains.
+        vms: Which failure domains are cut off.
         heartbeat_s: How often upstreams write their entries, in seconds.
-        on_crash: Called with a run once its upstream turns out to have
-            crashed, and with what showed it.
+        on_crash: Called with each run that may have crashed its upstream,
+            once it turns out to have crashed.
     """
 
     def __init__(
         self,
         upstream_list: upstreamlist.UpstreamList,
         evacuated: evacuations.Evacuations,
+        vms: members.Members,
         heartbeat_s: float,
-        on_crash: OnCrash,
+        on_crash: Callable[[upstreamfates.Crash], None],
     ) -> None:
         self._list = upstream_list
         self._evacuations = evacuated
+        self._members = vms
         self._watch_s = upstreamfates.watch_s(heartbeat_s)
         self._on_crash = on_crash
         self._lock = threading.Lock()
         self._runs: list[upstreamfates.BrokenRun] = []
+        # When the last answered requests began, by the upstream's instance.
+        self._answered_s: dict[str, float] = {}
 
     def start(self) -> None:
         """Begins to follow the list."""
         self._list.on_change(self._check)
 
     def add(self, run: upstreamfates.BrokenRun) -> None:
-        """Watches the upstream of a run, unless it is leaving already.
-
-        One whose entry is missing by now left before the run broke off, so it
-        may have left as planned. If another upstream has its address instead,
-        it has crashed.
-        """
-        fate = self._find_fate(run)
-        if fate in ("leaving", "lapsed"):
+        """Watches the upstream of a run, unless it is leaving already."""
+        if not upstreamfates.may_be_crash(run, self._find_fate(run)):
             return
         with self._lock:
             self._runs = [*self._runs, run][-_MAX_RUNS:]
@@ -64,28 +62,47 @@
                 run for run in self._runs if run.fingerprint != fingerprint
             ]
 
+    def record_answer(self, instance: str, began_s: float) -> None:
+        """Records that an upstream answered a request.
+
+        Args:
+            instance: The upstream.
+            began_s: When the request began, by the monotonic clock.
+        """
+        if not self._runs:
+            return
+        with self._lock:
+            last_s = self._answered_s.get(instance, began_s)
+            self._answered_s[instance] = max(began_s, last_s)
+
     def is_empty(self) -> bool:
         """Returns whether no run is watched."""
         return not self._runs
 
     def _find_fate(self, run: upstreamfates.BrokenRun) -> upstreamfates.Fate:
         rows, _ = self._list.snapshot()
-        evacuated = self._evacuations.current().domains
-        return upstreamfates.find_fate(run.upstream, rows, evacuated)
+        excused = frozenset(self._evacuations.current().domains)
+        if run.was_silent:
+            # A cut explains the silence, and that entries there lapse.
+            excused |= self._members.unreachable_domains()
+        return upstreamfates.find_fate(run.upstream, rows, excused)
 
     def _check(self) -> None:
         """Compares the watched runs with the list."""
         if not self._runs:
             return
         oldest_s = time.monotonic() - self._watch_s
-        crashed: list[tuple[upstreamfates.BrokenRun, upstreamfates.Fate]] = []
+        crashes: list[upstreamfates.Crash] = []
         with self._lock:
             watched, self._runs = self._runs, []
             for run in watched:
                 fate = self._find_fate(run)
                 if fate in upstreamfates.CRASHES:
-                    crashed.append((run, fate))
+                    crashes.append(upstreamfates.Crash(run, fate))
                 elif fate == "listed" and run.broke_s >= oldest_s:
                     self._runs.append(run)
-        for run, fate in crashed:
-            self._on_crash(run, fate)
+            causes = upstreamfates.find_causes(crashes, self._answered_s)
+            if not self._runs:
+                self._answered_s.clear()
+        for crash in causes:
+            self._on_crash(crash)
--- a/packages/gateway/gateway/crashrecords.py
+++ b/packages/gateway/gateway/crashrecords.py
@@ -64,6 +64,7 @@
         self._broken_runs = brokenruns.BrokenRuns(
             find(names.UPSTREAM_LIST, upstreamlist.UpstreamList),
             find(names.EVACUATIONS, evacuations.Evacuations),
+            find(services.MEMBERSHIP, members.Members),
             self._heartbeat_s,
             self._on_crash,
         )
@@ -124,37 +125,67 @@
             The notices, to be waited for before the caller's answer.
         """
         ran_s = self._clock.monotonic_s() - slot.held_since_s
-        instance = slot.upstream.instance
-        notices = self._notices.crashed(fingerprint, instance, ran_s)
+        upstream = slot.upstream
+        notices = self._notices.crashed(
+            fingerprint,
+            upstream.instance,
+            ran_s,
+            started_ms=upstream.started_ms,
+        )
         if self.is_refused(fingerprint):
             self._store.update(fingerprint)
         return notices
 
-    def record_break(self, fingerprint: str, slot: heldslots.Slot) -> None:
+    def record_break(
+        self,
+        fingerprint: str,
+        slot: heldslots.Slot,
+        *,
+        was_silent: bool = False,
+    ) -> None:
         """Records that a request's run broke off at an upstream.
 
         The run counts as one that crashed its upstream if the list shows this
-        in the next seconds.
+        in the next seconds, or shows it already.
+
+        Args:
+            fingerprint: The request.
+            slot: Where it ran.
+            was_silent: Whether the upstream sent nothing, and the run was
+                given up for that.
         """
         now_s = time.monotonic()
         ran_s = now_s - slot.held_since_s
         self._broken_runs.add(
-            upstreamfates.BrokenRun(fingerprint, slot.upstream, ran_s, now_s)
+            upstreamfates.BrokenRun(
+                fingerprint, slot.upstream, ran_s, now_s, was_silent
+            )
         )
 
-    def _on_crash(
-        self, run: upstreamfates.BrokenRun, fate: upstreamfates.Fate
-    ) -> None:
+    def record_answer(self, slot: heldslots.Slot) -> None:
+        """Records that an upstream has answered a request."""
+        self._broken_runs.record_answer(
+            slot.upstream.instance, slot.held_since_s
+        )
+
+    def _on_crash(self, crash: upstreamfates.Crash) -> None:
+        run = crash.run
         age_s = time.monotonic() - run.broke_s
-        instance = run.upstream.instance
+        upstream = run.upstream
         _events.warning(
             "crash_found",
             fingerprint=run.fingerprint,
-            upstream=instance,
-            fate=fate,
+            upstream=upstream.instance,
+            fate=crash.fate,
             age_s=round(age_s, 3),
         )
-        self._notices.crashed(run.fingerprint, instance, run.ran_s, age_s)
+        self._notices.crashed(
+            run.fingerprint,
+            upstream.instance,
+            run.ran_s,
+            age_s,
+            upstream.started_ms,
+        )
         if self.is_refused(run.fingerprint):
             self._store.update(run.fingerprint)
 
--- a/packages/gateway/gateway/decisions/upstreamfates.py
+++ b/packages/gateway/gateway/decisions/upstreamfates.py
@@ -6,15 +6,16 @@
 platform's list tells within a few heartbeats.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from typing import Literal, NamedTuple
 
 from gateway import records
 
 # `lapsed`: its entry is missing. `restarted`: it has started again under its
-# name. `replaced`: another upstream has its address. `leaving`: it leaves as
-# planned. `listed`: nothing shows that it crashed.
-Fate = Literal["lapsed", "restarted", "replaced", "leaving", "listed"]
+# name. `replaced`: another upstream has its address. `excused`: it leaves
+# as planned, or its failure domain explains what is seen. `listed`: nothing
+# shows that it crashed.
+Fate = Literal["lapsed", "restarted", "replaced", "excused", "listed"]
 CRASHES: frozenset[Fate] = frozenset({"lapsed", "restarted", "replaced"})
 
 # An entry lapses after three heartbeats without a word.
@@ -31,12 +32,66 @@
         upstream: The upstream as it was listed when the run began.
         ran_s: How long it ran, in seconds.
         broke_s: When it broke off, by the monotonic clock.
+        was_silent: Whether it was given up since its upstream sent nothing.
     """
 
     fingerprint: str
     upstream: records.Upstream
     ran_s: float
     broke_s: float
+    was_silent: bool = False
+
+    @property
+    def began_s(self) -> float:
+        """When it began, by the monotonic clock."""
+        return self.broke_s - self.ran_s
+
+
+def may_be_crash(run: BrokenRun, fate: Fate) -> bool:
+    """Returns whether to watch the upstream of a run that has just broken.
+
+    An entry that is missing by then was removed before. The upstream may have
+    left as planned, which ends with breaks. It serves until then, so a run
+    that was silent was on one that had crashed.
+    """
+    if fate == "lapsed":
+        return run.was_silent
+    return fate != "excused"
+
+
+class Crash(NamedTuple):
+    """A run on an upstream that crashed, and what showed it."""
+
+    run: BrokenRun
+    fate: Fate
+
+
+def find_causes(
+    crashes: Iterable[Crash], answered_s: Mapping[str, float]
+) -> list[Crash]:
+    """Returns the runs under which upstreams may have crashed.
+
+    Left out are runs after which their upstream answered others, so that only
+    their own answers were lost, and those that began after the first of the
+    rest broke off: a proxy breaks them off for an upstream that has crashed.
+
+    Args:
+        crashes: Broken runs on upstreams that turned out to have crashed.
+        answered_s: When the last answered request to each upstream began, by
+            its instance, on the monotonic clock.
+    """
+    first_s: dict[tuple[str, int], float] = {}
+    causes: list[Crash] = []
+    for crash in sorted(crashes, key=lambda row: row.run.broke_s):
+        run, upstream = crash.run, crash.run.upstream
+        # One that has restarted under its name answers as if it had lived on.
+        is_alive = answered_s.get(upstream.instance, 0.0) > run.broke_s
+        if is_alive and crash.fate != "restarted":
+            continue
+        incarnation = (upstream.instance, upstream.started_ms)
+        if run.began_s <= first_s.setdefault(incarnation, run.broke_s):
+            causes.append(crash)
+    return causes
 
 
 def watch_s(heartbeat_s: float) -> float:
@@ -47,14 +102,15 @@
 def find_fate(
     upstream: records.Upstream,
     listed: Iterable[records.Upstream],
-    evacuated: Collection[str],
+    excused_domains: Collection[str],
 ) -> Fate:
     """Returns what the list shows of an upstream.
 
     Args:
         upstream: The upstream as it was listed when a run on it began.
         listed: All upstreams listed now.
-        evacuated: The failure domains whose upstreams may be stopped.
+        excused_domains: The failure domains whose upstreams may be stopped,
+            or are cut off.
     """
     row: records.Upstream | None = None
     is_replaced = False
@@ -63,10 +119,10 @@
             row = other
         elif other.address == upstream.address:
             is_replaced = True
-    if upstream.failure_domain in evacuated:
-        return "leaving"
+    if upstream.failure_domain in excused_domains:
+        return "excused"
     if row is not None and row.is_draining:
-        return "leaving"
+        return "excused"
     if is_replaced:
         return "replaced"
     if row is None:
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -153,7 +153,7 @@
         if isinstance(sent, result.Err):
             error = sent.err_value
             return result.Err(self.record_failure(outgoing, slot, error))
-        checked = self._check_answer(outgoing, upstream, sent.ok_value)
+        checked = self._check_answer(outgoing, slot, sent.ok_value)
         slot.outcome = _outcome(checked)
         if isinstance(checked, result.Err) and checked.err_value.may_have_run:
             # A proxy may answer by itself for an upstream that has crashed.
@@ -174,6 +174,11 @@
         """
         upstream, may_have_run = slot.upstream, error.ran != "not_run"
         if error.kind == "cancelled":
+            # Whoever waits for an upstream that is gone gives up in the end.
+            if self._placement.health.is_silent(upstream.instance):
+                self._crashes.record_break(
+                    outgoing.fingerprint(), slot, was_silent=True
+                )
             return Failure("ended", may_have_run, error.message)
         slot.outcome = "failed"
         if error.kind == "unreachable":
@@ -182,7 +187,9 @@
             )
             return Failure("unreachable", may_have_run, error.message)
         if error.kind == "timeout":
-            self._crashes.record_break(outgoing.fingerprint(), slot)
+            self._crashes.record_break(
+                outgoing.fingerprint(), slot, was_silent=True
+            )
             return Failure("silent", may_have_run, error.message)
         failure = Failure("broken", may_have_run, error.message)
         # One that drains may exit while it still runs long requests.
@@ -211,9 +218,10 @@
     def _check_answer(
         self,
         outgoing: UpstreamRequest,
-        upstream: records.Upstream,
+        slot: heldslots.Slot,
         answer: services.UpstreamAnswer,
     ) -> result.Result[OpenAnswer, Failure]:
+        upstream = slot.upstream
         head = self._dialect.decode_answer_headers(
             answer.status, answer.headers
         )
@@ -238,6 +246,7 @@
             return result.Err(Failure("rejected", False, why))
         self._placement.health.record_data(upstream.instance)
         self._placement.health.record_success(upstream.instance)
+        self._crashes.record_answer(slot)
         if answer.status in _NOT_EXECUTED_STATUSES or not head.has_server_stamp:
             # The answer is not relayed. Its status may read as a guarantee
             # that the request did not run, which the upstream did not give, or
--- a/tests/daemon/test_quarantine.py
+++ b/tests/daemon/test_quarantine.py
@@ -178,3 +178,27 @@
                 crashes.add(step)
         found.append((crashes.refused(), crashes.digest()))
     assert found[0] == found[1]
+
+
+def test_what_was_sent_to_a_crashed_upstream_is_not_blamed() -> None:
+    """Guards against refusing what a proxy broke off after the crash."""
+    crashes = _quarantine(
+        _crash(_POISON, "e1", 4.0),
+        _crash("late", "e1", 3.5, 0.002),
+        _crash(_POISON, "e2", 2.0),
+        _crash("late", "e2", 1.5, 0.002),
+    )
+    assert crashes.refused() == {_POISON}
+
+
+def test_all_breaks_of_one_start_are_one_crash() -> None:
+    """Guards against counting late breaks at the same process anew."""
+    rows = [
+        _crash("r", "e1", age_s)._replace(
+            crash_id=f"r/{age_s}", started_ms=started_ms
+        )
+        for age_s, started_ms in ((9.0, 1), (3.0, 1))
+    ]
+    assert not _quarantine(*rows).refused()
+    again = rows[1]._replace(started_ms=2)
+    assert _quarantine(rows[0], again).refused() == {"r"}
