Crash records: times read from the store clear nobody

What callers see: after a restart a VM lets a refused request through again.

Cause: crashes read from the store have their age by the wall clock.

Change: such a time is marked as uncertain; it neither clears nor is compared, and gives way to the exact one that a peer tells.

Checked: the test fails without the mark (nothing refused); 17 tests pass.

--- a/packages/daemon/bulrushdeald/quarantine.py
+++ b/packages/daemon/bulrushdeald/quarantine.py
@@ -41,6 +41,8 @@
         ran_s: How long the request had been running on it, in seconds.
         started_ms: When the upstream had started, in milliseconds of the
             epoch; 0 if unknown.
+        is_age_exact: Whether the age was counted without a clock that may
+            have been set meanwhile.
     """
 
     fingerprint: str
@@ -49,6 +51,7 @@
     upstream: str = ""
     ran_s: float = 0.0
     started_ms: int = 0
+    is_age_exact: bool = True
 
 
 class CrashNotice(NamedTuple):
@@ -86,6 +89,7 @@
     began_s: float
     ended_s: float
     started_ms: int
+    is_age_exact: bool
 
 
 class Quarantine:
@@ -106,8 +110,11 @@
         """
         if not crash.fingerprint or crash.age_s > RETENTION_S:
             return False
+        if crash.crash_id in self._cleared:
+            return False
         known = self._runs.get(crash.fingerprint, {})
-        if crash.crash_id in known or crash.crash_id in self._cleared:
+        run = known.get(crash.crash_id)
+        if run is not None and (run.is_age_exact or not crash.is_age_exact):
             return False
         ended_s = self._clock.monotonic_s() - crash.age_s
         self._runs.setdefault(crash.fingerprint, known)[crash.crash_id] = _Run(
@@ -116,10 +123,11 @@
             ended_s - crash.ran_s,
             ended_s,
             crash.started_ms,
+            crash.is_age_exact,
         )
         self._refused = None
         self._prune()
-        return True
+        return run is None
 
     def clear(self, fingerprint: str) -> tuple[str, ...]:
         """Clears a request that has run to its end.
@@ -192,6 +200,7 @@
                 run.upstream,
                 run.ended_s - run.began_s,
                 run.started_ms,
+                run.is_age_exact,
             )
             for fingerprint, runs in self._runs.items()
             for run in runs.values()
@@ -273,10 +282,13 @@
 
     A proxy goes on accepting requests for an upstream that has crashed, and
     breaks them off. These came after the crash, so they have not caused it.
+    Runs whose time is uncertain were counted when it was not.
     """
     crashed_s: dict[int, float] = {}
     for runs in runs_of.values():
         for run in runs.values():
+            if not run.is_age_exact:
+                continue
             number = crash_of[run.crash_id]
             crashed_s[number] = min(
                 run.ended_s, crashed_s.get(number, run.ended_s)
@@ -285,7 +297,8 @@
         fingerprint: [
             run
             for run in runs.values()
-            if run.began_s
+            if not run.is_age_exact
+            or run.began_s
             <= crashed_s[crash_of[run.crash_id]] + _AGE_TOLERANCE_S
         ]
         for fingerprint, runs in runs_of.items()
--- a/packages/gateway/gateway/crashstore.py
+++ b/packages/gateway/gateway/crashstore.py
@@ -43,7 +43,8 @@
         """Returns the crashes by their age now; clocks may have been set."""
         age_s = max(0, now_ms - self.written_ms) / 1000
         return tuple(
-            crash._replace(age_s=crash.age_s + age_s) for crash in self.crashes
+            crash._replace(age_s=crash.age_s + age_s, is_age_exact=False)
+            for crash in self.crashes
         )
 
 
--- a/tests/daemon/test_quarantine.py
+++ b/tests/daemon/test_quarantine.py
@@ -191,6 +191,25 @@
     assert crashes.refused() == {_POISON}
 
 
+def test_a_time_by_a_clock_that_was_set_clears_nobody() -> None:
+    """Guards against releasing the cause when a VM restarts with its clock off.
+
+    What it reads from the store seems younger than what its peers tell.
+    """
+    stored = [
+        _crash(_POISON, upstream, age_s)._replace(
+            started_ms=1, is_age_exact=False
+        )
+        for upstream, age_s in (("e1", 4.0), ("e2", 2.0))
+    ]
+    victim = _crash("victim", "e1", 7.0, 0.002)._replace(started_ms=1)
+    crashes = _quarantine(*stored, victim)
+    assert crashes.refused() == {_POISON}
+    assert not crashes.add(stored[0]._replace(is_age_exact=True, age_s=7.1))
+    assert round(crashes.crashes()[0].age_s, 3) == 7.1
+    assert crashes.refused() == {_POISON}
+
+
 def test_all_breaks_of_one_start_are_one_crash() -> None:
     """Guards against counting late breaks at the same process anew."""
     rows = [
