Crash records: a reset after a silence counts though the entry has lapsed

Cause: the address resets what it holds when the engine is back, half a second after the entry lapsed. A break after the entry is gone passes for the end of a planned leave.

Change: it does only if the upstream had sent something in the half second before; one that leaves as planned serves until its end.

--- a/packages/gateway/gateway/crashrecords.py
+++ b/packages/gateway/gateway/crashrecords.py
@@ -151,8 +151,7 @@
         Args:
             fingerprint: The request.
             slot: Where it ran.
-            was_silent: Whether the upstream sent nothing, and the run was
-                given up for that.
+            was_silent: Whether the upstream had sent nothing for a while.
         """
         now_s = time.monotonic()
         ran_s = now_s - slot.held_since_s
--- a/packages/gateway/gateway/decisions/upstreamfates.py
+++ b/packages/gateway/gateway/decisions/upstreamfates.py
@@ -32,7 +32,7 @@
         upstream: The upstream as it was listed when the run began.
         ran_s: How long it ran, in seconds.
         broke_s: When it broke off, by the monotonic clock.
-        was_silent: Whether it was given up since its upstream sent nothing.
+        was_silent: Whether its upstream had sent nothing for a while.
     """
 
     fingerprint: str
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -157,7 +157,7 @@
         slot.outcome = _outcome(checked)
         if isinstance(checked, result.Err) and checked.err_value.may_have_run:
             # A proxy may answer by itself for an upstream that has crashed.
-            self._crashes.record_break(outgoing.fingerprint(), slot)
+            self._record_break(outgoing, slot)
         return checked
 
     def record_failure(
@@ -176,9 +176,7 @@
         if error.kind == "cancelled":
             # Whoever waits for an upstream that is gone gives up in the end.
             if self._placement.health.is_silent(upstream.instance):
-                self._crashes.record_break(
-                    outgoing.fingerprint(), slot, was_silent=True
-                )
+                self._record_break(outgoing, slot)
             return Failure("ended", may_have_run, error.message)
         slot.outcome = "failed"
         if error.kind == "unreachable":
@@ -187,9 +185,7 @@
             )
             return Failure("unreachable", may_have_run, error.message)
         if error.kind == "timeout":
-            self._crashes.record_break(
-                outgoing.fingerprint(), slot, was_silent=True
-            )
+            self._record_break(outgoing, slot)
             return Failure("silent", may_have_run, error.message)
         failure = Failure("broken", may_have_run, error.message)
         # One that drains may exit while it still runs long requests.
@@ -197,13 +193,22 @@
             address_state = self._upstreams.probe_address(_target(upstream))
             failure = failure._replace(address_state=address_state)
         if failure.address_state != "refuses":
-            self._crashes.record_break(outgoing.fingerprint(), slot)
+            self._record_break(outgoing, slot)
             return failure
         notices = self._crashes.record_crash(outgoing.fingerprint(), slot)
         return failure._replace(
             has_upstream_crashed=True, crash_notices=notices
         )
 
+    def _record_break(
+        self, outgoing: UpstreamRequest, slot: heldslots.Slot
+    ) -> None:
+        """Has the upstream of a run that broke off watched."""
+        was_silent = self._placement.health.is_silent(slot.upstream.instance)
+        self._crashes.record_break(
+            outgoing.fingerprint(), slot, was_silent=was_silent
+        )
+
     def record_completion(self, outgoing: UpstreamRequest) -> None:
         """Records that a request ran to its end at an upstream."""
         if not self._crashes.is_empty():
