Forwarding: a run that nothing else can replace may take the caller's time

What callers see: 502 after some two seconds of four, though the one engine that could answer was about to. It is what test_an_evacuated_domain_gets_no_request_until_it_ends met once beside load: with the other domain evacuated one engine was left, slow for 1.2 s on a full machine.

Cause: a silent run is given up for a try elsewhere, also if there is no upstream that it has not tried. It cannot go back to the one it left, so it waits a second for a slot and fails. The bound of the test was right; the caller could have been served.

Change: the limit on silence, before the first byte and in a stream, holds only where an upstream is left to try, in the allowed regions and not cold.

Checked: both cases of the test got 502 before and 200 now; 59 tests of forwarding, placement, regions and timeouts pass.

--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -229,7 +229,7 @@
         wait until its deadline, although another upstream could answer.
         """
         remaining_s = max(self._call.remaining_s(), 0.01)
-        if not self._may_run_again(1):
+        if not self._may_run_again(1) or not self._has_other_upstream():
             return remaining_s
         target_s = self._route.target_latency_s
         if self._route.kind != "streaming":
@@ -239,6 +239,13 @@
         )
         return min(remaining_s, first_s)
 
+    def _has_other_upstream(self) -> bool:
+        """Returns whether an upstream is left that has not been tried."""
+        request = self._request
+        return self._placement.has_other_upstream(
+            request.service, self._tried_instances, request.regions
+        )
+
     def _may_run_again(self, extra_runs: int = 0) -> bool:
         """Returns whether it may run once more after `extra_runs` more runs."""
         runs = self._call.runs + extra_runs
@@ -454,6 +461,10 @@
         """
         if not self._route.gap_target_s or not self._may_run_again():
             return
+        if not self._has_other_upstream():
+            # The limit for the first event may be shorter than a pause.
+            opened.answer.set_read_timeout(max(self._call.remaining_s(), 0.01))
+            return
         gap_s = self._stream_timeouts.gap_timeout_s(
             self._route.gap_target_s, self._route.target_latency_s
         )
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -5,7 +5,7 @@
 this VM chooses by itself.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 import itertools
 import math
 import random
@@ -338,6 +338,23 @@
         """Returns whether a usable upstream of a service is listed."""
         return bool(self._upstreams.usable(service))
 
+    def has_other_upstream(
+        self,
+        service: str,
+        tried: Iterable[str],
+        regions: frozenset[str] | None,
+    ) -> bool:
+        """Returns whether a request could go to an upstream it has not tried.
+
+        Args:
+            service: The service.
+            tried: The upstreams that the request was sent to.
+            regions: The regions that it may be sent to; `None` for all.
+        """
+        waits_s = self._waits_s(service, regions)
+        barred = {name for name, wait_s in waits_s.items() if wait_s > 0}
+        return self._has_other(service, barred.union(tried))
+
     def is_usable(self, upstream: records.Upstream) -> bool:
         """Returns whether an upstream is listed and does not leave."""
         listed = self._upstreams.find_usable(
@@ -398,7 +415,7 @@
             return result.Err(NoSlot(retry_s, "cold upstreams have no room"))
         return result.Ok(skipped | waits_s.keys())
 
-    def _has_other(self, service: str, skipped: frozenset[str]) -> bool:
+    def _has_other(self, service: str, skipped: Collection[str]) -> bool:
         rows = self._upstreams.usable(service)
         return any(row.instance not in skipped for row in rows)
 
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -196,6 +196,18 @@
     assert not engines[0].faults
 
 
+@pytest.mark.parametrize("path", ["/safe/x", "/s/x"])
+def test_the_only_upstream_may_take_as_long_as_the_caller_waits(
+    scene: gatewayscene.Scene, path: str
+) -> None:
+    """Guards against giving up a slow run that nothing else can replace."""
+    engine = scene.add_engine()
+    engine.faults = [Fault("late")]
+    vm = scene.add_vm()
+    assert vm.call("POST", path, b"p").status == 200
+    assert len(engine.runs) == 1
+
+
 def test_a_busy_upstream_does_not_use_up_an_attempt(
     scene: gatewayscene.Scene,
 ) -> None:
