Crash records: a break is compared with the list of the next seconds only

What callers see: a request whose answer was lost counts as one that crashed its upstream if that upstream leaves without draining much later.

Cause: runs were dropped when their time was over only as the list changed, after they had been compared with the changed list.

Change: the time is checked first, also for the question whether any run is watched. The list is indexed once for all runs; with a thousand of them and 330 upstreams each change would have cost 330,000 comparisons.

Checked: the test of it failed before (the run stayed watched); tests of crashes and fates pass.

--- a/packages/gateway/gateway/brokenruns.py
+++ b/packages/gateway/gateway/brokenruns.py
@@ -49,7 +49,8 @@
 
     def add(self, run: upstreamfates.BrokenRun) -> None:
         """Watches the upstream of a run, unless it is leaving already."""
-        if not upstreamfates.may_be_crash(run, self._find_fate(run)):
+        fate = self._find_fate(run, self._listing())
+        if not upstreamfates.may_be_crash(run, fate):
             return
         with self._lock:
             self._runs = [*self._runs, run][-_MAX_RUNS:]
@@ -77,29 +78,43 @@
 
     def is_empty(self) -> bool:
         """Returns whether no run is watched."""
-        return not self._runs
+        runs = self._runs
+        return not runs or runs[-1].broke_s < self._oldest_s()
 
-    def _find_fate(self, run: upstreamfates.BrokenRun) -> upstreamfates.Fate:
+    def _oldest_s(self) -> float:
+        """Returns when the runs that are still watched broke at the earliest.
+
+        What the list shows later has nothing to do with them.
+        """
+        return time.monotonic() - self._watch_s
+
+    def _listing(self) -> upstreamfates.Listing:
         rows, _ = self._list.snapshot()
+        return upstreamfates.index(rows)
+
+    def _find_fate(
+        self, run: upstreamfates.BrokenRun, listing: upstreamfates.Listing
+    ) -> upstreamfates.Fate:
         excused = frozenset(self._evacuations.current().domains)
         if run.was_silent:
             # A cut explains the silence, and that entries there lapse.
             excused |= self._members.unreachable_domains()
-        return upstreamfates.find_fate(run.upstream, rows, excused)
+        return upstreamfates.find_fate(run.upstream, listing, excused)
 
     def _check(self) -> None:
         """Compares the watched runs with the list."""
         if not self._runs:
             return
-        oldest_s = time.monotonic() - self._watch_s
+        oldest_s, listing = self._oldest_s(), self._listing()
         crashes: list[upstreamfates.Crash] = []
         with self._lock:
-            watched, self._runs = self._runs, []
+            watched = [run for run in self._runs if run.broke_s >= oldest_s]
+            self._runs = []
             for run in watched:
-                fate = self._find_fate(run)
+                fate = self._find_fate(run, listing)
                 if fate in upstreamfates.CRASHES:
                     crashes.append(upstreamfates.Crash(run, fate))
-                elif fate == "listed" and run.broke_s >= oldest_s:
+                elif fate == "listed":
                     self._runs.append(run)
             causes = upstreamfates.find_causes(crashes, self._answered_s)
             if not self._runs:
--- a/packages/gateway/gateway/decisions/upstreamfates.py
+++ b/packages/gateway/gateway/decisions/upstreamfates.py
@@ -99,31 +99,49 @@
     return _HEARTBEATS_TO_LAPSE * heartbeat_s + _LIST_DELAY_S
 
 
+class Listing(NamedTuple):
+    """What the platform lists.
+
+    Attributes:
+        by_instance: The upstreams by their names.
+        by_address: The names of the upstreams at each address.
+    """
+
+    by_instance: Mapping[str, records.Upstream]
+    by_address: Mapping[str, frozenset[str]]
+
+
+def index(rows: Iterable[records.Upstream]) -> Listing:
+    """Returns listed upstreams by their names and addresses."""
+    by_address: dict[str, frozenset[str]] = {}
+    by_instance: dict[str, records.Upstream] = {}
+    for row in rows:
+        by_instance[row.instance] = row
+        others = by_address.get(row.address, frozenset())
+        by_address[row.address] = others | {row.instance}
+    return Listing(by_instance, by_address)
+
+
 def find_fate(
     upstream: records.Upstream,
-    listed: Iterable[records.Upstream],
+    listing: Listing,
     excused_domains: Collection[str],
 ) -> Fate:
     """Returns what the list shows of an upstream.
 
     Args:
         upstream: The upstream as it was listed when a run on it began.
-        listed: All upstreams listed now.
+        listing: All upstreams listed now.
         excused_domains: The failure domains whose upstreams may be stopped,
             or are cut off.
     """
-    row: records.Upstream | None = None
-    is_replaced = False
-    for other in listed:
-        if other.instance == upstream.instance:
-            row = other
-        elif other.address == upstream.address:
-            is_replaced = True
     if upstream.failure_domain in excused_domains:
         return "excused"
+    row = listing.by_instance.get(upstream.instance)
     if row is not None and row.is_draining:
         return "excused"
-    if is_replaced:
+    at_address = listing.by_address.get(upstream.address, frozenset())
+    if at_address - {upstream.instance}:
         return "replaced"
     if row is None:
         return "lapsed"
--- a/tests/gateway/test_repeatedcrashes.py
+++ b/tests/gateway/test_repeatedcrashes.py
@@ -238,6 +238,21 @@
     assert found.is_empty()
 
 
+def test_a_lost_answer_does_not_count_when_its_upstream_goes_much_later(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against comparing a break with a list of long after."""
+    (engine,) = _add_engines(scene, 1)
+    vm = scene.add_vm(heartbeat_s=0.1)
+    found = vm.kernel.find(names.CRASH_RECORDS, crashrecords.CrashRecords)
+    engine.faults = [gatewayengine.Fault("cut", 2)]
+    assert vm.call("POST", "/s/once/x", b"p", "a0").is_whole is False
+    gatewayscene.until(found.is_empty)
+    scene.store.write(f"servers/{engine.instance}", None)
+    gatewayscene.until(lambda: not _is_usable(vm, engine))
+    assert found.counts().recorded == 0
+
+
 def test_a_break_just_before_a_planned_end_does_not_count(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/gateway/test_upstreamfates.py
+++ b/tests/gateway/test_upstreamfates.py
@@ -34,12 +34,14 @@
     rows: list[records.Upstream], fate: str
 ) -> None:
     """Guards against crashes at addresses that accept, and false ones."""
-    assert upstreamfates.find_fate(_LISTED, rows, ()) == fate
+    listing = upstreamfates.index(rows)
+    assert upstreamfates.find_fate(_LISTED, listing, ()) == fate
 
 
 def test_an_upstream_in_an_evacuated_domain_may_be_stopped() -> None:
     """Guards against counting the end of a domain against its requests."""
-    assert upstreamfates.find_fate(_LISTED, [], ("d1",)) == "excused"
+    listing = upstreamfates.index([])
+    assert upstreamfates.find_fate(_LISTED, listing, ("d1",)) == "excused"
 
 
 def test_only_a_silent_run_counts_if_its_upstream_had_left_the_list() -> None:
