--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,7 +14,9 @@
 
 Kind = Literal["safe", "unsafe", "once", "resumed"]
 
-_DEADLINE_S = 3.0
+DEADLINE_S = 3.0
+# The share of the jobs with an item that fails at each run.
+_FAILING_JOBS = 0.5
 _MAX_TRIES = 3
 _HOST = "h.example"
 # The path prefixes of the kinds that differ from their names.
@@ -33,6 +35,7 @@
         body: The request body.
         sent_s: When it was sent, on the monotonic clock.
         prompt: The prompt of a stream; `None` for other kinds.
+        vm: The VM that it was sent to.
         is_burst: Whether it belongs to a burst of long prompts.
         response_s: When the response began, on the monotonic clock; a stream's
             response begins with its first event.
@@ -50,6 +53,7 @@
     sent_s: float
     prompt: prompts.Prompt | None = None
     is_burst: bool = False
+    vm: str = ""
     response_s: float = 0.0
     status: int = 0
     has_stamp: bool = False
@@ -268,14 +272,21 @@
         prefix = _PREFIXES.get(kind, kind)
         body = f"body of {attempt_id}".encode()
         attempt = Attempt(
-            attempt_id, kind, key, body, time.monotonic(), prompt, is_burst
+            attempt_id,
+            kind,
+            key,
+            body,
+            time.monotonic(),
+            prompt,
+            is_burst,
+            vm.name,
         )
         # A connection is reused until it fails, even if it has gone silent or
         # leads to a process that is stopping.
         connection = connections.pop(vm.name, None)
         if connection is None:
             connection = http.client.HTTPConnection(
-                *vm.front.address, timeout=_DEADLINE_S
+                *vm.front.address, timeout=DEADLINE_S
             )
         try:
             connection.request(
@@ -286,7 +297,7 @@
                     "Host": _HOST,
                     "Bulrushdeal-Request-Attempt-Id": attempt_id,
                     "Bulrushdeal-Credential": key,
-                    "Bulrushdeal-Deadline-Ms": str(int(_DEADLINE_S * 1000)),
+                    "Bulrushdeal-Deadline-Ms": str(int(DEADLINE_S * 1000)),
                     **(prompt.headers if prompt else {}),
                 },
             )
@@ -355,14 +366,19 @@
 
     def _submit_jobs(self, rng: random.Random, name: str) -> None:
         prompts_rng = random.Random(f"{self._seed} {name} prompts")
+        failing_rng = random.Random(f"{self._seed} {name} failing")
         for number in range(10_000):
             if self._stopping.wait(rng.uniform(0.5, 1.5)):
                 return
             job_id = f"{name}-j{number}"
             items = [f"{job_id}-{item}" for item in range(rng.randint(1, 6))]
-            job = Job(
-                job_id, {item: prompts.draw(prompts_rng) for item in items}
-            )
+            drawn = {item: prompts.draw(prompts_rng) for item in items}
+            if failing_rng.random() < _FAILING_JOBS:
+                failing = f"{job_id}-failing"
+                drawn[failing] = prompts.draw_short(failing_rng)
+                status = failing_rng.choice((500, 422))
+                self._fleet.statuses[failing.encode()] = status
+            job = Job(job_id, drawn)
             self.jobs.append(job)
             for _ in range(_MAX_TRIES):
                 vm = rng.choice(self._fleet.vms)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,7 @@
 import time
 from typing import NamedTuple
 
+from soak import budget
 from soak import fleet as fleet_lib
 from soak import links
 from support import gatewayengine
@@ -25,7 +26,7 @@
     Attributes:
         at_s: When it begins, in seconds since the start of the series.
         for_s: How long it lasts, in seconds.
-        kind: A key of `GENERAL`, `CAPACITY` or `POISON`.
+        kind: A key of `GENERAL`, `CAPACITY`, `ANSWERS` or `POISON`.
         number: Selects the affected VM, link or upstream, and details of some
             kinds.
         how: The variant of the kind, from `_VARIANTS`; empty without variants.
@@ -87,6 +88,8 @@
     Attributes:
         revoked_s: When each withdrawn key was removed from the configuration,
             on the monotonic clock.
+        disturbances: When processes and their links to upstreams were
+            disturbed.
     """
 
     def __init__(self, fleet: fleet_lib.Fleet) -> None:
@@ -95,6 +98,7 @@
         # overlap, for example a kill by one thread and a pause by another.
         self._locks = {vm.name: threading.Lock() for vm in fleet.vms}
         self.revoked_s: dict[str, float] = {}
+        self.disturbances: list[budget.Disturbance] = []
 
     def play(self, faults: list[Fault]) -> None:
         """Injects all faults and returns when the last one is over."""
@@ -118,7 +122,22 @@
                     self._locks[vm.name].release()
 
     def _run(self, fault: Fault) -> None:
-        (GENERAL | CAPACITY | POISON)[fault.kind](self, fault)
+        start_s = time.monotonic()
+        (GENERAL | CAPACITY | ANSWERS | POISON)[fault.kind](self, fault)
+        vm = self._disturbed_vm(fault)
+        if vm is not None:
+            span = budget.Disturbance(vm, start_s, time.monotonic())
+            self.disturbances.append(span)
+
+    def _disturbed_vm(self, fault: Fault) -> str | None:
+        """Returns the VM that a fault disturbs, `""` for all of them."""
+        if fault.kind == "crash":
+            return ""
+        if fault.kind == "leader":
+            return self._fleet.leader().name
+        if fault.kind in ("stop", "pause", "link", "clock"):
+            return self._target_vm(fault).name
+        return None
 
     def _target_vm(self, fault: Fault) -> fleet_lib.Vm:
         return self._fleet.vms[fault.number % len(self._fleet.vms)]
@@ -194,11 +213,7 @@
 
     def _crash_upstream(self, fault: Fault) -> None:
         upstream = self._target_upstream(fault)
-        targets = [
-            vm.upstreams[upstream.name]
-            for vm in self._fleet.vms
-            if upstream.name in vm.upstreams
-        ]
+        targets = self._fleet.links_to(upstream)
         for link in targets:
             link.mode = "silent" if fault.how == "dark" else "refuse"
             if fault.how != "dark":
@@ -316,6 +331,7 @@
     "lie": ("0,0,8,25", "99,99,8,800", "8,0,8,0", f"-1,{'9' * 18},8,x"),
     "leader": ("pause", "kill"),
     "poison": ("safe", "unsafe", "once", "resumed", "batch"),
+    "answer": ("late", "mute", "error"),
     "spoil": ("cut", "part", "busy", "error", "other", "unsigned"),
 }
 GENERAL: dict[str, Callable[[Player, Fault], None]] = {
@@ -340,6 +356,10 @@
     "lie": Player._state_false_load,
     "leader": Player._disturb_leader,
 }
+# Engines that are silent for a while or answer 500, drawn apart as well.
+ANSWERS: dict[str, Callable[[Player, Fault], None]] = {
+    "answer": Player._corrupt_answers,
+}
 # Requests that crash engines, drawn apart for the same reason.
 POISON: dict[str, Callable[[Player, Fault], None]] = {
     "poison": Player._send_poison,
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -10,7 +10,7 @@
 import sys
 import threading
 import time
-from typing import Any
+from typing import Any, get_args, Literal
 
 from bulrushdeald import rendezvous
 from soak import links
@@ -33,6 +33,12 @@
 EVENTS_PER_STREAM = 12
 _EVENT_INTERVAL_S = 0.02
 _SERVICE = "llm"
+# What the address of a crashed engine does: it refuses connections; it accepts
+# and resets them; a supervisor starts the engine again at once, as another
+# instance or under its name; it falls silent.
+CrashedAddress = Literal["refuses", "resets", "restarts", "reborn", "silent"]
+CRASHED_ADDRESSES: tuple[CrashedAddress, ...] = get_args(CrashedAddress)
+_RESTART_S = 0.05
 _SLOTS = 8
 # The memory of an engine as the configuration of `gatewayscene` states it.
 MEMORY_TOKENS = 72_000
@@ -135,10 +141,19 @@
         long_prompts: Set while callers send a burst of long prompts.
         poisons: The bodies that crash engines, once faults have begun
             to send them.
+        statuses: What engines answer at each run, by the bodies of requests.
     """
 
-    def __init__(self, folder: pathlib.Path, number: int, vms: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        number: int,
+        vms: int,
+        crashed_address: CrashedAddress = "refuses",
+    ) -> None:
         self._folder = folder
+        self._crashed_address = crashed_address
+        self.statuses: dict[bytes, int] = {}
         self.store = store_lib.Store()
         self.version = 0
         self.keys = {"school": ["key-0"], "limited": ["key-limited"]}
@@ -163,36 +178,62 @@
 
     def _make_upstream(self, name: str, domain: str) -> Upstream:
         upstream = Upstream(name, domain, self.poisons)
+        upstream.engine.statuses = self.statuses
         upstream.engine.on_crash = lambda: self._on_crash(upstream)
         return upstream
 
     def _on_crash(self, upstream: Upstream) -> None:
-        """Refuses connections to a crashed engine; starts it again later."""
-        for vm in self.vms:
-            if upstream.name in vm.upstreams:
-                vm.upstreams[upstream.name].stop_listening()
+        """Has the engine's address do what it does; starts it again later."""
+        for link in self.links_to(upstream):
+            # A link resets connections whose target refuses them.
+            if self._crashed_address == "refuses":
+                link.stop_listening()
+            elif self._crashed_address == "silent":
+                link.mode = "silent"
         threading.Thread(
             target=self._revive, args=(upstream,), daemon=True
         ).start()
 
     def _revive(self, upstream: Upstream) -> None:
         """Starts an engine again at its address, as another instance."""
-        time.sleep(_SILENCE_S)
         old = upstream.name
-        self.unlist(old)
-        time.sleep(_START_S)
+        if self._crashed_address in ("restarts", "reborn"):
+            time.sleep(_RESTART_S)
+        else:
+            time.sleep(_SILENCE_S)
+            self.unlist(old)
+            time.sleep(_START_S)
         with self._listing_lock:
-            upstream.name = f"{old.split('.')[0]}.{self.store.rows.revision}"
+            if self._crashed_address == "restarts":
+                self.store.rows.write(f"servers/{old}", None)
+            if self._crashed_address != "reborn":
+                start = self.store.rows.revision
+                upstream.name = f"{old.split('.')[0]}.{start}"
             upstream.started_ms = int(time.time() * 1000)
             upstream.engine.start_again(upstream.name)
             for vm in self.vms:
                 link = vm.upstreams.pop(old, None)
                 if link is not None:
-                    link.listen_again()
+                    self._revive_link(link)
                     vm.upstreams[upstream.name] = link
             if upstream in self.upstreams:
                 self.list_upstream(upstream)
 
+    def _revive_link(self, link: links.Link) -> None:
+        if self._crashed_address == "refuses":
+            link.listen_again()
+        elif self._crashed_address == "silent":
+            link.mode = "pass"
+            link.reset()
+
+    def links_to(self, upstream: Upstream) -> list[links.Link]:
+        """Returns the links of all VMs to an upstream."""
+        return [
+            vm.upstreams[upstream.name]
+            for vm in self.vms
+            if upstream.name in vm.upstreams
+        ]
+
     def _add_links(self, vm: Vm) -> None:
         for other in self.vms:
             if other is not vm:
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -1,9 +1,10 @@
 """Compares callers' responses with the requests that upstreams executed."""
 
 import collections
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 import re
 
+from soak import budget
 from soak import callers as callers_lib
 from soak import fleet as fleet_lib
 from soak import prompts
@@ -19,12 +20,6 @@
 # more while the store is unstable, and the rest for a pause of the VM.
 _REVOCATION_S = 12.0
 _EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: data (\d+)\n\n")
-_MAX_ITEM_ATTEMPTS = 3
-# A request that has crashed so many engines may be sent to so many more
-# after the time in which VMs must know.
-_MAX_CRASHES = 3
-_MAX_LATE_RUNS = 3
-_SETTLED_S = 3.0
 _LARGEST_SHARE = 0.1
 # A share of fewer requests says little.
 _MIN_LARGE_REQUESTS = 10
@@ -37,6 +32,7 @@
     fleet: fleet_lib.Fleet,
     callers: callers_lib.Callers,
     revoked_s: Mapping[str, float],
+    disturbances: Sequence[budget.Disturbance] = (),
 ) -> list[str]:
     """Returns one line for each violated guarantee."""
     runs: dict[str, list[gatewayengine.Run]] = collections.defaultdict(list)
@@ -51,38 +47,19 @@
         f"{name} ran, but no caller sent it" for name in runs.keys() - known_ids
     ]
     for attempt in callers.attempts:
-        problems += _check_attempt(
-            attempt, runs.get(attempt.attempt_id, []), revoked_s
-        )
+        ran = runs.get(attempt.attempt_id, [])
+        problems += _check_attempt(attempt, ran, revoked_s)
+        problems += budget.check_max_attempts(attempt, ran)
+        problems += budget.check_deadlines(attempt, ran, disturbances)
     for job in callers.jobs:
         problems += _check_job(job, runs)
+        problems += budget.check_answers_500_and_422(job, runs)
     problems += _check_rate(callers, runs)
     problems += _check_large(callers)
-    problems += _check_poisons(fleet, callers, runs)
+    problems += budget.check_poisons(fleet, callers, runs)
     return problems
 
 
-def _check_poisons(
-    fleet: fleet_lib.Fleet,
-    callers: callers_lib.Callers,
-    runs: Mapping[str, list[gatewayengine.Run]],
-) -> Iterable[str]:
-    """Checks that a request that crashes engines is stopped at all VMs."""
-    for body in fleet.poisons:
-        ran_s = sorted(
-            run.at_s
-            for name, sent in callers.poisons.items()
-            if sent == body
-            for run in runs.get(name, ())
-        )
-        if len(ran_s) < _MAX_CRASHES:
-            continue
-        known_s = ran_s[_MAX_CRASHES - 1] + _SETTLED_S
-        late = sum(at_s > known_s for at_s in ran_s)
-        if late > _MAX_LATE_RUNS:
-            yield f"{body.decode()} ran {len(ran_s)} times, {late} of them late"
-
-
 def _check_attempt(
     attempt: callers_lib.Attempt,
     runs: list[gatewayengine.Run],
@@ -183,7 +160,7 @@
     for row in job.results.values():
         if row["state"] == "completed" and row["output"] != output:
             yield f"item {row['id']} has a wrong output"
-        given_up = len(runs.get(row["id"], ())) >= _MAX_ITEM_ATTEMPTS
+        given_up = budget.may_be_given_up(runs.get(row["id"], ()))
         given_up |= row["id"] not in job.expected
         if row["state"] == "errored" and not given_up and not job.cancelled_s:
             yield f"item {row['id']} was given up early"
--- a/tests/soak/playing.py
+++ b/tests/soak/playing.py
@@ -61,9 +61,15 @@
         + faults.draw(
             random.Random(f"{seed} capacity"), length_s, faults.CAPACITY
         )
+        + faults.draw(
+            random.Random(f"{seed} answers"), length_s, faults.ANSWERS
+        )
         + faults.draw_poison(random.Random(f"{seed} poison"), length_s)
     )
-    fleet = fleet_lib.Fleet(folder, number, vms)
+    address = random.Random(f"{seed} address").choice(
+        fleet_lib.CRASHED_ADDRESSES
+    )
+    fleet = fleet_lib.Fleet(folder, number, vms, address)
     callers = callers_lib.Callers(fleet, rng)
     player = faults.Player(fleet)
     try:
@@ -76,13 +82,16 @@
         time.sleep(_SETTLE_S)
         callers.stop()
         _check_recovery(fleet, callers)
-        problems = oracle.check(fleet, callers, player.revoked_s)
+        problems = oracle.check(
+            fleet, callers, player.revoked_s, player.disturbances
+        )
     finally:
         fleet.close()
     if not problems:
         shutil.rmtree(folder)
     else:
-        text = "\n".join([*map(str, series), "", *problems])
+        crashed = f"addresses of crashed engines: {address}"
+        text = "\n".join([crashed, *map(str, series), "", *problems])
         (folder / "faults.txt").write_text(text + "\n")
         problems.append(f"logs: {folder}")
     return SeedResult(
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -12,11 +12,23 @@
 
 # Shorter than the silence that the gateway allows before the first event.
 _MUTE_S = 0.8
+# Longer than the gateway waits for an answer that may be repeated elsewhere.
+_LATE_S = 1.5
 ATTEMPT = "bulrushdeal-request-attempt-id"
 
 
 class Run(NamedTuple):
-    """A request that the upstream executed."""
+    """A request that the upstream executed.
+
+    Attributes:
+        attempt: The request's id.
+        path: Its path with the query.
+        body: Its body.
+        headers: Its headers, with names in lower case.
+        last_event: The event after which it resumes a stream; 0 for none.
+        at_s: When it began, on the monotonic clock.
+        status: The status that it is answered with.
+    """
 
     attempt: str
     path: str
@@ -24,6 +36,7 @@
     headers: dict[str, str]
     last_event: int
     at_s: float
+    status: int = 200
 
 
 class Fault(NamedTuple):
@@ -33,9 +46,10 @@
         kind: `cut` breaks the stream off after some events, `part` inside
             an event; `busy` refuses the request without executing it;
             `error` and `never` answer 500 and 422, `unsigned-error` and
-            `unsigned-never` do so without the server's stamp; `mute` pauses
-            the stream for `_MUTE_S` after some events; `other` answers with
-            the id of another request, `unsigned` without the server's stamp.
+            `unsigned-never` do so without the server's stamp; `late` waits
+            `_LATE_S` before it answers; `mute` pauses the stream for `_MUTE_S`
+            after some events; `other` answers with the id of another request,
+            `unsigned` without the server's stamp.
         after: How many events precede a `cut`, `part` or `mute`.
     """
 
@@ -61,6 +75,8 @@
             short ones.
         poisons: The bodies of requests that crash it; with long answers in
             the middle of one.
+        statuses: What requests are answered with at each run, by their
+            bodies.
         on_crash: Called as it crashes, before its answers break off.
         has_crashed: Whether it has crashed and not started again.
     """
@@ -82,6 +98,7 @@
         self.load = ""
         self.long_answer_bytes = 0
         self.poisons: set[bytes] = set()
+        self.statuses: dict[bytes, int] = {}
         self.on_crash: Callable[[], None] = lambda: None
         self._closing = threading.Event()
         self._crashed = threading.Event()
@@ -163,6 +180,7 @@
             return httpd.json_response(503, {}, (not_run, *self._load()))
         attempt = request.headers[ATTEMPT]
         last = int(request.headers.get("last-event-id", "0"))
+        status = self._status(body, fault)
         self.runs.append(
             Run(
                 attempt,
@@ -171,8 +189,10 @@
                 dict(request.headers),
                 last,
                 time.monotonic(),
+                status,
             )
         )
+        self._wait_if_late(fault)
         is_poison = body in self.poisons
         if is_poison and not self.long_answer_bytes:
             self.crash()
@@ -183,8 +203,6 @@
             headers.append(("Bulrushdeal-Cold-Ms", str(self.cold_ms)))
         if not fault.kind.startswith("unsigned"):
             headers.append(("Bulrushdeal-Server-Stamp", "signed"))
-        kind = fault.kind.removeprefix("unsigned-")
-        status = {"error": 500, "never": 422}.get(kind, 200)
         if status != 200 or not is_stream:
             if self.capacity and ticket:
                 self.capacity.leave(ticket)
@@ -203,6 +221,15 @@
         events = self._stream(last, fault, ticket)
         return httpd.Response(200, tuple(headers), events)
 
+    def _status(self, body: bytes, fault: Fault) -> int:
+        kind = fault.kind.removeprefix("unsigned-")
+        status = {"error": 500, "never": 422}.get(kind, 200)
+        return self.statuses.get(body, status)
+
+    def _wait_if_late(self, fault: Fault) -> None:
+        if fault.kind == "late":
+            self._closing.wait(_LATE_S)
+
     def _long_answer(self, is_poison: bool) -> Iterator[bytes]:
         first_bytes = self.long_answer_bytes * 3 // 4
         yield b"x" * first_bytes
