Crash records: lost answers before a restart, and runs that were given up

Cause: of a restart only a break before it is known. A lost answer some time before counted as the crash, and the run that caused it as one that came after it. And a run that this VM ended itself to make room was watched like a silent one; the restart of its engine seconds later then counted against it.

Change: answers that came before the last break show that the upstream lived on after earlier ones; the time of a restart is uncertain to other VMs. A run that was preempted never counts, one that its caller gave up only if the list shows by then that the upstream had gone.

--- a/packages/daemon/bulrushdeald/crashnotifier.py
+++ b/packages/daemon/bulrushdeald/crashnotifier.py
@@ -82,6 +82,8 @@
         ran_s: float,
         age_s: float = 0.0,
         started_ms: int = 0,
+        *,
+        is_age_exact: bool = True,
     ) -> Delivery:
         """Records a crash and notifies the peers.
 
@@ -97,6 +99,7 @@
             age_s: How long ago it crashed, in seconds.
             started_ms: When the upstream had started, in milliseconds of the
                 epoch; 0 if unknown.
+            is_age_exact: Whether it crashed just then, and not later.
         """
         if not fingerprint:
             return Delivery()
@@ -109,6 +112,7 @@
             upstream,
             ran_s,
             started_ms,
+            is_age_exact,
         )
         with self._lock:
             self._quarantine.add(crash)
--- a/packages/daemon/bulrushdeald/quarantine.py
+++ b/packages/daemon/bulrushdeald/quarantine.py
@@ -41,8 +41,9 @@
         ran_s: How long the request had been running on it, in seconds.
         started_ms: When the upstream had started, in milliseconds of the
             epoch; 0 if unknown.
-        is_age_exact: Whether the age was counted without a clock that may
-            have been set meanwhile.
+        is_age_exact: Whether the upstream crashed just then. False if the age
+            is by a clock that may have been set, or from a break that may have
+            come before the crash.
     """
 
     fingerprint: str
--- a/packages/gateway/gateway/brokenruns.py
+++ b/packages/gateway/gateway/brokenruns.py
@@ -1,5 +1,6 @@
 """Watches the upstreams under which runs broke off, by the platform's list."""
 
+import collections
 from collections.abc import Callable
 import threading
 import time
@@ -11,6 +12,8 @@
 
 # Only the newest are watched. If so many break at once, requests crash nothing.
 _MAX_RUNS = 1000
+# A few seconds of answers at a busy VM.
+_MAX_ANSWERS = 2000
 
 
 class BrokenRuns:
@@ -40,8 +43,9 @@
         self._on_crash = on_crash
         self._lock = threading.Lock()
         self._runs: list[upstreamfates.BrokenRun] = []
-        # When the last answered requests began, by the upstream's instance.
-        self._answered_s: dict[str, float] = {}
+        self._answers: collections.deque[upstreamfates.Answer] = (
+            collections.deque(maxlen=_MAX_ANSWERS)
+        )
 
     def start(self) -> None:
         """Begins to follow the list."""
@@ -72,9 +76,9 @@
         """
         if not self._runs:
             return
+        now_s = time.monotonic()
         with self._lock:
-            last_s = self._answered_s.get(instance, began_s)
-            self._answered_s[instance] = max(began_s, last_s)
+            self._answers.append(upstreamfates.Answer(instance, began_s, now_s))
 
     def is_empty(self) -> bool:
         """Returns whether no run is watched."""
@@ -116,8 +120,8 @@
                     crashes.append(upstreamfates.Crash(run, fate))
                 elif fate == "listed":
                     self._runs.append(run)
-            causes = upstreamfates.find_causes(crashes, self._answered_s)
+            causes = upstreamfates.find_causes(crashes, self._answers)
             if not self._runs:
-                self._answered_s.clear()
+                self._answers.clear()
         for crash in causes:
             self._on_crash(crash)
--- a/packages/gateway/gateway/crashrecords.py
+++ b/packages/gateway/gateway/crashrecords.py
@@ -141,7 +141,8 @@
         fingerprint: str,
         slot: heldslots.Slot,
         *,
-        was_silent: bool = False,
+        was_silent: bool,
+        was_given_up: bool,
     ) -> None:
         """Records that a request's run broke off at an upstream.
 
@@ -152,12 +153,18 @@
             fingerprint: The request.
             slot: Where it ran.
             was_silent: Whether the upstream had sent nothing for a while.
+            was_given_up: Whether its caller gave it up.
         """
         now_s = time.monotonic()
         ran_s = now_s - slot.held_since_s
         self._broken_runs.add(
             upstreamfates.BrokenRun(
-                fingerprint, slot.upstream, ran_s, now_s, was_silent
+                fingerprint,
+                slot.upstream,
+                ran_s,
+                now_s,
+                was_silent,
+                was_given_up,
             )
         )
 
@@ -184,6 +191,8 @@
             run.ran_s,
             age_s,
             upstream.started_ms,
+            # A break before a restart may have come before the crash.
+            is_age_exact=crash.fate != "restarted",
         )
         if self.is_refused(run.fingerprint):
             self._store.update(run.fingerprint)
--- a/packages/gateway/gateway/decisions/upstreamfates.py
+++ b/packages/gateway/gateway/decisions/upstreamfates.py
@@ -33,6 +33,8 @@
         ran_s: How long it ran, in seconds.
         broke_s: When it broke off, by the monotonic clock.
         was_silent: Whether its upstream had sent nothing for a while.
+        was_given_up: Whether its caller gave it up, so that the upstream may
+            have been about to answer.
     """
 
     fingerprint: str
@@ -40,6 +42,7 @@
     ran_s: float
     broke_s: float
     was_silent: bool = False
+    was_given_up: bool = False
 
     @property
     def began_s(self) -> float:
@@ -52,8 +55,11 @@
 
     An entry that is missing by then was removed before. The upstream may have
     left as planned, which ends with breaks. It serves until then, so a run
-    that was silent was on one that had crashed.
+    that was silent was on one that had crashed. What the list shows after a
+    run was given up says nothing of it.
     """
+    if run.was_given_up and fate == "listed":
+        return False
     if fate == "lapsed":
         return run.was_silent
     return fate != "excused"
@@ -66,8 +72,22 @@
     fate: Fate
 
 
+class Answer(NamedTuple):
+    """An answer of an upstream to a request.
+
+    Attributes:
+        instance: The upstream.
+        began_s: When the request began, by the monotonic clock.
+        at_s: When the answer came.
+    """
+
+    instance: str
+    began_s: float
+    at_s: float
+
+
 def find_causes(
-    crashes: Iterable[Crash], answered_s: Mapping[str, float]
+    crashes: Collection[Crash], answers: Iterable[Answer]
 ) -> list[Crash]:
     """Returns the runs under which upstreams may have crashed.
 
@@ -77,16 +97,31 @@
 
     Args:
         crashes: Broken runs on upstreams that turned out to have crashed.
-        answered_s: When the last answered request to each upstream began, by
-            its instance, on the monotonic clock.
+        answers: What upstreams answered lately.
     """
+    last_s: dict[str, float] = {}
+    for crash in crashes:
+        instance, broke_s = crash.run.upstream.instance, crash.run.broke_s
+        last_s[instance] = max(broke_s, last_s.get(instance, broke_s))
+    answered_s: dict[str, float] = {}
+    restarted_answered_s: dict[str, float] = {}
+    for row in answers:
+        answered_s[row.instance] = max(
+            row.began_s, answered_s.get(row.instance, row.began_s)
+        )
+        # What has started again under its name answers as if it had lived
+        # on, so only answers before the last break count.
+        if row.at_s < last_s.get(row.instance, 0.0):
+            restarted_answered_s[row.instance] = max(
+                row.began_s, restarted_answered_s.get(row.instance, 0.0)
+            )
     first_s: dict[tuple[str, int], float] = {}
     causes: list[Crash] = []
     for crash in sorted(crashes, key=lambda row: row.run.broke_s):
         run, upstream = crash.run, crash.run.upstream
-        # One that has restarted under its name answers as if it had lived on.
-        is_alive = answered_s.get(upstream.instance, 0.0) > run.broke_s
-        if is_alive and crash.fate != "restarted":
+        is_restarted = crash.fate == "restarted"
+        alive_s = restarted_answered_s if is_restarted else answered_s
+        if alive_s.get(upstream.instance, 0.0) > run.broke_s:
             continue
         incarnation = (upstream.instance, upstream.started_ms)
         if run.began_s <= first_s.setdefault(incarnation, run.broke_s):
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -175,8 +175,8 @@
         upstream, may_have_run = slot.upstream, error.ran != "not_run"
         if error.kind == "cancelled":
             # Whoever waits for an upstream that is gone gives up in the end.
-            if self._placement.health.is_silent(upstream.instance):
-                self._record_break(outgoing, slot)
+            if not slot.is_preempted:
+                self._record_break(outgoing, slot, was_given_up=True)
             return Failure("ended", may_have_run, error.message)
         slot.outcome = "failed"
         if error.kind == "unreachable":
@@ -201,12 +201,21 @@
         )
 
     def _record_break(
-        self, outgoing: UpstreamRequest, slot: heldslots.Slot
+        self,
+        outgoing: UpstreamRequest,
+        slot: heldslots.Slot,
+        *,
+        was_given_up: bool = False,
     ) -> None:
         """Has the upstream of a run that broke off watched."""
         was_silent = self._placement.health.is_silent(slot.upstream.instance)
+        if was_given_up and not was_silent:
+            return
         self._crashes.record_break(
-            outgoing.fingerprint(), slot, was_silent=was_silent
+            outgoing.fingerprint(),
+            slot,
+            was_silent=was_silent,
+            was_given_up=was_given_up,
         )
 
     def record_completion(self, outgoing: UpstreamRequest) -> None:
--- a/tests/gateway/test_upstreamfates.py
+++ b/tests/gateway/test_upstreamfates.py
@@ -50,6 +50,9 @@
     assert not upstreamfates.may_be_crash(run, "lapsed")
     assert upstreamfates.may_be_crash(run._replace(was_silent=True), "lapsed")
     assert not upstreamfates.may_be_crash(run, "excused")
+    given_up = run._replace(was_silent=True, was_given_up=True)
+    assert not upstreamfates.may_be_crash(given_up, "listed")
+    assert upstreamfates.may_be_crash(given_up, "restarted")
 
 
 def _crash(
@@ -62,7 +65,8 @@
 def _causes(
     crashes: list[upstreamfates.Crash], answered_s: float = 0.0
 ) -> list[str]:
-    found = upstreamfates.find_causes(crashes, {"i-1": answered_s})
+    answer = upstreamfates.Answer("i-1", answered_s, answered_s + 0.1)
+    found = upstreamfates.find_causes(crashes, [answer])
     return [crash.run.fingerprint for crash in found]
 
 
@@ -86,3 +90,5 @@
     """Guards against missing crashes of what starts again under its name."""
     crashes = [_crash("cause", 10.0, 0.1, "restarted")]
     assert _causes(crashes, answered_s=12.0) == ["cause"]
+    crashes.append(_crash("later cause", 14.0, 0.1, "restarted"))
+    assert _causes(crashes, answered_s=12.0) == ["later cause"]
