--- a/packages/gateway/gateway/decisions/upstreamfates.py
+++ b/packages/gateway/gateway/decisions/upstreamfates.py
@@ -87,7 +87,7 @@
 
 
 def find_causes(
-    crashes: Collection[Crash], answers: Iterable[Answer]
+    crashes: Collection[Crash], answers: Collection[Answer]
 ) -> list[Crash]:
     """Returns the runs under which upstreams may have crashed.
 
@@ -99,36 +99,39 @@
         crashes: Broken runs on upstreams that turned out to have crashed.
         answers: What upstreams answered lately.
     """
-    last_s: dict[str, float] = {}
+    last_break_s: dict[str, float] = {}
     for crash in crashes:
         instance, broke_s = crash.run.upstream.instance, crash.run.broke_s
-        last_s[instance] = max(broke_s, last_s.get(instance, broke_s))
-    answered_s: dict[str, float] = {}
-    restarted_answered_s: dict[str, float] = {}
-    for row in answers:
-        answered_s[row.instance] = max(
-            row.began_s, answered_s.get(row.instance, row.began_s)
-        )
-        # What has started again under its name answers as if it had lived
-        # on, so only answers before the last break count.
-        if row.at_s < last_s.get(row.instance, 0.0):
-            restarted_answered_s[row.instance] = max(
-                row.began_s, restarted_answered_s.get(row.instance, 0.0)
-            )
-    first_s: dict[tuple[str, int], float] = {}
+        last_s = last_break_s.get(instance, broke_s)
+        last_break_s[instance] = max(broke_s, last_s)
+    alive_s = _last_alive_s(answers)
+    # What has started again under its name answers as if it had lived on, so
+    # only answers before the last break show that it had.
+    alive_before_s = _last_alive_s(
+        row for row in answers if row.at_s < last_break_s.get(row.instance, 0.0)
+    )
+    first_break_s: dict[tuple[str, int], float] = {}
     causes: list[Crash] = []
     for crash in sorted(crashes, key=lambda row: row.run.broke_s):
         run, upstream = crash.run, crash.run.upstream
-        is_restarted = crash.fate == "restarted"
-        alive_s = restarted_answered_s if is_restarted else answered_s
-        if alive_s.get(upstream.instance, 0.0) > run.broke_s:
+        known_s = alive_before_s if crash.fate == "restarted" else alive_s
+        if known_s.get(upstream.instance, 0.0) > run.broke_s:
             continue
-        incarnation = (upstream.instance, upstream.started_ms)
-        if run.began_s <= first_s.setdefault(incarnation, run.broke_s):
+        start = (upstream.instance, upstream.started_ms)
+        if run.began_s <= first_break_s.setdefault(start, run.broke_s):
             causes.append(crash)
     return causes
 
 
+def _last_alive_s(answers: Iterable[Answer]) -> dict[str, float]:
+    """Returns when each upstream is known to have lived, by its instance."""
+    alive_s: dict[str, float] = {}
+    for row in answers:
+        last_s = alive_s.get(row.instance, row.began_s)
+        alive_s[row.instance] = max(row.began_s, last_s)
+    return alive_s
+
+
 def watch_s(heartbeat_s: float) -> float:
     """Returns how long a crash may take to show in the list, in seconds."""
     return _HEARTBEATS_TO_LAPSE * heartbeat_s + _LIST_DELAY_S
