--- a/tests/gateway/test_repeatedcrashes.py
+++ b/tests/gateway/test_repeatedcrashes.py
@@ -222,19 +222,35 @@
     assert found.is_empty()
 
 
-def test_a_lost_answer_does_not_count_though_its_upstream_leaves_later(
-    scene: gatewayscene.Scene,
-) -> None:
-    """Guards against counting a break whose request has run to its end."""
+def _lose_an_answer(
+    scene: gatewayscene.Scene, **settings: Any
+) -> tuple[gatewayengine.Engine, gatewayscene.Vm, crashrecords.CrashRecords]:
+    """Returns an engine and a VM after a request whose answer was cut off."""
     (engine,) = _add_engines(scene, 1)
-    (vm,) = _add_vms(scene, 1)
+    vm = scene.add_vm(**settings)
     found = vm.kernel.find(names.CRASH_RECORDS, crashrecords.CrashRecords)
     engine.faults = [gatewayengine.Fault("cut", 2)]
     assert vm.call("POST", "/s/once/x", b"p", "a0").is_whole is False
-    assert not found.is_empty()
-    assert vm.call("POST", "/s/once/x", b"p", "a1").is_whole
+    return engine, vm, found
+
+
+def _leave(
+    scene: gatewayscene.Scene,
+    engine: gatewayengine.Engine,
+    vm: gatewayscene.Vm,
+) -> None:
     scene.store.write(f"servers/{engine.instance}", None)
     gatewayscene.until(lambda: not _is_usable(vm, engine))
+
+
+def test_a_lost_answer_does_not_count_though_its_upstream_leaves_later(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against counting a break whose request has run to its end."""
+    engine, vm, found = _lose_an_answer(scene)
+    assert not found.is_empty()
+    assert vm.call("POST", "/s/once/x", b"p", "a1").is_whole
+    _leave(scene, engine, vm)
     assert found.is_empty()
 
 
@@ -242,14 +258,9 @@
     scene: gatewayscene.Scene,
 ) -> None:
     """Guards against comparing a break with a list of long after."""
-    (engine,) = _add_engines(scene, 1)
-    vm = scene.add_vm(heartbeat_s=0.1)
-    found = vm.kernel.find(names.CRASH_RECORDS, crashrecords.CrashRecords)
-    engine.faults = [gatewayengine.Fault("cut", 2)]
-    assert vm.call("POST", "/s/once/x", b"p", "a0").is_whole is False
+    engine, vm, found = _lose_an_answer(scene, heartbeat_s=0.1)
     gatewayscene.until(found.is_empty)
-    scene.store.write(f"servers/{engine.instance}", None)
-    gatewayscene.until(lambda: not _is_usable(vm, engine))
+    _leave(scene, engine, vm)
     assert found.counts().recorded == 0
 
 
@@ -257,15 +268,10 @@
     scene: gatewayscene.Scene,
 ) -> None:
     """Guards against counting breaks at upstreams that drain afterwards."""
-    (engine,) = _add_engines(scene, 1)
-    (vm,) = _add_vms(scene, 1)
-    found = vm.kernel.find(names.CRASH_RECORDS, crashrecords.CrashRecords)
-    engine.faults = [gatewayengine.Fault("cut", 2)]
-    assert vm.call("POST", "/s/once/x", b"p", "a0").is_whole is False
+    engine, vm, found = _lose_an_answer(scene)
     scene.list_engine(engine, "draining")
     gatewayscene.until(found.is_empty)
-    scene.store.write(f"servers/{engine.instance}", None)
-    gatewayscene.until(lambda: not _is_usable(vm, engine))
+    _leave(scene, engine, vm)
     assert found.counts().recorded == 0
 
 
