--- a/tests/soak/kept.py
+++ b/tests/soak/kept.py
@@ -20,5 +20,11 @@
     Kept(187819, "SIGTERM ended an interpreter that was paused at its start"),
     Kept(302, "not traced; likely as 831990, seen with --length-s 10"),
     Kept(466141, "SIGTERM that another thread received was handled 4.5 s late"),
+    Kept(101, "a crash at an address that accepts passed for a lost answer"),
+    Kept(101, "an item that had only yielded was held back"),
+    Kept(103, "a reset after a silence passed for the end of a planned leave"),
+    Kept(104, "as 101, with addresses that reset"),
+    Kept(109, "an earlier lost answer passed for the crash before a restart"),
+    Kept(109, "not traced; few of the largest streams served, as 859889"),
     Kept(831990, "likely three owners in one window, each with opening tokens"),
 )
