--- a/tests/soak/kept.py
+++ b/tests/soak/kept.py
@@ -26,5 +26,7 @@
     Kept(104, "as 101, with addresses that reset"),
     Kept(109, "an earlier lost answer passed for the crash before a restart"),
     Kept(109, "not traced; few of the largest streams served, as 859889"),
+    Kept(569377, "requests go on to crashed engines whose address resets"),
+    Kept(655231, "not traced; crashes told late to a VM with stranded links"),
     Kept(831990, "likely three owners in one window, each with opening tokens"),
 )
