Soak: each run has loopback addresses of its own

Two soaks on one machine used the same addresses, 127.10.1.* for the first seed of every command: the VMs of the second could not bind and exited, or callers of one met the VMs of the other. So requests seemed to run twice.

A run now reserves 127.A.B.* by a bound port, which the system releases with the process. Links, engines and stores listen there too: while a crashed engine refuses connections, its port is free, and on 127.0.0.1 any other process could be given it.

--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -12,7 +12,7 @@
 
 @pytest.mark.parametrize(("seed", "length_s"), _SEEDS)
 def test_a_seed_violates_no_guarantee(seed: int, length_s: float) -> None:
-    result = playing.play(seed, 201 + seed % 20, length_s, vms=3)
+    result = playing.play(seed, length_s, vms=3)
     assert result.problems == []
     # A run in which nothing is served would violate no guarantee either.
     assert result.served
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -47,11 +47,10 @@
             pool.submit(
                 playing.play,
                 seed,
-                10 + index % 200,
                 arguments.length_s,
                 arguments.vms,
             ): seed
-            for index, seed in enumerate(seeds)
+            for seed in seeds
         }
         for future in futures.as_completed(seeds_by_future):
             result = future.result()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,5 +1,6 @@
 """The gateway processes, stand-ins and links of one soak run."""
 
+from collections.abc import Callable
 import functools
 import http.client
 import json
@@ -13,6 +14,7 @@
 from typing import Any, get_args, Literal
 
 from bulrushdeald import rendezvous
+from soak import addresses
 from soak import links
 from soak import store as store_lib
 from support import enginecapacity
@@ -73,13 +75,15 @@
         engine: The server that answers as the engine.
     """
 
-    def __init__(self, name: str, domain: str, poisons: set[bytes]) -> None:
+    def __init__(
+        self, name: str, domain: str, poisons: set[bytes], host: str
+    ) -> None:
         self.name = name
         self.domain = domain
         self.started_ms = int(time.time() * 1000)
         self.capacity = enginecapacity.Capacity(_SLOTS, MEMORY_TOKENS)
         self.engine = gatewayengine.Engine(
-            name, EVENTS_PER_STREAM, self.capacity
+            name, EVENTS_PER_STREAM, self.capacity, host
         )
         self.engine.pause_s = _EVENT_INTERVAL_S
         self.engine.poisons = poisons
@@ -109,14 +113,16 @@
         store_server: The server that gives this VM access to the store.
     """
 
-    def __init__(self, name: str, domain: str, ip: str) -> None:
+    def __init__(
+        self, name: str, domain: str, ip: str, shared_host: str
+    ) -> None:
         self.name = name
         self.domain = domain
         self.ip = ip
         self.process: subprocess.Popen[bytes] | None = None
         self.should_run = False
         self.started_s = 0.0
-        self.front = links.Link(lambda: (ip, 8405))
+        self.front = links.Link(lambda: (ip, 8405), shared_host)
         self.peers: dict[str, links.Link] = {}
         self.upstreams: dict[str, links.Link] = {}
         self.store: links.Link
@@ -147,11 +153,11 @@
     def __init__(
         self,
         folder: pathlib.Path,
-        number: int,
         vms: int,
         crashed_address: CrashedAddress = "refuses",
     ) -> None:
         self._folder = folder
+        self._network = addresses.Network()
         self._crashed_address = crashed_address
         self.statuses: dict[bytes, int] = {}
         self.store = store_lib.Store()
@@ -164,7 +170,12 @@
             for index in range(4)
         ]
         self.vms = [
-            Vm(f"vm{index}", f"d{index % 3}", f"127.{number}.1.{index + 1}")
+            Vm(
+                f"vm{index}",
+                f"d{index % 3}",
+                self._network.host(index + 1),
+                self._network.shared_host,
+            )
             for index in range(vms)
         ]
         self.replaced_upstreams: list[Upstream] = []
@@ -177,7 +188,9 @@
             self.list_upstream(upstream)
 
     def _make_upstream(self, name: str, domain: str) -> Upstream:
-        upstream = Upstream(name, domain, self.poisons)
+        upstream = Upstream(
+            name, domain, self.poisons, self._network.shared_host
+        )
         upstream.engine.statuses = self.statuses
         upstream.engine.on_crash = lambda: self._on_crash(upstream)
         return upstream
@@ -237,13 +250,18 @@
     def _add_links(self, vm: Vm) -> None:
         for other in self.vms:
             if other is not vm:
-                vm.peers[other.name] = links.Link(
+                vm.peers[other.name] = self._make_link(
                     functools.partial(_address, other.ip, 7660)
                 )
         vm.store_server = store_lib.StoreServer(
-            self.store, lambda field, name: self._link_address(vm, field, name)
+            self.store,
+            lambda field, name: self._link_address(vm, field, name),
+            self._network.shared_host,
         )
-        vm.store = links.Link(lambda: vm.store_server.address)
+        vm.store = self._make_link(lambda: vm.store_server.address)
+
+    def _make_link(self, target: Callable[[], tuple[str, int]]) -> links.Link:
+        return links.Link(target, self._network.shared_host)
 
     def _link_address(self, vm: Vm, field: str, name: str) -> str:
         if field == "peers":
@@ -255,7 +273,7 @@
         if upstream is None:
             return ""
         if name not in vm.upstreams:
-            vm.upstreams[name] = links.Link(lambda: upstream.address)
+            vm.upstreams[name] = self._make_link(lambda: upstream.address)
         return vm.upstreams[name].host_port
 
     def configure(self, **changes: list[str]) -> None:
@@ -435,6 +453,7 @@
         for upstream in (*self.upstreams, *self.replaced_upstreams):
             upstream.engine.close()
         self.store.close()
+        self._network.close()
 
 
 def is_ready(vm: Vm) -> bool:
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -46,6 +46,10 @@
 class Link:
     """Forwards connections from its own loopback address to a target.
 
+    Args:
+        target: Returns the host and port to forward to.
+        host: The loopback address on which to accept connections.
+
     Attributes:
         mode: `pass` forwards both directions. `silent` holds back both, `deaf`
             the bytes to the target, `mute` the bytes from it. `refuse` resets
@@ -54,15 +58,15 @@
         address: The host and port on which the link accepts connections.
     """
 
-    def __init__(self, target: Callable[[], tuple[str, int]]) -> None:
+    def __init__(
+        self, target: Callable[[], tuple[str, int]], host: str = "127.0.0.1"
+    ) -> None:
         self._target = target
         self.mode: Mode = "pass"
         self.delay_s = 0.0
         self._lock = threading.Lock()
         self._connections: set[_Connection] = set()
-        self._listener = socket.create_server(
-            ("127.0.0.1", 0), backlog=_BACKLOG
-        )
+        self._listener = socket.create_server((host, 0), backlog=_BACKLOG)
         self.address: tuple[str, int] = self._listener.getsockname()
         self._is_closed = False
         threading.Thread(target=self._accept, daemon=True).start()
--- a/tests/soak/playing.py
+++ b/tests/soak/playing.py
@@ -43,13 +43,11 @@
     listed: int
 
 
-def play(seed: int, number: int, length_s: float, vms: int) -> SeedResult:
+def play(seed: int, length_s: float, vms: int) -> SeedResult:
     """Runs one seed; keeps its logs if a guarantee was violated.
 
     Args:
         seed: Determines the faults and the requests of the callers.
-        number: The second octet of the VMs' addresses `127.number.1.*`; it
-            differs between soaks that run at the same time.
         length_s: The period in which faults begin, in seconds.
         vms: The number of gateway processes.
 
@@ -69,7 +67,7 @@
     address = random.Random(f"{seed} address").choice(
         fleet_lib.CRASHED_ADDRESSES
     )
-    fleet = fleet_lib.Fleet(folder, number, vms, address)
+    fleet = fleet_lib.Fleet(folder, vms, address)
     callers = callers_lib.Callers(fleet, rng)
     player = faults.Player(fleet)
     try:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -115,6 +115,12 @@
 class StoreServer:
     """The HTTP server that gives one VM access to the store.
 
+    Args:
+        store: The store.
+        link_address: Returns the address by which the VM reaches a peer or an
+            upstream.
+        host: The loopback address on which to listen.
+
     Attributes:
         fault: `busy` refuses requests with status 503. `silent` does so only
             after `_SILENT_S`. `lost` executes changes, but delays the response
@@ -123,19 +129,23 @@
     """
 
     def __init__(
-        self, store: Store, link_address: Callable[[str, str], str]
+        self,
+        store: Store,
+        link_address: Callable[[str, str], str],
+        host: str,
     ) -> None:
         self._store = store
+        self._host = host
         self._link_address = link_address
         self.fault: StoreFault = ""
         self._lossy_changes = 0
-        self._server = httpd.Server("127.0.0.1:0", self._serve, 48)
+        self._server = httpd.Server(f"{host}:0", self._serve, 48)
         self._server.start()
 
     @property
     def address(self) -> tuple[str, int]:
         """The host and port on which the server listens."""
-        return "127.0.0.1", self._server.port
+        return self._host, self._server.port
 
     def close(self) -> None:
         """Stops the server."""
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -86,8 +86,10 @@
         instance: str,
         events: int = 5,
         capacity: enginecapacity.Capacity | None = None,
+        host: str = "127.0.0.1",
     ) -> None:
         self.instance = instance
+        self._host = host
         self.capacity = capacity
         self.events = events
         self.pause_s = 0.0
@@ -107,9 +109,9 @@
 
     def _start_server(self, port: int) -> httpd.Server:
         # A port of the server's own choice could not be bound again.
-        listener = socket.create_server(("127.0.0.1", port), backlog=128)
+        listener = socket.create_server((self._host, port), backlog=128)
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        address = f"{self._host}:{listener.getsockname()[1]}"
         server = httpd.Server(address, self._serve, 32, listener=listener)
         server.start()
         return server
@@ -120,7 +122,7 @@
 
     @property
     def address(self) -> str:
-        return f"127.0.0.1:{self._server.port}"
+        return f"{self._host}:{self._server.port}"
 
     def close(self) -> None:
         self._closing.set()
