Quarantine: several crashes refuse a request whatever explains them

Callers saw requests that crash engines run on and on where two or more of them came together (soak: 'poison resumed ran 9 times, 5 of them late'): quarantined, then 'released' a few seconds later at each VM.

Cause: the verdict is a greedy set cover, worked out anew at every crash. The request with the most crashes is blamed first and explains those of the others that ran on the same upstreams. As its count grows, one that was refused becomes explained and runs again, though no run of it reached its end. Where causes overlap, each lets the other go on.

A request that met four crashes, not all at once, is now refused whatever explains them, until a run reaches its end. This needs no memory of earlier verdicts: it only grows with the crashes, so a VM that has just started comes to the same one. An item that only this refuses waits 15 s at first, as one that has just been refused.

Shown: test_a_request_is_stopped_though_others_explain_its_crashes (12 runs, 4 allowed, before) and test_no_cause_among_several_runs_on, a property, fail with the constant alone.

--- a/packages/daemon/bulrushdeald/quarantine.py
+++ b/packages/daemon/bulrushdeald/quarantine.py
@@ -4,6 +4,8 @@
 also through other VMs. Such a crash shows as a connection that breaks before
 the answer is complete. After one crash a request is a suspect; after a second
 one it is refused at once, unless another request explains the crashes better.
+After a few more it is refused whatever explains them: where several requests
+crash upstreams, their runs overlap and each explains the others' crashes.
 A run that reaches its end clears a request. All this holds on each VM that the
 crash notice reached; the notice is sent before the caller gets its answer.
 """
@@ -16,6 +18,8 @@
 from bulrushdeal import clock as clock_lib
 
 CRASHES_TO_REFUSE = 2
+# Crashes after which a request is refused though others explain them.
+EXPLAINED_CRASHES_TO_REFUSE = 4
 RETENTION_S = 3600.0
 _MAX_REQUESTS = 10_000
 # VMs see the crash of the same upstream at about the same time, and it takes
@@ -93,6 +97,18 @@
     is_age_exact: bool
 
 
+class _Verdict(NamedTuple):
+    """The requests to refuse.
+
+    Attributes:
+        blamed: Those that crashes are put down to.
+        repeated: Those that met too many crashes, whatever explains them.
+    """
+
+    blamed: frozenset[str] = frozenset()
+    repeated: frozenset[str] = frozenset()
+
+
 class Quarantine:
     """Counts crashes by request; not thread-safe."""
 
@@ -101,8 +117,8 @@
         self._runs: dict[str, dict[str, _Run]] = {}
         # When crashes were cleared, by their ids.
         self._cleared: dict[str, float] = {}
-        # The requests to refuse; `None` if it has to be worked out again.
-        self._refused: frozenset[str] | None = frozenset()
+        # `None` if it has to be worked out again.
+        self._verdict: _Verdict | None = _Verdict()
 
     def add(self, crash: Crash) -> bool:
         """Records a crash and returns whether it is a new one.
@@ -126,7 +142,7 @@
             crash.started_ms,
             crash.is_age_exact,
         )
-        self._refused = None
+        self._verdict = None
         self._prune()
         return run is None
 
@@ -158,7 +174,7 @@
             self._runs[fingerprint] = left
             if not left:
                 del self._runs[fingerprint]
-        self._refused = None
+        self._verdict = None
         self._prune()
         return new
 
@@ -179,16 +195,23 @@
         if not self.is_refused(fingerprint):
             return False
         runs = self._runs[fingerprint].values()
-        excess = max(0, len(runs) - CRASHES_TO_REFUSE)
+        crashes_to_refuse = EXPLAINED_CRASHES_TO_REFUSE
+        if fingerprint in self._find_verdict().blamed:
+            crashes_to_refuse = CRASHES_TO_REFUSE
+        excess = max(0, len(runs) - crashes_to_refuse)
         hold_s = _FIRST_HOLD_S * _HOLD_GROWTH**excess
         last_s = max(run.ended_s for run in runs)
         return bool(self._clock.monotonic_s() < last_s + hold_s)
 
     def refused(self) -> frozenset[str]:
         """Returns the fingerprints of the requests to refuse."""
-        if self._refused is None:
-            self._refused = _find_culprits(self._runs)
-        return self._refused
+        verdict = self._find_verdict()
+        return verdict.blamed | verdict.repeated
+
+    def _find_verdict(self) -> _Verdict:
+        if self._verdict is None:
+            self._verdict = _find_verdict(self._runs)
+        return self._verdict
 
     def crashes(self) -> tuple[Crash, ...]:
         """Returns all recorded crashes."""
@@ -235,8 +258,29 @@
             del self._cleared[next(iter(self._cleared))]
 
 
+def _find_verdict(runs_of: Mapping[str, Mapping[str, _Run]]) -> _Verdict:
+    crash_of = _group_runs(
+        run for runs in runs_of.values() for run in runs.values()
+    )
+    began_before = _find_causes(runs_of, crash_of)
+    repeated = {
+        fingerprint: tuple(runs)
+        for fingerprint, runs in began_before.items()
+        if _count_separate(runs) >= CRASHES_TO_REFUSE
+    }
+    return _Verdict(
+        _find_culprits(repeated, crash_of),
+        frozenset(
+            fingerprint
+            for fingerprint, runs in repeated.items()
+            if len({crash_of[run.crash_id] for run in runs})
+            >= EXPLAINED_CRASHES_TO_REFUSE
+        ),
+    )
+
+
 def _find_culprits(
-    runs_of: Mapping[str, Mapping[str, _Run]],
+    repeated: Mapping[str, tuple[_Run, ...]], crash_of: Mapping[str, int]
 ) -> frozenset[str]:
     """Returns the requests that the crashes are put down to.
 
@@ -244,16 +288,11 @@
     crashed to the next. So the request with the most crashes is blamed first,
     and these crashes no longer count against the others (a greedy set cover).
     Of requests with as many, one that crashed its upstreams sooner is blamed.
+
+    Args:
+        repeated: The runs of the requests that met several crashes.
+        crash_of: The numbers of the crashes, by the ids of runs.
     """
-    crash_of = _group_runs(
-        run for runs in runs_of.values() for run in runs.values()
-    )
-    began_before = _find_causes(runs_of, crash_of)
-    repeated = {
-        fingerprint: tuple(runs)
-        for fingerprint, runs in began_before.items()
-        if len(runs) >= CRASHES_TO_REFUSE
-    }
     heap = [_rank(name, runs) for name, runs in repeated.items()]
     heapq.heapify(heap)
     explained: set[int] = set()
--- a/tests/daemon/test_quarantine.py
+++ b/tests/daemon/test_quarantine.py
@@ -111,6 +111,91 @@
     assert holds_s == [0.0, 15.0, 60.0, 240.0, 960.0]
 
 
+def test_a_request_is_stopped_though_others_explain_its_crashes() -> None:
+    """Guards against causes that crash upstreams together and in turns.
+
+    The one with more crashes explains those of the other, again and again.
+    """
+    clock = clock_lib.FakeClock()
+    crashes = quarantine.Quarantine(clock)
+    for number in range(12):
+        for name in ("more", "less"):
+            crashes.add(_crash(name, f"e{number}"))
+        crashes.add(_crash("more", f"e{number} too", 0.3))
+        clock.sleep_s(1.0)
+        if crashes.is_refused("less"):
+            break
+    ends = sum(row.fingerprint == "less" for row in crashes.crashes())
+    assert ends == quarantine.EXPLAINED_CRASHES_TO_REFUSE
+    # What is known of others later says nothing of its own crashes.
+    for number in range(20):
+        crashes.add(_crash("more", f"late {number}", 0.2))
+        assert crashes.is_refused("less")
+
+
+@hypothesis.given(
+    rounds=st.lists(
+        st.lists(
+            st.sets(st.sampled_from(_REQUESTS), min_size=1),
+            min_size=1,
+            max_size=4,
+        ),
+        max_size=10,
+    ),
+    news=st.integers(0, 3),
+)
+def test_no_cause_among_several_runs_on(
+    rounds: list[list[set[str]]], news: int
+) -> None:
+    """Guards against a verdict that is taken back though no run ended well.
+
+    Each request crashes upstreams, several at a time and on the same ones.
+    Another VM, started at any time, comes to the same verdict.
+    """
+    clock = clock_lib.FakeClock()
+    crashes = quarantine.Quarantine(clock)
+    for number, engines in enumerate(rounds):
+        for engine, names in enumerate(engines):
+            # Only the runs that a request is granted while it is not refused.
+            for name in sorted(names):
+                if not crashes.is_refused(name):
+                    crashes.add(_crash(name, f"e{number}.{engine}"))
+        clock.sleep_s(1.0)
+    for name in _REQUESTS:
+        met = {
+            row.upstream for row in crashes.crashes() if row.fingerprint == name
+        }
+        numbers = {row.partition(".")[0] for row in met}
+        most = quarantine.EXPLAINED_CRASHES_TO_REFUSE
+        assert len(numbers) <= most
+        if len(met) >= most and len(numbers) > 1:
+            assert crashes.is_refused(name)
+    started = quarantine.Quarantine(clock)
+    for row in crashes.crashes()[news:]:
+        started.add(row)
+    for row in crashes.crashes():
+        started.add(row)
+    assert started.refused() == crashes.refused()
+
+
+def test_an_item_that_others_explain_waits_as_one_just_refused() -> None:
+    """Guards against minutes of waiting for an item that met bad company."""
+    clock = clock_lib.FakeClock()
+    crashes = quarantine.Quarantine(clock)
+    for number in range(quarantine.EXPLAINED_CRASHES_TO_REFUSE):
+        crashes.add(_crash("item", f"e{number}", 0.0, 0.9))
+        cause = f"cause {number % 2}"
+        crashes.add(_crash(cause, f"e{number}"))
+        for other in range(3):
+            crashes.add(_crash(cause, f"e{number} other {other}", 0.3))
+        clock.sleep_s(1.0)
+    assert crashes.is_refused("item")
+    begin_s = clock.now_s
+    while crashes.is_held_back("item"):
+        clock.sleep_s(1.0)
+    assert clock.now_s - begin_s <= 15.0
+
+
 @hypothesis.given(
     series=st.lists(st.sets(st.sampled_from(_REQUESTS)), max_size=8),
     seed=st.integers(0, 1000),
