Placement: an upstream under which answers break off is avoided for a moment

Cause: behind a proxy the address of a crashed engine accepts connections and resets them. Only an address that refuses was avoided. A crashed engine has the most free slots, so requests went on to it until its entry lapsed or the leader had seen three failures.

An upstream whose answer breaks off is now doubtful for half a second, twice as long after each further break, and not used while another is left. Data from it ends that at once, so one that has only lost an answer and serves others stays in use.

--- a/packages/gateway/gateway/health.py
+++ b/packages/gateway/gateway/health.py
@@ -1,6 +1,6 @@
 """Which upstreams recently failed for this VM, and which sent data."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 import threading
 import time
 
@@ -20,13 +20,17 @@
 class Health:
     """Keeps upstreams from being used for some time after a failure.
 
-    The time doubles with each further failure, up to a limit.
+    The time doubles with each further failure, up to a limit. An upstream
+    whose answer broke off is doubtful: a proxy may accept requests for one that
+    has crashed, and break them off too. It is until it sends data, which shows
+    that only the answer was lost, or until that time has passed.
     """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._avoided_until_s: dict[str, float] = {}
         self._failure_counts: dict[str, int] = {}
+        self._doubtful_until_s: dict[str, float] = {}
         self._received_s: dict[str, float] = {}
 
     def record_failure(self, instance: str, why: str) -> None:
@@ -37,12 +41,27 @@
             why: The reason, for the log.
         """
         with self._lock:
-            count = self._failure_counts.get(instance, 0)
-            avoid_s = min(_FIRST_AVOID_S * 2**count, _MAX_AVOID_S)
-            self._failure_counts[instance] = min(count + 1, 10)
+            avoid_s = self._count_failure(instance)
             self._avoided_until_s[instance] = time.monotonic() + avoid_s
         _events.warning("avoided", upstream=instance, for_s=avoid_s, why=why)
 
+    def record_break(self, instance: str) -> None:
+        """Records that an upstream's answer broke off, so it is doubtful.
+
+        Args:
+            instance: The upstream's name.
+        """
+        with self._lock:
+            doubt_s = self._count_failure(instance)
+            self._doubtful_until_s[instance] = time.monotonic() + doubt_s
+        _events.info("doubtful", upstream=instance, for_s=doubt_s)
+
+    def _count_failure(self, instance: str) -> float:
+        """Returns how long to avoid an upstream after one more failure."""
+        count = self._failure_counts.get(instance, 0)
+        self._failure_counts[instance] = min(count + 1, 10)
+        return min(_FIRST_AVOID_S * 2**count, _MAX_AVOID_S)
+
     def record_success(self, instance: str) -> None:
         """Records that an upstream answered, which ends its avoidance."""
         if instance not in self._failure_counts:
@@ -50,11 +69,14 @@
         with self._lock:
             self._failure_counts.pop(instance, None)
             self._avoided_until_s.pop(instance, None)
+            self._doubtful_until_s.pop(instance, None)
         _events.info("back", upstream=instance)
 
     def record_data(self, instance: str) -> None:
         """Records that an upstream has just sent data."""
         self._received_s[instance] = time.monotonic()
+        if instance in self._doubtful_until_s:
+            self.record_success(instance)
 
     def is_silent(self, instance: str) -> bool:
         """Returns whether an upstream has sent no data recently."""
@@ -63,14 +85,20 @@
 
     def avoided(self) -> frozenset[str]:
         """Returns the upstreams that are avoided now."""
-        if not self._avoided_until_s:
+        return self._names_until(self._avoided_until_s)
+
+    def doubtful(self) -> frozenset[str]:
+        """Returns the upstreams that may have crashed."""
+        return self._names_until(self._doubtful_until_s)
+
+    def _names_until(self, until_s: Mapping[str, float]) -> frozenset[str]:
+        """Returns the upstreams whose time has not passed yet."""
+        if not until_s:
             return frozenset()
         now_s = time.monotonic()
         with self._lock:
             return frozenset(
-                name
-                for name, until_s in self._avoided_until_s.items()
-                if until_s > now_s
+                name for name, end_s in until_s.items() if end_s > now_s
             )
 
     def retain(self, instances: Iterable[str]) -> None:
@@ -86,3 +114,4 @@
                 if name not in kept:
                     del self._failure_counts[name]
                     self._avoided_until_s.pop(name, None)
+                    self._doubtful_until_s.pop(name, None)
--- a/packages/gateway/gateway/reachability.py
+++ b/packages/gateway/gateway/reachability.py
@@ -89,11 +89,12 @@
                 and self._health.is_silent(row.instance)
             )
         }
-        silent = self.silent()
+        suspects = self.silent() | self._health.doubtful()
         # If all upstreams are silent, they are taken as slow and stay usable.
-        if all(row.instance in skipped | silent for row in rows):
+        # If all are doubtful, rather answers get lost than all have crashed.
+        if all(row.instance in skipped | suspects for row in rows):
             return skipped
-        return skipped | silent
+        return skipped | suspects
 
     def silent(self) -> frozenset[str]:
         """Returns the upstreams that owe an answer and send nothing.
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -187,6 +187,7 @@
         if error.kind == "timeout":
             self._record_break(outgoing, slot)
             return Failure("silent", may_have_run, error.message)
+        self._placement.health.record_break(upstream.instance)
         failure = Failure("broken", may_have_run, error.message)
         # One that drains may exit while it still runs long requests.
         if self._placement.is_usable(upstream):
--- a/tests/gateway/test_repeatedcrashes.py
+++ b/tests/gateway/test_repeatedcrashes.py
@@ -202,6 +202,25 @@
         engine.close()
 
 
+def test_a_crashed_upstream_whose_address_accepts_draws_few_requests(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against failing callers who could be served elsewhere."""
+    # They stay listed after a crash; their addresses accept and reset.
+    engines = [_Forwarder(scene, number) for number in range(3)]
+    (vm,) = _add_vms(scene, 1)
+    assert _send(vm, "/s/once/x", "poison") == 502
+    statuses = [
+        vm.call("POST", "/s/once/x", b"other", f"o{number}").status
+        for number in range(20)
+    ]
+    # One more finds out whether it is back.
+    assert statuses.count(502) <= 1, statuses
+    assert statuses.count(200) >= len(statuses) - 1
+    for engine in engines:
+        engine.close()
+
+
 def test_an_upstream_that_leaves_as_planned_does_not_count(
     scene: gatewayscene.Scene,
 ) -> None:
