Quarantine: copies of an item that crashes upstreams run one at a time

Cause: all VMs know of the same last crash, so the wait ends at the same moment at each of them. At one VM the copies followed each other as soon as one had broken off, while it takes three heartbeats and 2 s until the list shows a crash whose address accepts connections.

At the end of the wait, and as long as a request is only a suspect, the VM that noticed the last crash goes first; the others come later by the time in which a crash is noticed, or up to twice that. A VM that has run a copy waits as long before the next one, unless the run ended without a break. Considered: asking one VM for leave, which needs a further message and an answer in a cut; one turn for each VM in the order of a hash, which lets the only copy of a harmless item wait for minutes on a large fleet.

--- a/packages/daemon/bulrushdeald/quarantine.py
+++ b/packages/daemon/bulrushdeald/quarantine.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable, Mapping
 import hashlib
 import heapq
+import math
 from typing import NamedTuple
 
 from bulrushdeal import clock as clock_lib
@@ -110,10 +111,25 @@
 
 
 class Quarantine:
-    """Counts crashes by request; not thread-safe."""
+    """Counts crashes by request; not thread-safe.
 
-    def __init__(self, clock: clock_lib.Clock) -> None:
+    Args:
+        clock: The clock.
+        vm: This VM, as it stands in the ids of the crashes that it noticed.
+        notice_s: How long it takes at most until a crash is noticed, in
+            seconds. Copies of a suspect that must be finished run one at a
+            time, so far apart: if all VMs ran theirs as soon as they may, each
+            would crash an upstream before any crash is noticed.
+    """
+
+    def __init__(
+        self, clock: clock_lib.Clock, vm: str = "", notice_s: float = 0.0
+    ) -> None:
         self._clock = clock
+        self._vm = vm
+        self._notice_s = notice_s
+        # When runs of suspects began here whose outcome is not known.
+        self._trials_s: dict[str, float] = {}
         self._runs: dict[str, dict[str, _Run]] = {}
         # When crashes were cleared, by their ids.
         self._cleared: dict[str, float] = {}
@@ -192,16 +208,46 @@
 
     def is_held_back(self, fingerprint: str) -> bool:
         """Returns whether a request that must be finished has to wait."""
-        if not self.is_refused(fingerprint):
+        runs = self._runs.get(fingerprint)
+        if not runs:
             return False
-        runs = self._runs[fingerprint].values()
+        now_s = self._clock.monotonic_s()
+        if now_s < self._trials_s.get(fingerprint, -math.inf) + self._notice_s:
+            return True
+        last = max(runs.values(), key=lambda run: run.ended_s)
+        wait_s = self._hold_s(fingerprint) + self._turn_s(fingerprint, last)
+        return bool(now_s < last.ended_s + wait_s)
+
+    def _hold_s(self, fingerprint: str) -> float:
+        """Returns how long a request waits after its last crash, in seconds."""
+        if not self.is_refused(fingerprint):
+            return 0.0
         crashes_to_refuse = EXPLAINED_CRASHES_TO_REFUSE
         if fingerprint in self._find_verdict().blamed:
             crashes_to_refuse = CRASHES_TO_REFUSE
-        excess = max(0, len(runs) - crashes_to_refuse)
-        hold_s = _FIRST_HOLD_S * _HOLD_GROWTH**excess
-        last_s = max(run.ended_s for run in runs)
-        return bool(self._clock.monotonic_s() < last_s + hold_s)
+        excess = max(0, len(self._runs[fingerprint]) - crashes_to_refuse)
+        return _FIRST_HOLD_S * float(_HOLD_GROWTH**excess)
+
+    def _turn_s(self, fingerprint: str, last: _Run) -> float:
+        """Returns how much later than others this VM may run a suspect.
+
+        The VM that noticed the last crash goes first, as it has the request;
+        whether others have copies of it is not known.
+        """
+        if last.crash_id.partition("/")[0] == self._vm:
+            return 0.0
+        text = f"{self._vm} {fingerprint}"
+        digest = hashlib.sha256(text.encode()).digest()
+        return self._notice_s * (1.0 + digest[0] / 256)
+
+    def begin_trial(self, fingerprint: str) -> None:
+        """Records that a suspect that must be finished runs here."""
+        if fingerprint in self._runs:
+            self._trials_s[fingerprint] = self._clock.monotonic_s()
+
+    def end_trial(self, fingerprint: str) -> None:
+        """Records that such a run ended without a crash."""
+        self._trials_s.pop(fingerprint, None)
 
     def refused(self) -> frozenset[str]:
         """Returns the fingerprints of the requests to refuse."""
@@ -251,6 +297,8 @@
             del self._runs[fingerprint]
         while len(self._runs) > _MAX_REQUESTS:
             del self._runs[next(iter(self._runs))]
+        for fingerprint in self._trials_s.keys() - self._runs.keys():
+            del self._trials_s[fingerprint]
         self._cleared = {
             key: at_s for key, at_s in self._cleared.items() if at_s >= oldest_s
         }
--- a/packages/gateway/gateway/crashrecords.py
+++ b/packages/gateway/gateway/crashrecords.py
@@ -48,7 +48,11 @@
         self._heartbeat_s = settings.heartbeat_s
         self._clock = clock_lib.SystemClock()
         self._lock = threading.Lock()
-        self._quarantine = quarantine.Quarantine(self._clock)
+        self._quarantine = quarantine.Quarantine(
+            self._clock,
+            settings.vm,
+            upstreamfates.watch_s(settings.heartbeat_s),
+        )
         self._logged: frozenset[str] = frozenset()
 
     def start(self) -> None:
@@ -226,6 +230,16 @@
             self._log_refused()
             return self._quarantine.is_held_back(fingerprint)
 
+    def begin_trial(self, fingerprint: str) -> None:
+        """Records that a suspect that must be finished runs here."""
+        with self._lock:
+            self._quarantine.begin_trial(fingerprint)
+
+    def end_trial(self, fingerprint: str) -> None:
+        """Records that such a run ended without a crash."""
+        with self._lock:
+            self._quarantine.end_trial(fingerprint)
+
     def counts(self) -> Counts:
         """Returns how many requests are known."""
         with self._lock:
--- a/packages/gateway/gateway/health.py
+++ b/packages/gateway/gateway/health.py
@@ -60,7 +60,7 @@
         """Returns how long to avoid an upstream after one more failure."""
         count = self._failure_counts.get(instance, 0)
         self._failure_counts[instance] = min(count + 1, 10)
-        return min(_FIRST_AVOID_S * 2**count, _MAX_AVOID_S)
+        return min(_FIRST_AVOID_S * float(2**count), _MAX_AVOID_S)
 
     def record_success(self, instance: str) -> None:
         """Records that an upstream answered, which ends its avoidance."""
--- a/packages/gateway/gateway/itemrun.py
+++ b/packages/gateway/gateway/itemrun.py
@@ -115,6 +115,12 @@
             self._fingerprint(state, item)
         )
 
+    def begin_trial(
+        self, state: jobstate.JobState, item: jobstate.ItemState
+    ) -> None:
+        """Records that a suspect item is about to run."""
+        self._crashes.begin_trial(self._fingerprint(state, item))
+
     def _fingerprint(
         self, state: jobstate.JobState, item: jobstate.ItemState
     ) -> str:
@@ -169,6 +175,7 @@
         item: jobstate.ItemState,
         answer: services.UpstreamAnswer,
     ) -> None:
+        self._crashes.end_trial(self._fingerprint(state, item))
         if answer.status == _HTTP_UNPROCESSABLE:
             self._writer.write(state, item, item.errored(), "cannot be done")
             return
@@ -199,6 +206,8 @@
             item.pause_after_unsigned_failure()
         elif not slot.is_preempted:
             item.pause()
+        if slot.is_preempted or not failure.may_have_run:
+            self._crashes.end_trial(outgoing.fingerprint())
         _events.info(
             "yielded" if slot.is_preempted else "broke_off",
             job=state.meta.job,
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -347,6 +347,7 @@
         if self._item_run.is_suspect(row.state, row.item):
             row.item.is_answering = False
             self._trial = row.item
+            self._item_run.begin_trial(row.state, row.item)
         with self._lock:
             self._run_count += 1
         self._pool.submit(self._run, row.state, row.item, slot)
--- a/tests/daemon/test_quarantine.py
+++ b/tests/daemon/test_quarantine.py
@@ -111,6 +111,42 @@
     assert holds_s == [0.0, 15.0, 60.0, 240.0, 960.0]
 
 
+def _held_s(
+    crashes: quarantine.Quarantine, clock: clock_lib.FakeClock
+) -> float:
+    """Returns for how long the item is held back from now on."""
+    begin_s = clock.now_s
+    while crashes.is_held_back("item"):
+        clock.sleep_s(0.1)
+    return clock.now_s - begin_s
+
+
+def test_copies_of_an_item_run_one_after_the_other() -> None:
+    """Guards against crashing as many upstreams as VMs have copies."""
+    clock = clock_lib.FakeClock()
+    notice_s = 5.0
+    vms = [
+        quarantine.Quarantine(clock, f"vm{number}", notice_s)
+        for number in range(3)
+    ]
+    for number, upstream in enumerate(("e1", "e2")):
+        crash = quarantine.Crash("item", f"vm{number}/1", 0.0, upstream, 0.1)
+        for crashes in vms:
+            crashes.add(crash)
+        # The VM that had the item goes on with it.
+        waits = [crashes.is_held_back("item") for crashes in vms]
+        assert waits.count(False) == (0 if number else 1)
+        clock.sleep_s(1.0)
+    held_s = [_held_s(vms[number], clock) for number in (1, 0, 2)]
+    assert held_s[0] < 15.0
+    assert held_s[1] + held_s[2] >= notice_s - 0.1
+    vms[1].begin_trial("item")
+    assert _held_s(vms[1], clock) >= notice_s - 0.1
+    vms[1].begin_trial("item")
+    vms[1].end_trial("item")
+    assert not vms[1].is_held_back("item")
+
+
 def test_a_request_is_stopped_though_others_explain_its_crashes() -> None:
     """Guards against causes that crash upstreams together and in turns.
 
--- a/tests/gateway/test_repeatedcrashes.py
+++ b/tests/gateway/test_repeatedcrashes.py
@@ -221,6 +221,30 @@
         engine.close()
 
 
+def test_copies_of_an_item_that_was_held_back_crash_one_upstream(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against VMs that all try again at the end of the same wait."""
+    hold_s = 3.0
+    monkeypatch.setattr(quarantine, "_FIRST_HOLD_S", hold_s)
+    engines = [_Forwarder(scene, number) for number in range(6)]
+    for engine in engines:
+        engine.start_again_after_crashes(1.0)
+    vms = _add_vms(scene, 3)
+    assert vms[0].submit("first", [_item("bad", _POISON)]).status == 202
+    found = vms[0].kernel.find(names.CRASH_RECORDS, crashrecords.CrashRecords)
+    gatewayscene.until(lambda: found.counts().refused == 1)
+    for number, vm in enumerate(vms):
+        rows = [_item(f"c{number}.{copy}", _POISON) for copy in range(3)]
+        assert vm.submit(f"job{number}", rows).status == 202
+    before = sum(len(row.crashes_s) for row in engines)
+    time.sleep(2 * hold_s)
+    after = sum(len(row.crashes_s) for row in engines)
+    for engine in engines:
+        engine.close()
+    assert 1 <= after - before <= 2
+
+
 def test_an_upstream_that_leaves_as_planned_does_not_count(
     scene: gatewayscene.Scene,
 ) -> None:
