Test harness: a free port is not given to two processes

test_job_completes_though_a_failure_domain_has_no_engine failed once beside another run of the tests: a daemon could not bind its port. The harness looked for a free port and let go of it until the daemon bound it, up to seconds later, so that two runs could choose the same one.

The UDP port of the same number is now kept while the process lives, so that no other run gets it. The tests' second way to find a port is gone.

Shown: test_an_address_that_a_process_has_yet_to_bind_is_not_given_again. That this was that run's cause is likely, not shown.

--- a/packages/standins/standins/fleet.py
+++ b/packages/standins/standins/fleet.py
@@ -20,6 +20,10 @@
 # Below the kernel's range of ephemeral ports, so that no outgoing connection
 # takes a port between the check that it is free and its process binding it.
 _PORTS = range(20000, 32000)
+_PORTS_TRIED = 100
+# Keep the ports that were returned from being returned again, also to other
+# processes, until this one has ended.
+_reservations: list[socket.socket] = []
 _LISTENING_PREFIX = "listening "
 
 T = TypeVar("T")
@@ -51,15 +55,29 @@
 
 
 def free_address() -> str:
-    """Returns a loopback address whose port is free."""
-    for port in random.SystemRandom().sample(_PORTS, 100):
-        with socket.socket() as candidate:
-            try:
-                candidate.bind(("127.0.0.1", port))
-            except OSError:
-                continue
+    """Returns a loopback address whose TCP port is free.
+
+    A process that starts later binds it, and until then another run of tests
+    must not get it. So the UDP port of the same number is kept, which nothing
+    else uses.
+    """
+    for port in random.SystemRandom().sample(_PORTS, _PORTS_TRIED):
+        if _reserve(port):
             return f"127.0.0.1:{port}"
-    raise FleetError("None of 100 random ports is free.")
+    raise FleetError(f"None of {_PORTS_TRIED} random ports is free.")
+
+
+def _reserve(port: int) -> bool:
+    reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        reservation.bind(("127.0.0.1", port))
+        with socket.socket() as candidate:
+            candidate.bind(("127.0.0.1", port))
+    except OSError:
+        reservation.close()
+        return False
+    _reservations.append(reservation)
+    return True
 
 
 class Process:
--- a/tests/daemon/test_control.py
+++ b/tests/daemon/test_control.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bulrushdeal import records
+from standins import fleet as fleet_lib
 from support import controlplane
 
 wait_until = controlplane.wait_until
@@ -80,7 +81,7 @@
     A withdrawn key must not continue to work there while the cut lasts.
     """
     connected_vm = fleet.add("a", "d1")
-    unused_address = controlplane.free_address()
+    unused_address = fleet_lib.free_address()
     cut_vms = [
         fleet.add(
             vm,
--- a/tests/daemon/test_peers.py
+++ b/tests/daemon/test_peers.py
@@ -17,6 +17,7 @@
 from bulrushdeald import peers
 from bulrushdeald import services
 from bulrushdeald import wire
+from standins import fleet as fleet_lib
 from support import controlplane
 from support import platformfakes
 
@@ -57,7 +58,7 @@
 
 def rows(*vms: str) -> list[records.Vm]:
     return [
-        records.Vm(vm, "d", "entry", controlplane.free_address()) for vm in vms
+        records.Vm(vm, "d", "entry", fleet_lib.free_address()) for vm in vms
     ]
 
 
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -47,3 +47,16 @@
     fleet.stop()
     assert not process.is_running()
     assert fleet.processes == []
+
+
+def test_an_address_that_a_process_has_yet_to_bind_is_not_given_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against two runs of tests that start servers at one address."""
+    monkeypatch.setattr(fleet_lib, "_PORTS", range(31000, 31020))
+    monkeypatch.setattr(fleet_lib, "_PORTS_TRIED", 20)
+    given: list[str] = []
+    with pytest.raises(fleet_lib.FleetError, match="is free"):
+        while len(given) <= 20:
+            given.append(fleet_lib.free_address())
+    assert len(set(given)) == len(given)
--- a/tests/support/controlplane.py
+++ b/tests/support/controlplane.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from concurrent import futures
 import json
-import socket
 import time
 from typing import Any, NamedTuple
 
@@ -19,6 +18,7 @@
 from bulrushdeald import peers
 from bulrushdeald import services
 from bulrushdeald import vmlist
+from standins import fleet as fleet_lib
 from standins import platform
 from support import fakes
 
@@ -26,16 +26,11 @@
 _WAIT_TIMEOUT_S = 30.0
 
 
-def free_address() -> str:
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return f"127.0.0.1:{listener.getsockname()[1]}"
-
-
 def settings(platform_address: str, **overrides: Any) -> defaults.Settings:
     flags = {
         "vm": "vm-1",
         "failure_domain": "domain-1",
-        "peers_address": free_address(),
+        "peers_address": fleet_lib.free_address(),
         "platform_address": platform_address,
         "operator_token": TOKEN,
         "platform_timeout_s": "0.5",
