Progress: writes of failures do not put off those of output

Items' output was stored later than every two seconds, or not at all while items went on failing: an interval that ended during a write of failures began anew without a whole write. A VM that loses power then takes more with it.

The next interval begins only where a whole write is made.

--- a/packages/gateway/gateway/progresswriter.py
+++ b/packages/gateway/gateway/progresswriter.py
@@ -83,15 +83,18 @@
         return self._write(state, (claim,)).is_ok()
 
     def _run(self) -> None:
-        next_s = 0.0
+        next_s = time.monotonic() + self._draw_interval_s()
         while not self._stopping.is_set():
-            if time.monotonic() >= next_s:
-                interval_s = _WRITE_INTERVAL_S * random.uniform(0.8, 1.2)
-                next_s = time.monotonic() + interval_s
             if self._has_failures.wait(max(next_s - time.monotonic(), 0.0)):
                 self._stopping.wait(_FAILURES_WAIT_S)
                 self._has_failures.clear()
-            self._write_all(only_failures=time.monotonic() < next_s)
+            is_due = time.monotonic() >= next_s
+            if is_due:
+                next_s = time.monotonic() + self._draw_interval_s()
+            self._write_all(only_failures=not is_due)
+
+    def _draw_interval_s(self) -> float:
+        return _WRITE_INTERVAL_S * random.uniform(0.8, 1.2)
 
     def _write_all(self, *, only_failures: bool) -> None:
         """Writes the jobs that have changed, or only those that have failed."""
