Quarantine: requests that others explain run one at a time, too

By its logs: of five crashes three were lost with VMs that were killed or paused before the list had told them. At 9.7 s the fleet knew two, which an item that crashes engines too explained. Then four runs began at three VMs within 0.9 s, 1.5 s before the first of them was known as a crash.

A request that met several crashes, also if others explain them, now runs once at a time: the VM that noticed the last crash goes first, the others later by the time in which a crash is noticed, and after a run that broke off the next one waits until its outcome is known. Callers are told when to come back. Where addresses refuse, the outcome is known at once and nothing waits.

Shown: test_copies_of_a_request_that_others_explain_run_one_at_a_time.

--- a/packages/daemon/bulrushdeald/quarantine.py
+++ b/packages/daemon/bulrushdeald/quarantine.py
@@ -104,10 +104,12 @@
     Attributes:
         blamed: Those that crashes are put down to.
         repeated: Those that met too many crashes, whatever explains them.
+        doubtful: Those that met several crashes, also if others explain them.
     """
 
     blamed: frozenset[str] = frozenset()
     repeated: frozenset[str] = frozenset()
+    doubtful: frozenset[str] = frozenset()
 
 
 class Quarantine:
@@ -117,9 +119,10 @@
         clock: The clock.
         vm: This VM, as it stands in the ids of the crashes that it noticed.
         notice_s: How long it takes at most until a crash is noticed, in
-            seconds. Copies of a suspect that must be finished run one at a
-            time, so far apart: if all VMs ran theirs as soon as they may, each
-            would crash an upstream before any crash is noticed.
+            seconds. Copies of a suspect that must be finished, or that met
+            several crashes, run one at a time, so far apart: if all VMs ran
+            theirs as soon as they may, each would crash an upstream before any
+            crash is noticed.
     """
 
     def __init__(
@@ -158,6 +161,9 @@
             crash.started_ms,
             crash.is_age_exact,
         )
+        if ended_s > self._trials_s.get(crash.fingerprint, math.inf):
+            # It is the outcome that the next run had to wait for.
+            self.end_trial(crash.fingerprint)
         self._verdict = None
         self._prune()
         return run is None
@@ -208,15 +214,35 @@
 
     def is_held_back(self, fingerprint: str) -> bool:
         """Returns whether a request that must be finished has to wait."""
+        return self._wait_s(fingerprint, self._hold_s(fingerprint)) > 0
+
+    def doubt_s(self, fingerprint: str) -> float:
+        """Returns how long a request that met several crashes has to wait.
+
+        Others explain them, but may do so only because their runs overlap. So
+        its copies run one at a time, too, until it is refused or cleared.
+        """
+        if fingerprint not in self._find_verdict().doubtful:
+            return 0.0
+        return self._wait_s(fingerprint, 0.0)
+
+    def _wait_s(self, fingerprint: str, hold_s: float) -> float:
+        """Returns in how many seconds a suspect may run here.
+
+        Args:
+            fingerprint: The request.
+            hold_s: How long it waits after its last crash in any case.
+        """
         runs = self._runs.get(fingerprint)
         if not runs:
-            return False
-        now_s = self._clock.monotonic_s()
-        if now_s < self._trials_s.get(fingerprint, -math.inf) + self._notice_s:
-            return True
+            return 0.0
         last = max(runs.values(), key=lambda run: run.ended_s)
-        wait_s = self._hold_s(fingerprint) + self._turn_s(fingerprint, last)
-        return bool(now_s < last.ended_s + wait_s)
+        turn_s = self._turn_s(fingerprint, last)
+        trial_s = self._trials_s.get(fingerprint, -math.inf)
+        may_run_s = max(
+            last.ended_s + hold_s + turn_s, trial_s + self._notice_s
+        )
+        return max(0.0, may_run_s - self._clock.monotonic_s())
 
     def _hold_s(self, fingerprint: str) -> float:
         """Returns how long a request waits after its last crash, in seconds."""
@@ -241,12 +267,12 @@
         return self._notice_s * (1.0 + digest[0] / 256)
 
     def begin_trial(self, fingerprint: str) -> None:
-        """Records that a suspect that must be finished runs here."""
+        """Records that a request runs here, if it is a suspect."""
         if fingerprint in self._runs:
             self._trials_s[fingerprint] = self._clock.monotonic_s()
 
     def end_trial(self, fingerprint: str) -> None:
-        """Records that such a run ended without a crash."""
+        """Records that such a run ended without a crash, or did not begin."""
         self._trials_s.pop(fingerprint, None)
 
     def refused(self) -> frozenset[str]:
@@ -324,6 +350,7 @@
             if len({crash_of[run.crash_id] for run in runs})
             >= EXPLAINED_CRASHES_TO_REFUSE
         ),
+        frozenset(repeated),
     )
 
 
--- a/packages/gateway/gateway/crashrecords.py
+++ b/packages/gateway/gateway/crashrecords.py
@@ -230,8 +230,13 @@
             self._log_refused()
             return self._quarantine.is_held_back(fingerprint)
 
+    def doubt_s(self, fingerprint: str) -> float:
+        """Returns how long a request that met several crashes has to wait."""
+        with self._lock:
+            return self._quarantine.doubt_s(fingerprint)
+
     def begin_trial(self, fingerprint: str) -> None:
-        """Records that a suspect that must be finished runs here."""
+        """Records that a request runs here, if it is a suspect."""
         with self._lock:
             self._quarantine.begin_trial(fingerprint)
 
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -183,6 +183,7 @@
             if self._may_run_again(1):
                 self._stream_timeouts.record_send()
             self._sent_s = time.monotonic()
+            self._sender.begin_trial(self._request.outgoing)
             sent = self._sender.send(
                 self._request.outgoing,
                 slot,
@@ -208,7 +209,10 @@
         return not self._is_quarantined()
 
     def _is_quarantined(self) -> bool:
-        return self._sender.is_refused(self._request.outgoing)
+        outgoing = self._request.outgoing
+        return self._sender.is_refused(outgoing) or (
+            self._sender.doubt_s(outgoing) > 0
+        )
 
     def _requester(self) -> requesters.Requester:
         """Returns who sends the request and how long it can wait for a slot.
@@ -257,6 +261,8 @@
         if failure.may_have_run:
             self._call.runs += 1
             self._slot_wait_until_s = time.monotonic() + _RERUN_SLOT_WAIT_S
+        else:
+            self._sender.end_trial(self._request.outgoing)
         self._crash_notices.append(failure.crash_notices)
         if failure.kind == "silent" and self._route.kind == "streaming":
             self._stream_timeouts.record_given_up()
@@ -539,8 +545,11 @@
             return refusals.Refusal(504, "no answer in time")
         if call.runs:
             return refusals.Refusal(502, "the upstream's answer broke off")
-        if self._is_quarantined():
+        if self._sender.is_refused(self._request.outgoing):
             return _QUARANTINED
+        doubt_s = self._sender.doubt_s(self._request.outgoing)
+        if doubt_s > 0:
+            return refusals.Refusal(503, _IN_DOUBT, doubt_s)
         if self._no_slot is not None:
             return refusals.Refusal(
                 503, self._no_slot.reason, self._no_slot.retry_after_s
@@ -548,6 +557,7 @@
         return refusals.Refusal(503, "no upstream took it", _BUSY_RETRY_S)
 
 
+_IN_DOUBT = "several upstreams crashed while they ran this request"
 # No time to come back at, since the request would be refused again.
 _QUARANTINED = refusals.Refusal(
     503, "upstreams crashed each time that they ran this request"
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -230,6 +230,22 @@
             outgoing.fingerprint()
         )
 
+    def doubt_s(self, outgoing: UpstreamRequest) -> float:
+        """Returns how long a request that met several crashes has to wait."""
+        if self._crashes.is_empty():
+            return 0.0
+        return self._crashes.doubt_s(outgoing.fingerprint())
+
+    def begin_trial(self, outgoing: UpstreamRequest) -> None:
+        """Records that a request is about to run, if it is a suspect."""
+        if not self._crashes.is_empty():
+            self._crashes.begin_trial(outgoing.fingerprint())
+
+    def end_trial(self, outgoing: UpstreamRequest) -> None:
+        """Records that such a run ended without a crash."""
+        if not self._crashes.is_empty():
+            self._crashes.end_trial(outgoing.fingerprint())
+
     def _check_answer(
         self,
         outgoing: UpstreamRequest,
--- a/tests/daemon/test_quarantine.py
+++ b/tests/daemon/test_quarantine.py
@@ -147,6 +147,37 @@
     assert not vms[1].is_held_back("item")
 
 
+def test_copies_of_a_request_that_others_explain_run_one_at_a_time() -> None:
+    """Guards against many runs at once of one that is refused only later."""
+    clock = clock_lib.FakeClock()
+    vms = [
+        quarantine.Quarantine(clock, f"vm{number}", 5.0) for number in range(2)
+    ]
+    for number in range(3):
+        for name in ("more", "less"):
+            if name == "more" or number < 2:
+                crash = _crash(name, f"e{number}")
+                for crashes in vms:
+                    crashes.add(crash._replace(crash_id=f"vm0/{name}{number}"))
+        clock.sleep_s(1.0)
+    assert [row.is_refused("less") for row in vms] == [False, False]
+    assert [row.doubt_s("less") > 0 for row in vms] == [False, True]
+    vms[0].begin_trial("less")
+    assert vms[0].doubt_s("less") == 5.0
+    vms[0].end_trial("less")
+    assert vms[0].doubt_s("less") == 0
+    # Whether an upstream crashed is known at once if its address refuses.
+    vms[0].begin_trial("less")
+    clock.sleep_s(0.1)
+    for name in ("more", "less"):
+        crash = _crash(name, "e9")
+        vms[0].add(crash._replace(crash_id=f"vm0/{name}9"))
+    assert vms[0].doubt_s("less") == 0
+    assert not vms[0].is_refused("less")
+    clock.sleep_s(10.0)
+    assert vms[1].doubt_s("less") == 0
+
+
 def test_a_request_is_stopped_though_others_explain_its_crashes() -> None:
     """Guards against causes that crash upstreams together and in turns.
 
