Quarantine: crashes before the first is known do not lengthen the wait

With four it waited for four minutes.

Only runs after a wait lengthen the next one. So that an item which always crashes upstreams still keeps to three late runs in the hour in which crashes count, one that has met seven is not tried again.

--- a/packages/daemon/bulrushdeald/quarantine.py
+++ b/packages/daemon/bulrushdeald/quarantine.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable, Mapping
 import hashlib
 import heapq
+import itertools
 import math
 from typing import NamedTuple
 
@@ -33,6 +34,8 @@
 # may have met several crashes by chance.
 _FIRST_HOLD_S = 15.0
 _HOLD_GROWTH = 4
+# A request that has met so many is not tried again.
+_MOST_CRASHES = 7
 
 
 class Crash(NamedTuple):
@@ -245,14 +248,25 @@
         return max(0.0, may_run_s - self._clock.monotonic_s())
 
     def _hold_s(self, fingerprint: str) -> float:
-        """Returns how long a request waits after its last crash, in seconds."""
+        """Returns how long a request waits after its last crash, in seconds.
+
+        Only runs after such a wait lengthen the next one. It may have met
+        several crashes before the first was known.
+        """
         if not self.is_refused(fingerprint):
             return 0.0
-        crashes_to_refuse = EXPLAINED_CRASHES_TO_REFUSE
-        if fingerprint in self._find_verdict().blamed:
-            crashes_to_refuse = CRASHES_TO_REFUSE
-        excess = max(0, len(self._runs[fingerprint]) - crashes_to_refuse)
-        return _FIRST_HOLD_S * float(_HOLD_GROWTH**excess)
+        runs = sorted(
+            self._runs[fingerprint].values(), key=lambda run: run.ended_s
+        )
+        if len(runs) >= _MOST_CRASHES:
+            return RETENTION_S
+        waits = sum(
+            later.began_s - earlier.ended_s >= _FIRST_HOLD_S
+            for earlier, later in itertools.pairwise(
+                runs[CRASHES_TO_REFUSE - 1 :]
+            )
+        )
+        return _FIRST_HOLD_S * float(_HOLD_GROWTH**waits)
 
     def _turn_s(self, fingerprint: str, last: _Run) -> float:
         """Returns how much later than others this VM may run a suspect.
--- a/tests/daemon/test_quarantine.py
+++ b/tests/daemon/test_quarantine.py
@@ -111,6 +111,33 @@
     assert holds_s == [0.0, 15.0, 60.0, 240.0, 960.0]
 
 
+def test_crashes_before_the_first_is_known_do_not_lengthen_the_wait() -> None:
+    """Guards against a harmless item that is not done for minutes.
+
+    It met several crashes in the seconds until the list showed the first.
+    """
+    clock = clock_lib.FakeClock()
+    crashes = quarantine.Quarantine(clock)
+    for number in range(4):
+        crashes.add(_crash("item", f"e{number}", 4.0 - number))
+    assert 10.0 < _held_s(crashes, clock) < 15.0
+
+
+def test_an_item_that_always_crashes_upstreams_is_given_up_in_the_end() -> None:
+    """Guards against more late runs than the operators allow."""
+    clock = clock_lib.FakeClock()
+    crashes = quarantine.Quarantine(clock)
+    for number in range(4):
+        crashes.add(_crash("item", f"e{number}", 4.0 - number))
+    begin_s, late = clock.now_s, 0
+    while clock.now_s < begin_s + quarantine.RETENTION_S - 60.0:
+        clock.sleep_s(1.0)
+        if not crashes.is_held_back("item"):
+            crashes.add(_crash("item", f"late {late}"))
+            late += 1
+    assert 1 <= late <= 3
+
+
 def _held_s(
     crashes: quarantine.Quarantine, clock: clock_lib.FakeClock
 ) -> float:
