Store: uploads in progress outlive many new ones

By reading: once more than 256 uploads were open at a store, all of them were discarded, those in progress too, so that under many writers each began anew, again and again.

Shown: test_uploads_in_progress_outlive_many_new_ones (0 of 44 refused before, and the first upload lost).

--- a/packages/daemon/bulrushdeald/store.py
+++ b/packages/daemon/bulrushdeald/store.py
@@ -187,7 +187,8 @@
     def _add_piece(self, put: objects.StorePut) -> objects.StoreReply:
         upload = self._find_upload(put)
         if upload is None:
-            return objects.StoreReply("broken", "pieces out of order")
+            why = "pieces out of order, or too many uploads"
+            return objects.StoreReply("broken", why)
         with open(upload.path, "ab") as file:
             file.write(put.data)
             upload.digest.update(put.data)
@@ -224,6 +225,8 @@
             upload = self._uploads.get(put.upload)
             if upload is None and put.offset_bytes == 0:
                 self._discard_idle_uploads()
+                if len(self._uploads) >= _MAX_UPLOADS:
+                    return None
                 return _Upload(
                     self._incoming_folder / put.upload, hashlib.sha256(), 0, 0.0
                 )
@@ -243,14 +246,12 @@
             (self._incoming_folder / name).unlink(missing_ok=True)
 
     def _discard_idle_uploads(self) -> None:
-        # The pieces of a writer that died would otherwise accumulate. All
-        # uploads are discarded when more than `_MAX_UPLOADS` are open.
+        # The pieces of a writer that died would otherwise accumulate.
         limit_s = self._clock.monotonic_s() - _UPLOAD_IDLE_S
         idle = [
             name
             for name, upload in self._uploads.items()
             if upload.last_piece_s < limit_s
-            or len(self._uploads) > _MAX_UPLOADS
         ]
         for name in idle:
             self._uploads.pop(name).path.unlink(missing_ok=True)
--- a/tests/daemon/test_store.py
+++ b/tests/daemon/test_store.py
@@ -122,6 +122,31 @@
     assert peers.call("vm0", get, 1.0).unwrap().data == b"12345678"
 
 
+def test_uploads_in_progress_outlive_many_new_ones(
+    fleet: batchfakes.Fleet,
+) -> None:
+    """Guards against writers that all begin anew, again and again."""
+    data = b"12345678"
+    first = objects.StorePut(
+        "u0", "a/0", "vm1", 1.0, 8, objects.checksum(data), 0, data[:4]
+    )
+    peers = batchfakes.FakePeers(fleet.network, "client")
+    peers.register_answers(*objects.ANSWERS)
+
+    def send(row: objects.StorePut) -> str:
+        status: str = peers.call("vm0", row, 1.0).unwrap().status
+        return status
+
+    statuses = [
+        send(first._replace(upload=f"u{number}", name=f"a/{number}"))
+        for number in range(300)
+    ]
+    assert statuses.count("broken") == 300 - 256
+    assert send(first._replace(offset_bytes=4, data=data[4:])) == "ok"
+    # There is room for one again.
+    assert send(first._replace(upload="late", name="a/late")) == "ok"
+
+
 @pytest.mark.parametrize("name", ["../x", "/x", "a/../../x", "", "a//b", "a\n"])
 def test_name_cannot_leave_the_folder(
     fleet: batchfakes.Fleet, name: str
