Shares: of customers served alike the one whose job is due first goes first

By reading: jobtable sorted customers by their jobs' deadlines, and stride.Shares.order then sorted by share and name, so the deadline had no effect. Names served alike now stay in the order given; the worker, which relied on names, sorts its coordinators itself.

Shown: test_names_served_alike_stay_in_their_order fails before.

--- a/packages/daemon/bulrushdeald/jobtable.py
+++ b/packages/daemon/bulrushdeald/jobtable.py
@@ -171,7 +171,7 @@
             for customer in eligible:
                 self._shares.set_weight(customer, self._weight(customer))
             # The customer with the smallest share for its weight goes
-            # first. `_shares.order` breaks ties by customer name. Within a
+            # first, of several the one whose job is due first. Within a
             # customer, the job with the earliest deadline goes first.
             due = sorted(
                 eligible, key=lambda name: _deadline_key(eligible[name])
--- a/packages/daemon/bulrushdeald/stride.py
+++ b/packages/daemon/bulrushdeald/stride.py
@@ -17,9 +17,12 @@
         self._weights[name] = weight
 
     def order(self, names: Iterable[str]) -> list[str]:
-        """Returns names, least served first, and forgets all others."""
-        current = set(names)
-        for name in set(self._served) - current:
+        """Returns names, least served first, and forgets all others.
+
+        Those served alike stay in the order given.
+        """
+        current = list(dict.fromkeys(names))
+        for name in self._served.keys() - set(current):
             del self._served[name]
         demanding = [
             self._served[name]
@@ -32,7 +35,7 @@
         floor = min(demanding, default=0.0)
         for name in current:
             self._served[name] = max(self._served.get(name, floor), floor)
-        return sorted(current, key=lambda name: (self._served[name], name))
+        return sorted(current, key=lambda name: self._served[name])
 
     def charge(self, name: str, amount: float) -> None:
         """Adds `amount` to what a name has received."""
--- a/packages/daemon/bulrushdeald/worker.py
+++ b/packages/daemon/bulrushdeald/worker.py
@@ -224,11 +224,11 @@
         self._check_unconfirmed()
         self._give_back_stalled()
         claimed = 0
-        for vm in self._shares.order(names):
+        for vm in self._shares.order(sorted(names)):
             claimed += self._report_to(vm, ended, 0 if claimed else 1)
         while claimed and self._wanted_chunks():
             count = 0
-            for vm in self._shares.order(names):
+            for vm in self._shares.order(sorted(names)):
                 count = self._report_to(vm, (), 1)
                 if count:
                     break
