Batch: an engine makes room for a large item that is due first

A batch item of 30,000 tokens that was due first got no place in 20 s, while small items of other VMs did, and it held up the later items of its own VM: places are left for items that rank higher by their number, not by memory, so small ones take what comes free, and the first item without room ended the VM's turn.

The leader now keeps one engine, that with the most memory left, from items that rank after the first one which finds a slot but no memory there, until it is placed or its VM asks no more. The items behind it go on elsewhere.

--- a/packages/gateway/gateway/decisions/slotledger.py
+++ b/packages/gateway/gateway/decisions/slotledger.py
@@ -11,6 +11,7 @@
 from gateway import records
 from gateway.decisions import batchorder
 from gateway.decisions import batchpreemption
+from gateway.decisions import batchturns
 from gateway.decisions import changedengines
 from gateway.decisions import coldstarts
 from gateway.decisions import enginechoice
@@ -66,6 +67,7 @@
         self._batch = batchpreemption.BatchRuns()
         self._limits = enginelimits.EngineLimits()
         self._waiting = batchorder.WaitingItems()
+        self._turns = batchturns.BatchTurns()
         self._retry_schedule = retryschedule.RetrySchedule()
         self._line = waitingrequests.WaitingRequests(self._rng)
         self._answers: list[slotrecords.Answer] = []
@@ -206,27 +208,71 @@
 
         Returns:
             The engines for the first items of `runs`, one for each that got a
-            slot; empty for an item that is too large for any engine.
+            slot; empty for an item that is too large for any engine, or has
+            to wait for memory.
         """
         # Batch items get nothing that a waiting request fits.
         self._drain(now_s)
         left_out = frozenset(excluded)
         engines: list[str] = []
+        # How many were placed or are too large for any engine, and the items
+        # before them that wait for memory: those after these need not.
+        settled, waiting = 0, []
         for row in runs:
             need = self._states.need(row.cost)
             if not self._states.memory.can_fit(need.memory):
-                engines.append("")  # The items after it must not wait for it.
+                engines.append("")
+                settled = len(engines)
                 continue
             choice = self._batch_choice(vm, row, need, left_out, now_s)
-            if choice is None:
+            if choice is not None:
+                held = slotrecords.Run(
+                    vm, "", now_s, row.priority, cost=row.cost
+                )
+                engines.append(self._grant(row.run, held, choice).instance)
+                self._turns.end(need.memory.tokens, choice.row.instance)
+                settled = len(engines)
+                continue
+            if not self._wait_for_memory(vm, row, need, left_out, now_s):
                 break
-            held = slotrecords.Run(vm, "", now_s, row.priority, cost=row.cost)
-            engines.append(self._grant(row.run, held, choice).instance)
+            engines.append("")
+            waiting.append(batchorder.rank(row.priority))
         unplaced = [
             batchorder.rank(row.priority) for row in runs[len(engines) :]
         ]
-        self._waiting.replace(vm, unplaced, left_out, now_s)
-        return tuple(engines)
+        self._waiting.replace(vm, waiting + unplaced, left_out, now_s)
+        return tuple(engines[:settled])
+
+    def _wait_for_memory(
+        self,
+        vm: str,
+        row: slotrecords.BatchRun,
+        need: enginestates.Need,
+        left_out: frozenset[str],
+        now_s: float,
+    ) -> bool:
+        """Has an engine make room for an item that finds a slot, no memory.
+
+        Returns:
+            Whether that is what the item waits for.
+        """
+        with_slot = [
+            choice
+            for choice in self._places.candidates(left_out, need, now_s)
+            if not choice.has_room and choice.load <= choice.row.slots - 1
+        ]
+        if not with_slot:
+            return False
+        best = max(
+            with_slot,
+            key=lambda choice: self._states.memory.left_tokens(
+                choice.row.instance
+            ),
+        )
+        rank = batchorder.rank(row.priority)
+        instance, tokens = best.row.instance, need.memory.tokens
+        self._turns.wait(vm, rank, tokens, instance, now_s)
+        return True
 
     def release(
         self,
@@ -575,11 +621,18 @@
     ) -> enginechoice.Candidate | None:
         """Returns the engine for a batch item; `None` if it has to wait."""
         choices = self._places.candidates(left_out, need, now_s)
-        free = [choice for choice in choices if choice.has_room]
+        own_rank = batchorder.rank(row.priority)
+        free = [
+            choice
+            for choice in choices
+            if choice.has_room
+            and not self._turns.is_barred(
+                own_rank, need.memory.tokens, choice.row.instance, now_s
+            )
+        ]
         if not free:
             return None
         free_slots = sum(int(choice.row.slots - choice.load) for choice in free)
-        own_rank = batchorder.rank(row.priority)
         names = frozenset(choice.row.instance for choice in free)
         if free_slots <= self._waiting.count_ahead(vm, own_rank, names, now_s):
             return None
