--- a/tests/daemon/test_mixed.py
+++ b/tests/daemon/test_mixed.py
@@ -242,7 +242,8 @@
     def cut(self, domain: str, from_peers: bool) -> None:
         """Cuts off at most one domain, from the others or from the platform."""
         if from_peers:
-            self.fleet.cut_domains = {domain}
+            # The empty domain is for none, after which all is healthy.
+            self.fleet.cut_domains = {domain} if domain else set()
             return
         for vm in self.fleet.vms.values():
             vm.platform.is_cut = vm.row.failure_domain == domain
