--- a/packages/daemon/bulrushdeald/crashnotifier.py
+++ b/packages/daemon/bulrushdeald/crashnotifier.py
@@ -27,11 +27,6 @@
 # Number of VMs notified in each other failure domain; they relay the notice
 # within their domain.
 _RELAYS_PER_DOMAIN = 2
-# Number of VMs that a VM tells of a request which it begins to refuse by what
-# others told it, and of those that it tries. Those that noticed the crashes
-# may be gone.
-_PASSED_ON_TO = 2
-_MOST_PASSED_ON_TO = 6
 
 
 class Delivery(NamedTuple):
@@ -121,10 +116,8 @@
         )
         with self._lock:
             self._quarantine.add(crash)
-            # Some VMs may have missed the notices of the earlier ones.
-            crashes = self._quarantine.crashes_of(fingerprint)
         _log.warning("A request was running when an upstream crashed.")
-        return self._notify_peers(quarantine.CrashNotice(crashes))
+        return self._notify_peers(quarantine.CrashNotice((crash,)))
 
     def completed(self, fingerprint: str) -> None:
         """Clears a request that ran to its end, here and at the peers."""
@@ -145,39 +138,12 @@
     def _apply(self, notice: quarantine.CrashNotice) -> quarantine.CrashNotice:
         """Records what a notice reports; returns what was new."""
         with self._lock:
-            refused = self._quarantine.refused()
             cleared = self._quarantine.discard(notice.cleared)
             crashes = tuple(
                 crash for crash in notice.crashes if self._quarantine.add(crash)
             )
-            to_pass_on = tuple(
-                crash
-                for fingerprint in self._quarantine.refused() - refused
-                for crash in self._quarantine.crashes_of(fingerprint)
-            )
-        if to_pass_on:
-            threading.Thread(
-                target=self._pass_on,
-                args=(quarantine.CrashNotice(to_pass_on),),
-                name="crash-notice",
-                daemon=True,
-            ).start()
         return quarantine.CrashNotice(crashes, cleared=cleared)
 
-    def _pass_on(self, notice: quarantine.CrashNotice) -> None:
-        """Sends a notice to some VMs, which pass on what is new to them."""
-        own = self._membership.own_vm()
-        others = [
-            vm.vm for vm in self._membership.entry_vms() if vm.vm != own.vm
-        ]
-        random.shuffle(others)
-        reached = 0
-        for vm in others[:_MOST_PASSED_ON_TO]:
-            answer = self._peers.call(vm, notice, _CALL_TIMEOUT_S)
-            reached += answer.is_ok()
-            if reached >= _PASSED_ON_TO:
-                return
-
     def _handle_query(
         self, vm: str, query: quarantine.CrashQuery
     ) -> quarantine.CrashNotice:
--- a/packages/daemon/bulrushdeald/quarantine.py
+++ b/packages/daemon/bulrushdeald/quarantine.py
@@ -316,12 +316,6 @@
             for run in runs.values()
         )
 
-    def crashes_of(self, fingerprint: str) -> tuple[Crash, ...]:
-        """Returns the recorded crashes of a request."""
-        return tuple(
-            row for row in self.crashes() if row.fingerprint == fingerprint
-        )
-
     def cleared(self) -> tuple[str, ...]:
         """Returns the ids of the crashes that no longer count."""
         return tuple(self._cleared)
--- a/packages/gateway/gateway/crashrecords.py
+++ b/packages/gateway/gateway/crashrecords.py
@@ -99,7 +99,14 @@
         with self._lock:
             if not self._quarantine.is_refused(fingerprint):
                 return ()
-            return self._quarantine.crashes_of(fingerprint)
+            return self._crashes_of(fingerprint)
+
+    def _crashes_of(self, fingerprint: str) -> tuple[quarantine.Crash, ...]:
+        return tuple(
+            row
+            for row in self._quarantine.crashes()
+            if row.fingerprint == fingerprint
+        )
 
     def dump(self) -> Any:
         """Returns the recorded crashes, and the requests that are refused."""
@@ -250,7 +257,7 @@
         if refused == self._logged:
             return
         for fingerprint in refused - self._logged:
-            crashes = self._quarantine.crashes_of(fingerprint)
+            crashes = self._crashes_of(fingerprint)
             _events.warning(
                 "quarantined",
                 fingerprint=fingerprint,
