--- a/tests/support/gatewayscene.py
+++ b/tests/support/gatewayscene.py
@@ -274,6 +274,7 @@
             "slots": 8,
             "state": state,
             "sequence": 1,
+            "version": "v1",
             "cold_remaining_ms": 0,
             **more,
         }
