Streams and items go on only at the software version that began them

Cause: an entry's version was not decoded, and a resumed run was placed like a new one, within an answer, at the VM where a caller takes its stream up and for a batch item's text.

A run that goes on is bound to the service and version of the first event. That VM keeps it by the attempt and tells two VMs by rank before the event is relayed, unless all upstreams of the service have run one version for as long as a stream can be taken up. A VM at which a stream is taken up asks three; what nobody knows is refused, and an item of unknown or gone version begins anew.

When all upstreams that a request may use are avoided, they are now used, as it was only where that held for all of the service; an operator who allows one region sees the same.

--- a/packages/gateway/gateway/assembly.py
+++ b/packages/gateway/gateway/assembly.py
@@ -35,6 +35,7 @@
 from gateway import runner
 from gateway import storepath
 from gateway import storereaders
+from gateway import streamorigins
 from gateway import upstreamlist
 from gateway import vmretirement
 
@@ -75,6 +76,7 @@
     add(names.JOB_LISTING, joblisting.JobListing(kernel))
     add(names.JOB_DIRECTORY, jobdirectory.JobDirectory(kernel))
     add("reading", storereaders.Reading(kernel, settings))
+    add(names.STREAM_ORIGINS, streamorigins.StreamOrigins(kernel))
     add(names.RATES, rates.RateLimiter(kernel, settings))
     add(names.PLACEMENT, placement.Placement(kernel, settings))
     add(services.UPSTREAMS, upstreams.HttpUpstreams(kernel, settings))
--- a/packages/gateway/gateway/dialect.py
+++ b/packages/gateway/gateway/dialect.py
@@ -206,6 +206,8 @@
         prompt: The description of the prompt; `None` if not given.
         last_event: The number of the last event received, after which the
             stream is to resume; `None` to start at the beginning.
+        resumed_attempt: The id of the attempt that got the first event of the
+            stream to resume; empty if not given.
     """
 
     attempt: str
@@ -213,6 +215,7 @@
     deadline_s: float | None
     prompt: Prompt | None
     last_event: int | None
+    resumed_attempt: str = ""
 
 
 class Load(NamedTuple):
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -22,6 +22,7 @@
 from gateway import placement
 from gateway import records
 from gateway import refusals
+from gateway import streamorigins
 from gateway import upstreamsender
 from gateway.decisions import requestcosts
 from gateway.decisions import requesters
@@ -39,6 +40,9 @@
 # so that a request whose answer breaks can still be repeated or refused.
 _MAX_BUFFERED_BYTES = 1 << 20
 _BUSY_RETRY_S = 0.25
+# How long after its stream broke a caller may take it up elsewhere, beyond the
+# time that its next attempt takes.
+_TAKE_UP_S = 10.0
 _FIRST_SERVER_ERROR = 500
 
 
@@ -51,6 +55,8 @@
         service: The service of the route that was chosen for it.
         last_event: The id of the last stream event that the caller has;
             `None` to start from the beginning.
+        resumed_attempt: The attempt that got the first event of the stream
+            that it resumes; empty if unknown.
         regions: The regions that it may be sent to; `None` for all.
         cost: What the request costs.
         requester: Who sends it; how long it can wait is set at each send.
@@ -61,6 +67,7 @@
     route: records.Route
     service: str
     last_event: int | None
+    resumed_attempt: str = ""
     regions: frozenset[str] | None = None
     cost: requestcosts.RequestCost = requestcosts.UNKNOWN
     requester: requesters.Requester = requesters.UNKNOWN
@@ -80,6 +87,9 @@
             names.PLACEMENT, placement.Placement
         )
         self._metrics = self._kernel.find(names.METRICS, metrics.Metrics)
+        self._origins = self._kernel.find(
+            names.STREAM_ORIGINS, streamorigins.StreamOrigins
+        )
         self._sender = upstreamsender.Sender(self._kernel)
 
     def stop(self, grace_s: float) -> None:
@@ -103,6 +113,7 @@
             self._sender,
             self._metrics,
             self._stream_timeouts,
+            self._origins,
             request,
             call,
         ).run()
@@ -117,6 +128,7 @@
         sender: upstreamsender.Sender,
         meter: metrics.Metrics,
         stream_timeouts: streamtimeouts.StreamTimeouts,
+        origins: streamorigins.StreamOrigins,
         request: OnlineRequest,
         call: opencalls.Call,
     ) -> None:
@@ -124,6 +136,7 @@
         self._sender = sender
         self._metrics = meter
         self._stream_timeouts = stream_timeouts
+        self._origins = origins
         self._request = request
         self._route = request.route
         self._call = call
@@ -131,6 +144,8 @@
         self._slot: heldslots.Slot | None = None
         self._answer: services.UpstreamAnswer | None = None
         self._last_event = request.last_event
+        # Where the stream began; `None` before its first event.
+        self._origin: records.StreamOrigin | None = None
         self._no_slot: placement.NoSlot | None = None
         self._slot_wait_until_s = 0.0
         self._sent_s = 0.0
@@ -139,6 +154,8 @@
 
     def run(self) -> httpd.Response:
         """Forwards the request and returns the answer or a refusal."""
+        if self._request.last_event is not None and not self._find_origin():
+            return self._refuse()
         while True:
             opened = self._open_answer()
             if opened is None:
@@ -150,6 +167,36 @@
             if response is not None:
                 return response
 
+    def _find_origin(self) -> bool:
+        """Finds where a stream began that its caller takes up; false if not.
+
+        What two software versions write does not fit together. So a stream
+        whose version is not known may not go on anywhere.
+        """
+        request = self._request
+        if self._route.kind != "streaming":
+            return True
+        origin = self._origins.find(
+            request.resumed_attempt, request.service, self._span_s()
+        )
+        if not origin.software_version:
+            self._no_slot = placement.NoSlot(_BUSY_RETRY_S, _UNKNOWN_ORIGIN)
+            return False
+        self._origin = origin
+        may_serve = {row.service for row in self._route.services if row.weight}
+        if origin.service in may_serve:
+            self._request = request._replace(service=origin.service)
+        return True
+
+    def _span_s(self) -> float:
+        """Returns how long a stream may last and be taken up, in seconds."""
+        return 2 * self._route.timeout_s + _TAKE_UP_S
+
+    def _scope(self) -> placement.Scope:
+        """Returns the upstreams that the request may be sent to now."""
+        version = "" if self._origin is None else self._origin.software_version
+        return placement.Scope(self._request.regions, version)
+
     def _open_answer(self) -> upstreamsender.OpenAnswer | None:
         """Sends the request until an answer's head is accepted.
 
@@ -165,14 +212,15 @@
                 self._request.service,
                 self._route.target_latency_s,
                 self._tried_instances,
-                self._request.regions,
+                self._scope(),
                 self._request.cost,
                 self._requester(),
                 self._call,
             )
             if isinstance(taken, result.Err):
                 self._no_slot = taken.err_value
-                if time.monotonic() >= self._slot_wait_until_s:
+                is_hopeless = self._no_slot.retry_after_s <= 0
+                if is_hopeless or time.monotonic() >= self._slot_wait_until_s:
                     return None
                 time.sleep(_RERUN_SLOT_POLL_S)
                 continue
@@ -247,14 +295,30 @@
         """Returns whether an upstream is left that has not been tried."""
         request = self._request
         return self._placement.has_other_upstream(
-            request.service, self._tried_instances, request.regions
+            request.service, self._tried_instances, self._scope()
         )
 
     def _may_run_again(self, extra_runs: int = 0) -> bool:
         """Returns whether it may run once more after `extra_runs` more runs."""
+        if self._origin is not None and not self._may_go_on():
+            return False
+        if self._origin is not None and not self._has_other_upstream():
+            return False
         runs = self._call.runs + extra_runs
         return self._route.is_repeatable and runs < self._route.max_attempts
 
+    def _may_go_on(self) -> bool:
+        """Returns whether it is known after which event, and at which version.
+
+        A stream without readable event ids would begin again.
+        """
+        origin = self._origin
+        return (
+            origin is not None
+            and bool(origin.software_version)
+            and self._last_event is not None
+        )
+
     def _record_failure(self, failure: upstreamsender.Failure) -> None:
         slot = self._slot
         assert slot is not None
@@ -448,6 +512,7 @@
                     event_id = eventstream.last_event_id(whole_events)
                     if event_id is not None:
                         self._last_event = event_id
+                    self._record_origin()
                     yield whole_events
             if error is None and not splitter.has_partial_event:
                 self._call.mark_answered()
@@ -458,6 +523,17 @@
         self._wait_for_crash_notices()
         raise caller_calls.BrokenAnswerError("the stream broke off")
 
+    def _record_origin(self) -> None:
+        """Records where the stream began, before its first event is relayed."""
+        slot = self._slot
+        if self._origin is not None or slot is None:
+            return
+        self._origin = slot.upstream.origin
+        if self._route.is_resumable:
+            self._origins.record(
+                self._call.attempt, self._origin, self._span_s()
+            )
+
     def _limit_gap(self, opened: upstreamsender.OpenAnswer) -> None:
         """Limits pauses in a stream that has begun, by the route's gap target.
 
@@ -557,6 +633,7 @@
         return refusals.Refusal(503, "no upstream took it", _BUSY_RETRY_S)
 
 
+_UNKNOWN_ORIGIN = "the software version that began the stream is not known"
 _IN_DOUBT = "several upstreams crashed while they ran this request"
 # No time to come back at, since the request would be refused again.
 _QUARANTINED = refusals.Refusal(
--- a/packages/gateway/gateway/front.py
+++ b/packages/gateway/gateway/front.py
@@ -435,6 +435,7 @@
             route,
             service,
             head.last_event,
+            head.resumed_attempt,
             regions.allowed(route, customer),
             requestcosts.UNKNOWN if head.prompt is None else head.prompt.cost(),
             _requester(route, customer),
--- a/packages/gateway/gateway/itemrun.py
+++ b/packages/gateway/gateway/itemrun.py
@@ -145,6 +145,7 @@
             events = eventstream.parse(splitter.feed(chunk.ok_value))
             if events:
                 item.is_answering = True
+                item.origin = item.origin or slot.upstream.origin
                 self._placement.record_first_event(slot)
             for event in events:
                 if event.event_id is not None:
--- a/packages/gateway/gateway/jobrecords.py
+++ b/packages/gateway/gateway/jobrecords.py
@@ -84,6 +84,8 @@
         last_event: The last event's id; -1 if there is none.
         failures: The number of failed attempts so far.
         ran_s: How long the output so far took, in seconds.
+        service: The service at which the output began; empty without output.
+        software_version: The version that began it; empty if unknown.
     """
 
     item: str
@@ -91,6 +93,8 @@
     last_event: int
     failures: int
     ran_s: float = 0.0
+    service: str = ""
+    software_version: str = ""
 
 
 class Keys:
--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -8,6 +8,7 @@
 
 from gateway import dialect
 from gateway import jobrecords
+from gateway import records
 from gateway.decisions import batchorder
 from gateway.decisions import requestcosts
 
@@ -70,6 +71,8 @@
         fingerprint: Identifies the request however often it comes; empty until
             it is needed.
         is_answering: Whether the current run has sent an event.
+        origin: Where the output began; `None` without output. Only there may
+            it go on.
     """
 
     def __init__(self, item: dialect.JobItem) -> None:
@@ -86,6 +89,7 @@
         self.cost: requestcosts.RequestCost | None = None
         self.fingerprint = ""
         self.is_answering = False
+        self.origin: records.StreamOrigin | None = None
 
     def elapsed_s(self, now_s: float) -> float:
         """Returns how long the output so far took, in seconds."""
@@ -117,6 +121,22 @@
         self.ran_s = self.elapsed_s(now_s)
         self.running_since_s = None
 
+    def may_go_on(self) -> bool:
+        """Returns whether it is known where and after which event to go on."""
+        origin = self.origin
+        return (
+            origin is not None
+            and bool(origin.software_version)
+            and self.last_event is not None
+        )
+
+    def discard_output(self) -> None:
+        """Makes the next run begin anew."""
+        self.output = []
+        self.last_event = None
+        self.origin = None
+        self.ran_s = 0.0
+
     def pause(self) -> None:
         """Delays the next run; the pause doubles with each call."""
         pause_s = min(_FIRST_PAUSE_S * 2**self.consecutive_pauses, _MAX_PAUSE_S)
@@ -141,6 +161,8 @@
             last_event,
             self.failures,
             self.elapsed_s(time.monotonic()),
+            "" if self.origin is None else self.origin.service,
+            "" if self.origin is None else self.origin.software_version,
         )
 
     def restore_progress(self, row: jobrecords.Progress) -> None:
@@ -149,6 +171,10 @@
         self.last_event = None if row.last_event < 0 else row.last_event
         self.failures = row.failures
         self.ran_s = row.ran_s
+        if row.output:
+            self.origin = records.StreamOrigin(
+                row.service, row.software_version
+            )
 
     def completed(self) -> dialect.ItemResult:
         """Returns the result of an item with complete output."""
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -54,11 +54,32 @@
 # Prompts from this length on are reported as prefilled; the leader lets others
 # wait for them.
 _MIN_BEGAN_TOKENS = 2000
+_NO_VERSION = "no upstream runs the software version that began it"
 # Grants tried before this VM chooses by itself; the leader may grant an engine
 # that this VM no longer lists.
 _MAX_GRANTS = 2
 
 
+class Scope(NamedTuple):
+    """The upstreams of a service that a request may be sent to.
+
+    Attributes:
+        regions: The regions that it may be sent to; `None` for all.
+        software_version: The version that it has to go on at; empty for any.
+    """
+
+    regions: frozenset[str] | None = None
+    software_version: str = ""
+
+    def admits(self, upstream: records.Upstream) -> bool:
+        """Returns whether an upstream runs a version that will do."""
+        wanted = self.software_version
+        return not wanted or upstream.software_version == wanted
+
+
+_ALL = Scope()
+
+
 class NoSlot(NamedTuple):
     """No slot is available now.
 
@@ -157,7 +178,7 @@
         service: str,
         target_s: float,
         excluded: Iterable[str],
-        regions: frozenset[str] | None = None,
+        scope: Scope = _ALL,
         cost: requestcosts.RequestCost = requestcosts.UNKNOWN,
         requester: requesters.Requester = requesters.UNKNOWN,
         call: opencalls.Call | None = None,
@@ -170,18 +191,18 @@
             service: The requested service.
             target_s: The time in which the answer should begin, in seconds.
             excluded: Upstreams that the request was already sent to.
-            regions: The regions that it may be sent to; `None` for all.
+            scope: The upstreams that it may be sent to.
             cost: What the request costs.
             requester: Who sends the request, and its patience.
             call: The caller's request, which ends the wait for a slot.
         """
-        choice = self._choose_skipped(service, excluded, regions)
+        choice = self._choose_skipped(service, excluded, scope)
         if isinstance(choice, result.Err):
             return choice
         skipped = choice.ok_value
         run = self._new_run_name()
         if not self._has_leader(service):
-            return self._take_without_leader(service, run, skipped, cost)
+            return self._take_without_leader(service, run, skipped, scope, cost)
         for _ in range(_MAX_GRANTS):
             message = slotmessages.Take(
                 service,
@@ -194,15 +215,19 @@
             )
             taken = self._request_slot(message, call)
             if taken is None:
-                return self._take_without_leader(service, run, skipped, cost)
+                return self._take_without_leader(
+                    service, run, skipped, scope, cost
+                )
             if not taken.instance and not self._has_engine(service):
                 # Upstreams other than engines refuse by themselves when their
                 # queues are full.
-                return self._take_without_leader(service, run, skipped, cost)
+                return self._take_without_leader(
+                    service, run, skipped, scope, cost
+                )
             if not taken.instance:
                 grantwaits.log_refusal(message, taken, call)
                 return result.Err(_no_slot(taken))
-            slot = self._hold_granted(service, run, taken.instance, cost)
+            slot = self._hold_granted(service, run, taken.instance, scope, cost)
             if slot is not None:
                 slot.is_granted_by_leader = True
                 slot.is_queued = taken.is_queued
@@ -212,13 +237,13 @@
                 return result.Ok(slot)
             skipped = skipped | {taken.instance}
             run = self._new_run_name()
-        return self._take_without_leader(service, run, skipped, cost)
+        return self._take_without_leader(service, run, skipped, scope, cost)
 
     def take_batch(
         self,
         service: str,
         priorities: Sequence[batchorder.ItemPriority],
-        regions: frozenset[str] | None = None,
+        scope: Scope = _ALL,
         costs: Sequence[requestcosts.RequestCost] = (),
     ) -> list[heldslots.Slot | None]:
         """Returns slots for batch items that online requests do not need.
@@ -226,24 +251,25 @@
         Args:
             service: The service.
             priorities: The priorities of the ready items, the next item first.
-            regions: The regions that they may be sent to; `None` for all.
+            scope: The upstreams that they may be sent to.
             costs: What the items cost, in the same order; empty if unknown.
 
         Returns:
             Slots for the first items, in order; `None` for an item whose
             engine is no longer usable.
         """
-        skipped = self._reachability.unreachable(service, ())
         if not self._has_engine(service):
             return []
+        barred = _barred(self._waits_s(service, scope))
+        skipped = self._reachability.unreachable(service, barred)
         if not self._has_other(service, skipped):
             # One item is tried: without online requests nothing else
             # detects that upstreams are back, and the items would wait
             # forever.
             if not self._claim_trial(service):
                 return []
-            skipped, priorities = frozenset(), priorities[:1]
-        skipped |= self._waits_s(service, regions).keys()
+            skipped, priorities = barred, priorities[:1]
+        skipped |= self._waits_s(service, scope).keys()
         runs = tuple(
             slotrecords.BatchRun(self._new_run_name(), priority, cost)
             for priority, cost in zip(
@@ -258,7 +284,7 @@
             return []
         return [
             self._hold_granted(
-                service, row.run, instance, row.cost, row.priority
+                service, row.run, instance, scope, row.cost, row.priority
             )
             for row, instance in zip(runs, answer.instances, strict=False)
         ]
@@ -268,16 +294,23 @@
         service: str,
         run: str,
         instance: str,
+        scope: Scope,
         cost: requestcosts.RequestCost,
         priority: batchorder.ItemPriority | None = None,
     ) -> heldslots.Slot | None:
         """Holds a slot that the leader granted, or gives it back.
 
+        The leader may know an upstream that came after the others were chosen.
+
         The run is taken to begin at once: only online requests wait in an
         engine's queue.
         """
         upstream = self._upstreams.find_usable(service, instance)
-        if upstream is None or not self._cold.try_send(upstream):
+        if (
+            upstream is None
+            or not scope.admits(upstream)
+            or not self._cold.try_send(upstream)
+        ):
             self._give_back(service, run)
             return None
         slot = self._slots.hold(service, run, upstream, priority, cost)
@@ -334,24 +367,29 @@
             if slot.is_batch:
                 slot.preempt()
 
-    def has_upstreams(self, service: str) -> bool:
-        """Returns whether a usable upstream of a service is listed."""
-        return bool(self._upstreams.usable(service))
+    def has_upstreams(self, service: str, scope: Scope = _ALL) -> bool:
+        """Returns whether a usable upstream of a service is listed.
+
+        Args:
+            service: The service.
+            scope: The versions that will do; its regions do not count.
+        """
+        return any(map(scope.admits, self._upstreams.usable(service)))
 
     def has_other_upstream(
         self,
         service: str,
         tried: Iterable[str],
-        regions: frozenset[str] | None,
+        scope: Scope,
     ) -> bool:
         """Returns whether a request could go to an upstream it has not tried.
 
         Args:
             service: The service.
             tried: The upstreams that the request was sent to.
-            regions: The regions that it may be sent to; `None` for all.
+            scope: The upstreams that it may be sent to.
         """
-        waits_s = self._waits_s(service, regions)
+        waits_s = self._waits_s(service, scope)
         barred = {name for name, wait_s in waits_s.items() if wait_s > 0}
         return self._has_other(service, barred.union(tried))
 
@@ -385,7 +423,7 @@
         self,
         service: str,
         excluded: Iterable[str],
-        regions: frozenset[str] | None,
+        scope: Scope,
     ) -> result.Result[frozenset[str], NoSlot]:
         """Returns the upstreams that an online request must not use.
 
@@ -395,12 +433,14 @@
         if not rows:
             why = self._upstreams.why_none(service)
             return result.Err(NoSlot(_NO_UPSTREAM_RETRY_S, why))
-        waits_s = self._waits_s(service, regions)
+        if not any(map(scope.admits, rows)):
+            return result.Err(NoSlot(0.0, _NO_VERSION))
+        waits_s = self._waits_s(service, scope)
         if all(waits_s.get(row.instance) == math.inf for row in rows):
             return result.Err(
                 NoSlot(_NO_UPSTREAM_RETRY_S, "no upstream in allowed regions")
             )
-        tried = frozenset(excluded)
+        tried = frozenset(excluded) | _barred(waits_s)
         skipped = self._reachability.unreachable(service, tried)
         if not self._has_other(service, skipped):
             # All of them are known not to answer, so waiting is no use.
@@ -419,22 +459,21 @@
         rows = self._upstreams.usable(service)
         return any(row.instance not in skipped for row in rows)
 
-    def _waits_s(
-        self, service: str, regions: frozenset[str] | None
-    ) -> Mapping[str, float]:
+    def _waits_s(self, service: str, scope: Scope) -> Mapping[str, float]:
         """Returns the upstreams that must not get a request now.
 
         Returns:
             In how many seconds each may get one; infinite for those beyond
-            the allowed regions.
+            the allowed regions and for those of another version.
         """
         rows = self._upstreams.usable(service)
         waits_s = dict(self._cold.waits_s(rows))
-        if regions is None:
-            return waits_s
-        region_of = self._settings.regions
+        regions, region_of = scope.regions, self._settings.regions
         for row in rows:
-            if region_of.get(row.failure_domain) not in regions:
+            is_allowed = (
+                regions is None or region_of.get(row.failure_domain) in regions
+            )
+            if not is_allowed or not scope.admits(row):
                 waits_s[row.instance] = math.inf
         return waits_s
 
@@ -456,13 +495,14 @@
         service: str,
         run: str,
         excluded: frozenset[str],
+        scope: Scope,
         cost: requestcosts.RequestCost,
     ) -> result.Result[heldslots.Slot, NoSlot]:
         """Chooses an upstream by what this VM knows itself."""
         usable = [
             row
             for row in self._upstreams.usable(service)
-            if row.instance not in excluded
+            if row.instance not in excluded and scope.admits(row)
         ]
         for row in self._rank(service, usable):
             if self._cold.try_send(row):
@@ -544,6 +584,13 @@
         return slotmessages.Done()
 
 
+def _barred(waits_s: Mapping[str, float]) -> frozenset[str]:
+    """Returns the upstreams that a request may not be sent to at any time."""
+    return frozenset(
+        name for name, wait_s in waits_s.items() if wait_s == math.inf
+    )
+
+
 def _no_slot(taken: slotmessages.Taken) -> NoSlot:
     """Returns why the leader granted no slot."""
     if taken.is_too_large:
--- a/packages/gateway/gateway/records.py
+++ b/packages/gateway/gateway/records.py
@@ -157,6 +157,8 @@
             unknown.
         cold_remaining_s: How long it stays cold from when its entry was
             written; `None` if the entry does not say.
+        software_version: The version of its software, which is only compared
+            for equality; empty if unknown.
     """
 
     instance: str
@@ -167,6 +169,25 @@
     is_draining: bool
     started_ms: int
     cold_remaining_s: float | None = 0.0
+    software_version: str = ""
+
+    @property
+    def origin(self) -> "StreamOrigin":
+        """What a stream that begins here may go on at."""
+        return StreamOrigin(self.service, self.software_version)
+
+
+class StreamOrigin(NamedTuple):
+    """Where a stream or an item's output began, and may go on.
+
+    Attributes:
+        service: The service of the upstream.
+        software_version: The version of the upstream's software; empty if it
+            is not known, in which case the stream may not go on.
+    """
+
+    service: str
+    software_version: str
 
 
 class ColdLimits(NamedTuple):
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -46,11 +46,11 @@
 class _ReadyItem(NamedTuple):
     """An item that may run now, with its job, service, priority and cost.
 
-    It may only be sent to `regions`; `None` for all.
+    It may only be sent to the upstreams of `scope`.
     """
 
     service: str
-    regions: frozenset[str] | None
+    scope: placement.Scope
     state: jobstate.JobState
     item: jobstate.ItemState
     priority: batchorder.ItemPriority
@@ -230,12 +230,12 @@
         moment = jobstate.Moment(
             time.monotonic(), time.time(), times.mean_run_s, times.stretch
         )
-        ready: dict[tuple[str, frozenset[str] | None], list[_ReadyItem]] = {}
+        ready: dict[tuple[str, placement.Scope], list[_ReadyItem]] = {}
         for state in self._table.by_due_time():
             if self._stopping.is_set():
                 return
             for row in self._try_find_ready(state, moment):
-                key = (row.service, row.regions)
+                key = (row.service, row.scope)
                 ready.setdefault(key, []).append(row)
         for rows in ready.values():
             self._try_start_items(rows)
@@ -263,18 +263,63 @@
             return []
         regions = self._regions(state)
         return [
-            _ReadyItem(
-                service,
-                regions,
-                state,
-                item,
-                state.priority(item, moment),
-                self._cost(item),
-            )
+            self._ready_item(state, item, service, regions, moment)
             for item in items
             if not self._item_run.is_held_back(state, item)
         ]
 
+    def _ready_item(
+        self,
+        state: jobstate.JobState,
+        item: jobstate.ItemState,
+        service: str,
+        regions: frozenset[str] | None,
+        moment: jobstate.Moment,
+    ) -> "_ReadyItem":
+        """Returns an item with the upstreams that it may be sent to.
+
+        Output that nothing can continue is discarded.
+        """
+        scope = placement.Scope(regions)
+        if item.origin is not None:
+            scope = scope._replace(
+                software_version=item.origin.software_version
+            )
+            if not self._can_go_on(state, item, item.origin, scope):
+                _events.info(
+                    "begins_anew",
+                    job=state.meta.job,
+                    item=item.item.item,
+                    software_version=item.origin.software_version,
+                    last_event=item.last_event,
+                )
+                item.discard_output()
+                scope = placement.Scope(regions)
+            else:
+                service = item.origin.service
+        return _ReadyItem(
+            service,
+            scope,
+            state,
+            item,
+            state.priority(item, moment),
+            self._cost(item),
+        )
+
+    def _can_go_on(
+        self,
+        state: jobstate.JobState,
+        item: jobstate.ItemState,
+        origin: records.StreamOrigin,
+        scope: placement.Scope,
+    ) -> bool:
+        """Returns whether an item's output can be continued."""
+        return (
+            item.may_go_on()
+            and origin.service in self._services(state)
+            and self._placement.has_upstreams(origin.service, scope)
+        )
+
     def _cost(self, item: jobstate.ItemState) -> requestcosts.RequestCost:
         if item.cost is None:
             item.cost = self._dialect.item_cost(item.item)
@@ -296,11 +341,11 @@
             )
 
     def _start_items(self, rows: list["_ReadyItem"]) -> None:
-        """Starts items of one service and its regions in rank order.
+        """Starts items of one service and scope in rank order.
 
         Ends when no slot is free.
         """
-        service, regions = rows[0].service, rows[0].regions
+        service, scope = rows[0].service, rows[0].scope
         rows.sort(key=lambda row: batchorder.rank(row.priority))
         rows = self._separate_suspects(rows)
         while rows:
@@ -312,7 +357,7 @@
             slots = self._placement.take_batch(
                 service,
                 [row.priority for row in batch],
-                regions,
+                scope,
                 [row.cost for row in batch],
             )
             for row, slot in zip(batch, slots, strict=False):
@@ -353,13 +398,23 @@
         self._pool.submit(self._run, row.state, row.item, slot)
 
     def _choose_service(self, state: jobstate.JobState) -> str | None:
+        route = self._route(state)
+        return None if route is None else route.choose_service()
+
+    def _services(self, state: jobstate.JobState) -> frozenset[str]:
+        """Returns the services that may run a job's items."""
+        route = self._route(state)
+        rows = () if route is None else route.services
+        return frozenset(row.service for row in rows if row.weight > 0)
+
+    def _route(self, state: jobstate.JobState) -> records.Route | None:
         active = self._configuration.current()
         if active is None:
             return None
         route = active.route(state.meta.host, state.meta.path)
         if route is None or route.kind != "batch":
             return None
-        return route.choose_service()
+        return route
 
     def _write_expired_in_background(self, state: jobstate.JobState) -> None:
         """Writes error results for an expired job's items, on a pool thread.
--- a/packages/gateway/gateway/upstreamlist.py
+++ b/packages/gateway/gateway/upstreamlist.py
@@ -13,6 +13,7 @@
 from gateway import paging
 from gateway import records
 from gateway import retainedlist
+from gateway.decisions import versionhistory
 
 _events = eventlog.Events("upstreams")
 
@@ -45,6 +46,7 @@
         self._callbacks: list[Callable[[], None]] = []
         self._last_read_failed = False
         self._version = 0
+        self._software_versions = versionhistory.VersionHistory()
 
     def start(self) -> None:
         """Finds the services that the list needs."""
@@ -102,6 +104,13 @@
         row = self._by_instance.get(instance)
         return row if row in self.usable(service) else None
 
+    def only_version(self, service: str, span_s: float) -> str:
+        """See `versionhistory.VersionHistory`."""
+        with self._lock:
+            return self._software_versions.only_version(
+                service, span_s, time.monotonic()
+            )
+
     def snapshot(self) -> tuple[tuple[records.Upstream, ...], int]:
         """Returns all upstreams, draining ones too, and the list's version.
 
@@ -120,7 +129,7 @@
             self._apply(
                 self._listing.update(rows, now_s, self._last_read_failed)
             )
-            self._read_s = now_s
+            self._record_read(now_s)
         elif not self._last_read_failed:
             _events.warning("list_lost", age_s=round(self.age_s(), 3))
         self._last_read_failed = rows is None
@@ -141,9 +150,14 @@
         now_s = time.monotonic()
         # The other VM has already kept what expired in an outage.
         self._apply(self._listing.update(found, now_s, after_failure=False))
-        self._read_s = now_s - age_s
+        self._record_read(now_s - age_s)
         self._last_read_failed = False
 
+    def _record_read(self, read_s: float) -> None:
+        self._read_s = read_s
+        with self._lock:
+            self._software_versions.record_read(read_s)
+
     def _read(self) -> dict[str, records.Upstream] | None:
         prefix = self._dialect.store_keys.upstreams_prefix
         listed = paging.read_all(self._store, prefix, _CALL_TIMEOUT_S)
@@ -170,6 +184,7 @@
             return
         with self._lock:
             self._by_instance = rows
+            self._software_versions.change(rows.values())
             self._version += 1
             self._index()
         _log_changes(before, rows)
@@ -214,6 +229,7 @@
             address=new.address,
             slots=new.slots,
             started_ms=new.started_ms,
+            software_version=new.software_version,
         )
 
 
--- a/tests/gateway/test_jobstate.py
+++ b/tests/gateway/test_jobstate.py
@@ -121,6 +121,17 @@
     assert [row.elapsed_s(20.0) for row in after.ready(_at(20.0))] == [4.0, 0.0]
 
 
+def test_progress_of_an_older_build_does_not_go_on() -> None:
+    """Guards against joining it with what another software version writes."""
+    state = _state(10)
+    item = state.ready(_at(0.0))[0]
+    name = item.item.item
+    state.restore_progress((jobrecords.Progress(name, ("data 1",), 1, 0),))
+    assert not item.may_go_on()
+    item.discard_output()
+    assert (item.output, item.last_event, item.origin) == ([], None, None)
+
+
 def test_an_item_that_waited_long_is_not_ranked_last_forever() -> None:
     """Engines are overloaded, and late items never get a slot.
 
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 from gateway import members
+from gateway import names
+from gateway import streamorigins
 from support import gatewayengine
 from support import gatewayscene
 
@@ -66,6 +68,24 @@
         assert len(_run_of(engines, f"a{number}")) == 1
 
 
+def test_a_broken_stream_goes_on_at_its_own_software_version(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against giving up streams that another upstream can continue."""
+    versions = ("v1", "v2", "v1", "v2")
+    engines = _add_engines(scene, *versions)
+    vm = scene.add_vm()
+    for number in range(40):
+        for engine in engines[:2]:
+            engine.faults = [Fault("cut", 2)]
+        assert _begin(vm, f"a{number}").is_whole
+        runs = _run_of(engines, f"a{number}")
+        assert len({versions[at] for at, _ in runs}) == 1
+        if len(runs) > 1:
+            return
+    raise AssertionError("no stream was resumed")
+
+
 def test_a_stream_is_taken_up_at_its_version_after_its_vm_is_lost(
     scene: gatewayscene.Scene,
 ) -> None:
@@ -118,3 +138,98 @@
         runs = _run_of(engines, f"i{number}")
         whole = max(at for at, last in enumerate(runs) if last[1] == 0)
         assert len({at for at, _ in runs[whole:]}) == 1
+
+
+def test_an_item_whose_version_is_gone_begins_anew(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against an item that waits for upstreams that never come."""
+    (first,) = _add_engines(scene, "v1")
+    first.faults = [Fault("cut", 2)]
+    first.on_crash = lambda: None
+    vm = scene.add_vm()
+    assert vm.submit("j", _job("i")).status == 202
+    gatewayscene.until(lambda: first.runs)
+    (second,) = _add_engines(scene, "v2")
+    scene.list_engine(first, "draining")
+    assert _output(vm, "j") == "\n".join(f"data {n}" for n in range(1, 6))
+    for engine in (first, second):
+        wholes = [run.last_event for run in engine.runs]
+        assert wholes[:1] in ([], [0])
+
+
+def _origins(vm: gatewayscene.Vm) -> streamorigins.StreamOrigins:
+    return vm.kernel.find(names.STREAM_ORIGINS, streamorigins.StreamOrigins)
+
+
+def test_a_stream_whose_beginning_nobody_knows_is_refused(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against a guess at the version, with or without the attempt."""
+    engines = _add_engines(scene, "v1", "v2")
+    vms = _add_vms(scene, 2)
+    for began in ("", "nobody"):
+        answer = _take_up(vms[0], f"b{began}", began)
+        assert answer.status == 503
+        assert not _run_of(engines, f"b{began}")
+
+
+def test_a_stream_of_a_service_that_has_run_one_version_goes_on(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against refusals where no other version can have begun it."""
+    _add_engines(scene, "v1", "v1")
+    vms = _add_vms(scene, 2)
+    time.sleep(1.5)
+    for span_s, version in ((0.5, "v1"), (60.0, "")):
+        origin = _origins(vms[0]).find("nobody", "llm", span_s)
+        assert origin.software_version == version
+
+
+def test_a_stream_is_found_while_one_of_the_asked_is_silent(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against knowledge that is lost with two VMs of four."""
+    engines = _add_engines(scene, "v1", "v2")
+    vms = _add_vms(scene, 4)
+    for number in range(_STREAMS):
+        for engine in engines:
+            engine.faults = [Fault("cut", 2)]
+        assert not _begin(vms[0], f"a{number}").is_whole
+    for vm in vms[:2]:
+        vm.lose_power()
+    for number in range(_STREAMS):
+        began, _ = _run_of(engines, f"a{number}")[0]
+        found = _origins(vms[2 + number % 2]).find(f"a{number}", "llm", 60.0)
+        assert found.software_version == ("v1", "v2")[began]
+
+
+def test_a_stream_is_taken_up_more_than_once(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against a third try that nobody knows the beginning of."""
+    engines = _add_engines(scene, "v1", "v1", "v2", "v2")
+    vms = _add_vms(scene, 3)
+    for engine in engines:
+        engine.faults = [Fault("cut", 1), Fault("cut", 0)]
+    assert not _begin(vms[0], "a").is_whole
+    began, _ = _run_of(engines, "a")[0]
+    for number in range(2, 5):
+        for engine in engines:
+            engine.faults = [Fault("cut", 1), Fault("cut", 0)]
+            engine.faults[0] = Fault("cut", number)
+        _take_up(vms[number % 3], f"b{number}", "a", number - 1)
+        runs = _run_of(engines, f"b{number}")
+        assert runs
+        assert all(at // 2 == began // 2 for at, _ in runs)
+
+
+def test_an_upstream_without_a_version_continues_no_stream(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against taking two unknown versions for the same."""
+    engines = [scene.add_engine(version=None) for _ in range(2)]
+    for engine in engines:
+        engine.faults = [Fault("cut", 2)]
+    assert not _begin(scene.add_vm(), "a").is_whole
+    assert len(_run_of(engines, "a")) == 1
