--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -75,6 +75,8 @@
             short ones.
         poisons: The bodies of requests that crash it; with long answers in
             the middle of one.
+        deadly_parts: The parts of prompts that crash it before the answer's
+            first event.
         statuses: What requests are answered with at each run, by their
             bodies.
         on_crash: Called as it crashes, before its answers break off.
@@ -100,6 +102,7 @@
         self.load = ""
         self.long_answer_bytes = 0
         self.poisons: set[bytes] = set()
+        self.deadly_parts: set[str] = set()
         self.statuses: dict[bytes, int] = {}
         self.on_crash: Callable[[], None] = lambda: None
         self._closing = threading.Event()
@@ -195,7 +198,7 @@
             )
         )
         self._wait_if_late(fault)
-        is_poison = body in self.poisons
+        is_poison = body in self.poisons or self._has_deadly_part(request)
         if is_poison and not self.long_answer_bytes:
             self.crash()
         if fault.kind == "other":
@@ -223,6 +226,11 @@
         events = self._stream(last, fault, ticket)
         return httpd.Response(200, tuple(headers), events)
 
+    def _has_deadly_part(self, request: httpd.Request) -> bool:
+        parts = request.headers.get("bulrushdeal-prompt-prefix", "").split(",")
+        names = {part.partition(":")[0] for part in parts}
+        return not names.isdisjoint(self.deadly_parts)
+
     def _status(self, body: bytes, fault: Fault) -> int:
         kind = fault.kind.removeprefix("unsigned-")
         status = {"error": 500, "never": 422}.get(kind, 200)
