Crash records: parts of prompts that crash upstreams are refused

Cause: crashes were counted by customer, path and body, so requests that differ never added up.

A crash now names the parts of runs that had written nothing; a run that writes clears its parts, and VMs tell each other of it. A part that stands in three crashes since, under two requests at least, is refused at all VMs; single runs, permitted by one VM for all, find out whether it is sound. It is known after a restart, a cut and a loss of power as requests are. The verdict on a whole request is as it was.

--- a/packages/daemon/bulrushdeald/crashnotifier.py
+++ b/packages/daemon/bulrushdeald/crashnotifier.py
@@ -1,11 +1,12 @@
 """Notifies peers of requests that were running when an upstream crashed."""
 
 from collections.abc import Iterable
+import hashlib
 import itertools
 import random
 import threading
 import time
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from bulrushdeal import logs
 from bulrushdeal import records
@@ -41,6 +42,39 @@
             thread.join(max(0.0, end_s - time.monotonic()))
 
 
+class SoundParts(Protocol):
+    """Which parts of prompts crashes do not count against."""
+
+    def apply(
+        self, rows: tuple[quarantine.SoundPart, ...]
+    ) -> tuple[quarantine.SoundPart, ...]:
+        """Records what another VM told; returns what was new."""
+
+    def all(self) -> tuple[quarantine.SoundPart, ...]:
+        """Returns all that other VMs are told of."""
+
+    def refresh(self) -> None:
+        """Records that the crashes known here have changed."""
+
+
+class _NoParts:
+    """Stands for `SoundParts` where requests describe no prompts."""
+
+    def apply(
+        self, rows: tuple[quarantine.SoundPart, ...]
+    ) -> tuple[quarantine.SoundPart, ...]:
+        """See `SoundParts`."""
+        del rows
+        return ()
+
+    def all(self) -> tuple[quarantine.SoundPart, ...]:
+        """See `SoundParts`."""
+        return ()
+
+    def refresh(self) -> None:
+        """See `SoundParts`."""
+
+
 class CrashNotices:
     """Sends and handles `quarantine.CrashNotice` messages."""
 
@@ -50,7 +84,9 @@
         membership: services.Membership,
         crashes: quarantine.Quarantine,
         lock: threading.Lock,
+        sound_parts: SoundParts | None = None,
     ) -> None:
+        self._sound_parts = sound_parts or _NoParts()
         self._peers = peers
         self._membership = membership
         self._quarantine = crashes
@@ -84,6 +120,7 @@
         started_ms: int = 0,
         *,
         is_age_exact: bool = True,
+        parts: tuple[str, ...] = (),
     ) -> Delivery:
         """Records a crash and notifies the peers.
 
@@ -100,6 +137,7 @@
             started_ms: When the upstream had started, in milliseconds of the
                 epoch; 0 if unknown.
             is_age_exact: Whether it crashed just then, and not later.
+            parts: The parts of its prompt, if it had written nothing.
         """
         if not fingerprint:
             return Delivery()
@@ -113,9 +151,11 @@
             ran_s,
             started_ms,
             is_age_exact,
+            parts,
         )
         with self._lock:
             self._quarantine.add(crash)
+        self._sound_parts.refresh()
         _log.warning("A request was running when an upstream crashed.")
         return self._notify_peers(quarantine.CrashNotice((crash,)))
 
@@ -124,14 +164,19 @@
         with self._lock:
             cleared = self._quarantine.clear(fingerprint)
         if cleared:
+            self._sound_parts.refresh()
             self._notify_peers(quarantine.CrashNotice((), cleared=cleared))
 
+    def tell_sound(self, rows: tuple[quarantine.SoundPart, ...]) -> None:
+        """Tells the peers that crashes no longer count against some parts."""
+        self._notify_peers(quarantine.CrashNotice((), sound=rows))
+
     def _handle_notice(
         self, vm: str, notice: quarantine.CrashNotice
     ) -> quarantine.CrashNotice:
         del vm
         new = self._apply(notice)
-        if notice.relay and (new.crashes or new.cleared):
+        if notice.relay and (new.crashes or new.cleared or new.sound):
             self._send(self._domain_peers(), new)
         return quarantine.CrashNotice(())
 
@@ -142,21 +187,41 @@
             crashes = tuple(
                 crash for crash in notice.crashes if self._quarantine.add(crash)
             )
-        return quarantine.CrashNotice(crashes, cleared=cleared)
+        if crashes or cleared:
+            self._sound_parts.refresh()
+        return quarantine.CrashNotice(
+            crashes,
+            cleared=cleared,
+            sound=self._sound_parts.apply(notice.sound),
+        )
 
     def _handle_query(
         self, vm: str, query: quarantine.CrashQuery
     ) -> quarantine.CrashNotice:
         del vm
         with self._lock:
-            if query.digest == self._quarantine.digest():
+            if query.digest == self._digest():
                 return quarantine.CrashNotice(())
             return self._all()
 
+    def _digest(self) -> str:
+        """Returns a hash that VMs share that know the same.
+
+        The caller holds the lock.
+        """
+        digest = self._quarantine.digest()
+        parts = sorted(row.part for row in self._sound_parts.all())
+        if not parts:
+            return digest
+        text = "\n".join([digest, *parts])
+        return hashlib.sha256(text.encode()).hexdigest()
+
     def _all(self) -> quarantine.CrashNotice:
         """Returns all that this VM knows; the caller holds the lock."""
         return quarantine.CrashNotice(
-            self._quarantine.crashes(), cleared=self._quarantine.cleared()
+            self._quarantine.crashes(),
+            cleared=self._quarantine.cleared(),
+            sound=self._sound_parts.all(),
         )
 
     def _domain_peers(self) -> list[str]:
@@ -240,7 +305,7 @@
     def _query(self, vm: str) -> bool:
         """Asks a VM for what it knows; returns whether it answered."""
         with self._lock:
-            query = quarantine.CrashQuery(self._quarantine.digest())
+            query = quarantine.CrashQuery(self._digest())
         answer = self._peers.call(vm, query, 1.0)
         if answer.is_err():
             return False
--- a/packages/daemon/bulrushdeald/quarantine.py
+++ b/packages/daemon/bulrushdeald/quarantine.py
@@ -52,6 +52,8 @@
         is_age_exact: Whether the upstream crashed just then. False if the age
             is by a clock that may have been set, or from a break that may have
             come before the crash.
+        parts: The parts of its prompt that others may share, if it had written
+            nothing by then.
     """
 
     fingerprint: str
@@ -61,6 +63,14 @@
     ran_s: float = 0.0
     started_ms: int = 0
     is_age_exact: bool = True
+    parts: tuple[str, ...] = ()
+
+
+class SoundPart(NamedTuple):
+    """A part of prompts, and how many seconds ago a run with it wrote."""
+
+    part: str
+    age_s: float
 
 
 class CrashNotice(NamedTuple):
@@ -72,11 +82,13 @@
             failure domain.
         cleared: The ids of crashes that no longer count, because the request
             has run to its end since.
+        sound: Parts that crashes no longer count against.
     """
 
     crashes: tuple[Crash, ...]
     relay: bool = False
     cleared: tuple[str, ...] = ()
+    sound: tuple[SoundPart, ...] = ()
 
 
 class CrashQuery(NamedTuple):
@@ -99,6 +111,7 @@
     ended_s: float
     started_ms: int
     is_age_exact: bool
+    parts: tuple[str, ...]
 
 
 class _Verdict(NamedTuple):
@@ -163,6 +176,7 @@
             ended_s,
             crash.started_ms,
             crash.is_age_exact,
+            crash.parts,
         )
         if ended_s > self._trials_s.get(crash.fingerprint, math.inf):
             # It is the outcome that the next run had to wait for.
@@ -311,6 +325,7 @@
                 run.ended_s - run.began_s,
                 run.started_ms,
                 run.is_age_exact,
+                run.parts,
             )
             for fingerprint, runs in self._runs.items()
             for run in runs.values()
--- a/packages/gateway/gateway/crashrecords.py
+++ b/packages/gateway/gateway/crashrecords.py
@@ -23,6 +23,7 @@
 from gateway import heldslots
 from gateway import members
 from gateway import names
+from gateway import partrecords
 from gateway import records
 from gateway import upstreamlist
 from gateway.decisions import upstreamfates
@@ -54,6 +55,13 @@
             upstreamfates.watch_s(settings.heartbeat_s),
         )
         self._logged: frozenset[str] = frozenset()
+        self.parts = partrecords.PartRecords(
+            kernel,
+            upstreamfates.watch_s(settings.heartbeat_s),
+            self._all_crashes,
+            self._tell_sound,
+            self._keep_part,
+        )
 
     def start(self) -> None:
         """Starts to exchange records with other VMs."""
@@ -63,7 +71,9 @@
             find(services.MEMBERSHIP, members.Members),
             self._quarantine,
             self._lock,
+            self.parts,
         )
+        self.parts.start()
         self._notices.start()
         self._broken_runs = brokenruns.BrokenRuns(
             find(names.UPSTREAM_LIST, upstreamlist.UpstreamList),
@@ -87,19 +97,33 @@
         del grace_s
         self._notices.stop()
         self._store.stop()
+        self.parts.stop()
+
+    def _tell_sound(self, rows: tuple[quarantine.SoundPart, ...]) -> None:
+        self._notices.tell_sound(rows)
+
+    def _keep_part(self, key: str) -> None:
+        self._store.update(key)
+
+    def _all_crashes(self) -> tuple[quarantine.Crash, ...]:
+        with self._lock:
+            return self._quarantine.crashes()
 
     def _add(self, crashes: tuple[quarantine.Crash, ...]) -> None:
         with self._lock:
             for crash in crashes:
                 self._quarantine.add(crash)
+        self.parts.refresh()
 
-    def _crashes_to_keep(
-        self, fingerprint: str
-    ) -> tuple[quarantine.Crash, ...]:
+    def _crashes_to_keep(self, key: str) -> tuple[quarantine.Crash, ...]:
+        """Returns the crashes to store of a request or a part, by its key."""
+        of_part = self.parts.crashes_to_keep(key)
+        if of_part is not None:
+            return of_part
         with self._lock:
-            if not self._quarantine.is_refused(fingerprint):
+            if not self._quarantine.is_refused(key):
                 return ()
-            return self._crashes_of(fingerprint)
+            return self._crashes_of(key)
 
     def _crashes_of(self, fingerprint: str) -> tuple[quarantine.Crash, ...]:
         return tuple(
@@ -109,12 +133,13 @@
         )
 
     def dump(self) -> Any:
-        """Returns the recorded crashes, and the requests that are refused."""
+        """Returns the recorded crashes, and what is refused."""
+        refused_parts = self.parts.dump()
         with self._lock:
             return {
                 "crashes": self._quarantine.crashes(),
                 "refused": sorted(self._quarantine.refused()),
-            }
+            } | {"refused_parts": refused_parts}
 
     def record_crash(
         self, fingerprint: str, slot: heldslots.Slot
@@ -135,9 +160,11 @@
             upstream.instance,
             ran_s,
             started_ms=upstream.started_ms,
+            parts=_accused_parts(slot),
         )
         if self.is_refused(fingerprint):
             self._store.update(fingerprint)
+        self.parts.keep(_accused_parts(slot))
         return notices
 
     def record_break(
@@ -169,6 +196,7 @@
                 now_s,
                 was_silent,
                 was_given_up,
+                _accused_parts(slot),
             )
         )
 
@@ -197,9 +225,11 @@
             upstream.started_ms,
             # A break before a restart may have come before the crash.
             is_age_exact=crash.fate != "restarted",
+            parts=run.parts,
         )
         if self.is_refused(run.fingerprint):
             self._store.update(run.fingerprint)
+        self.parts.keep(run.parts)
 
     def is_empty(self) -> bool:
         """Returns whether no request is recorded and none is watched."""
@@ -268,10 +298,20 @@
         self._logged = refused
 
 
+def _accused_parts(slot: heldslots.Slot) -> tuple[str, ...]:
+    """Returns the parts of a run's prompt that a crash counts against.
+
+    An upstream crashes as it begins to write, so those of a run that has
+    written are sound.
+    """
+    return () if slot.first_event_s else slot.cost.shared_parts
+
+
 def _log_fields(crash: quarantine.Crash) -> Mapping[str, Any]:
     return {
         "upstream": crash.upstream,
         "ran_s": round(crash.ran_s, 3),
         "age_s": round(crash.age_s, 3),
         "noticed_by": crash.crash_id.partition("/")[0],
+        "parts": list(crash.parts),
     }
--- /dev/null
+++ b/packages/gateway/gateway/decisions/deadlyparts.py
@@ -0,0 +1,311 @@
+"""Which parts of prompts crash the upstreams that answer them.
+
+Requests that share such a part need not be alike, so counting the crashes of
+each request does not stop them. A run is suspected that had written nothing
+when its upstream crashed, and with it each part of its prompt but the last,
+which is its own. A run that writes an event speaks for all its parts: the
+crashes before that count against them no longer.
+
+Most parts that stand in a crash are sound: a first part that many share, or a
+customer's own. They are cleared by the next run that writes. Of those that are
+not, one whose crashes another part explains, or shares, is only doubtful:
+requests with it run one at a time, over all VMs, until one of them writes or
+crashes.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Literal, NamedTuple
+
+# Crashes, not all at once, after which a part may be refused.
+CRASHES_TO_REFUSE = 3
+# The same request that comes again is counted elsewhere.
+_REQUESTS_TO_REFUSE = 2
+# A run that had begun when another upstream crashed may have met the same
+# cause, such as a loss of power, unless its own crashes so much later.
+_SAME_CAUSE_S = 1.0
+# VMs state ages that differ by the time that a notice takes.
+_AGE_TOLERANCE_S = 0.05
+# An upstream whose start is not known takes longer to start again.
+_SAME_CRASH_S = 1.0
+# A refused part gets a single run after pauses that grow: it may be sound.
+_FIRST_PAUSE_S = 5.0
+_PAUSE_GROWTH = 6
+_MAX_PAUSE_S = 600.0
+_MAX_WRITTEN = 20_000
+# Crashes of a sound part from which on other VMs are told that it is sound.
+_CRASHES_TO_TELL = 2
+
+Verdict = Literal["sound", "doubtful", "refused"]
+
+
+class Accusation(NamedTuple):
+    """A part in a run that had written nothing when its upstream crashed.
+
+    Attributes:
+        part: The part.
+        request: Identifies the request.
+        upstream: The upstream that crashed.
+        started_ms: When the upstream had started; 0 if unknown.
+        began_s: When the run began, by the monotonic clock.
+        at_s: When the upstream crashed.
+    """
+
+    part: str
+    request: str
+    upstream: str
+    started_ms: int
+    began_s: float
+    at_s: float
+
+
+class Judgement(NamedTuple):
+    """Whether a request may run, and the part that decides it."""
+
+    verdict: Verdict
+    part: str = ""
+
+
+SOUND = Judgement("sound")
+
+
+class _Crash(NamedTuple):
+    """A crash that a part stands in.
+
+    Attributes:
+        number: The same for all parts of one crash.
+        began_s: When the last run with the part began.
+        at_s: When it happened.
+        requests: The requests with the part that ran on the upstream.
+    """
+
+    number: int
+    began_s: float
+    at_s: float
+    requests: frozenset[str]
+
+
+class DeadlyParts:
+    """Judges parts; not thread-safe. Times are of the monotonic clock.
+
+    Args:
+        notice_s: How long a crash may take to be known, in seconds. A trial
+            whose outcome is not known by then counts as over.
+    """
+
+    def __init__(self, notice_s: float) -> None:
+        self._notice_s = notice_s
+        self._crashes: dict[str, tuple[_Crash, ...]] = {}
+        # When runs with a part wrote an event last, the latest part last.
+        self._written_s: dict[str, float] = {}
+        # Up to when that is known to all VMs.
+        self._told_s: dict[str, float] = {}
+        self._trials_s: dict[str, float] = {}
+
+    def accuse(self, rows: Iterable[Accusation]) -> None:
+        """Replaces all accusations."""
+        found: dict[str, dict[int, list[Accusation]]] = {}
+        for number, row in _number_crashes(rows):
+            crashes = found.setdefault(row.part, {})
+            crashes.setdefault(number, []).append(row)
+        self._crashes = {
+            part: tuple(
+                _Crash(
+                    number,
+                    max(row.began_s for row in same),
+                    min(row.at_s for row in same),
+                    frozenset(row.request for row in same),
+                )
+                for number, same in crashes.items()
+            )
+            for part, crashes in found.items()
+        }
+        self._told_s = self._of_accused(self._told_s)
+        self._trials_s = self._of_accused(self._trials_s)
+
+    def _of_accused(self, at_s: Mapping[str, float]) -> dict[str, float]:
+        return {
+            part: part_s
+            for part, part_s in at_s.items()
+            if part in self._crashes
+        }
+
+    def refused(self) -> frozenset[str]:
+        """Returns the parts that crashes are put down to."""
+        return frozenset(
+            part
+            for part in self._crashes
+            if self._is_suspect(part)
+            and not self._explaining(part)
+            and not self._tied(part)
+        )
+
+    def record_written(self, parts: Iterable[str], at_s: float) -> bool:
+        """Records that a run with these parts has written an event.
+
+        Returns:
+            Whether one of them stands in a crash.
+        """
+        is_accused = False
+        for part in parts:
+            at_part_s = max(at_s, self._written_s.pop(part, at_s))
+            self._written_s[part] = at_part_s
+            self._trials_s.pop(part, None)
+            is_accused |= part in self._crashes
+        while len(self._written_s) > _MAX_WRITTEN:
+            del self._written_s[next(iter(self._written_s))]
+        return is_accused
+
+    def record_told(self, part: str, at_s: float) -> bool:
+        """Records what another VM told of a part; returns whether it is new."""
+        if at_s <= self._told_s.get(part, float("-inf")) + _AGE_TOLERANCE_S:
+            return False
+        self._told_s[part] = at_s
+        self.record_written((part,), at_s)
+        return True
+
+    def to_tell(self) -> tuple[str, ...]:
+        """Returns the parts that other VMs may count crashes against.
+
+        This VM knows of runs with them that have written since.
+        """
+        never_s = float("-inf")
+        return tuple(
+            part
+            for part, crashes in self._crashes.items()
+            if self._count(crashes, self._told_s.get(part, never_s))
+            >= _CRASHES_TO_TELL
+            and self._count(crashes, self._told_s.get(part, never_s))
+            > self._count(crashes, self._written_s.get(part, never_s))
+        )
+
+    def written_s(self, part: str) -> float | None:
+        """Returns when a run with a part wrote an event; `None` if never."""
+        return self._written_s.get(part)
+
+    def told(self) -> dict[str, float]:
+        """Returns what all VMs are told of: when runs with a part wrote."""
+        return dict(self._told_s)
+
+    def judge(self, parts: Sequence[str]) -> Judgement:
+        """Returns whether a request with these parts may run."""
+        suspects = [part for part in parts if self._is_suspect(part)]
+        doubtful = ""
+        for part in suspects:
+            if self._explaining(part) or not self._tied(part) <= set(parts):
+                doubtful = part
+                continue
+            return Judgement("refused", part)
+        return Judgement("doubtful", doubtful) if doubtful else SOUND
+
+    def wait_s(self, parts: Sequence[str], now_s: float) -> float:
+        """Returns in how many seconds a single run with these parts is due."""
+        judged = self.judge(parts)
+        trial_s = self._trials_s.get(judged.part, float("-inf"))
+        due_s = trial_s + self._notice_s
+        if judged.verdict == "refused":
+            crashes = self._counted(judged.part)
+            last_s = max(crash.at_s for crash in crashes)
+            due_s = max(due_s, last_s + self._pause_s(crashes))
+        return max(0.0, due_s - now_s)
+
+    def begin_trial(
+        self, part: str, parts: Sequence[str], now_s: float
+    ) -> bool:
+        """Returns whether a single run with these parts may begin now.
+
+        Args:
+            part: The part that the asking VM found at fault.
+            parts: All parts of the request.
+            now_s: The monotonic clock.
+        """
+        trial_s = self._trials_s.get(part, float("-inf"))
+        is_under_way = trial_s + self._notice_s > now_s
+        if is_under_way or self.wait_s(parts, now_s) > 0:
+            return False
+        self._trials_s[part] = now_s
+        return True
+
+    def _pause_s(self, crashes: Sequence[_Crash]) -> float:
+        more = max(0, _count_separate(crashes) - CRASHES_TO_REFUSE)
+        return min(_FIRST_PAUSE_S * float(_PAUSE_GROWTH**more), _MAX_PAUSE_S)
+
+    def _counted(self, part: str) -> tuple[_Crash, ...]:
+        """Returns the crashes since a run with a part wrote last."""
+        written_s = self._written_s.get(part, float("-inf"))
+        return tuple(
+            crash
+            for crash in self._crashes.get(part, ())
+            if crash.at_s > written_s
+        )
+
+    def _count(self, crashes: Iterable[_Crash], since_s: float) -> int:
+        return _count_separate([row for row in crashes if row.at_s > since_s])
+
+    def _is_suspect(self, part: str) -> bool:
+        if part not in self._crashes:
+            return False
+        crashes = self._counted(part)
+        requests = frozenset[str]().union(*(row.requests for row in crashes))
+        return (
+            len(requests) >= _REQUESTS_TO_REFUSE
+            and _count_separate(crashes) >= CRASHES_TO_REFUSE
+        )
+
+    def _numbers(self, part: str) -> frozenset[int]:
+        return frozenset(crash.number for crash in self._counted(part))
+
+    def _explaining(self, part: str) -> frozenset[str]:
+        """Returns the parts that stand in all crashes of a part and in more."""
+        own = self._numbers(part)
+        return frozenset(
+            other
+            for other in self._crashes
+            if own < self._numbers(other) and self._is_suspect(other)
+        )
+
+    def _tied(self, part: str) -> frozenset[str]:
+        """Returns the other parts that stand in just the same crashes."""
+        own = self._numbers(part)
+        return frozenset(
+            other
+            for other in self._crashes
+            if other != part and self._numbers(other) == own
+        )
+
+
+def _number_crashes(
+    rows: Iterable[Accusation],
+) -> list[tuple[int, Accusation]]:
+    """Returns the rows with numbers, which those of one crash share."""
+    numbered: list[tuple[int, Accusation]] = []
+    previous: Accusation | None = None
+    number = 0
+    for row in sorted(
+        rows, key=lambda row: (row.upstream, row.started_ms, row.at_s)
+    ):
+        if previous is None or not _is_same_crash(previous, row):
+            number += 1
+        numbered.append((number, row))
+        previous = row
+    return numbered
+
+
+def _is_same_crash(first: Accusation, second: Accusation) -> bool:
+    if first.upstream != second.upstream:
+        return False
+    if first.started_ms != second.started_ms:
+        return False
+    if second.started_ms:
+        return True
+    return second.at_s - first.at_s <= _SAME_CRASH_S
+
+
+def _count_separate(crashes: Iterable[_Crash]) -> int:
+    """Counts the crashes that may have different causes."""
+    count, last_s = 0, float("-inf")
+    for crash in sorted(crashes, key=lambda crash: crash.at_s):
+        middle_s = (crash.began_s + crash.at_s) / 2
+        if middle_s >= last_s or crash.at_s - last_s > _SAME_CAUSE_S:
+            count += 1
+            last_s = crash.at_s
+    return count
--- a/packages/gateway/gateway/decisions/requestcosts.py
+++ b/packages/gateway/gateway/decisions/requestcosts.py
@@ -41,6 +41,11 @@
         """The memory that the request takes at the end of its answer."""
         return self.input_tokens + self.output_tokens
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The parts that other requests may have, too: all but the last."""
+        return tuple(part.name for part in self.parts[:-1] if part.name)
+
 
 # The cost of a request that states nothing.
 UNKNOWN = RequestCost()
--- a/packages/gateway/gateway/decisions/upstreamfates.py
+++ b/packages/gateway/gateway/decisions/upstreamfates.py
@@ -35,6 +35,7 @@
         was_silent: Whether its upstream had sent nothing for a while.
         was_given_up: Whether its caller gave it up, so that the upstream may
             have been about to answer.
+        parts: The parts of its prompt, if it had written nothing.
     """
 
     fingerprint: str
@@ -43,6 +44,7 @@
     broke_s: float
     was_silent: bool = False
     was_given_up: bool = False
+    parts: tuple[str, ...] = ()
 
     @property
     def began_s(self) -> float:
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -40,6 +40,8 @@
 # so that a request whose answer breaks can still be repeated or refused.
 _MAX_BUFFERED_BYTES = 1 << 20
 _BUSY_RETRY_S = 0.25
+# Requests with a part that may crash upstreams run one at a time.
+_PART_RETRY_S = 0.5
 # How long after its stream broke a caller may take it up elsewhere, beyond the
 # time that its next attempt takes.
 _TAKE_UP_S = 10.0
@@ -149,6 +151,8 @@
         self._no_slot: placement.NoSlot | None = None
         self._slot_wait_until_s = 0.0
         self._sent_s = 0.0
+        # Whether the next run may have a part that crashes upstreams.
+        self._may_try_part = False
         # What tells other VMs of upstreams that crashed under the request.
         self._crash_notices: list[crashnotifier.Delivery] = []
 
@@ -254,7 +258,20 @@
             return False
         if call.runs and not self._may_run_again():
             return False
-        return not self._is_quarantined()
+        return not self._is_quarantined() and self._may_run_parts()
+
+    def _may_run_parts(self) -> bool:
+        """Returns whether the parts of the prompt may run here now."""
+        judged = self._sender.judge_parts(self._request.cost)
+        if judged.verdict == "sound" or self._may_try_part:
+            return True
+        self._may_try_part = self._sender.may_try_part(
+            judged.part, self._request.cost
+        )
+        if not self._may_try_part:
+            retry_s = _PART_RETRY_S if judged.verdict == "doubtful" else 0.0
+            self._no_slot = placement.NoSlot(retry_s, _DEADLY_PART)
+        return self._may_try_part
 
     def _is_quarantined(self) -> bool:
         outgoing = self._request.outgoing
@@ -324,6 +341,7 @@
         assert slot is not None
         if failure.may_have_run:
             self._call.runs += 1
+            self._may_try_part = False
             self._slot_wait_until_s = time.monotonic() + _RERUN_SLOT_WAIT_S
         else:
             self._sender.end_trial(self._request.outgoing)
@@ -482,6 +500,7 @@
         if slot is None or slot.first_event_s:
             return
         self._placement.record_first_event(slot)
+        self._sender.record_written(slot.cost)
         figures = slot.figures
         if figures is not None and figures.expected_start_s is not None:
             self._metrics.observe_start_error(
@@ -634,6 +653,7 @@
 
 
 _UNKNOWN_ORIGIN = "the software version that began the stream is not known"
+_DEADLY_PART = "upstreams crashed as they answered a part of its prompt"
 _IN_DOUBT = "several upstreams crashed while they ran this request"
 # No time to come back at, since the request would be refused again.
 _QUARANTINED = refusals.Refusal(
--- a/packages/gateway/gateway/itemrun.py
+++ b/packages/gateway/gateway/itemrun.py
@@ -17,6 +17,7 @@
 from gateway import resultwriter
 from gateway import upstreamsender
 from gateway.decisions import itemtimes
+from gateway.decisions import requestcosts
 
 _events = eventlog.Events("runner")
 
@@ -102,11 +103,22 @@
     def is_held_back(
         self, state: jobstate.JobState, item: jobstate.ItemState
     ) -> bool:
-        """Returns whether an item waits because it crashed upstreams."""
-        return not self._crashes.is_empty() and self._crashes.is_held_back(
-            self._fingerprint(state, item)
+        """Returns whether an item waits because it may crash upstreams."""
+        if self._crashes.is_empty():
+            return False
+        if self._crashes.is_held_back(self._fingerprint(state, item)):
+            return True
+        cost = self._cost(item)
+        judged = self._sender.judge_parts(cost)
+        return judged.verdict != "sound" and not self._sender.may_try_part(
+            judged.part, cost
         )
 
+    def _cost(self, item: jobstate.ItemState) -> requestcosts.RequestCost:
+        if item.cost is None:
+            item.cost = self._dialect.item_cost(item.item)
+        return item.cost
+
     def is_suspect(
         self, state: jobstate.JobState, item: jobstate.ItemState
     ) -> bool:
@@ -144,6 +156,8 @@
                 break
             events = eventstream.parse(splitter.feed(chunk.ok_value))
             if events:
+                if not slot.first_event_s:
+                    self._sender.record_written(slot.cost)
                 item.is_answering = True
                 item.origin = item.origin or slot.upstream.origin
                 self._placement.record_first_event(slot)
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -17,6 +17,8 @@
 from gateway import names
 from gateway import placement
 from gateway import records
+from gateway.decisions import deadlyparts
+from gateway.decisions import requestcosts
 from gateway.decisions import slotrecords
 
 FailureKind = Literal["rejected", "unreachable", "broken", "silent", "ended"]
@@ -236,6 +238,22 @@
             return 0.0
         return self._crashes.doubt_s(outgoing.fingerprint())
 
+    def judge_parts(
+        self, cost: requestcosts.RequestCost
+    ) -> deadlyparts.Judgement:
+        """Returns whether a request may run, by the parts of its prompt."""
+        if self._crashes.is_empty():
+            return deadlyparts.SOUND
+        return self._crashes.parts.judge(cost.shared_parts)
+
+    def may_try_part(self, part: str, cost: requestcosts.RequestCost) -> bool:
+        """Returns whether a single run with a part may begin here now."""
+        return self._crashes.parts.may_try(part, cost.shared_parts)
+
+    def record_written(self, cost: requestcosts.RequestCost) -> None:
+        """Records that a run has written the first event of an answer."""
+        self._crashes.parts.record_written(cost.shared_parts)
+
     def begin_trial(self, outgoing: UpstreamRequest) -> None:
         """Records that a request is about to run, if it is a suspect."""
         if not self._crashes.is_empty():
