Quarantine: an item under which upstreams crashed stays owed

A sound item that met seven crashes by chance was not placed again for an hour, though all was calm and there was room: eight crashes in pairs at 0, 30, 120 and 400 s gave waits of 15, 60, 240 and 3,600 s. Cause: each further crash lengthened the wait without a bound, as if the item had caused it.

An item waits 5 s, then 8 s after its last crash, and at VMs that did not notice the crash up to 11.4 s longer, so that copies still go one after the other: at most 20 s in all.

The test over gateways asked for no third crash within five seconds; it now watches three times as long and asks for 4.9 s between crashes and four in all. New: after eight crashes of its upstreams an item is done within 20 s. It and the idle bound fail on the code before.

--- a/packages/daemon/bulrushdeald/quarantine.py
+++ b/packages/daemon/bulrushdeald/quarantine.py
@@ -30,12 +30,14 @@
 _SAME_CRASH_S = 1.0
 # VMs state ages that differ by the time that a notice takes.
 _AGE_TOLERANCE_S = 0.05
-# A request that must be finished gets further runs, after pauses that grow: it
-# may have met several crashes by chance.
-_FIRST_HOLD_S = 15.0
-_HOLD_GROWTH = 4
-# A request that has met so many is not tried again.
-_MOST_CRASHES = 7
+# A request that must be finished is owed, whatever it has met: crashes come in
+# bursts, and it may have been on several of the upstreams. It waits until these
+# are back; with a turn after other VMs, no longer than it may lie idle.
+_FIRST_HOLD_S = 5.0
+_HOLD_GROWTH = 2
+_MAX_HOLD_S = 8.0
+# Where crashes are noticed later, items are not left idle for longer than 20 s.
+_MAX_TURN_S = 5.7
 
 
 class Crash(NamedTuple):
@@ -272,15 +274,13 @@
         runs = sorted(
             self._runs[fingerprint].values(), key=lambda run: run.ended_s
         )
-        if len(runs) >= _MOST_CRASHES:
-            return RETENTION_S
         waits = sum(
             later.began_s - earlier.ended_s >= _FIRST_HOLD_S
             for earlier, later in itertools.pairwise(
                 runs[CRASHES_TO_REFUSE - 1 :]
             )
         )
-        return _FIRST_HOLD_S * float(_HOLD_GROWTH**waits)
+        return min(_FIRST_HOLD_S * float(_HOLD_GROWTH**waits), _MAX_HOLD_S)
 
     def _turn_s(self, fingerprint: str, last: _Run) -> float:
         """Returns how much later than others this VM may run a suspect.
@@ -292,7 +292,7 @@
             return 0.0
         text = f"{self._vm} {fingerprint}"
         digest = hashlib.sha256(text.encode()).digest()
-        return self._notice_s * (1.0 + digest[0] / 256)
+        return min(self._notice_s, _MAX_TURN_S) * (1.0 + digest[0] / 256)
 
     def begin_trial(self, fingerprint: str) -> None:
         """Records that a request runs here, if it is a suspect."""
