Upstreams: bytes without end are bounded, and who sends them is avoided

On the code before, interim heads one after the other were read for ever, a head or a body that dribbles started each read's timeout anew, an event without an end took 4 MB and then an exception instead of a retry, and a refusal's body was read to its end.

A socket now limits what arrives until the next whole thing, in bytes and in time: the head within 128 kB and the send's own timeout, each event within 512 kB and the pause that is allowed, a refusal within 64 kB and half a second. Beyond it the send counts as broken, is repeated elsewhere if it may be, and the upstream is avoided for 1 to 32 s until a whole event or answer comes from it.

--- a/packages/core/bulrushdeal/sockets.py
+++ b/packages/core/bulrushdeal/sockets.py
@@ -2,11 +2,21 @@
 
 import socket
 import struct
-from typing import Any
+import time
+from typing import Any, NamedTuple
 
 _US_PER_S = 1_000_000
 
 
+class ReadLimitError(OSError):
+    """More bytes have arrived than were allowed, or for longer."""
+
+
+class _ReadLimit(NamedTuple):
+    left_bytes: int
+    until_s: float
+
+
 class TimedSocket(socket.socket):
     """A connected socket whose timeouts need no additional system calls.
 
@@ -19,6 +29,7 @@
 
     # Equal to no valid timeout, so the first one set is always applied.
     _timeout_s: float | None = -1.0
+    _read_limit: _ReadLimit | None = None
 
     @classmethod
     def adopt(cls, sock: socket.socket) -> "TimedSocket":
@@ -45,12 +56,36 @@
         """Returns the timeout in seconds, or `None` if there is none."""
         return self._timeout_s
 
+    def limit_reads(self, max_bytes: int, within_s: float) -> None:
+        """Limits what further reads return in all, and for how long.
+
+        A timeout starts anew with each byte. Bytes that go on and on, of which
+        nothing whole ever comes, would be read without end.
+        """
+        until_s = time.monotonic() + within_s
+        self._read_limit = _ReadLimit(max_bytes, until_s)
+
+    def lift_read_limit(self) -> None:
+        """Lets further reads go on without limit."""
+        self._read_limit = None
+
     def recv_into(self, *args: Any) -> int:
         """See `socket.socket`."""
         try:
-            return super().recv_into(*args)
+            count = super().recv_into(*args)
         except BlockingIOError as error:
             raise self._timed_out(error) from None
+        if self._read_limit is not None:
+            self._count_read(self._read_limit, count)
+        return count
+
+    def _count_read(self, limit: _ReadLimit, count: int) -> None:
+        left_bytes = limit.left_bytes - count
+        self._read_limit = limit._replace(left_bytes=left_bytes)
+        if left_bytes < 0:
+            raise ReadLimitError("too many bytes without an end")
+        if count and time.monotonic() > limit.until_s:
+            raise ReadLimitError("bytes without an end for too long")
 
     def recv(self, *args: Any) -> bytes:
         """See `socket.socket`."""
--- a/packages/daemon/bulrushdeald/connections.py
+++ b/packages/daemon/bulrushdeald/connections.py
@@ -99,6 +99,12 @@
 
     raw: Response
 
+    def timed_socket(self) -> sockets.TimedSocket:
+        """Returns the socket of an open connection."""
+        sock = self.sock
+        assert isinstance(sock, sockets.TimedSocket)
+        return sock
+
     def _new_conn(self) -> socket.socket:
         return sockets.TimedSocket.adopt(super()._new_conn())
 
--- a/packages/daemon/bulrushdeald/dispatch.py
+++ b/packages/daemon/bulrushdeald/dispatch.py
@@ -21,6 +21,7 @@
     "crashed": "crashed",
     "timeout": "refused",
     "cancelled": "cancelled",
+    "endless": "refused",
 }
 _REFUSALS_BY_KIND = {
     "unreachable": services.Refusal(
@@ -32,6 +33,9 @@
     "timeout": services.Refusal(
         504, "upstream_timeout", "The upstream fell silent.", "unknown"
     ),
+    "endless": services.Refusal(
+        502, "upstream_endless", "The upstream's answer has no end.", "unknown"
+    ),
     "cancelled": services.Refusal(
         400, "body_broken", "The request's body broke off.", field="body"
     ),
@@ -161,7 +165,7 @@
         if error is None:
             return False
         is_safe = error.ran == "not_run" or (
-            sending.is_idempotent and error.kind == "crashed"
+            sending.is_idempotent and error.kind in ("crashed", "endless")
         )
         return is_safe and self.take_retry(failure.upstream, call)
 
--- a/packages/daemon/bulrushdeald/services.py
+++ b/packages/daemon/bulrushdeald/services.py
@@ -358,12 +358,13 @@
         kind: `unreachable`: no connection was made. `crashed`: the
             connection broke after the request was sent, or the answer was
             unusable. `timeout`: the upstream was silent for too long.
-            `cancelled`: this VM ended the request.
+            `cancelled`: this VM ended the request. `endless`: the upstream
+            sent more bytes, or for longer, than anything whole can have.
         ran: Whether the request ran at the upstream.
         message: Text for the log.
     """
 
-    kind: Literal["unreachable", "crashed", "timeout", "cancelled"]
+    kind: Literal["unreachable", "crashed", "timeout", "cancelled", "endless"]
     ran: ExecutionStatus
     message: str
 
@@ -385,6 +386,12 @@
     def set_read_timeout(self, timeout_s: float) -> None:
         """Sets the read timeout for the rest of the body, in seconds."""
 
+    def limit_reads(self, max_bytes: int, within_s: float) -> None:
+        """Limits what is read from now on in all, and for how long.
+
+        Beyond it the body ends with an error. A further call replaces it.
+        """
+
     def cancel(self) -> None:
         """Ends a blocked read at once, from any thread; idempotent."""
 
--- a/packages/daemon/bulrushdeald/upstreams.py
+++ b/packages/daemon/bulrushdeald/upstreams.py
@@ -15,6 +15,7 @@
 
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import records
+from bulrushdeal import sockets
 from bulrushdeald import bodies
 from bulrushdeald import connections
 from bulrushdeald import headers as headers_lib
@@ -24,6 +25,8 @@
 # A host that is reached refuses a connection within a round trip. The answer
 # to a caller waits for this.
 _PROBE_TIMEOUT_S = 0.1
+# Of a head, interim ones among them. What is read with it of the body counts.
+_MAX_HEAD_BYTES = 128 * 1024
 _BODILESS_STATUSES = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 _READ_ERRORS = (
     OSError,
@@ -44,7 +47,7 @@
     late cancellation into a no-op.
     """
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: sockets.TimedSocket) -> None:
         self._lock = threading.Lock()
         self._socket = sock
         self._is_finished = False
@@ -68,10 +71,17 @@
             if not self._is_finished:
                 self._socket.settimeout(timeout_s)
 
+    def limit_reads(self, max_bytes: int, within_s: float) -> None:
+        """Limits the bytes that arrive from now on, and for how long."""
+        with self._lock:
+            if not self._is_finished:
+                self._socket.limit_reads(max_bytes, within_s)
+
     def finish(self) -> None:
         """Ends the exchange; later cancellations have no effect."""
         with self._lock:
             self._is_finished = True
+            self._socket.lift_read_limit()
 
 
 class Answer:
@@ -135,6 +145,10 @@
         """See `services.UpstreamAnswer`."""
         self._exchange.set_read_timeout(timeout_s)
 
+    def limit_reads(self, max_bytes: int, within_s: float) -> None:
+        """See `services.UpstreamAnswer`."""
+        self._exchange.limit_reads(max_bytes, within_s)
+
     def cancel(self) -> None:
         """See `services.UpstreamAnswer`."""
         self._exchange.cancel()
@@ -226,7 +240,8 @@
             return connected
         connection = connected.ok_value
         connection.timeout = timeout_s
-        exchange = _Exchange(connection.sock)
+        sock = connection.timed_socket()
+        exchange = _Exchange(sock)
         if on_connected is not None:
             on_connected(exchange.cancel)
         headers_to_send = _headers_to_send(headers, use_new_connection)
@@ -234,7 +249,10 @@
             is_fully_sent = _send_request(
                 connection, method, path, headers_to_send, body
             )
+            # Interim heads could follow each other without end.
+            sock.limit_reads(_MAX_HEAD_BYTES, timeout_s)
             response = connection.getresponse()
+            sock.lift_read_limit()
         except Exception as error:  # noqa: BLE001
             # An iterator as the body may raise any exception.
             exchange.finish()
@@ -344,6 +362,8 @@
     message = f"{type(error).__name__}: {error}"
     if exchange.is_cancelled:
         return services.UpstreamError("cancelled", ran, message)
+    if isinstance(error, sockets.ReadLimitError):
+        return services.UpstreamError("endless", ran, message)
     if isinstance(error, _TIMEOUT_ERRORS):
         return services.UpstreamError("timeout", ran, message)
     return services.UpstreamError("crashed", ran, message)
--- a/packages/gateway/gateway/eventstream.py
+++ b/packages/gateway/gateway/eventstream.py
@@ -3,7 +3,10 @@
 from typing import NamedTuple
 
 _EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
-_MAX_PARTIAL_BYTES = 4_000_000
+_MAX_PARTIAL_BYTES = 256 * 1024
+# What may be read until the next event has come. Framing counts, and so does
+# what is read ahead.
+MAX_UNFINISHED_BYTES = 2 * _MAX_PARTIAL_BYTES
 
 
 class Event(NamedTuple):
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -435,6 +435,8 @@
             return self._refuse()
         self._call.mark_answered()
         self._sender.record_completion(self._request.outgoing)
+        if self._slot is not None:
+            self._sender.record_whole(self._slot)
         data = b"".join(parts)
         headers = opened.answer.headers
         opened.answer.close()
@@ -519,11 +521,16 @@
         while current is not None:
             splitter = eventstream.Splitter()
             error: services.UpstreamError | None = None
+            self._limit_event(current, self._first_event_timeout_s())
             for piece in current.answer.chunks():
                 if isinstance(piece, result.Err):
                     error = piece.err_value
                     break
-                whole_events = splitter.feed(piece.ok_value)
+                try:
+                    whole_events = splitter.feed(piece.ok_value)
+                except eventstream.EventTooLongError:
+                    error = services.UpstreamError("endless", "ran", _ENDLESS)
+                    break
                 self._record_upstream_data()
                 if whole_events:
                     self._record_slot_event()
@@ -542,6 +549,23 @@
         self._wait_for_crash_notices()
         raise caller_calls.BrokenAnswerError("the stream broke off")
 
+    def _first_event_timeout_s(self) -> float:
+        """Returns how long bytes may come without an event, in seconds."""
+        if self._slot is None:
+            return max(self._call.remaining_s(), 0.01)
+        return self._silence_s(self._slot)
+
+    def _limit_event(
+        self, opened: upstreamsender.OpenAnswer, within_s: float
+    ) -> None:
+        """Limits what comes until the next event.
+
+        Bytes that are no answer may go on and on, and none of them is silence.
+        """
+        opened.answer.limit_reads(
+            eventstream.MAX_UNFINISHED_BYTES, max(within_s, 0.01)
+        )
+
     def _record_origin(self) -> None:
         """Records where the stream began, before its first event is relayed."""
         slot = self._slot
@@ -560,6 +584,7 @@
         caller would otherwise see a pause as long as a first event may take,
         although another upstream could continue at once.
         """
+        self._limit_event(opened, self._call.remaining_s())
         if not self._route.gap_target_s or not self._may_run_again():
             return
         if not self._has_other_upstream():
@@ -570,6 +595,7 @@
             self._route.gap_target_s, self._route.target_latency_s
         )
         opened.answer.set_read_timeout(gap_s)
+        self._limit_event(opened, gap_s)
 
     def _record_upstream_data(self) -> None:
         if self._slot is not None:
@@ -652,6 +678,7 @@
         return refusals.Refusal(503, "no upstream took it", _BUSY_RETRY_S)
 
 
+_ENDLESS = "bytes without the end of an event"
 _UNKNOWN_ORIGIN = "the software version that began the stream is not known"
 _DEADLY_PART = "upstreams crashed as they answered a part of its prompt"
 _IN_DOUBT = "several upstreams crashed while they ran this request"
--- a/packages/gateway/gateway/health.py
+++ b/packages/gateway/gateway/health.py
@@ -12,6 +12,8 @@
 # upstream that stays unreachable costs one connection attempt in five seconds.
 _FIRST_AVOID_S = 0.5
 _MAX_AVOID_S = 5.0
+# Up to 32 s.
+_MAX_DOUBLINGS = 6
 # An upstream that sent data within this time is reachable, even if pings into
 # its failure domain fail.
 _SILENT_AFTER_S = 0.5
@@ -32,6 +34,8 @@
         self._failure_counts: dict[str, int] = {}
         self._doubtful_until_s: dict[str, float] = {}
         self._received_s: dict[str, float] = {}
+        # How often answers had no end, since the last that had one.
+        self._endless_counts: dict[str, int] = {}
 
     def record_failure(self, instance: str, why: str) -> None:
         """Records a failed request and avoids the upstream for some time.
@@ -56,6 +60,27 @@
             self._doubtful_until_s[instance] = time.monotonic() + doubt_s
         _events.info("doubtful", upstream=instance, for_s=doubt_s)
 
+    def record_endless(self, instance: str, why: str) -> None:
+        """Records that an upstream sends bytes that have no end.
+
+        It is avoided for longer each time. Only a whole event or answer ends
+        that: data alone, or a proper head, is what it sends anyhow.
+        """
+        with self._lock:
+            count = self._endless_counts.get(instance, 0) + 1
+            self._endless_counts[instance] = count
+            avoid_s = _FIRST_AVOID_S * float(2 ** min(count, _MAX_DOUBLINGS))
+            self._avoided_until_s[instance] = time.monotonic() + avoid_s
+        _events.warning("avoided", upstream=instance, for_s=avoid_s, why=why)
+
+    def record_whole(self, instance: str) -> None:
+        """Records that an upstream has sent a whole event or answer."""
+        if instance not in self._endless_counts:
+            return
+        with self._lock:
+            self._endless_counts.pop(instance, None)
+            self._avoided_until_s.pop(instance, None)
+
     def _count_failure(self, instance: str) -> float:
         """Returns how long to avoid an upstream after one more failure."""
         count = self._failure_counts.get(instance, 0)
@@ -68,8 +93,9 @@
             return
         with self._lock:
             self._failure_counts.pop(instance, None)
-            self._avoided_until_s.pop(instance, None)
             self._doubtful_until_s.pop(instance, None)
+            if instance not in self._endless_counts:
+                self._avoided_until_s.pop(instance, None)
         _events.info("back", upstream=instance)
 
     def record_data(self, instance: str) -> None:
@@ -110,6 +136,9 @@
                 for name, received_s in self._received_s.items()
                 if name in kept
             }
+            for name in self._endless_counts.keys() - kept:
+                del self._endless_counts[name]
+                self._avoided_until_s.pop(name, None)
             for name in list(self._failure_counts):
                 if name not in kept:
                     del self._failure_counts[name]
--- a/packages/gateway/gateway/itemrun.py
+++ b/packages/gateway/gateway/itemrun.py
@@ -25,6 +25,9 @@
 _MAX_SILENCE_S = 2.0
 # Once it has begun to send, an engine does not pause for this long.
 _MAX_CHUNK_GAP_S = 0.6
+# More than an item's result may have in the store.
+_MAX_OUTPUT_BYTES = 1 << 20
+_ENDLESS = "bytes without end"
 _HTTP_OK = 200
 _HTTP_UNPROCESSABLE = 422
 _HTTP_SERVER_ERROR = 500
@@ -150,12 +153,26 @@
     ) -> None:
         splitter = eventstream.Splitter()
         error: services.UpstreamError | None = None
+        output_bytes = sum(map(len, item.output))
+        answer.limit_reads(eventstream.MAX_UNFINISHED_BYTES, _MAX_SILENCE_S)
         for chunk in answer.chunks():
             if isinstance(chunk, result.Err):
                 error = chunk.err_value
                 break
-            events = eventstream.parse(splitter.feed(chunk.ok_value))
+            try:
+                events = eventstream.parse(splitter.feed(chunk.ok_value))
+            except eventstream.EventTooLongError:
+                error = services.UpstreamError("endless", "ran", _ENDLESS)
+                break
+            output_bytes += sum(len(event.data or "") for event in events)
+            if output_bytes > _MAX_OUTPUT_BYTES:
+                error = services.UpstreamError("endless", "ran", _ENDLESS)
+                item.discard_output()
+                break
             if events:
+                answer.limit_reads(
+                    eventstream.MAX_UNFINISHED_BYTES, _MAX_SILENCE_S
+                )
                 if not slot.first_event_s:
                     self._sender.record_written(slot.cost)
                 item.is_answering = True
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -342,6 +342,7 @@
         """Records an event of a run; the first one ends its prefill."""
         if not slot.record_first_event():
             return
+        self.health.record_whole(slot.upstream.instance)
         if slot.cost.input_tokens >= _MIN_BEGAN_TOKENS:
             self._client.update(
                 slot.upstream.service, slotmessages.Began(slot.run)
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -23,6 +23,9 @@
 
 FailureKind = Literal["rejected", "unreachable", "broken", "silent", "ended"]
 _FIRST_SERVER_ERROR = 500
+# The most that a refusal may have, and how long it may take.
+_MAX_REFUSAL_BYTES = 64 * 1024
+_MAX_REFUSAL_S = 0.5
 # A caller takes these statuses to mean that its request did not run.
 _NOT_EXECUTED_STATUSES = frozenset(
     {
@@ -186,6 +189,12 @@
                 upstream.instance, error.message
             )
             return Failure("unreachable", may_have_run, error.message)
+        if error.kind == "endless":
+            # It lives, so the request has not crashed it.
+            self._placement.health.record_endless(
+                upstream.instance, error.message
+            )
+            return Failure("broken", may_have_run, error.message)
         if error.kind == "timeout":
             self._record_break(outgoing, slot)
             return Failure("silent", may_have_run, error.message)
@@ -221,6 +230,10 @@
             was_given_up=was_given_up,
         )
 
+    def record_whole(self, slot: heldslots.Slot) -> None:
+        """Records that an upstream has sent a whole answer."""
+        self._placement.health.record_whole(slot.upstream.instance)
+
     def record_completion(self, outgoing: UpstreamRequest) -> None:
         """Records that a request ran to its end at an upstream."""
         if not self._crashes.is_empty():
@@ -291,7 +304,8 @@
                 self._placement.health.record_failure(upstream.instance, why)
             else:
                 self._report_load(upstream, head)
-            _read_to_end(answer)
+            if not _read_to_end(answer):
+                self._placement.health.record_endless(upstream.instance, why)
             return result.Err(Failure("rejected", False, why))
         self._placement.health.record_data(upstream.instance)
         self._placement.health.record_success(upstream.instance)
@@ -341,9 +355,17 @@
     return result.Err(Failure("broken", True, why, status))
 
 
-def _read_to_end(answer: services.UpstreamAnswer) -> None:
-    """Reads a short answer to its end, so that the connection is reusable."""
+def _read_to_end(answer: services.UpstreamAnswer) -> bool:
+    """Reads a short answer to its end, so that the connection is reusable.
+
+    Returns:
+        Whether it has an end; otherwise it is dropped.
+    """
+    answer.limit_reads(_MAX_REFUSAL_BYTES, _MAX_REFUSAL_S)
+    has_end = True
     for piece in answer.chunks():
-        if piece.is_err():
+        if isinstance(piece, result.Err):
+            has_end = piece.err_value.kind != "endless"
             break
     answer.close()
+    return has_end
--- /dev/null
+++ b/tests/gateway/test_endlessbytes.py
@@ -0,0 +1,244 @@
+"""Upstreams whose answers have no length, or no end."""
+
+import base64
+from collections.abc import Callable, Iterator
+import contextlib
+import socket
+import struct
+import threading
+import time
+from typing import Any
+
+import pytest
+
+from support import gatewayscene
+
+_EVENTS = b"".join(b"id: %d\ndata: data %d\n\n" % (n, n) for n in range(1, 6))
+# A stream or item that meets such an upstream is served elsewhere in time.
+_MAX_S = 8.0
+_RESET = struct.pack("ii", 1, 0)
+
+Serve = Callable[[socket.socket, bytes], None]
+
+
+class _RawEngine:
+    """Reads each request's head and lets a function answer it."""
+
+    def __init__(self, instance: str, serve: Serve) -> None:
+        self.instance = instance
+        self.requests = 0
+        self._serve = serve
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        port = self._socket.getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        self._socket.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._answer, args=(connection,), daemon=True
+            ).start()
+
+    def _answer(self, connection: socket.socket) -> None:
+        with connection, contextlib.suppress(OSError):
+            request = b""
+            while b"\r\n\r\n" not in request:
+                data = connection.recv(65536)
+                if not data:
+                    return
+                request += data
+            self.requests += 1
+            self._serve(connection, request)
+
+
+def _head(request: bytes, *more: str) -> bytes:
+    (attempt,) = [
+        line.partition(":")[2].strip()
+        for line in request.decode().split("\r\n")
+        if line.lower().startswith("bulrushdeal-request-attempt-id:")
+    ]
+    rows = [
+        "HTTP/1.1 200 OK",
+        f"Bulrushdeal-Request-Attempt-Id: {attempt}",
+        "Bulrushdeal-Server-Stamp: signed",
+        "Connection: close",
+        *more,
+        "",
+        "",
+    ]
+    return "\r\n".join(rows).encode()
+
+
+def _endless_interim_heads(connection: socket.socket, request: bytes) -> None:
+    del request
+    while True:
+        connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        time.sleep(0.001)
+
+
+def _endless_head(connection: socket.socket, request: bytes) -> None:
+    del request
+    connection.sendall(b"HTTP/1.1 200 OK\r\n")
+    while True:
+        connection.sendall(b"A: b\r\n" * 1000)
+
+
+def _dribbling_head(connection: socket.socket, request: bytes) -> None:
+    del request
+    connection.sendall(b"HTTP/1.1 200 OK\r\n")
+    while True:
+        connection.sendall(b"A")
+        time.sleep(0.05)
+
+
+def _endless_body(connection: socket.socket, request: bytes) -> None:
+    connection.sendall(_head(request))
+    while True:
+        connection.sendall(b"x" * 65536)
+
+
+def _dribbling_body(connection: socket.socket, request: bytes) -> None:
+    connection.sendall(_head(request))
+    while True:
+        connection.sendall(b"x")
+        time.sleep(0.05)
+
+
+def _endless_refusal(connection: socket.socket, request: bytes) -> None:
+    head = _head(request, "Bulrushdeal-Not-Executed: 1")
+    connection.sendall(head.replace(b"200 OK", b"503 Busy"))
+    while True:
+        connection.sendall(b"x" * 65536)
+
+
+_ENDLESS = [
+    _endless_interim_heads,
+    _endless_head,
+    _dribbling_head,
+    _endless_body,
+    _dribbling_body,
+    _endless_refusal,
+]
+
+
+def _unframed(connection: socket.socket, request: bytes) -> None:
+    connection.sendall(_head(request) + _EVENTS)
+
+
+def _unframed_and_cut_in_an_event(
+    connection: socket.socket, request: bytes
+) -> None:
+    connection.sendall(_head(request) + _EVENTS[:30])
+
+
+def _unframed_and_reset(connection: socket.socket, request: bytes) -> None:
+    connection.sendall(_head(request) + _EVENTS[:40])
+    time.sleep(0.1)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+
+
+@pytest.fixture
+def engines() -> Iterator[list[_RawEngine]]:
+    made: list[_RawEngine] = []
+    yield made
+    for engine in made:
+        engine.close()
+
+
+def _add(
+    scene: gatewayscene.Scene, engines: list[_RawEngine], serve: Serve
+) -> _RawEngine:
+    engine: Any = _RawEngine(f"i-raw{len(engines)}", serve)
+    engines.append(engine)
+    scene.list_engine(engine)
+    return engines[-1]
+
+
+def _until_met(
+    vm: gatewayscene.Vm, engine: _RawEngine, path: str = "/s/x"
+) -> list[gatewayscene.Answer]:
+    """Sends requests until one has met the raw engine."""
+    answers = []
+    for number in range(20):
+        answers.append(vm.call("POST", path, b"p", attempt=f"a{number}"))
+        if engine.requests:
+            return answers
+    raise AssertionError("no request met the engine")
+
+
+@pytest.mark.parametrize("serve", _ENDLESS)
+def test_a_stream_is_served_elsewhere_than_where_bytes_have_no_end(
+    scene: gatewayscene.Scene, engines: list[_RawEngine], serve: Serve
+) -> None:
+    """Guards against callers that wait for bytes that are no answer."""
+    raw = _add(scene, engines, serve)
+    scene.add_engine()
+    begun_s = time.monotonic()
+    answers = _until_met(scene.add_vm(), raw)
+    assert all(answer.is_whole for answer in answers)
+    assert time.monotonic() - begun_s < _MAX_S
+
+
+@pytest.mark.parametrize("serve", _ENDLESS)
+def test_an_item_is_done_though_an_upstream_sends_bytes_without_end(
+    scene: gatewayscene.Scene, engines: list[_RawEngine], serve: Serve
+) -> None:
+    """Guards against items that hold a slot, and memory, for ever."""
+    raw = _add(scene, engines, serve)
+    vm = scene.add_vm()
+    items = [
+        gatewayscene.item(f"i{number}")
+        | {"body": base64.b64encode(b"%d" % number).decode()}
+        for number in range(3)
+    ]
+    assert vm.submit("job", items).status == 202
+    gatewayscene.until(lambda: raw.requests)
+    engine = scene.add_engine()
+    gatewayscene.until(lambda: _count_listed(vm) == 3, 20.0)
+    assert len({run.attempt for run in engine.runs}) == 3
+
+
+def _count_listed(vm: gatewayscene.Vm) -> int:
+    count = 0
+    while rows := vm.results("job", count).json()["results"]:
+        count += len(rows)
+    return count
+
+
+def test_a_stream_without_length_or_chunks_ends_with_its_connection(
+    scene: gatewayscene.Scene, engines: list[_RawEngine]
+) -> None:
+    """Guards against taking a whole stream for one that was cut."""
+    _add(scene, engines, _unframed)
+    answer = scene.add_vm().call("POST", "/s/once/x", b"p")
+    assert (answer.is_whole, answer.body) == (True, _EVENTS)
+
+
+@pytest.mark.parametrize(
+    "serve", [_unframed_and_cut_in_an_event, _unframed_and_reset]
+)
+def test_a_stream_without_length_or_chunks_that_breaks_off_goes_on(
+    scene: gatewayscene.Scene, engines: list[_RawEngine], serve: Serve
+) -> None:
+    """Guards against taking a cut stream for a whole one."""
+    raw = _add(scene, engines, serve)
+    scene.add_engine()
+    for answer in _until_met(scene.add_vm(), raw):
+        assert (answer.is_whole, answer.body) == (True, _EVENTS)
+
+
+def test_an_answer_without_length_or_chunks_that_is_reset_is_repeated(
+    scene: gatewayscene.Scene, engines: list[_RawEngine]
+) -> None:
+    """Guards against a part of an answer that looks whole."""
+    raw = _add(scene, engines, _unframed_and_reset)
+    scene.add_engine()
+    for answer in _until_met(scene.add_vm(), raw, "/safe/x"):
+        assert (answer.is_whole, answer.body) == (True, b"answer to /safe/x")
