Callers' connections: a VM that is full closes new ones unread

For some seconds the platform may hand most new connections of a zone to one VM (RECOVER). A VM whose threads and queue were full read the request and answered 503, so the caller waited instead of trying another VM at once, and requests that could not be repeated failed there. Cause: the refusal was written for a fleet that is full as a whole.

A new connection is now closed unread if no thread is free and the queue is full, if it waited for 0.4 s, and for 0.2 s after one that did. Kept connections are answered as before.

--- a/packages/core/bulrushdeal/httpd.py
+++ b/packages/core/bulrushdeal/httpd.py
@@ -156,6 +156,8 @@
         busy: The response to a refused connection; 503 by default.
         listener: A socket that listens on the address already; `None` to bind
             one at the start.
+        refuses_unread: Whether refused connections are closed unread, which
+            lets their callers try elsewhere at once, whatever they send.
     """
 
     def __init__(
@@ -165,6 +167,8 @@
         threads: int = DEFAULT_THREADS,
         busy: Response | None = None,
         listener: socket.socket | None = None,
+        *,
+        refuses_unread: bool = False,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._handler = handler
@@ -173,6 +177,7 @@
             self._run_wsgi,
             threads,
             max(threads // _THREADS_PER_WAITING, _MIN_WAITING),
+            refuses_unread=refuses_unread,
             request_queue_size=_BACKLOG,
             timeout=_SOCKET_TIMEOUT_S,
         )
--- a/packages/core/bulrushdeal/httpwire.py
+++ b/packages/core/bulrushdeal/httpwire.py
@@ -9,6 +9,7 @@
 import re
 import socket
 import threading
+import time
 from typing import Any
 
 import cheroot.server
@@ -26,6 +27,10 @@
 _MAX_READ_BYTES = 64 * 1024
 _MAX_CHUNK_LINE_BYTES = 1024
 _MAX_TRAILER_LINES = 100
+# A connection that waits for longer is of no use to a caller who could try
+# another server; no more are queued behind it for a moment.
+_MAX_WAIT_S = 0.4
+_STOP_QUEUEING_S = 0.2
 _CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,15}")
 _LENGTH = re.compile(rb"[0-9]{1,18}")
 # Headers whose repeated values cheroot itself joins with commas.
@@ -150,6 +155,15 @@
         timed = sockets.TimedSocket.adopt(sock)
         super().__init__(server, timed, *args)
         self.wfile = _Writer(timed)
+        # When it was queued last, by the monotonic clock.
+        self.queued_s: float | None = None
+        # Whether a request was read from it.
+        self.has_served = False
+
+    def communicate(self) -> bool:
+        """Serves one request; returns whether to keep the connection."""
+        self.has_served = True
+        return bool(super().communicate())  # type: ignore[no-untyped-call]
 
 
 class _Gateway(cheroot.wsgi.Gateway_10):
@@ -190,25 +204,54 @@
     the next connection could wait behind a long stream.
     """
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
+    def __init__(
+        self, *args: Any, closes_when_late: bool = False, **kwargs: Any
+    ) -> None:
         super().__init__(*args, **kwargs)
+        self._closes_when_late = closes_when_late
         self._lock = threading.Lock()
         # The number of waiting threads less that of queued connections.
         self._free_threads = 0
+        # Until when no connection is queued.
+        self._late_until_s = 0.0
         # cheroot sets `get` on each instance, to the method of the queue.
         self.get = self._get
 
     def _get(self) -> Any:
         with self._lock:
             self._free_threads += 1
-        return self._untyped()._queue.get()
+        conn = self._untyped()._queue.get()
+        while self._is_late(conn):
+            # Closed unread, so that its caller may try elsewhere at once.
+            conn.close()
+            with self._lock:
+                self._free_threads += 1
+            conn = self._untyped()._queue.get()
+        return conn
+
+    def _is_late(self, conn: Any) -> bool:
+        """Returns whether a new connection has waited for too long."""
+        queued_s = getattr(conn, "queued_s", None)
+        if queued_s is None or not self._closes_when_late:
+            return False
+        # A kept connection has been served before; it is answered.
+        now_s = time.monotonic()
+        if now_s - queued_s <= _MAX_WAIT_S:
+            return False
+        self._late_until_s = now_s + _STOP_QUEUEING_S
+        return not conn.has_served
 
     def put(self, obj: Any) -> None:
         """Queues a connection and adds a thread if none is free.
 
         Raises:
-            queue.Full: No thread is free and the queue is full.
+            queue.Full: No thread is free and the queue is full, or late.
         """
+        is_conn = isinstance(obj, _Connection)
+        if is_conn:
+            obj.queued_s = time.monotonic()
+            if not obj.has_served and obj.queued_s < self._late_until_s:
+                raise queue.Full
         with self._lock:
             has_free_thread = self._free_threads > 0
             self._free_threads -= 1
@@ -235,6 +278,8 @@
         app: The WSGI application.
         threads: The maximum number of connections served at once.
         max_waiting: The maximum number of connections waiting for a thread.
+        refuses_unread: Whether a connection that is refused is closed without
+            reading or answering it.
         options: Further arguments of `cheroot.wsgi.Server`.
 
     Attributes:
@@ -259,9 +304,12 @@
         app: Any,
         threads: int,
         max_waiting: int,
+        *,
+        refuses_unread: bool = False,
         **options: Any,
     ) -> None:
         super().__init__(address, app, **options)
+        self._refuses_unread = refuses_unread
         # The constructor of cheroot sets its own gateway and pool.
         self.gateway = _Gateway
         self.requests = _Pool(
@@ -271,6 +319,7 @@
             accepted_queue_size=max_waiting,
             # The accepting thread must not block on a full queue.
             accepted_queue_timeout=0,
+            closes_when_late=refuses_unread,
         )
 
     def bind(self, family: Any, type: Any, proto: int = 0) -> Any:
@@ -286,6 +335,9 @@
         try:
             self.requests.put(conn)
         except queue.Full:
+            if self._refuses_unread and not conn.has_served:
+                conn.close()
+                return
             self._refuse(conn)
 
     def _refuse(self, conn: Any) -> None:
--- a/packages/gateway/gateway/front.py
+++ b/packages/gateway/gateway/front.py
@@ -36,7 +36,7 @@
 _events = eventlog.Events("front")
 
 # Each open connection takes one thread, and each thread about 40 kB.
-_CALLER_THREADS = 160
+_CALLER_THREADS = 320
 _READY_THREADS = 4
 # The load balancer checks readiness every second and removes a VM after two
 # failed checks. Until then it opens new connections, which the VM must accept.
@@ -101,6 +101,8 @@
             _CALLER_THREADS,
             refusals.refusal_response(_BUSY),
             self._listener,
+            # Other VMs have room when the balancer sends most callers here.
+            refuses_unread=True,
         )
         if self._listener is not None and not self._settings.is_first_start:
             self._wait_for_configuration()
