--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -43,6 +43,7 @@
     known_ids = {attempt.attempt_id for attempt in callers.attempts}
     known_ids |= {item for job in callers.jobs for item in job.items}
     known_ids |= callers.probes | callers.poisons.keys()
+    known_ids |= callers.take_ups.attempts() | callers.parts.attempts
     problems += [
         f"{name} ran, but no caller sent it" for name in runs.keys() - known_ids
     ]
@@ -57,9 +58,21 @@
     problems += _check_rate(callers, runs)
     problems += _check_large(callers)
     problems += budget.check_poisons(fleet, callers, runs)
+    problems += callers.take_ups.check(runs)
+    problems += callers.parts.check(runs, _served_streams(callers))
     return problems
 
 
+def _served_streams(callers: callers_lib.Callers) -> float:
+    """Returns the part of the streams that was served."""
+    rows = [
+        row.status == 200 and row.is_complete
+        for row in callers.attempts
+        if row.kind == "once" and row.key == "key-0" and not row.is_burst
+    ]
+    return sum(rows) / max(len(rows), 1)
+
+
 def _check_attempt(
     attempt: callers_lib.Attempt,
     runs: list[gatewayengine.Run],
--- a/tests/soak/playing.py
+++ b/tests/soak/playing.py
@@ -63,6 +63,7 @@
             random.Random(f"{seed} answers"), length_s, faults.ANSWERS
         )
         + faults.draw_poison(random.Random(f"{seed} poison"), length_s)
+        + faults.draw_newer(random.Random(f"{seed} newer"), length_s)
     )
     address = random.Random(f"{seed} address").choice(
         fleet_lib.CRASHED_ADDRESSES
