Batch: an item waits a moment for its software version before it begins anew

It now waits while none is listed at all, and four seconds while only others are. A keeper that does not answer counts as suspected, so that others do not wait for it too.

The new test fails before: the item began anew at the other version. The soak's bursts slow the engines and its endless answers are many, so that both meet items.

--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -73,6 +73,8 @@
         is_answering: Whether the current run has sent an event.
         origin: Where the output began; `None` without output. Only there may
             it go on.
+        stranded_since_s: Since when no upstream can continue the output, by
+            the monotonic clock; `None` if one can.
     """
 
     def __init__(self, item: dialect.JobItem) -> None:
@@ -90,6 +92,7 @@
         self.fingerprint = ""
         self.is_answering = False
         self.origin: records.StreamOrigin | None = None
+        self.stranded_since_s: float | None = None
 
     def elapsed_s(self, now_s: float) -> float:
         """Returns how long the output so far took, in seconds."""
@@ -135,6 +138,7 @@
         self.output = []
         self.last_event = None
         self.origin = None
+        self.stranded_since_s = None
         self.ran_s = 0.0
 
     def pause(self) -> None:
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -39,6 +39,9 @@
 _MAX_RUNS = 64
 # Items per request for slots; few slots become free between two requests.
 _MAX_SLOTS_PER_REQUEST = 16
+# How long an item waits for an upstream of its software version while others
+# are listed; one that crashed is back by then.
+_STRANDED_S = 4.0
 # How long a shutdown waits for cancelled runs before it writes their progress.
 _CANCEL_WAIT_S = 1.0
 
@@ -280,23 +283,21 @@
 
         Output that nothing can continue is discarded.
         """
+        if item.origin is not None and self._must_begin_anew(
+            state, item, item.origin, moment.now_s
+        ):
+            _events.info(
+                "begins_anew",
+                job=state.meta.job,
+                item=item.item.item,
+                software_version=item.origin.software_version,
+                last_event=item.last_event,
+            )
+            item.discard_output()
         scope = placement.Scope(regions)
         if item.origin is not None:
-            scope = scope._replace(
-                software_version=item.origin.software_version
-            )
-            if not self._can_go_on(state, item, item.origin, scope):
-                _events.info(
-                    "begins_anew",
-                    job=state.meta.job,
-                    item=item.item.item,
-                    software_version=item.origin.software_version,
-                    last_event=item.last_event,
-                )
-                item.discard_output()
-                scope = placement.Scope(regions)
-            else:
-                service = item.origin.service
+            service, version = item.origin
+            scope = placement.Scope(regions, version)
         return _ReadyItem(
             service,
             scope,
@@ -306,19 +307,26 @@
             self._cost(item),
         )
 
-    def _can_go_on(
+    def _must_begin_anew(
         self,
         state: jobstate.JobState,
         item: jobstate.ItemState,
         origin: records.StreamOrigin,
-        scope: placement.Scope,
+        now_s: float,
     ) -> bool:
-        """Returns whether an item's output can be continued."""
-        return (
-            item.may_go_on()
-            and origin.service in self._services(state)
-            and self._placement.has_upstreams(origin.service, scope)
-        )
+        """Returns whether nothing will continue an item's output."""
+        service, version = origin
+        if not item.may_go_on() or service not in self._services(state):
+            return True
+        scope = placement.Scope(None, version)
+        is_served = self._placement.has_upstreams(service, scope)
+        # While none is listed at all, the version may well come back.
+        if is_served or not self._placement.has_upstreams(service):
+            item.stranded_since_s = None
+            return False
+        if item.stranded_since_s is None:
+            item.stranded_since_s = now_s
+        return now_s - item.stranded_since_s >= _STRANDED_S
 
     def _cost(self, item: jobstate.ItemState) -> requestcosts.RequestCost:
         if item.cost is None:
--- a/packages/gateway/gateway/streamorigins.py
+++ b/packages/gateway/gateway/streamorigins.py
@@ -35,7 +35,7 @@
 _TELL_TIMEOUT_S = 0.3
 _FIND_TIMEOUT_S = 0.3
 _TELLING_THREADS = 4
-_FINDING_THREADS = 12
+_FINDING_THREADS = 32
 _MAX_UNTOLD = 10_000
 _MAX_TRIES = 3
 # Callers take up a stream within their deadline.
@@ -202,16 +202,18 @@
 
         Ends with the first that knows.
         """
-        asked = [
+        asked = {
             self._finding.submit(
                 self._peers.call, vm, question, _FIND_TIMEOUT_S
-            )
+            ): vm
             for vm in self._keepers(question.attempt, _ASKED)
-        ]
+        }
         answers: list[OriginFound] = []
         for done in futures.as_completed(asked):
             answer = done.result()
             if answer.is_err():
+                # Others do not wait for it as well.
+                self._members.suspect(asked[done], answer.unwrap_err())
                 continue
             answers.append(answer.unwrap())
             if answers[-1].origin.software_version:
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -233,3 +233,22 @@
         engine.faults = [Fault("cut", 2)]
     assert not _begin(scene.add_vm(), "a").is_whole
     assert len(_run_of(engines, "a")) == 1
+
+
+def test_an_item_goes_on_after_its_version_was_away_for_a_moment(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against work that is thrown away in a burst of crashes."""
+    first, second = _add_engines(scene, "v1", "v2")
+    first.faults = [Fault("cut", 3)]
+    scene.list_engine(second, "draining", version="v2")
+    vm = scene.add_vm()
+    assert vm.submit("j", _job("i")).status == 202
+    gatewayscene.until(lambda: first.runs)
+    scene.list_engine(second, version="v2")
+    scene.store.write(f"servers/{first.instance}", None)
+    time.sleep(2.0)
+    scene.list_engine(first, version="v1")
+    assert _output(vm, "j") == "\n".join(f"data {n}" for n in range(1, 6))
+    assert [run.last_event for run in first.runs] == [0, 3]
+    assert not second.runs
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,8 +20,10 @@
 # How long a burst of long prompts lasts before its leader is disturbed.
 _BURST_LEAD_S = 0.5
 # Crashes of engines in a burst, and the pause between them.
-_BURST_CRASHES = 6
+_BURST_CRASHES = 8
 _BURST_PAUSE_S = 0.4
+_BURST_EVENT_INTERVAL_S = 0.15
+_ENDLESS_ANSWERS = 30
 
 
 class Fault(NamedTuple):
@@ -82,7 +84,7 @@
             round(rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S), 2),
             kind,
             rng.randrange(100),
-            "endless" if kind == "endless" else "",
+            "",
         )
         for kind in sorted(NEWER)
     ]
@@ -254,6 +256,12 @@
             gatewayengine.Fault(fault.how, fault.number % 8)
         ] * (1 + fault.number % 4)
 
+    def _send_endless(self, fault: Fault) -> None:
+        """Has an engine send bytes without end, to items as to streams."""
+        upstream = self._target_upstream(fault)
+        endless = gatewayengine.Fault("endless", fault.number % 8)
+        upstream.engine.faults += [endless] * _ENDLESS_ANSWERS
+
     def _target_upstream(self, fault: Fault) -> fleet_lib.Upstream:
         upstreams = self._fleet.upstreams
         return upstreams[fault.number % len(upstreams)]
@@ -296,12 +304,18 @@
         self._fleet.poisons.add(f"poison {fault.how}".encode())
 
     def _crash_in_bursts(self, fault: Fault) -> None:
-        """Crashes engines one after the other, under whatever they run."""
+        """Crashes engines one after the other, under whatever they run.
+
+        They are slow meanwhile, so that items meet several crashes.
+        """
+        upstreams = self._fleet.upstreams
+        for upstream in upstreams:
+            upstream.engine.pause_s = _BURST_EVENT_INTERVAL_S
         for number in range(_BURST_CRASHES):
-            upstreams = self._fleet.upstreams
-            upstream = upstreams[(fault.number + number) % len(upstreams)]
-            upstream.engine.crash()
+            upstreams[(fault.number + number) % len(upstreams)].engine.crash()
             time.sleep(_BURST_PAUSE_S)
+        for upstream in upstreams:
+            upstream.engine.pause_s = fleet_lib.EVENT_INTERVAL_S
 
     def _send_deadly_part(self, fault: Fault) -> None:
         del fault
@@ -402,7 +416,7 @@
 # Faults that came later, drawn apart for the same reason.
 NEWER: dict[str, Callable[[Player, Fault], None]] = {
     "bursts": Player._crash_in_bursts,
-    "endless": Player._corrupt_answers,
+    "endless": Player._send_endless,
     "part": Player._send_deadly_part,
     "surge": Player._surge,
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -33,7 +33,7 @@
 _START_S = 0.5
 # The number of events in the stream of each engine.
 EVENTS_PER_STREAM = 12
-_EVENT_INTERVAL_S = 0.02
+EVENT_INTERVAL_S = 0.02
 _SERVICE = "llm"
 # What the address of a crashed engine does: it refuses connections; it accepts
 # and resets them; a supervisor starts the engine again at once, as another
@@ -92,7 +92,7 @@
         self.engine = gatewayengine.Engine(
             name, EVENTS_PER_STREAM, self.capacity, host
         )
-        self.engine.pause_s = _EVENT_INTERVAL_S
+        self.engine.pause_s = EVENT_INTERVAL_S
         self.engine.poisons = poisons
         self.engine.software_version = software_version
 
