Streams are not taken up at another service than the one that began them

By reading: where a configuration moves a route to another service, a stream that was taken up went on there if a version of that service had the same name. It is refused now. The new test fails before (it ran).

--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -186,10 +186,12 @@
         if not origin.software_version:
             self._no_slot = placement.NoSlot(_BUSY_RETRY_S, _UNKNOWN_ORIGIN)
             return False
-        self._origin = origin
         may_serve = {row.service for row in self._route.services if row.weight}
-        if origin.service in may_serve:
-            self._request = request._replace(service=origin.service)
+        if origin.service not in may_serve:
+            self._no_slot = placement.NoSlot(0.0, _MOVED)
+            return False
+        self._origin = origin
+        self._request = request._replace(service=origin.service)
         return True
 
     def _span_s(self) -> float:
@@ -678,6 +680,7 @@
         return refusals.Refusal(503, "no upstream took it", _BUSY_RETRY_S)
 
 
+_MOVED = "the route has left the service that began the stream"
 _ENDLESS = "bytes without the end of an event"
 _UNKNOWN_ORIGIN = "the software version that began the stream is not known"
 _DEADLY_PART = "upstreams crashed as they answered a part of its prompt"
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -6,6 +6,7 @@
 
 from gateway import members
 from gateway import names
+from gateway import records
 from gateway import streamorigins
 from support import gatewayengine
 from support import gatewayscene
@@ -252,3 +253,15 @@
     assert _output(vm, "j") == "\n".join(f"data {n}" for n in range(1, 6))
     assert [run.last_event for run in first.runs] == [0, 3]
     assert not second.runs
+
+
+def test_a_stream_does_not_go_on_at_another_service(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against a route that moves while its streams are taken up."""
+    engines = _add_engines(scene, "v1")
+    vm = scene.add_vm()
+    origin = records.StreamOrigin("before", "v1")
+    _origins(vm).record("a", origin, 60.0)
+    assert _take_up(vm, "b", "a").status == 503
+    assert not _run_of(engines, "b")
