--- a/packages/gateway/gateway/decisions/deadlyparts.py
+++ b/packages/gateway/gateway/decisions/deadlyparts.py
@@ -16,17 +16,14 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Literal, NamedTuple
 
+from gateway.decisions import accusations
+
 # Crashes, not all at once, after which a part may be refused.
 CRASHES_TO_REFUSE = 3
 # The same request that comes again is counted elsewhere.
 _REQUESTS_TO_REFUSE = 2
-# A run that had begun when another upstream crashed may have met the same
-# cause, such as a loss of power, unless its own crashes so much later.
-_SAME_CAUSE_S = 1.0
 # VMs state ages that differ by the time that a notice takes.
 _AGE_TOLERANCE_S = 0.05
-# An upstream whose start is not known takes longer to start again.
-_SAME_CRASH_S = 1.0
 # A refused part gets a single run after pauses that grow: it may be sound.
 _FIRST_PAUSE_S = 5.0
 _PAUSE_GROWTH = 6
@@ -38,26 +35,6 @@
 Verdict = Literal["sound", "doubtful", "refused"]
 
 
-class Accusation(NamedTuple):
-    """A part in a run that had written nothing when its upstream crashed.
-
-    Attributes:
-        part: The part.
-        request: Identifies the request.
-        upstream: The upstream that crashed.
-        started_ms: When the upstream had started; 0 if unknown.
-        began_s: When the run began, by the monotonic clock.
-        at_s: When the upstream crashed.
-    """
-
-    part: str
-    request: str
-    upstream: str
-    started_ms: int
-    began_s: float
-    at_s: float
-
-
 class Judgement(NamedTuple):
     """Whether a request may run, and the part that decides it."""
 
@@ -68,22 +45,6 @@
 SOUND = Judgement("sound")
 
 
-class _Crash(NamedTuple):
-    """A crash that a part stands in.
-
-    Attributes:
-        number: The same for all parts of one crash.
-        began_s: When the last run with the part began.
-        at_s: When it happened.
-        requests: The requests with the part that ran on the upstream.
-    """
-
-    number: int
-    began_s: float
-    at_s: float
-    requests: frozenset[str]
-
-
 class DeadlyParts:
     """Judges parts; not thread-safe. Times are of the monotonic clock.
 
@@ -94,31 +55,16 @@
 
     def __init__(self, notice_s: float) -> None:
         self._notice_s = notice_s
-        self._crashes: dict[str, tuple[_Crash, ...]] = {}
+        self._crashes: dict[str, tuple[accusations.Crash, ...]] = {}
         # When runs with a part wrote an event last, the latest part last.
         self._written_s: dict[str, float] = {}
         # Up to when that is known to all VMs.
         self._told_s: dict[str, float] = {}
         self._trials_s: dict[str, float] = {}
 
-    def accuse(self, rows: Iterable[Accusation]) -> None:
+    def accuse(self, rows: Iterable[accusations.Accusation]) -> None:
         """Replaces all accusations."""
-        found: dict[str, dict[int, list[Accusation]]] = {}
-        for number, row in _number_crashes(rows):
-            crashes = found.setdefault(row.part, {})
-            crashes.setdefault(number, []).append(row)
-        self._crashes = {
-            part: tuple(
-                _Crash(
-                    number,
-                    max(row.began_s for row in same),
-                    min(row.at_s for row in same),
-                    frozenset(row.request for row in same),
-                )
-                for number, same in crashes.items()
-            )
-            for part, crashes in found.items()
-        }
+        self._crashes = accusations.group(rows)
         self._told_s = self._of_accused(self._told_s)
         self._trials_s = self._of_accused(self._trials_s)
 
@@ -225,11 +171,11 @@
         self._trials_s[part] = now_s
         return True
 
-    def _pause_s(self, crashes: Sequence[_Crash]) -> float:
-        more = max(0, _count_separate(crashes) - CRASHES_TO_REFUSE)
+    def _pause_s(self, crashes: Sequence[accusations.Crash]) -> float:
+        more = max(0, accusations.count_separate(crashes) - CRASHES_TO_REFUSE)
         return min(_FIRST_PAUSE_S * float(_PAUSE_GROWTH**more), _MAX_PAUSE_S)
 
-    def _counted(self, part: str) -> tuple[_Crash, ...]:
+    def _counted(self, part: str) -> tuple[accusations.Crash, ...]:
         """Returns the crashes since a run with a part wrote last."""
         written_s = self._written_s.get(part, float("-inf"))
         return tuple(
@@ -238,8 +184,12 @@
             if crash.at_s > written_s
         )
 
-    def _count(self, crashes: Iterable[_Crash], since_s: float) -> int:
-        return _count_separate([row for row in crashes if row.at_s > since_s])
+    def _count(
+        self, crashes: Iterable[accusations.Crash], since_s: float
+    ) -> int:
+        return accusations.count_separate(
+            [row for row in crashes if row.at_s > since_s]
+        )
 
     def _is_suspect(self, part: str) -> bool:
         if part not in self._crashes:
@@ -248,7 +198,7 @@
         requests = frozenset[str]().union(*(row.requests for row in crashes))
         return (
             len(requests) >= _REQUESTS_TO_REFUSE
-            and _count_separate(crashes) >= CRASHES_TO_REFUSE
+            and accusations.count_separate(crashes) >= CRASHES_TO_REFUSE
         )
 
     def _numbers(self, part: str) -> frozenset[int]:
@@ -271,41 +221,3 @@
             for other in self._crashes
             if other != part and self._numbers(other) == own
         )
-
-
-def _number_crashes(
-    rows: Iterable[Accusation],
-) -> list[tuple[int, Accusation]]:
-    """Returns the rows with numbers, which those of one crash share."""
-    numbered: list[tuple[int, Accusation]] = []
-    previous: Accusation | None = None
-    number = 0
-    for row in sorted(
-        rows, key=lambda row: (row.upstream, row.started_ms, row.at_s)
-    ):
-        if previous is None or not _is_same_crash(previous, row):
-            number += 1
-        numbered.append((number, row))
-        previous = row
-    return numbered
-
-
-def _is_same_crash(first: Accusation, second: Accusation) -> bool:
-    if first.upstream != second.upstream:
-        return False
-    if first.started_ms != second.started_ms:
-        return False
-    if second.started_ms:
-        return True
-    return second.at_s - first.at_s <= _SAME_CRASH_S
-
-
-def _count_separate(crashes: Iterable[_Crash]) -> int:
-    """Counts the crashes that may have different causes."""
-    count, last_s = 0, float("-inf")
-    for crash in sorted(crashes, key=lambda crash: crash.at_s):
-        middle_s = (crash.began_s + crash.at_s) / 2
-        if middle_s >= last_s or crash.at_s - last_s > _SAME_CAUSE_S:
-            count += 1
-            last_s = crash.at_s
-    return count
--- a/packages/gateway/gateway/partrecords.py
+++ b/packages/gateway/gateway/partrecords.py
@@ -16,6 +16,7 @@
 from bulrushdeald import quarantine
 from bulrushdeald import services
 from gateway import members
+from gateway.decisions import accusations
 from gateway.decisions import deadlyparts
 
 _events = eventlog.Events("crashes")
@@ -230,7 +231,7 @@
         crashes = self._read_crashes()
         with self._lock:
             self._parts.accuse(
-                deadlyparts.Accusation(
+                accusations.Accusation(
                     part,
                     row.fingerprint,
                     row.upstream,
--- a/tests/gateway/test_deadlyparts.py
+++ b/tests/gateway/test_deadlyparts.py
@@ -2,10 +2,8 @@
 
 from collections.abc import Mapping
 import functools
-import threading
 
 from gateway import crashrecords
-from gateway import members
 from gateway import names
 from support import gatewayengine
 from support import gatewayscene
@@ -23,25 +21,12 @@
     engines = [scene.add_engine(domain=f"d{n % 3}") for n in range(count)]
     for engine in engines:
         engine.deadly_parts.add(_BAD)
-        engine.on_crash = functools.partial(_unlist_later, scene, engine)
+        engine.on_crash = functools.partial(
+            scene.unlist_later, engine, _UNLISTED_S
+        )
     return engines
 
 
-def _unlist_later(
-    scene: gatewayscene.Scene, engine: gatewayengine.Engine
-) -> None:
-    key = f"servers/{engine.instance}"
-    threading.Timer(_UNLISTED_S, scene.store.write, (key, None)).start()
-
-
-def _add_vms(scene: gatewayscene.Scene, count: int) -> list[gatewayscene.Vm]:
-    vms = [scene.add_vm(f"vm{n}", f"d{n % 3}") for n in range(count)]
-    for vm in vms:
-        found = vm.kernel.find("membership", members.Members)
-        gatewayscene.until(lambda found=found: found.count() == count)
-    return vms
-
-
 def _prompt(*parts: str) -> Mapping[str, str]:
     return {
         "Bulrushdeal-Model": "m",
@@ -72,7 +57,7 @@
 ) -> None:
     """Guards against requests that differ and crash one after the other."""
     engines = _add_engines(scene, 9)
-    vms = _add_vms(scene, 3)
+    vms = scene.add_vms(3)
     for number in range(_SENDS):
         vm = vms[number % 3]
         assert _send(vm, f"p{number}", "first", _BAD).status in (502, 503)
@@ -100,7 +85,7 @@
 ) -> None:
     """Guards against a verdict that is lost with the VMs that made it."""
     engines = _add_engines(scene, 9)
-    vms = _add_vms(scene, 3)
+    vms = scene.add_vms(3)
     crashed = _crash_until_refused(vms, engines)
     gatewayscene.until(
         lambda: any("crashes/part-" in key for key in scene.store.rows)
@@ -121,7 +106,7 @@
 ) -> None:
     """Guards against a VM that was added, or cut off, after the crashes."""
     engines = _add_engines(scene, 9)
-    vms = _add_vms(scene, 2)
+    vms = scene.add_vms(2)
     crashed = _crash_until_refused(vms, engines)
     later = scene.add_vm("vm9", "d2")
     records = later.kernel.find(names.CRASH_RECORDS, crashrecords.CrashRecords)
@@ -132,7 +117,7 @@
 
 def test_one_vm_alone_may_try_a_part(scene: gatewayscene.Scene) -> None:
     """Guards against a trial at each VM as soon as it is due."""
-    vms = _add_vms(scene, 3)
+    vms = scene.add_vms(3)
     found = [
         vm.kernel.find(names.CRASH_RECORDS, crashrecords.CrashRecords)
         for vm in vms
@@ -145,7 +130,7 @@
 ) -> None:
     """Guards against items that crash what online requests no longer may."""
     engines = _add_engines(scene, 9)
-    vms = _add_vms(scene, 2)
+    vms = scene.add_vms(2)
     crashed = _crash_until_refused(vms, engines)
     bad = gatewayscene.item("bad") | {"headers": _prompt("first", _BAD, "b")}
     good = gatewayscene.item("good") | {
--- a/tests/gateway/test_partverdicts.py
+++ b/tests/gateway/test_partverdicts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from gateway.decisions import accusations
 from gateway.decisions import deadlyparts
 
 _NOTICE_S = 5.0
@@ -13,7 +14,7 @@
 
     def __init__(self) -> None:
         self.parts = deadlyparts.DeadlyParts(_NOTICE_S)
-        self._rows: list[deadlyparts.Accusation] = []
+        self._rows: list[accusations.Accusation] = []
         self._crashes = 0
 
     def crash(
@@ -24,7 +25,7 @@
         if began_s is None:
             began_s = at_s - _RUN_S
         self._rows += [
-            deadlyparts.Accusation(
+            accusations.Accusation(
                 part,
                 f"r{self._crashes}.{number}",
                 f"u{self._crashes}",
--- a/tests/gateway/test_repeatedcrashes.py
+++ b/tests/gateway/test_repeatedcrashes.py
@@ -40,25 +40,12 @@
     engines = [scene.add_engine(domain=f"d{n % 2}") for n in range(count)]
     for engine in engines:
         engine.poisons.add(_POISON)
-        engine.on_crash = functools.partial(_unlist_later, scene, engine)
+        engine.on_crash = functools.partial(
+            scene.unlist_later, engine, _SILENCE_S
+        )
     return engines
 
 
-def _unlist_later(
-    scene: gatewayscene.Scene, engine: gatewayengine.Engine
-) -> None:
-    key = f"servers/{engine.instance}"
-    threading.Timer(_SILENCE_S, scene.store.write, (key, None)).start()
-
-
-def _add_vms(scene: gatewayscene.Scene, count: int) -> list[gatewayscene.Vm]:
-    vms = [scene.add_vm(f"vm{n}", f"d{n % 2}") for n in range(count)]
-    for vm in vms:
-        found = vm.kernel.find("membership", members.Members)
-        gatewayscene.until(lambda found=found: found.count() == count)
-    return vms
-
-
 def _item(name: str, body: bytes) -> dict[str, Any]:
     encoded = base64.b64encode(body).decode()
     return gatewayscene.item(name) | {"body": encoded}
@@ -73,7 +60,7 @@
 ) -> None:
     """Guards against one that crashes an upstream whenever it is sent."""
     engines = _add_engines(scene, 6)
-    vms = _add_vms(scene, 3)
+    vms = scene.add_vms(3, 2)
     for number in range(_SENDS):
         vm = vms[number % len(vms)]
         answer = vm.call("POST", "/s/once/x", _POISON, attempt=f"p{number}")
@@ -92,7 +79,7 @@
 ) -> None:
     """Guards against a way to an upstream on which crashes are not counted."""
     engines = _add_engines(scene, 4)
-    (vm,) = _add_vms(scene, 1)
+    (vm,) = scene.add_vms(1, 2)
     path = {"once": "/s/once/x", "resumed": "/s/x"}.get(kind, f"/{kind}/x")
     for number in range(4):
         assert _send(vm, path, f"p{number}") in (502, 503)
@@ -106,7 +93,7 @@
     engines = _add_engines(scene, 4)
     for engine in engines:
         engine.long_answer_bytes = 2_000_000
-    (vm,) = _add_vms(scene, 1)
+    (vm,) = scene.add_vms(1, 2)
     for number in range(2):
         answer = vm.call("POST", "/unsafe/x", _POISON, f"p{number}")
         assert (answer.status, answer.is_whole) == (200, False)
@@ -120,7 +107,7 @@
 ) -> None:
     """Guards against refusing a request because its answers were lost."""
     (engine,) = _add_engines(scene, 1)
-    (vm,) = _add_vms(scene, 1)
+    (vm,) = scene.add_vms(1, 2)
     engine.faults = [gatewayengine.Fault("cut")] * 3
     for number in range(3):
         assert vm.call("POST", "/s/once/x", b"p", f"a{number}").status == 502
@@ -193,7 +180,7 @@
     engines = [_Forwarder(scene, number) for number in range(6)]
     for engine in engines:
         engine.start_again_after_crashes(after_s, keeps_name=keeps_name)
-    vms = _add_vms(scene, 3)
+    vms = scene.add_vms(3, 2)
     end_s = time.monotonic() + 3 * _SETTLED_S
     while time.monotonic() < end_s:
         for number, vm in enumerate(vms):
@@ -213,7 +200,7 @@
     """Guards against failing callers who could be served elsewhere."""
     # They stay listed after a crash; their addresses accept and reset.
     engines = [_Forwarder(scene, number) for number in range(3)]
-    (vm,) = _add_vms(scene, 1)
+    (vm,) = scene.add_vms(1, 2)
     assert _send(vm, "/s/once/x", "poison") == 502
     statuses = [
         vm.call("POST", "/s/once/x", b"other", f"o{number}").status
@@ -235,7 +222,7 @@
     engines = [_Forwarder(scene, number) for number in range(6)]
     for engine in engines:
         engine.start_again_after_crashes(1.0)
-    vms = _add_vms(scene, 3)
+    vms = scene.add_vms(3, 2)
     assert vms[0].submit("first", [_item("bad", _POISON)]).status == 202
     found = vms[0].kernel.find(names.CRASH_RECORDS, crashrecords.CrashRecords)
     gatewayscene.until(lambda: found.counts().refused == 1)
@@ -255,7 +242,7 @@
 ) -> None:
     """Guards against holding back long items while upstreams are replaced."""
     engines = _add_engines(scene, 3)
-    (vm,) = _add_vms(scene, 1)
+    (vm,) = scene.add_vms(1, 2)
     for engine in engines:
         engine.events, engine.pause_s = 40, 0.1
     with futures.ThreadPoolExecutor() as pool:
@@ -333,7 +320,7 @@
 ) -> None:
     """Guards against counting by address, which others take over."""
     (engine,) = _add_engines(scene, 1)
-    (vm,) = _add_vms(scene, 1)
+    (vm,) = scene.add_vms(1, 2)
     for number in range(quarantine.CRASHES_TO_REFUSE):
         assert _send(vm, "/s/once/x", f"p{number}") == 502
         assert engine.has_crashed
@@ -351,7 +338,7 @@
 ) -> None:
     """Guards against crashes that only the VMs that saw them remember."""
     engines = _add_engines(scene, 6)
-    vms = _add_vms(scene, 3)
+    vms = scene.add_vms(3, 2)
     leaders = vms[0].kernel.find("membership", members.Members).leaders("llm")
     vms.sort(key=lambda vm: vm.name == leaders[-1])
     for number, vm in enumerate(vms[: quarantine.CRASHES_TO_REFUSE]):
@@ -366,7 +353,7 @@
 ) -> None:
     """Guards against crashes that are kept in memory only."""
     engines = _add_engines(scene, 6)
-    vms = _add_vms(scene, 2)
+    vms = scene.add_vms(2, 2)
     for number, vm in enumerate(vms):
         assert _send(vm, "/s/once/x", f"p{number}") == 502
     gatewayscene.until(
@@ -386,7 +373,7 @@
 ) -> None:
     """Guards against an item that crashes an upstream at each of its runs."""
     engines = _add_engines(scene, 6)
-    (vm,) = _add_vms(scene, 1)
+    (vm,) = scene.add_vms(1, 2)
     poison = _item("bad", _POISON)
     rows = [_item(f"i{number}", b"%d" % number) for number in range(3)]
     assert vm.submit("job", [poison, *rows]).status == 202
@@ -423,7 +410,7 @@
     scene: gatewayscene.Scene,
 ) -> None:
     """Guards against a sound item that bursts of crashes make a suspect."""
-    vms = _add_vms(scene, 2)
+    vms = scene.add_vms(2, 2)
     rows = [_item(f"i{number}", b"%d" % number) for number in range(3)]
     engines = [scene.add_engine(events=40)]
     engines[0].pause_s = 0.1
@@ -431,7 +418,7 @@
     for _ in range(8):
         engine = engines[-1]
         gatewayscene.until(lambda engine=engine: engine.open)
-        _unlist_later(scene, engine)
+        scene.unlist_later(engine, _SILENCE_S)
         engine.crash()
         engines.append(scene.add_engine(events=40))
         engines[-1].pause_s = 0.1
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -4,7 +4,6 @@
 import time
 from typing import Any
 
-from gateway import members
 from gateway import names
 from gateway import records
 from gateway import streamorigins
@@ -21,14 +20,6 @@
     return [scene.add_engine(version=version) for version in versions]
 
 
-def _add_vms(scene: gatewayscene.Scene, count: int) -> list[gatewayscene.Vm]:
-    vms = [scene.add_vm(f"vm{n}", f"d{n % 3}") for n in range(count)]
-    for vm in vms:
-        found = vm.kernel.find("membership", members.Members)
-        gatewayscene.until(lambda found=found: found.count() == count)
-    return vms
-
-
 def _begin(vm: gatewayscene.Vm, attempt: str) -> gatewayscene.Answer:
     """Begins a stream that breaks off, with all upstreams that may go on."""
     return vm.call("POST", "/s/x", b"p", attempt=attempt)
@@ -93,7 +84,7 @@
     """Guards against a version that only the VM knows that began the stream."""
     versions = ("v1", "v2", "v1", "v2")
     engines = _add_engines(scene, *versions)
-    vms = _add_vms(scene, 4)
+    vms = scene.add_vms(4)
     for number in range(_STREAMS):
         for engine in engines:
             engine.faults = [Fault("cut", 2), Fault("cut", 0)]
@@ -168,7 +159,7 @@
 ) -> None:
     """Guards against a guess at the version, with or without the attempt."""
     engines = _add_engines(scene, "v1", "v2")
-    vms = _add_vms(scene, 2)
+    vms = scene.add_vms(2)
     for began in ("", "nobody"):
         answer = _take_up(vms[0], f"b{began}", began)
         assert answer.status == 503
@@ -180,7 +171,7 @@
 ) -> None:
     """Guards against refusals where no other version can have begun it."""
     _add_engines(scene, "v1", "v1")
-    vms = _add_vms(scene, 2)
+    vms = scene.add_vms(2)
     time.sleep(1.5)
     for span_s, version in ((0.5, "v1"), (60.0, "")):
         origin = _origins(vms[0]).find("nobody", "llm", span_s)
@@ -192,7 +183,7 @@
 ) -> None:
     """Guards against knowledge that is lost with two VMs of four."""
     engines = _add_engines(scene, "v1", "v2")
-    vms = _add_vms(scene, 4)
+    vms = scene.add_vms(4)
     for number in range(_STREAMS):
         for engine in engines:
             engine.faults = [Fault("cut", 2)]
@@ -210,7 +201,7 @@
 ) -> None:
     """Guards against a third try that nobody knows the beginning of."""
     engines = _add_engines(scene, "v1", "v1", "v2", "v2")
-    vms = _add_vms(scene, 3)
+    vms = scene.add_vms(3)
     for engine in engines:
         engine.faults = [Fault("cut", 1), Fault("cut", 0)]
     assert not _begin(vms[0], "a").is_whole
--- a/tests/support/gatewayscene.py
+++ b/tests/support/gatewayscene.py
@@ -6,6 +6,7 @@
 import json
 import os
 import socket
+import threading
 import time
 from typing import Any, NamedTuple
 import urllib.parse
@@ -15,6 +16,7 @@
 from bulrushplatform import wire
 from gateway import assembly
 from gateway import front
+from gateway import members
 from gateway import names
 from gateway import records
 from support import gatewayengine
@@ -289,6 +291,21 @@
         vm.start()
         return vm
 
+    def add_vms(self, count: int, domains: int = 3) -> list[Vm]:
+        """Adds VMs that all know of each other."""
+        vms = [self.add_vm(f"vm{n}", f"d{n % domains}") for n in range(count)]
+        for vm in vms:
+            found = vm.kernel.find("membership", members.Members)
+            until(lambda found=found: found.count() == count)
+        return vms
+
+    def unlist_later(
+        self, engine: gatewayengine.Engine, after_s: float
+    ) -> None:
+        """Removes an engine from the list, as the platform does in time."""
+        key = f"servers/{engine.instance}"
+        threading.Timer(after_s, self.store.write, (key, None)).start()
+
     def close(self) -> None:
         # In parallel: each VM waits for its load balancer before it stops.
         with futures.ThreadPoolExecutor() as pool:
