Soak: each event says which software version wrote it

The check of streams taken up went by what engines ran: the last run without a last event was taken for the one that began the stream. Engines now write their version as a comment into each event, and the check compares what callers got, which also sees two versions that no run shows.

--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -59,7 +59,7 @@
     problems += _check_large(callers)
     problems += budget.check_poisons(fleet, callers, runs)
     # Streams go on only at the software version that began them.
-    problems += callers.take_ups.check(runs)
+    problems += callers.take_ups.check()
     problems += callers.parts.check(runs, _served_streams(callers))
     return problems
 
--- a/tests/soak/takeups.py
+++ b/tests/soak/takeups.py
@@ -1,13 +1,13 @@
 """Callers that take up their streams at other VMs, and what they check."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 import http.client
 import random
 import threading
 import time
+from typing import NamedTuple
 
 from soak import fleet as fleet_lib
-from support import gatewayengine
 
 _HOST = "h.example"
 _DEADLINE_MS = 3000
@@ -20,12 +20,20 @@
 _MIN_RATIO = 0.5
 
 
+class _Event(NamedTuple):
+    """An event's id, and the software version that wrote it."""
+
+    event_id: int
+    version: str
+
+
 class Stream:
     """One stream over all tries of its caller.
 
     Attributes:
         tries: The ids of its attempts.
         began: The attempt that got its first event; empty before.
+        version: The software version that wrote that event.
         last_event: The last event that its caller has.
         went_on: Whether each try after the first event was answered.
     """
@@ -33,6 +41,7 @@
     def __init__(self) -> None:
         self.tries: list[str] = []
         self.began = ""
+        self.version = ""
         self.last_event = 0
         self.went_on: list[bool] = []
 
@@ -91,11 +100,11 @@
             connection.request("POST", f"/s/{attempt}", b"take-up", headers)
             response = connection.getresponse()
             while response.status == http.HTTPStatus.OK:
-                event_id = _read_event(response)
-                if event_id is None:
+                event = _read_event(response)
+                if event is None:
                     break
                 got += 1
-                self._record(stream, attempt, event_id)
+                self._record(stream, attempt, event)
                 if got >= stop_after:
                     break
         except (OSError, http.client.HTTPException):
@@ -107,25 +116,28 @@
             stream.went_on.append(got > 0)
         return stream.last_event >= fleet_lib.EVENTS_PER_STREAM
 
-    def _record(self, stream: Stream, attempt: str, event_id: int) -> None:
-        if event_id != stream.last_event + 1:
+    def _record(self, stream: Stream, attempt: str, event: _Event) -> None:
+        """Records an event, and whether it fits to those before."""
+        if event.event_id != stream.last_event + 1:
             self.problems.append(
-                f"{attempt} got event {event_id} after {stream.last_event}"
+                f"{attempt} got event {event.event_id} "
+                f"after {stream.last_event}"
             )
-        stream.last_event = event_id
-        stream.began = stream.began or attempt
+        if not stream.began:
+            stream.began, stream.version = attempt, event.version
+        if event.version != stream.version:
+            self.problems.append(
+                f"{attempt} went on at {event.version} after {stream.version}"
+            )
+        stream.last_event = event.event_id
 
     def attempts(self) -> set[str]:
         """Returns the ids of all attempts."""
         return {name for stream in self.streams for name in stream.tries}
 
-    def check(
-        self, runs: Mapping[str, list[gatewayengine.Run]]
-    ) -> Iterable[str]:
+    def check(self) -> Iterable[str]:
         """Returns one line for each violated guarantee."""
         yield from self.problems
-        for stream in self.streams:
-            yield from _check_versions(stream, runs)
         began = [bool(stream.began) for stream in self.streams]
         went_on = [row for stream in self.streams for row in stream.went_on]
         if len(went_on) < _MIN_TAKE_UPS:
@@ -138,30 +150,17 @@
             )
 
 
-def _check_versions(
-    stream: Stream, runs: Mapping[str, list[gatewayengine.Run]]
-) -> Iterable[str]:
-    """Checks that runs that go on do so at the version that began them."""
-    version = ""
-    for attempt in stream.tries:
-        ordered = sorted(runs.get(attempt, ()), key=lambda run: run.at_s)
-        for run in ordered:
-            if run.last_event and version and run.software_version != version:
-                yield (
-                    f"{attempt} went on at {run.software_version} "
-                    f"after {version}"
-                )
-            if not run.last_event:
-                version = run.software_version
-
-
-def _read_event(response: http.client.HTTPResponse) -> int | None:
+def _read_event(response: http.client.HTTPResponse) -> _Event | None:
+    """Returns the next event; `None` at the end."""
     event_id: int | None = None
+    version = ""
     while line := response.readline():
+        if line.startswith(b":"):
+            version = line[1:].strip().decode()
         if line.startswith(b"id:"):
             event_id = int(line[3:])
         if line == b"\n" and event_id is not None:
-            return event_id
+            return _Event(event_id, version)
     return None
 
 
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -28,7 +28,6 @@
         last_event: The event after which it resumes a stream; 0 for none.
         at_s: When it began, on the monotonic clock.
         status: The status that it is answered with.
-        software_version: The version of the upstream's software.
     """
 
     attempt: str
@@ -38,7 +37,6 @@
     last_event: int
     at_s: float
     status: int = 200
-    software_version: str = ""
 
 
 class Fault(NamedTuple):
@@ -200,7 +198,6 @@
                 last,
                 time.monotonic(),
                 status,
-                self.software_version,
             )
         )
         self._wait_if_late(fault)
@@ -276,6 +273,13 @@
         finally:
             self.capacity.leave(ticket)
 
+    def _event(self, number: int) -> bytes:
+        """Returns an event, with the software version as a comment if set."""
+        comment = (
+            f": {self.software_version}\n" if self.software_version else ""
+        )
+        return f"{comment}id: {number}\ndata: {self.data(number)}\n\n".encode()
+
     def _events(self, last: int, fault: Fault) -> Iterator[bytes]:
         self.open += 1
         crashed = self._crashed
@@ -283,7 +287,7 @@
             for number in range(last + 1, self.events + 1):
                 if crashed.is_set():
                     raise calls.BrokenAnswerError("the engine has crashed")
-                event = f"id: {number}\ndata: {self.data(number)}\n\n".encode()
+                event = self._event(number)
                 if fault.kind in ("cut", "part") and number > fault.after:
                     if fault.kind == "part":
                         yield event[:5]
