Deadly parts: a part that was written once is not refused after a burst

By its logs the engines crashed in bursts behind addresses that reset; the first part, which few sound requests have there, stood in more crashes than the deadly one, was refused at all VMs and waited for 30 s, since crashes of requests that were on their way counted as failed single runs. Later a permit for a single run that found no slot was lost for the five seconds in which a crash may become known.

A part with which a run has written at any time is only doubtful up to six crashes, and VMs that know of it tell the others. Only crashes after a pause lengthen the next one. Single runs with doubtful parts are a second apart. The replay that asked for a refusal after three crashes of a part that had been written asks for single runs then and for the refusal after six.

--- a/packages/gateway/gateway/decisions/deadlyparts.py
+++ b/packages/gateway/gateway/decisions/deadlyparts.py
@@ -14,12 +14,16 @@
 """
 
 from collections.abc import Iterable, Mapping, Sequence
+import itertools
 from typing import Literal, NamedTuple
 
 from gateway.decisions import accusations
 
 # Crashes, not all at once, after which a part may be refused.
 CRASHES_TO_REFUSE = 3
+# The same for a part with which a run has written at any time: a deadly one
+# crashes each upstream that begins to write.
+_CRASHES_TO_REFUSE_WRITTEN = 6
 # The same request that comes again is counted elsewhere.
 _REQUESTS_TO_REFUSE = 2
 # VMs state ages that differ by the time that a notice takes.
@@ -28,6 +32,9 @@
 _FIRST_PAUSE_S = 5.0
 _PAUSE_GROWTH = 6
 _MAX_PAUSE_S = 600.0
+# Between single runs with a doubtful part: few crash anything, and some find
+# no slot. Fewer than the crashes that refuse it run before one is known.
+_DOUBTFUL_GAP_S = 1.0
 _MAX_WRITTEN = 20_000
 # Crashes of a sound part from which on other VMs are told that it is sound.
 _CRASHES_TO_TELL = 2
@@ -81,8 +88,8 @@
             part
             for part in self._crashes
             if self._is_suspect(part)
-            and not self._explaining(part)
             and not self._tied(part)
+            and not self._is_excused(part)
         )
 
     def record_written(self, parts: Iterable[str], at_s: float) -> bool:
@@ -118,10 +125,21 @@
         return tuple(
             part
             for part, crashes in self._crashes.items()
-            if self._count(crashes, self._told_s.get(part, never_s))
-            >= _CRASHES_TO_TELL
-            and self._count(crashes, self._told_s.get(part, never_s))
-            > self._count(crashes, self._written_s.get(part, never_s))
+            if (
+                self._count(crashes, self._told_s.get(part, never_s))
+                >= _CRASHES_TO_TELL
+                and self._count(crashes, self._told_s.get(part, never_s))
+                > self._count(crashes, self._written_s.get(part, never_s))
+            )
+            or self._is_unknown_to_others(part)
+        )
+
+    def _is_unknown_to_others(self, part: str) -> bool:
+        """Returns whether others may refuse a part that was once written."""
+        return (
+            part in self._written_s
+            and part not in self._told_s
+            and self._is_suspect(part)
         )
 
     def written_s(self, part: str) -> float | None:
@@ -137,7 +155,7 @@
         suspects = [part for part in parts if self._is_suspect(part)]
         doubtful = ""
         for part in suspects:
-            if self._explaining(part) or not self._tied(part) <= set(parts):
+            if self._is_excused(part) or not self._tied(part) <= set(parts):
                 doubtful = part
                 continue
             return Judgement("refused", part)
@@ -147,7 +165,7 @@
         """Returns in how many seconds a single run with these parts is due."""
         judged = self.judge(parts)
         trial_s = self._trials_s.get(judged.part, float("-inf"))
-        due_s = trial_s + self._notice_s
+        due_s = trial_s + self._gap_s(judged)
         if judged.verdict == "refused":
             crashes = self._counted(judged.part)
             last_s = max(crash.at_s for crash in crashes)
@@ -165,15 +183,32 @@
             now_s: The monotonic clock.
         """
         trial_s = self._trials_s.get(part, float("-inf"))
-        is_under_way = trial_s + self._notice_s > now_s
+        is_under_way = trial_s + self._gap_s(self.judge(parts)) > now_s
         if is_under_way or self.wait_s(parts, now_s) > 0:
             return False
         self._trials_s[part] = now_s
         return True
 
+    def _gap_s(self, judged: Judgement) -> float:
+        """Returns how long the outcome of a single run is waited for."""
+        if judged.verdict == "doubtful":
+            return min(self._notice_s, _DOUBTFUL_GAP_S)
+        return self._notice_s
+
     def _pause_s(self, crashes: Sequence[accusations.Crash]) -> float:
-        more = max(0, accusations.count_separate(crashes) - CRASHES_TO_REFUSE)
-        return min(_FIRST_PAUSE_S * float(_PAUSE_GROWTH**more), _MAX_PAUSE_S)
+        """Returns how long a refused part waits after its last crash.
+
+        Only runs after such a pause lengthen the next one: others were on
+        their way when the part was refused.
+        """
+        ordered = sorted(crashes, key=lambda crash: crash.at_s)
+        pauses = sum(
+            later.began_s - earlier.at_s >= _FIRST_PAUSE_S
+            for earlier, later in itertools.pairwise(
+                ordered[CRASHES_TO_REFUSE - 1 :]
+            )
+        )
+        return min(_FIRST_PAUSE_S * float(_PAUSE_GROWTH**pauses), _MAX_PAUSE_S)
 
     def _counted(self, part: str) -> tuple[accusations.Crash, ...]:
         """Returns the crashes since a run with a part wrote last."""
@@ -204,6 +239,14 @@
     def _numbers(self, part: str) -> frozenset[int]:
         return frozenset(crash.number for crash in self._counted(part))
 
+    def _is_excused(self, part: str) -> bool:
+        """Returns whether a suspect is only doubtful."""
+        if part in self._written_s:
+            count = accusations.count_separate(self._counted(part))
+            if count < _CRASHES_TO_REFUSE_WRITTEN:
+                return True
+        return bool(self._explaining(part))
+
     def _explaining(self, part: str) -> frozenset[str]:
         """Returns the parts that stand in all crashes of a part and in more."""
         own = self._numbers(part)
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -10,6 +10,7 @@
 _ALLOWED = (
     "collections",
     "heapq",
+    "itertools",
     "random",
     "typing",
     "bulrushdeal.eventlog",
--- a/tests/gateway/test_partverdicts.py
+++ b/tests/gateway/test_partverdicts.py
@@ -69,9 +69,36 @@
     replay.parts.record_written(("bad",), 0.5)
     for second in (1.0, 2.0, 3.0):
         replay.crash(second, ("bad",))
+    assert replay.verdict("bad") == "doubtful"
+    for second in (4.0, 5.0, 6.0):
+        replay.crash(second, ("bad",))
     assert replay.verdict("bad") == "refused"
 
 
+def test_a_part_that_was_written_is_not_refused_after_a_burst() -> None:
+    """Guards against a sound first part that waits as long as a deadly one."""
+    here, there = _Replay(), _Replay()
+    here.parts.record_written(("first",), 0.5)
+    for second in (1.0, 1.5, 2.0, 2.5):
+        for replay in (here, there):
+            replay.crash(second, ("first",))
+    assert there.verdict("first") == "refused"
+    assert here.parts.to_tell() == ("first",)
+    there.parts.record_told("first", 0.5)
+    for replay in (here, there):
+        assert replay.verdict("first") == "doubtful"
+        assert replay.parts.wait_s(("first",), 2.6) == 0.0
+
+
+def test_runs_on_their_way_do_not_lengthen_the_pause() -> None:
+    """Guards against a part that waits for minutes after its first burst."""
+    replay = _Replay()
+    for number in range(6):
+        replay.crash(1.0 + number / 2, ("unlucky",))
+    assert replay.verdict("unlucky") == "refused"
+    assert replay.parts.wait_s(("unlucky",), 3.5) == 5.0
+
+
 def test_a_loss_of_power_counts_once() -> None:
     """Guards against refusing what ran when all upstreams went at once."""
     replay = _Replay()
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -157,9 +157,11 @@
 
     def start_again(self, instance: str) -> None:
         """Starts at the same address, as another instance."""
-        self.instance = instance
-        self._crashed = threading.Event()
-        self._server = self._start_server(self._server.port)
+        # A crash meanwhile would wait for the old server's end for ever.
+        with self._lock:
+            self.instance = instance
+            self._server = self._start_server(self._server.port)
+            self._crashed = threading.Event()
 
     def _is_listening(self) -> bool:
         host, _, port = self.address.rpartition(":")
