--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,7 @@
 """An entry of another writer is listed, and later a replica drains.
 
-Each machine's thread that reads the list of replicas meets the entry. Then a
-replica reports that it is draining; requests must stop reaching it within
+Each machine's thread that reads the list of replicas meets the entry, which is
+removed again after three seconds. Then a replica reports that it is draining; requests must stop reaching it within
 `drain_timeout_ms`.
 """
 
@@ -38,7 +38,10 @@
     time.sleep(3.0)
     if lib.TROUBLE:
         world.put("servers/i-other", ENTRY)
-    time.sleep(4.0)
+    time.sleep(3.0)
+    world.call(world.store.delete, "servers/i-other")
+    world.note("deleted", key="servers/i-other")
+    time.sleep(1.0)
     over = threading.Event()
 
     def clients(vm):
