--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -1,11 +1,13 @@
 """A fake upstream with the platform's protocol and faults set by tests."""
 
 from collections.abc import Callable, Iterator
+import contextlib
 import math
 import socket
 import threading
 import time
 from typing import NamedTuple
+import weakref
 
 from bulrushdeal import httpd
 from bulrushdeald import calls
@@ -139,6 +141,8 @@
         statuses: What requests are answered with at each run, by their
             bodies.
         on_crash: Called as it crashes, before its answers break off.
+        copies_every: Every so many answers come twice, the second time late,
+            as the next request on their connection arrives; 0 for none.
         software_version: The version of its software.
         has_crashed: Whether it has crashed and not started again.
     """
@@ -166,6 +170,12 @@
         self.poisons: set[bytes] = set()
         self.deadly_parts: set[str] = set()
         self.software_version = ""
+        self.copies_every = 0
+        self._answers = 0
+        # The answers that come once more, by their connections.
+        self._copies: weakref.WeakKeyDictionary[socket.socket, bytes] = (
+            weakref.WeakKeyDictionary()
+        )
         self.statuses: dict[bytes, int] = {}
         self.on_crash: Callable[[], None] = lambda: None
         self._closing = threading.Event()
@@ -237,6 +247,34 @@
         return f"data {number}"
 
     def _serve(self, request: httpd.Request) -> httpd.Response:
+        connection = request.connection
+        copy = None if connection is None else self._copies.pop(connection, b"")
+        if connection is not None and copy:
+            with contextlib.suppress(OSError):
+                connection.sendall(copy)
+        response = self._respond(request)
+        self._answers += 1
+        if (
+            connection is not None
+            and self.copies_every
+            and self._answers % self.copies_every == 0
+        ):
+            self._copies[connection] = self._copy(response)
+        return response
+
+    def _copy(self, response: httpd.Response) -> bytes:
+        """Returns the bytes of a whole response, also if it is a stream."""
+        body = (
+            b"".join(response.body)
+            if isinstance(response.body, tuple)
+            else b"".join(map(self._event, range(1, self.events + 1)))
+        )
+        headers = dict(response.headers) | {"Content-Length": str(len(body))}
+        lines = [f"HTTP/1.1 {response.status} Copy"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        return "\r\n".join((*lines, "", "")).encode() + body
+
+    def _respond(self, request: httpd.Request) -> httpd.Response:
         body = request.body.read()
         if request.length_bytes > len(body):
             # The sender broke off; an upstream executes no incomplete request.
