Upstreams: no connection carries the id of a request twice

What callers saw: an item that runs at two engines at once; a request that may run once and runs, answered 503.

Cause: an upstream may send an answer twice, the second time as the next request on the connection arrives. The id in the answer was to tell them apart. Items keep their id over all runs and are sent to the same upstream again, over the connection used last; a request does so at an upstream that is listed under two names. The copy then has the right id: "not run" was believed, the connection went back to the pool with the run on it, and the request went elsewhere or was refused. The class: an id that is unique for the request, used as if it were unique for the sending.

Change: a connection remembers the ids that it has carried, and is not handed out for one of them; after 1,000 requests it is closed, which bounds what it remembers. So a copy never has the id of the request that waits, and the guard that drops such a connection holds. The reasons in the log say which request on its connection an answer came to, which tells such a copy from a true rejection.

Looked at for the same: calls between VMs have ids that are unique on a connection; the store's answers have none, and a connection on which one is lost is dropped; the daemon's upstreams name no ids and what may run once gets a new connection.

--- a/packages/daemon/bulrushdeald/connections.py
+++ b/packages/daemon/bulrushdeald/connections.py
@@ -18,6 +18,8 @@
 # whether the request ran remains unknown.
 _MAX_IDLE_S = 4.0
 _MAX_IDLE_CONNECTIONS = 64
+# Bounds the ids that a connection remembers.
+_MAX_REQUESTS = 1000
 _MAX_CHUNK_LINE_BYTES = 1024
 _CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,15}")
 
@@ -118,10 +120,32 @@
     Attributes:
         raw: The current response, below urllib3's decoding layer, which
             adds a cost to each read.
+        requests: How many requests were sent on it.
     """
 
     raw: Response
 
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.requests = 0
+        self._request_ids: set[str] = set()
+
+    def record_request(self, request_id: str) -> None:
+        """Records that a request is sent, with its id or an empty text."""
+        self.requests += 1
+        if request_id:
+            self._request_ids.add(request_id)
+
+    def may_carry(self, request_id: str) -> bool:
+        """Returns whether an answer to a request can be told by its id.
+
+        An upstream may answer a request twice, the second time when the next
+        one arrives. If that has the same id, the late answer would be taken
+        for its own, and one that says that nothing ran would be believed of a
+        request that runs.
+        """
+        return request_id not in self._request_ids
+
     def timed_socket(self) -> sockets.TimedSocket:
         """Returns the socket of an open connection."""
         sock = self.sock
@@ -152,9 +176,15 @@
         self._idle: dict[str, collections.deque[_IdleConnection]] = {}
         self._is_closed = False
 
-    def take(self, address: str) -> Connection | None:
-        """Returns a usable idle connection, or `None` if there is none."""
-        while (connection := self._pop(address)) is not None:
+    def take(self, address: str, request_id: str = "") -> Connection | None:
+        """Returns a usable idle connection, or `None` if there is none.
+
+        Args:
+            address: The upstream's address.
+            request_id: The id that the answer will name; empty if none. A
+                connection that has carried it is left out.
+        """
+        while (connection := self._pop(address, request_id)) is not None:
             # `is_connected` is false if the socket is readable, that is if
             # the upstream closed it or sent unrequested bytes. Neither kind
             # of connection may carry another request.
@@ -170,7 +200,9 @@
         with self._lock:
             idle = self._idle.setdefault(address, collections.deque())
             idle.append(_IdleConnection(connection, now_s))
-            if self._is_closed or len(idle) > _MAX_IDLE_CONNECTIONS:
+            if connection.requests >= _MAX_REQUESTS:
+                evicted = idle.pop().connection
+            elif self._is_closed or len(idle) > _MAX_IDLE_CONNECTIONS:
                 evicted = idle.popleft().connection
         if evicted is not None:
             evicted.close()
@@ -189,19 +221,22 @@
         with self._lock:
             return {name: len(items) for name, items in self._idle.items()}
 
-    def _pop(self, address: str) -> Connection | None:
+    def _pop(self, address: str, request_id: str) -> Connection | None:
+        oldest_s = time.monotonic() - _MAX_IDLE_S
         expired: list[_IdleConnection] = []
         with self._lock:
-            idle = self._idle.get(address)
+            idle = self._idle.get(address, collections.deque())
+            for item in reversed(idle):
+                if item.since_s < oldest_s:
+                    # Those below it have been idle even longer.
+                    break
+                if item.connection.may_carry(request_id):
+                    idle.remove(item)
+                    return item.connection
+            while idle and idle[0].since_s < oldest_s:
+                expired.append(idle.popleft())
             if not idle:
-                return None
-            item = idle.pop()
-            if time.monotonic() - item.since_s > _MAX_IDLE_S:
-                # The connections below it have been idle even longer.
-                expired = [item, *idle]
-                del self._idle[address]
-        if not expired:
-            return item.connection
+                self._idle.pop(address, None)
         for expired_item in expired:
             expired_item.connection.close()
         return None
--- a/packages/daemon/bulrushdeald/dispatch.py
+++ b/packages/daemon/bulrushdeald/dispatch.py
@@ -203,7 +203,7 @@
             sending.headers,
             sending.body,
             self._max_silence_s,
-            use_new_connection=not sending.is_idempotent,
+            use=services.ConnectionUse(not sending.is_idempotent),
             on_connected=call.on_end,
         )
         if isinstance(sent, result.Ok):
--- a/packages/daemon/bulrushdeald/enginecalls.py
+++ b/packages/daemon/bulrushdeald/enginecalls.py
@@ -129,7 +129,7 @@
                 {"Content-Type": "application/json"},
                 body,
                 timeout_s,
-                use_new_connection=True,
+                use=services.ConnectionUse(is_new=True),
                 on_connected=cancels.append,
             )
             if isinstance(sent, result.Err):
--- a/packages/daemon/bulrushdeald/services.py
+++ b/packages/daemon/bulrushdeald/services.py
@@ -381,8 +381,8 @@
         """The headers, without those that apply to one connection."""
 
     @property
-    def is_first_on_connection(self) -> bool:
-        """Whether no other request was sent on the connection before."""
+    def request_number(self) -> int:
+        """Which request on the connection it answers, the first being 1."""
 
     @property
     def ends_with_connection(self) -> bool:
@@ -410,6 +410,21 @@
         """Returns the connection to its pool, or drops it if unread."""
 
 
+class ConnectionUse(NamedTuple):
+    """Which connections a request may be sent on.
+
+    Attributes:
+        is_new: Whether only on a new one. An upstream may close a kept
+            connection just as it is used, and then it is unknown whether the
+            request ran.
+        request_id: The id by which answers name the request; empty if they do
+            not. No connection carries one id twice.
+    """
+
+    is_new: bool = False
+    request_id: str = ""
+
+
 class Upstreams(Protocol):
     """HTTP client for upstreams; it never retries a request."""
 
@@ -422,7 +437,7 @@
         body: Iterator[bytes] | bytes,
         timeout_s: float,
         *,
-        use_new_connection: bool = False,
+        use: ConnectionUse = ConnectionUse(),
         on_connected: Callable[[Callable[[], None]], None] | None = None,
     ) -> result.Result[UpstreamAnswer, UpstreamError]:
         """Sends a request and waits for the head of the answer.
@@ -435,9 +450,7 @@
             body: The whole body, or its pieces; an iterator that raises
                 ends the request as cancelled.
             timeout_s: The longest silence, before the head and in the body.
-            use_new_connection: Whether to open a new connection for this
-                request. The upstream may close a kept connection just as it
-                is used, and then it is unknown whether the request ran.
+            use: Which connections it may be sent on.
             on_connected: Called as soon as the connection is open, with a
                 function that cancels the call at once from any thread;
                 `Slot.on_yield` can be passed here.
--- a/packages/daemon/bulrushdeald/upstreams.py
+++ b/packages/daemon/bulrushdeald/upstreams.py
@@ -94,9 +94,8 @@
         response: urllib3.BaseHTTPResponse,
         method: str,
         return_connection: Callable[[], None] | None,
-        is_first_on_connection: bool = False,
     ) -> None:
-        self._is_first_on_connection = is_first_on_connection
+        self._request_number = connection.requests
         self._connection = connection
         self._exchange = exchange
         self._status = response.status
@@ -124,9 +123,9 @@
         )
 
     @property
-    def is_first_on_connection(self) -> bool:
+    def request_number(self) -> int:
         """See `services.UpstreamAnswer`."""
-        return self._is_first_on_connection
+        return self._request_number
 
     @property
     def ends_with_connection(self) -> bool:
@@ -243,22 +242,23 @@
         body: Iterator[bytes] | bytes,
         timeout_s: float,
         *,
-        use_new_connection: bool = False,
+        use: services.ConnectionUse = services.ConnectionUse(),
         on_connected: Callable[[Callable[[], None]], None] | None = None,
     ) -> result.Result[Answer, services.UpstreamError]:
         """See `services.Upstreams`."""
         address = upstream.address
-        idle = None if use_new_connection else self._pool.take(address)
+        idle = None if use.is_new else self._pool.take(address, use.request_id)
         connected = result.Ok(idle) if idle else self._connect(address)
         if isinstance(connected, result.Err):
             return connected
         connection = connected.ok_value
+        connection.record_request(use.request_id)
         connection.timeout = timeout_s
         sock = connection.timed_socket()
         exchange = _Exchange(sock)
         if on_connected is not None:
             on_connected(exchange.cancel)
-        headers_to_send = _headers_to_send(headers, use_new_connection)
+        headers_to_send = _headers_to_send(headers, use.is_new)
         try:
             is_fully_sent = _send_request(
                 connection, method, path, headers_to_send, body
@@ -279,19 +279,12 @@
             unexpected = ValueError(f"Unexpected status {response.status}.")
             return result.Err(_upstream_error(exchange, unexpected, "ran"))
         return_connection: Callable[[], None] | None = None
-        if is_fully_sent and not use_new_connection:
+        if is_fully_sent and not use.is_new:
             return_connection = functools.partial(
                 self._pool.put, address, connection
             )
         return result.Ok(
-            Answer(
-                connection,
-                exchange,
-                response,
-                method,
-                return_connection,
-                is_first_on_connection=idle is None,
-            )
+            Answer(connection, exchange, response, method, return_connection)
         )
 
     def probe_address(
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -153,6 +153,7 @@
             headers,
             outgoing.body,
             max_silence_s,
+            use=services.ConnectionUse(request_id=outgoing.attempt),
             on_connected=on_connected,
         )
         if isinstance(sent, result.Err):
@@ -287,7 +288,7 @@
         head = self._dialect.decode_answer_headers(
             answer.status, answer.headers
         )
-        is_nameless = not head.attempt and answer.is_first_on_connection
+        is_nameless = not head.attempt and answer.request_number == 1
         if head.attempt != outgoing.attempt and not is_nameless:
             # This may be a second answer to an earlier request on the
             # connection: one that says that a request has not run says nothing
@@ -297,14 +298,18 @@
             answer.cancel()
             answer.close()
             return _broken(
-                f"the answer names {head.attempt or 'no'} request, not its own"
+                f"the answer to request {answer.request_number} on its "
+                f"connection names {head.attempt or 'no'} request, not its own"
             )
         if head.cold_remaining_s:
             self._placement.record_cold(
                 upstream.instance, head.cold_remaining_s
             )
         if head.is_not_executed:
-            why = f"status {answer.status}, not run"
+            why = (
+                f"status {answer.status}, not run, to request "
+                f"{answer.request_number} on its connection"
+            )
             if head.is_misdirected:
                 self._placement.health.record_failure(upstream.instance, why)
             else:
--- a/tests/daemon/test_upstreams.py
+++ b/tests/daemon/test_upstreams.py
@@ -12,6 +12,7 @@
 import result
 
 from bulrushdeal import kernel as kernel_lib
+from bulrushdeald import connections
 from bulrushdeald import services
 from bulrushdeald import upstreams
 from standins import engine
@@ -32,10 +33,18 @@
     client.stop(1.0)
 
 
-def get(client: upstreams.HttpUpstreams, address: str) -> Any:
+def get(
+    client: upstreams.HttpUpstreams, address: str, request_id: str = ""
+) -> Any:
     """Returns the body of a complete response, or an error's kind and `ran`."""
     sent = client.send(
-        pathfakes.plain_row(address), "GET", "/", {}, b"", timeout_s=2.0
+        pathfakes.plain_row(address),
+        "GET",
+        "/",
+        {},
+        b"",
+        timeout_s=2.0,
+        use=services.ConnectionUse(request_id=request_id),
     )
     if isinstance(sent, result.Err):
         return sent.err_value.kind, sent.err_value.ran
@@ -137,6 +146,34 @@
     server.close()
 
 
+def test_no_connection_carries_an_id_twice(
+    client: upstreams.HttpUpstreams,
+) -> None:
+    """Guards against a late second answer that is taken for the next one's."""
+    server = rawupstream.RawUpstream(*[HEAD + b"one"] * 5)
+    for request_id, count in (
+        ("a", 1),
+        ("b", 1),
+        ("a", 2),
+        # Two have carried it, one has not.
+        ("b", 2),
+        ("a", 3),
+    ):
+        assert get(client, server.address, request_id) == b"one"
+        assert server.connections == count
+
+
+def test_a_connection_ends_after_many_requests(
+    client: upstreams.HttpUpstreams, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against ids that are remembered without a bound."""
+    monkeypatch.setattr(connections, "_MAX_REQUESTS", 3)
+    server = rawupstream.RawUpstream(*[HEAD + b"one"] * 7)
+    for number in range(7):
+        assert get(client, server.address, f"a{number}") == b"one"
+    assert server.connections == 3
+
+
 def test_connection_closed_while_idle_is_not_reused(
     client: upstreams.HttpUpstreams,
 ) -> None:
--- a/tests/support/batchupstreams.py
+++ b/tests/support/batchupstreams.py
@@ -60,8 +60,8 @@
         self._body = body
 
     @property
-    def is_first_on_connection(self) -> bool:
-        return True
+    def request_number(self) -> int:
+        return 1
 
     @property
     def ends_with_connection(self) -> bool:
@@ -112,7 +112,7 @@
         body: Iterator[bytes] | bytes,
         timeout_s: float,
         *,
-        use_new_connection: bool = False,
+        use: services.ConnectionUse = services.ConnectionUse(),
         on_connected: Callable[[Callable[[], None]], None] | None = None,
     ) -> result.Result[services.UpstreamAnswer, services.UpstreamError]:
         assert isinstance(body, bytes)
--- a/tests/support/mixedupstreams.py
+++ b/tests/support/mixedupstreams.py
@@ -96,7 +96,7 @@
         body: Iterator[bytes] | bytes,
         timeout_s: float,
         *,
-        use_new_connection: bool = False,
+        use: services.ConnectionUse = services.ConnectionUse(),
         on_connected: Callable[[Callable[[], None]], None] | None = None,
     ) -> result.Result[services.UpstreamAnswer, services.UpstreamError]:
         self._require(
