Jobs: a job that a VM gives up ends its open runs at once

Cause: a run looked whether its job was dropped only as bytes came. While an engine reads a long prompt or holds the request in its queue, none come.

Change: a job knows what ends each of its open runs, and calls it as it is dropped; a run that begins after that ends at once, such as one whose slot was granted while its VM hands its jobs over.

The test of claims reads its results from the position that it waits for: a page may end before results that its reader has not asked for, so that the wait did not end in some plays.

--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -1,6 +1,7 @@
 """The state of batch jobs on the VM that has claimed them."""
 
 import collections
+from collections.abc import Callable
 import math
 import threading
 import time
@@ -244,6 +245,8 @@
             ItemState(item) for item in items if item.item not in done
         )
         self._running: set[ItemState] = set()
+        # What ends the open run of each item.
+        self._run_ends: dict[ItemState, Callable[[], None]] = {}
         # In the order in which their results are to be listed.
         self._finished: list[FinishedItem] = []
 
@@ -257,6 +260,40 @@
         age_s = wall_s - self.meta.accepted_ms / 1000
         return age_s > self.meta.retention_s
 
+    def begin_run(self, item: ItemState, end: Callable[[], None]) -> None:
+        """Records what ends an item's run, which is called if it may not run.
+
+        Args:
+            item: The item.
+            end: Ends the run, from any thread.
+        """
+        with self._lock:
+            self._run_ends[item] = end
+            is_dropped = self.is_dropped
+        if is_dropped:
+            end()
+
+    def end_run(self, item: ItemState) -> None:
+        """Records that an item's run is over."""
+        with self._lock:
+            self._run_ends.pop(item, None)
+
+    def drop(self) -> int:
+        """Stops running the job, and ends its open runs.
+
+        A run that went on until its upstream's next byte would go on beside
+        that of the VM which runs the job now.
+
+        Returns:
+            The number of open runs.
+        """
+        with self._lock:
+            self.is_dropped = True
+            ends = tuple(self._run_ends.values())
+        for end in ends:
+            end()
+        return len(ends)
+
     def is_done(self) -> bool:
         """Returns whether every item has a result."""
         with self._lock:
@@ -459,7 +496,7 @@
             self._removed_at_s[job] = time.monotonic()
             if len(self._removed_at_s) > _MAX_REMOVED_JOBS:
                 self._removed_at_s.popitem(last=False)
-        state.is_dropped = True
+        state.drop()
         return True
 
     def clear(self) -> list[JobState]:
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -215,7 +215,7 @@
             time.sleep(0.01)
 
     def _hand_over(self, state: jobstate.JobState) -> None:
-        state.is_dropped = True
+        state.drop()
         items = len(state.without_result())
         ok = self._progress.hand_over(state)
         _events.info("handed_over", job=state.meta.job, items=items, ok=ok)
@@ -450,11 +450,13 @@
         slot: heldslots.Slot,
     ) -> None:
         item.begin(time.monotonic())
+        state.begin_run(item, slot.preempt)
         try:
             self._item_run.run(state, item, slot)
         except Exception as error:  # noqa: BLE001 - the item is retried.
             _events.warning("item_failed", item=item.item.item, why=repr(error))
         finally:
+            state.end_run(item)
             slot.release()
             item.end(time.monotonic())
             # However the run ended, an item without a result waits for its
--- a/tests/gateway/test_lapsedclaims.py
+++ b/tests/gateway/test_lapsedclaims.py
@@ -2,6 +2,8 @@
 
 import base64
 import itertools
+import math
+import time
 from typing import Any
 
 from gateway import runner
@@ -29,7 +31,8 @@
 
 
 def _has_all(vm: gatewayscene.Vm, job: str) -> bool:
-    answer = vm.results(job)
+    # A page may end before results that its reader has not asked for.
+    answer = vm.results(job, after=_ITEMS - 1)
     return answer.status == 200 and answer.json()["next"] == _ITEMS
 
 
@@ -66,3 +69,18 @@
     for job, vm in jobs.items():
         found = vm.kernel.find("runner", runner.Runner)
         assert job not in found.dump()
+
+
+def test_the_runs_of_a_job_that_ends_do_not_go_on_in_silence(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against runs that end only as their upstreams write."""
+    engine = scene.add_engine()
+    engine.faults = [gatewayengine.Fault("hang")]
+    vm = scene.add_vm()
+    assert vm.submit("job", _items()[:1]).status == 202
+    gatewayscene.until(lambda: bool(engine.work))
+    ended_s = time.monotonic()
+    assert vm.call("DELETE", "/lots/job").status == 200
+    gatewayscene.until(lambda: engine.work[0].left_s < math.inf)
+    assert engine.work[0].left_s - ended_s < _MAX_OVERLAP_S
