Jobs: a claim that has ended is made again by the VM that runs the job

Cause: a claim goes with its lease. A VM that lives made a new lease, but looked at its claims only when it had a result to write. Any other VM took a job without a claim for one that nobody runs. The class: the absence of a key in the store, taken for the absence of who wrote it.

Change: at each scan a VM claims again the jobs that it runs and whose claims are of an older lease, or are missing in a listing newer than the job. One that finds a job without a claim asks the VM that had it last, one call for all its jobs, and leaves those that it runs to it, for four scans at most: a VM that cannot reach the store does not keep a job from the others. The store decides as before, by compare-and-swap.

--- a/packages/gateway/gateway/jobmessages.py
+++ b/packages/gateway/gateway/jobmessages.py
@@ -1,5 +1,6 @@
 """Types that the batch job services share, and messages between VMs."""
 
+from collections.abc import Iterable
 from typing import Literal, NamedTuple, Protocol
 
 from gateway import dialect as dialect_lib
@@ -45,6 +46,18 @@
     """The answer to `EndJob`."""
 
 
+class FindRunning(NamedTuple):
+    """Asks a VM which of some jobs it runs, whether it has their claims."""
+
+    jobs: tuple[str, ...]
+
+
+class Running(NamedTuple):
+    """The answer to `FindRunning`."""
+
+    jobs: tuple[str, ...]
+
+
 class ReadJob(NamedTuple):
     """Asks the VM that runs a job for its results from a position on."""
 
@@ -92,6 +105,9 @@
     def is_accepting(self) -> bool:
         """Returns whether this VM may run jobs that it accepts."""
 
+    def running(self, jobs: Iterable[str]) -> frozenset[str]:
+        """Returns which of some jobs this VM runs and goes on running."""
+
     def result_count(self, job: str) -> int | None:
         """Returns how many results a job that this VM runs has.
 
--- a/packages/gateway/gateway/jobpeers.py
+++ b/packages/gateway/gateway/jobpeers.py
@@ -1,6 +1,6 @@
 """Reads batch jobs from the VMs that run them instead of the store."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 import time
 
 from bulrushdeal import kernel as kernel_lib
@@ -35,7 +35,13 @@
         self._peers.register_handler(
             jobmessages.ReadInput, services.InlineHandler(self._on_read_input)
         )
-        self._peers.register_answers(jobmessages.JobRead, jobmessages.InputRead)
+        self._peers.register_handler(
+            jobmessages.FindRunning,
+            services.InlineHandler(self._on_find_running),
+        )
+        self._peers.register_answers(
+            jobmessages.JobRead, jobmessages.InputRead, jobmessages.Running
+        )
 
     def set_runner(self, runner: jobmessages.JobRunner) -> None:
         """Sets the runner whose jobs this VM answers for."""
@@ -137,6 +143,22 @@
             True, results_page(view, message.after), meta
         )
 
+    def running_at(self, vm: str, jobs: Iterable[str]) -> frozenset[str]:
+        """Asks a VM which of some jobs it runs; none if it does not answer."""
+        asked = jobmessages.FindRunning(tuple(jobs))
+        answer = self._peers.call(vm, asked, _CALL_TIMEOUT_S)
+        if answer.is_err():
+            return frozenset()
+        return frozenset(answer.unwrap().jobs)
+
+    def _on_find_running(
+        self, vm: str, message: jobmessages.FindRunning
+    ) -> jobmessages.Running:
+        del vm
+        if self._runner is None:
+            return jobmessages.Running(())
+        return jobmessages.Running(tuple(self._runner.running(message.jobs)))
+
     def input(self, job: str, item: str) -> bytes | None:
         """Asks the VM that runs a job for an item's body."""
         for vm in self._candidate_vms(job):
--- a/packages/gateway/gateway/jobs.py
+++ b/packages/gateway/gateway/jobs.py
@@ -1,5 +1,6 @@
 """Submits, reads and ends batch jobs for callers."""
 
+from collections.abc import Iterable
 import time
 from typing import Any
 
@@ -362,6 +363,10 @@
             self._runner.drop(message.job)
         return jobmessages.Ended()
 
+    def running_at(self, vm: str, jobs: Iterable[str]) -> frozenset[str]:
+        """Returns which of some jobs another VM runs; none if unknown."""
+        return self._job_peers.running_at(vm, jobs)
+
     def _view_for_customer(
         self, job: str, customer: str
     ) -> result.Result[jobstore.JobView, jobmessages.JobError]:
--- a/packages/gateway/gateway/resultwriter.py
+++ b/packages/gateway/gateway/resultwriter.py
@@ -152,22 +152,11 @@
         Drops the job if it is no longer open, or if another VM has claimed it
         or has written results.
         """
-        job = state.meta.job
-        claimed = self._claims.take(job)
-        if isinstance(claimed, result.Err):
-            if claimed.err_value.kind not in ("unavailable", "unknown"):
-                self._drop(job, claimed.err_value.message)
+        claimed = self._claims.take_again(state)
+        if isinstance(claimed, result.Ok):
             return
-        listed = self._job_store.read_results(job)
-        if listed.is_err():
-            return
-        if len(listed.unwrap()) != state.next_position:
-            # Another VM ran the job meanwhile and released its claim. The
-            # next scan of `takeover.Takeover` loads the job with the results
-            # of that VM.
-            self._drop(job, "another VM has listed results")
-            return
-        state.claim = claimed.ok_value
+        if claimed.err_value.kind not in ("unavailable", "unknown"):
+            self._drop(state.meta.job, claimed.err_value.message)
 
     def _drop(self, job: str, why: str) -> None:
         if self._table.remove(job):
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -1,5 +1,6 @@
 """Runs the items of claimed batch jobs in slots that online requests leave."""
 
+from collections.abc import Iterable
 from concurrent import futures
 import threading
 import time
@@ -96,6 +97,7 @@
             self._job_store, self._table, self._value_bytes
         )
         vms = self._members = find(services.MEMBERSHIP, members.Members)
+        accepted_jobs = find(names.JOBS, jobs.Jobs)
         claims = takeover.Claims(self._store, self._job_store, vms)
         self._writer = resultwriter.ResultWriter(
             self._store, self._job_store, self._table, claims
@@ -114,12 +116,14 @@
             self._job_store,
             find(names.JOB_LISTING, joblisting.JobListing),
             vms,
-            takeover.Policy(self._may_hold, self._is_first_start),
+            takeover.Policy(
+                self._may_hold, self._is_first_start, accepted_jobs.running_at
+            ),
             self._table,
             claims,
             self._on_taken_over,
         )
-        find(names.JOBS, jobs.Jobs).set_runner(self)
+        accepted_jobs.set_runner(self)
         threads.start(self._schedule_items, "runner")
         self._takeover.start()
         self._progress.start()
@@ -175,6 +179,12 @@
         if self._table.remove(job):
             _events.info("dropped", job=job, why="it was ended")
 
+    def running(self, jobs: Iterable[str]) -> frozenset[str]:
+        """See `jobmessages.JobRunner`."""
+        if self._stopping.is_set():
+            return frozenset()
+        return frozenset(self._table.names().intersection(jobs))
+
     def result_count(self, job: str) -> int | None:
         """See `jobmessages.JobRunner`."""
         state = self._table.get(job)
--- a/packages/gateway/gateway/takeover.py
+++ b/packages/gateway/gateway/takeover.py
@@ -1,6 +1,7 @@
 """Finds open jobs that no VM runs, and claims them for this VM."""
 
-from collections.abc import Callable
+import collections
+from collections.abc import Callable, Iterable
 import random
 import threading
 import time
@@ -27,6 +28,9 @@
 # for this one and the transfer between them take at most 2.4 s.
 _SCAN_INTERVAL_S = 0.8
 _MAX_UNCLAIMED = 10_000
+# For how many scans a job is left to the VM that had its claim and runs it. It
+# needs one scan, and a lease if it has lost its own.
+_MAX_DEFERRED_SCANS = 4
 _START_RETRY_S = 0.1
 # How long a VM that has started waits for a reader VM to send the listing.
 # Shorter than a lease, because this VM's claims from before the restart must be
@@ -88,6 +92,32 @@
             return self._read_own_claim(job)
         return result.Ok(jobstate.HeldClaim(made.ok_value, lease))
 
+    def take_again(
+        self, state: jobstate.JobState
+    ) -> result.Result[None, jobmessages.JobError]:
+        """Claims a job that this VM runs, after its claim has ended.
+
+        The caller holds the state's `list_lock`.
+
+        Returns:
+            An error as that of `take`; `missing` too if another VM has run
+            the job meanwhile.
+        """
+        claimed = self.take(state.meta.job)
+        if isinstance(claimed, result.Err):
+            return claimed
+        listed = self._job_store.read_results(state.meta.job)
+        if isinstance(listed, result.Err):
+            return listed
+        if len(listed.ok_value) != state.next_position:
+            # That VM has released its claim. The next scan loads the job with
+            # its results.
+            return result.Err(
+                jobmessages.JobError("missing", "another VM has listed results")
+            )
+        state.claim = claimed.ok_value
+        return result.Ok(None)
+
     def renew(self, claim: joblisting.ClaimRow) -> jobstate.HeldClaim | None:
         """Rewrites a claim of this VM under its current lease.
 
@@ -142,10 +172,12 @@
     Attributes:
         may_hold: Returns whether this VM's region may have a job's items.
         is_first_start: Whether the whole system starts for the first time.
+        running_at: Returns which of some jobs another VM runs.
     """
 
     may_hold: Callable[[str], bool]
     is_first_start: bool
+    running_at: Callable[[str, Iterable[str]], frozenset[str]]
 
 
 class Takeover:
@@ -172,6 +204,7 @@
         self._listing = listing
         self._members = vms
         self._may_hold = policy.may_hold
+        self._running_at = policy.running_at
         self._vm = vms.own_vm().vm
         self._table = table
         self._claims = claims
@@ -184,6 +217,8 @@
         self._stopping = threading.Event()
         # Number of scans that found each job without a claim.
         self._unclaimed_scans: dict[str, int] = {}
+        # The VM that was last seen with the claim of each open job.
+        self._last_holders: dict[str, str] = {}
 
     def start(self) -> None:
         """Starts the thread that scans for jobs."""
@@ -222,11 +257,75 @@
                 self._drop_if_closed(job)
         for claim in rows.claims:
             self._drop_if_lost(claim)
+        holders = rows.holders()
+        self._claim_again(open_jobs - holders.keys(), read_s)
         self._resume_forgotten(rows, open_jobs, read_s)
-        for job in open_jobs - rows.holders().keys() - own:
-            if not self._stopping.is_set() and self._should_take_over(job):
+        known = self._last_holders | holders
+        self._last_holders = {
+            job: known[job] for job in open_jobs & known.keys()
+        }
+        free = {
+            job
+            for job in open_jobs - holders.keys() - own
+            if self._should_take_over(job)
+        }
+        for job in free - self._run_elsewhere(free):
+            if not self._stopping.is_set():
                 self._take_over(job)
 
+    def _claim_again(self, unclaimed: Iterable[str], read_s: float) -> None:
+        """Claims jobs again that this VM runs and whose claims have ended.
+
+        They end with the lease, in an outage that outlasts it for instance.
+        Until a result is to be written nothing else would tell this VM, and
+        another VM would take the jobs over and run their items beside it.
+
+        Args:
+            unclaimed: The open jobs without a claim.
+            read_s: When the listing was read, by the monotonic clock.
+        """
+        lease = self._members.lease()
+        if not lease:
+            return
+        for state in self._table.by_due_time():
+            job = state.meta.job
+            is_unclaimed = (
+                job in unclaimed and self._table.added_at_s(job) < read_s
+            )
+            is_outdated = state.claim.lease not in (0, lease)
+            if not is_unclaimed and not is_outdated:
+                continue
+            with state.list_lock:
+                if state.is_dropped:
+                    continue
+                claimed = self._claims.take_again(state)
+            if isinstance(claimed, result.Ok):
+                _events.info("claimed_again", job=job)
+            elif claimed.err_value.kind in ("unavailable", "unknown"):
+                # The store would refuse the others as well.
+                return
+            elif self._table.remove(job):
+                why = claimed.err_value.message
+                _events.info("dropped", job=job, why=why)
+
+    def _run_elsewhere(self, jobs: Iterable[str]) -> set[str]:
+        """Returns the unclaimed jobs that the VMs that had them go on running.
+
+        Those VMs claim them again. One that cannot do so in a few scans does
+        not keep a job from the others.
+        """
+        by_holder: dict[str, list[str]] = collections.defaultdict(list)
+        for job in jobs:
+            holder = self._last_holders.get(job, "")
+            if holder not in ("", self._vm) and (
+                self._unclaimed_scans[job] <= _MAX_DEFERRED_SCANS
+            ):
+                by_holder[holder].append(job)
+        found: set[str] = set()
+        for holder, rows in by_holder.items():
+            found |= self._running_at(holder, rows)
+        return found
+
     def _drop_if_lost(self, claim: joblisting.ClaimRow) -> None:
         """Stops to run a job that another VM has claimed since.
 
