Addresses: one decoder bounds the port

What was seen: an entry of another writer whose address has a port of 30 digits ends the thread that sends a request there, or opens a link, with OverflowError. Port 99999 is taken for 34463, so that requests go to whatever listens there. Digits of other scripts, spaces and underscores pass as well.

Cause: the text was split and converted in eleven places, each by int(), which takes more than sockets do; sockets raise errors of other types for some ports and cut off others.

Change: bulrushdeal.addresses decodes HOST:PORT everywhere.

--- a/packages/bench/bench/relay.py
+++ b/packages/bench/bench/relay.py
@@ -19,6 +19,7 @@
 from typing import NamedTuple
 
 from bench import staticvm
+from bulrushdeal import addresses
 
 _ENGINES = 4
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -86,8 +87,7 @@
     """
 
     def __init__(self, address: str, streams: int, tokens: int) -> None:
-        host, _, port = address.rpartition(":")
-        self._address = (host, int(port))
+        self._address = addresses.parse(address)
         self._tokens = tokens
         self._is_stopping = False
         self._counts = [0] * streams
--- a/packages/core/bulrushdeal/httpd.py
+++ b/packages/core/bulrushdeal/httpd.py
@@ -7,6 +7,7 @@
 import threading
 from typing import Any, cast, NamedTuple, Protocol
 
+from bulrushdeal import addresses
 from bulrushdeal import httpwire
 from bulrushdeal import threads
 
@@ -171,10 +172,9 @@
         *,
         refuses_unread: bool = False,
     ) -> None:
-        host, _, port = address.rpartition(":")
         self._handler = handler
         self._server = httpwire.Server(
-            (host, int(port)),
+            addresses.parse(address),
             self._run_wsgi,
             threads,
             max(threads // _THREADS_PER_WAITING, _MIN_WAITING),
--- a/packages/core/bulrushdeal/metrics.py
+++ b/packages/core/bulrushdeal/metrics.py
@@ -4,6 +4,8 @@
 
 import statsd
 
+from bulrushdeal import addresses
+
 
 class Metrics(Protocol):
     """The interface through which a component reports its metrics."""
@@ -39,8 +41,8 @@
     """
 
     def __init__(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        self._client = statsd.StatsClient(host, int(port), prefix="bulrushdeal")
+        host, port = addresses.parse(address, min_port=1)
+        self._client = statsd.StatsClient(host, port, prefix="bulrushdeal")
 
     def increment(self, name: str, count: int = 1) -> None:
         """See `Metrics`."""
--- a/packages/daemon/bulrushdeald/peers.py
+++ b/packages/daemon/bulrushdeald/peers.py
@@ -10,6 +10,7 @@
 
 import result
 
+from bulrushdeal import addresses
 from bulrushdeal import codec
 from bulrushdeal import errors
 from bulrushdeal import kernel as kernel_lib
@@ -117,14 +118,14 @@
         self._hello = wire.Hello(
             own.vm, self._membership.incarnation(), own.failure_domain
         )
-        host, _, port = self._address.rpartition(":")
         try:
             self._listener = socket.create_server(
-                (host, int(port)), backlog=_BACKLOG
+                addresses.parse(self._address), backlog=_BACKLOG
             )
-        except OSError as error:
+        except (OSError, addresses.AddressError) as error:
+            why = getattr(error, "strerror", None) or str(error)
             raise PeerAddressError(
-                f"--peers-address {self._address}: {error.strerror}"
+                f"--peers-address {self._address}: {why}"
             ) from error
         for target in (self._run_accept_loop, self._run_cleanup):
             thread = threads.start(target, "peers", is_vital=True)
--- a/packages/daemon/bulrushdeald/platformclient.py
+++ b/packages/daemon/bulrushdeald/platformclient.py
@@ -2,7 +2,6 @@
 
 import collections
 import http
-import json
 import threading
 from typing import Any, Literal, NamedTuple, Protocol
 from urllib import parse
@@ -10,6 +9,8 @@
 import result
 import urllib3
 
+from bulrushdeal import addresses
+from bulrushdeal import jsontext
 from bulrushdeald import connections
 
 _POOL_CONNECTIONS = 32
@@ -85,13 +86,11 @@
     """Calls the platform over pooled connections; see `PlatformApi`."""
 
     def __init__(self, address: str, timeout_s: float) -> None:
-        host, _, port = address.rpartition(":")
+        host, port = addresses.parse(address, min_port=1)
         self._timeout_s = timeout_s
         # Without `retries=False`, the pool would repeat a write whose answer
         # was lost.
-        self._pool = _Pool(
-            host, int(port), maxsize=_POOL_CONNECTIONS, retries=False
-        )
+        self._pool = _Pool(host, port, maxsize=_POOL_CONNECTIONS, retries=False)
         self._lock = threading.Lock()
         self._calls: collections.Counter[str] = collections.Counter()
         self._errors: collections.Counter[str] = collections.Counter()
@@ -139,7 +138,7 @@
             return self._fail(
                 "lost", f"The platform answered {response.status}."
             )
-        body = json.loads(response.data or b"{}")
+        body = jsontext.parse(response.data or b"{}")
         if not isinstance(body, dict):
             return self._fail(
                 "lost", "The platform's answer is not a JSON object."
--- a/packages/daemon/bulrushdeald/upstreams.py
+++ b/packages/daemon/bulrushdeald/upstreams.py
@@ -13,6 +13,7 @@
 import urllib3.exceptions
 import urllib3.util
 
+from bulrushdeal import addresses
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import records
 from bulrushdeal import sockets
@@ -291,10 +292,9 @@
         self, upstream: records.Upstream
     ) -> services.AddressState:
         """See `services.Upstreams`."""
-        host, _, port = upstream.address.rpartition(":")
         try:
             socket.create_connection(
-                (host, int(port)), _PROBE_TIMEOUT_S
+                addresses.parse(upstream.address, min_port=1), _PROBE_TIMEOUT_S
             ).close()
         except ConnectionRefusedError:
             return "refuses"
@@ -306,10 +306,10 @@
     def _connect(
         self, address: str
     ) -> result.Result[connections.Connection, services.UpstreamError]:
-        host, _, port = address.rpartition(":")
         try:
             connection = connections.Connection(
-                host, int(port), timeout=self._connect_timeout_s
+                *addresses.parse(address, min_port=1),
+                timeout=self._connect_timeout_s,
             )
             connection.connect()
         except (OSError, ValueError, urllib3.exceptions.HTTPError) as error:
--- a/packages/daemon/bulrushdeald/websocket.py
+++ b/packages/daemon/bulrushdeald/websocket.py
@@ -20,6 +20,8 @@
 from websockets import server
 from websockets import uri
 
+from bulrushdeal import addresses
+
 OPEN_TIMEOUT_S = 2.0
 PING_INTERVAL_S = 10.0
 PING_TIMEOUT_S = 5.0
@@ -225,9 +227,10 @@
     Raises:
         BrokenError: No connection was made, or the handshake failed.
     """
-    host, _, port = address.rpartition(":")
     try:
-        connected = socket.create_connection((host, int(port)), OPEN_TIMEOUT_S)
+        connected = socket.create_connection(
+            addresses.parse(address, min_port=1), OPEN_TIMEOUT_S
+        )
         target = uri.parse_uri(f"ws://{address}/")
     except (*_CONNECTION_ERRORS, ValueError) as error:
         raise BrokenError(repr(error)) from error
--- a/packages/standins/standins/cutlink.py
+++ b/packages/standins/standins/cutlink.py
@@ -10,6 +10,8 @@
 import socket
 import threading
 
+from bulrushdeal import addresses
+
 _READ_BYTES = 65536
 _BACKLOG = 128
 
@@ -65,9 +67,8 @@
 
     def _relay(self, accepted: socket.socket) -> None:
         self._healed.wait()
-        host, _, port = self._target.rpartition(":")
         try:
-            connected = socket.create_connection((host, int(port)))
+            connected = socket.create_connection(addresses.parse(self._target))
         except OSError:
             accepted.close()
             return
--- a/packages/standins/standins/platform.py
+++ b/packages/standins/standins/platform.py
@@ -24,6 +24,7 @@
 from cleo.io.inputs import argv_input
 from cleo.io.inputs import option as option_lib
 
+from bulrushdeal import addresses
 from bulrushdeal import codec
 from bulrushdeal import httpd
 from bulrushdeal import records
@@ -71,7 +72,7 @@
     ) -> None:
         self.keyspace = keyspace.Keyspace()
         self.calls: collections.Counter[str] = collections.Counter()
-        self._host = address.rpartition(":")[0]
+        self._host = addresses.parse(address).host
         self.size_bytes = 0
         self._server = httpd.Server(address, self._serve, threads)
         self._lock = threading.Lock()
--- a/packages/standins/standins/web.py
+++ b/packages/standins/standins/web.py
@@ -17,6 +17,8 @@
 import time
 from typing import Any, Literal, NamedTuple
 
+from bulrushdeal import addresses
+
 _BACKLOG = 1024
 _PEEK_BYTES = 64
 _MAX_KEPT_REQUESTS = 1000
@@ -97,7 +99,7 @@
     """
 
     def __init__(self, address: str = "127.0.0.1:0") -> None:
-        host, _, port = address.rpartition(":")
+        host, port = addresses.parse(address)
         self.lock = threading.Lock()
         self.faults = Faults()
         self.seen: collections.deque[ReceivedRequest] = collections.deque(
@@ -111,7 +113,7 @@
         class Handler(_Handler):
             standin = outer
 
-        self._server = _ThreadingServer((host, int(port)), Handler)
+        self._server = _ThreadingServer((host, port), Handler)
 
     @property
     def port(self) -> int:
