Entries: deep nesting and numbers of any length end no thread

Cause: json.loads raises RecursionError, and float() of a long number OverflowError; the readers caught ValueError, KeyError and TypeError. A VM's entry of any other type was turned into text.

Change: jsontext.parse raises nothing but ValueError, and is used wherever the daemon and the gateway read what others write. VMs and shards are decoded by type. The codec bounds whole numbers by 2**64, so that sums and divisions of what it has checked do not fail.

--- a/packages/core/bulrushdeal/codec.py
+++ b/packages/core/bulrushdeal/codec.py
@@ -18,6 +18,9 @@
 
 import cbor2
 
+# Ids and counters have up to 64 bits.
+_MAX_INT = 2**64
+
 
 class CodecError(Exception):
     """The bytes or values do not match the fields of the message type."""
@@ -120,6 +123,8 @@
         return _literal_builder(arguments)
     if hint is float:
         return _build_float
+    if hint is int:
+        return _build_int
     return _exact_builder(hint)
 
 
@@ -132,11 +137,20 @@
     return build
 
 
+def _build_int(value: Any) -> Any:
+    if type(value) is not int:
+        raise _MismatchError("", "expected int")
+    # A number of any length makes divisions and conversions fail.
+    if abs(value) > _MAX_INT:
+        raise _MismatchError("", "out of range")
+    return value
+
+
 def _build_float(value: Any) -> Any:
     if type(value) is float:
         return value
     if type(value) is int:
-        return float(value)
+        return float(_build_int(value))
     raise _MismatchError("", "expected float")
 
 
--- a/packages/daemon/bulrushdeald/batchrecords.py
+++ b/packages/daemon/bulrushdeald/batchrecords.py
@@ -7,6 +7,7 @@
 from typing import Any, Literal, NamedTuple, TypeVar
 
 from bulrushdeal import codec
+from bulrushdeal import jsontext
 from bulrushdeald import objects
 
 BUCKETS = 64
@@ -215,7 +216,7 @@
         codec.CodecError: The value is not a record of this type.
     """
     try:
-        plain = json.loads(value)
+        plain = jsontext.parse(value)
     except ValueError as error:
         raise codec.CodecError(f"not a record: {error}") from error
     return codec.from_plain(kind, plain)
--- a/packages/daemon/bulrushdeald/completions.py
+++ b/packages/daemon/bulrushdeald/completions.py
@@ -6,6 +6,7 @@
 import result
 
 from bulrushdeal import fingerprints
+from bulrushdeal import jsontext
 from bulrushdeal import records
 from bulrushdeald import refusals
 from bulrushdeald import services
@@ -53,8 +54,8 @@
         body: The body as the caller sent it.
     """
     try:
-        value = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        value = jsontext.parse(body)
+    except ValueError as error:
         return result.Err(refusals.bad_input(f"The body is not JSON: {error}"))
     if not isinstance(value, dict):
         return result.Err(refusals.bad_input("The body is not a JSON object."))
@@ -115,7 +116,7 @@
     By default an engine does not report the number of prompt tokens of a
     stream, and the usage reports would count none.
     """
-    value = json.loads(call.body)
+    value = jsontext.parse(call.body)
     options = {**_stream_options(value), "include_usage": True}
     return json.dumps({**value, "stream_options": options}).encode()
 
--- a/packages/daemon/bulrushdeald/enginecalls.py
+++ b/packages/daemon/bulrushdeald/enginecalls.py
@@ -12,6 +12,7 @@
 import result
 
 from bulrushdeal import codec
+from bulrushdeal import jsontext
 from bulrushdeal import records
 from bulrushdeald import modelrecords
 from bulrushdeald import services
@@ -70,7 +71,7 @@
         if isinstance(reply, result.Err):
             return None
         try:
-            load = json.loads(reply.ok_value.body)
+            load = jsontext.parse(reply.ok_value.body)
             return int(load["running"]) + int(load["queued"])
         except (ValueError, KeyError, TypeError):
             return None
@@ -173,7 +174,7 @@
         return result.Err(_error_of(reply))
     try:
         state = codec.from_plain(
-            modelrecords.EngineState, json.loads(reply.body)
+            modelrecords.EngineState, jsontext.parse(reply.body)
         )
     except (ValueError, codec.CodecError) as error:
         message = f"The answer is not an engine's state: {error}"
@@ -199,7 +200,7 @@
 def _message(reply: _Reply) -> str:
     text = reply.body.decode(errors="replace")
     try:
-        text = str(json.loads(text)["error"]["message"])
+        text = str(jsontext.parse(text)["error"]["message"])
     except (ValueError, KeyError, TypeError):
         text = " ".join(text.split())
     return f"{reply.status}: {text[:_MAX_REASON_CHARACTERS]}"
--- a/packages/daemon/bulrushdeald/fetchpermits.py
+++ b/packages/daemon/bulrushdeald/fetchpermits.py
@@ -14,6 +14,7 @@
 
 from bulrushdeal import clock as clock_lib
 from bulrushdeal import codec
+from bulrushdeal import jsontext
 from bulrushdeal import logs
 from bulrushdeald import services
 
@@ -136,7 +137,7 @@
     if entry is None:
         return Permits()
     try:
-        return codec.from_plain(Permits, json.loads(entry.value))
+        return codec.from_plain(Permits, jsontext.parse(entry.value))
     except (ValueError, codec.CodecError) as error:
         _log.error("Permits for weights are unreadable: %s.", error)
         return None
--- a/packages/daemon/bulrushdeald/intents.py
+++ b/packages/daemon/bulrushdeald/intents.py
@@ -18,6 +18,7 @@
 import result
 
 from bulrushdeal import codec
+from bulrushdeal import jsontext
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import logs
 from bulrushdeal import threads
@@ -116,7 +117,7 @@
 def unpack(value: bytes) -> Intent | None:
     """Parses a stored intent; returns `None` if the value is not one."""
     try:
-        return codec.from_plain(Intent, json.loads(value))
+        return codec.from_plain(Intent, jsontext.parse(value))
     except (ValueError, codec.CodecError):
         return None
 
--- a/packages/daemon/bulrushdeald/items.py
+++ b/packages/daemon/bulrushdeald/items.py
@@ -1,12 +1,12 @@
 """Runs batch items at upstreams and interprets the outcomes."""
 
 from collections.abc import Callable
-import json
 from typing import Any, NamedTuple
 
 import result
 
 from bulrushdeal import clock as clock_lib
+from bulrushdeal import jsontext
 from bulrushdeald import chunkrun
 from bulrushdeald import completions
 from bulrushdeald import results
@@ -168,7 +168,7 @@
         reply: _Reply,
     ) -> chunkrun.Answer | Retry:
         try:
-            body = json.loads(reply.body)
+            body = jsontext.parse(reply.body)
         except ValueError:
             refusal = services.Refusal(
                 502, "bad_answer", "The upstream's answer is not JSON.", "ran"
--- a/packages/daemon/bulrushdeald/limitrecords.py
+++ b/packages/daemon/bulrushdeald/limitrecords.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from bulrushdeal import codec
+from bulrushdeal import jsontext
 
 PAGES = 64
 PREFIX = "limits/"
@@ -112,7 +113,7 @@
         ShareError: The value is not a valid record.
     """
     try:
-        return codec.from_plain(Page, json.loads(value))
+        return codec.from_plain(Page, jsontext.parse(value))
     except (ValueError, codec.CodecError) as error:
         raise ShareError(f"invalid limits record: {error}") from error
 
--- a/packages/daemon/bulrushdeald/loadpoll.py
+++ b/packages/daemon/bulrushdeald/loadpoll.py
@@ -10,11 +10,11 @@
 
 import collections
 from http import client
-import json
 import threading
 from typing import NamedTuple, Protocol
 
 from bulrushdeal import clock as clock_lib
+from bulrushdeal import jsontext
 from bulrushdeal import records
 from bulrushdeal import threads
 from bulrushdeald import connections
@@ -161,7 +161,7 @@
         if answer.status != _OK or not answer.isclosed():
             connection.close()
             return None
-        load = json.loads(body)
+        load = jsontext.parse(body)
         return int(load["running"]) + int(load["queued"])
     except (OSError, client.HTTPException, ValueError, KeyError, TypeError):
         connection.close()
--- a/packages/daemon/bulrushdeald/modelcalls.py
+++ b/packages/daemon/bulrushdeald/modelcalls.py
@@ -1,7 +1,6 @@
 """Serves calls to models, answered whole or as an event stream."""
 
 from collections.abc import Iterator
-import json
 import time
 from typing import Any
 
@@ -9,6 +8,7 @@
 
 from bulrushdeal import fingerprints
 from bulrushdeal import httpd
+from bulrushdeal import jsontext
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeald import bodies
 from bulrushdeald import calls
@@ -314,7 +314,7 @@
         if b'"usage"' not in text:
             continue
         try:
-            usage = json.loads(text).get("usage")
+            usage = jsontext.parse(text).get("usage")
         except (ValueError, AttributeError):
             return {}
         return usage if isinstance(usage, dict) else {}
--- a/packages/daemon/bulrushdeald/modelrecords.py
+++ b/packages/daemon/bulrushdeald/modelrecords.py
@@ -4,6 +4,7 @@
 from typing import Literal, NamedTuple
 
 from bulrushdeal import codec
+from bulrushdeal import jsontext
 
 PREFIX = "orders/"
 MAX_OPEN = 16
@@ -120,7 +121,7 @@
         codec.CodecError: `value` is not a record of orders.
     """
     try:
-        plain = json.loads(value)
+        plain = jsontext.parse(value)
     except ValueError as error:
         raise codec.CodecError(f"not a record: {error}") from error
     return codec.from_plain(EngineOrders, plain)
--- a/packages/daemon/bulrushdeald/operatorhttp.py
+++ b/packages/daemon/bulrushdeald/operatorhttp.py
@@ -1,11 +1,11 @@
 """Helpers of the operators' routes: request bodies and error responses."""
 
-import json
 from typing import Any, TypeVar
 from urllib import parse
 
 from bulrushdeal import codec
 from bulrushdeal import httpd
+from bulrushdeal import jsontext
 from bulrushdeald import customertable
 from bulrushdeald import pageeditor
 
@@ -84,8 +84,8 @@
 def body_object(request: httpd.Request) -> dict[str, Any]:
     """Returns the JSON object in the request's body."""
     try:
-        value = json.loads(body_bytes(request) or b"{}")
-    except (ValueError, RecursionError) as problem:
+        value = jsontext.parse(body_bytes(request) or b"{}")
+    except ValueError as problem:
         raise BadRequestError(f"The body is not JSON: {problem}") from None
     if not isinstance(value, dict):
         raise BadRequestError("The body is not a JSON object.")
--- a/packages/daemon/bulrushdeald/orders.py
+++ b/packages/daemon/bulrushdeald/orders.py
@@ -9,6 +9,7 @@
 
 import result
 
+from bulrushdeal import jsontext
 from bulrushdeald import batchrecords
 from bulrushdeald import refusals
 from bulrushdeald import services
@@ -68,8 +69,8 @@
             services.Refusal(413, "too_large", "The request is too large.")
         )
     try:
-        value = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        value = jsontext.parse(body)
+    except ValueError as error:
         return result.Err(refusals.bad_input(f"The body is not JSON: {error}"))
     if not isinstance(value, dict):
         return result.Err(refusals.bad_input("The body is not an object."))
--- a/packages/daemon/bulrushdeald/splitter.py
+++ b/packages/daemon/bulrushdeald/splitter.py
@@ -7,6 +7,7 @@
 
 import result
 
+from bulrushdeal import jsontext
 from bulrushdeald import batchrecords
 from bulrushdeald import completions
 from bulrushdeald import refusals
@@ -171,8 +172,8 @@
 def parse(line: bytes) -> result.Result[Item, services.Refusal]:
     """Parses and validates one line that is not blank."""
     try:
-        value = json.loads(line)
-    except (ValueError, RecursionError) as error:
+        value = jsontext.parse(line)
+    except ValueError as error:
         return result.Err(refusals.bad_input(f"not JSON: {error}"))
     if not isinstance(value, dict):
         return result.Err(refusals.bad_input("not a JSON object"))
--- a/packages/daemon/bulrushdeald/streams.py
+++ b/packages/daemon/bulrushdeald/streams.py
@@ -5,6 +5,7 @@
 
 import result
 
+from bulrushdeal import jsontext
 from bulrushdeald import refusals
 from bulrushdeald import services
 
@@ -78,7 +79,7 @@
 
 def _is_usage_only(event: bytes) -> bool:
     try:
-        value = json.loads(event.strip().removeprefix(b"data:"))
+        value = jsontext.parse(event.strip().removeprefix(b"data:"))
     except ValueError:
         return False
     if not isinstance(value, dict) or value.get("choices") != []:
--- a/packages/gateway/gateway/members.py
+++ b/packages/gateway/gateway/members.py
@@ -8,10 +8,13 @@
 import secrets
 import threading
 import time
-from typing import Any
+from typing import Any, NamedTuple
 
+from bulrushdeal import addresses
 from bulrushdeal import clock
+from bulrushdeal import codec
 from bulrushdeal import eventlog
+from bulrushdeal import jsontext
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import records as core_records
 from bulrushdeal import threads
@@ -46,6 +49,20 @@
 _MAX_PROBES = 8
 
 
+class _Entry(NamedTuple):
+    """A VM's entry in the store, without what other builds add.
+
+    Attributes:
+        failure_domain: Its failure domain.
+        peers: Its address for other VMs.
+        cores: The processor cores that it may use; 0 if unknown.
+    """
+
+    failure_domain: str
+    peers: str
+    cores: float = 0.0
+
+
 class Members:
     """Keeps this VM registered in the store and holds the list of all VMs.
 
@@ -453,14 +470,13 @@
 
     def _decode(self, entry: dialect_lib.Entry) -> core_records.Vm | None:
         try:
-            value = json.loads(entry.value or b"")
+            value = jsontext.parse(entry.value or b"")
+            row = codec.from_plain(_Entry, value)
+            addresses.parse(row.peers, min_port=1)
+            name = entry.key.removeprefix(self._prefix)
             return core_records.Vm(
-                entry.key.removeprefix(self._prefix),
-                str(value["failure_domain"]),
-                "entry",
-                str(value["peers"]),
-                cores=float(value.get("cores", 0.0)),
+                name, row.failure_domain, "entry", row.peers, cores=row.cores
             )
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, codec.CodecError) as error:
             _events.warning("bad_entry", key=entry.key, why=repr(error))
             return None
--- a/packages/gateway/gateway/shardkeys.py
+++ b/packages/gateway/gateway/shardkeys.py
@@ -6,7 +6,9 @@
 import result
 
 from bulrushdeal import clock
+from bulrushdeal import codec
 from bulrushdeal import eventlog
+from bulrushdeal import jsontext
 from gateway import dialect as dialect_lib
 from gateway import paging
 from gateway.decisions import shardleases
@@ -30,6 +32,15 @@
     incarnation: str
 
 
+class _Held(NamedTuple):
+    """What a shard's key holds; see `Owner` and `shardleases.Row`."""
+
+    vm: str
+    address: str
+    incarnation: str
+    is_settled: bool
+
+
 class ShardKeys:
     """The keys of all shards, and what this VM has read of them.
 
@@ -122,16 +133,9 @@
     if entry is None or not entry.value:
         return shardleases.Row("", "", "", True, 0, seen_s)
     try:
-        value = json.loads(entry.value)
-        return shardleases.Row(
-            str(value["vm"]),
-            str(value["address"]),
-            str(value["incarnation"]),
-            bool(value["is_settled"]),
-            entry.revision,
-            seen_s,
-        )
-    except (ValueError, KeyError, TypeError) as error:
+        held = codec.from_plain(_Held, jsontext.parse(entry.value))
+        return shardleases.Row(*held, entry.revision, seen_s)
+    except (ValueError, codec.CodecError) as error:
         _events.warning("bad_entry", key=entry.key, why=repr(error))
         # Somebody may hold it: it is free once it has not changed for long.
         return shardleases.Row("?", "", "", False, entry.revision, seen_s)
