Jobs: an unreadable record of one job costs no other job

What was seen: an entry of another writer under the keys of a job's results makes each read of that job fail with 500, and ends each scan for jobs without a VM, so that nobody takes over any other job; unreadable progress keeps its job from being run by anybody.

Cause: the position was converted by int() for whatever the key ends in, errors of records passed through the scan, and progress counted as a part of the job that must be readable.

Change: keys that end in no position are no results; reading ends at a result that is unreadable, with a log line; the scan goes on with the next job after an error; items whose progress is unreadable begin from their start.

--- a/packages/gateway/gateway/jobstore.py
+++ b/packages/gateway/gateway/jobstore.py
@@ -213,16 +213,24 @@
         """Caches the results in a listing of the store."""
         prefix = self.keys.results(view.meta.job)
         rows = sorted(
-            (int(entry.key.removeprefix(prefix)), entry.value)
+            (int(digits), entry.value)
             for entry in entries
             if entry.value is not None
+            and (digits := entry.key.removeprefix(prefix)).isascii()
+            and digits.isdigit()
         )
         with self._lock:
             for position, value in rows:
-                if position == len(view.results):
-                    view.results.append(
-                        jobrecords.unpack(dialect_lib.ItemResult, value)
+                if position != len(view.results):
+                    continue
+                try:
+                    row = jobrecords.unpack(dialect_lib.ItemResult, value)
+                except codec.CodecError as error:
+                    _events.warning(
+                        "bad_record", job=view.meta.job, why=str(error)
                     )
+                    return
+                view.results.append(row)
 
 
 def job_error(
--- a/packages/gateway/gateway/takeover.py
+++ b/packages/gateway/gateway/takeover.py
@@ -271,7 +271,7 @@
         }
         for job in free - self._run_elsewhere(free):
             if not self._stopping.is_set():
-                self._take_over(job)
+                self._try_take_over(job)
 
     def _claim_again(self, unclaimed: Iterable[str], read_s: float) -> None:
         """Claims jobs again that this VM runs and whose claims have ended.
@@ -415,6 +415,13 @@
         if is_ended and self._table.remove(job):
             _events.info("dropped", job=job, why="it is not open any more")
 
+    def _try_take_over(self, job: str) -> None:
+        """Takes over a job; an error with one must not cost the others."""
+        try:
+            self._take_over(job)
+        except Exception as error:  # noqa: BLE001 - the next scan may work.
+            _events.warning("not_taken_over", job=job, why=repr(error))
+
     def _take_over(self, job: str) -> None:
         if not self._may_hold(job):
             return
@@ -461,7 +468,7 @@
         )
         entry = progress.unwrap()
         if entry is not None and entry.value is not None:
-            state.restore_progress(jobrecords.unpack_progress(entry.value))
+            _restore_progress(state, entry.value)
         return state
 
     def _close_finished(self, state: jobstate.JobState) -> None:
@@ -474,3 +481,11 @@
             (expected,), (), (keys.open_job(job), keys.claim(job))
         )
         self._table.remove(job)
+
+
+def _restore_progress(state: jobstate.JobState, value: bytes) -> None:
+    """Restores progress; if it is unreadable, items begin from their start."""
+    try:
+        state.restore_progress(jobrecords.unpack_progress(value))
+    except codec.CodecError as error:
+        _events.warning("bad_record", job=state.meta.job, why=str(error))
