Routes: only streams can be resumed, whatever a route says

A route of kind unsafe with resumable set counted as repeatable: an order whose first answer was unusable ran at a second upstream. Idempotent are safe routes and streams that may be resumed.

--- a/packages/gateway/gateway/records.py
+++ b/packages/gateway/gateway/records.py
@@ -76,7 +76,9 @@
     @property
     def is_repeatable(self) -> bool:
         """Whether a request may run more than once."""
-        return self.kind == "safe" or self.is_resumable
+        # Only streams can be resumed, whatever the route of others says.
+        is_resumable = self.kind == "streaming" and self.is_resumable
+        return self.kind == "safe" or is_resumable
 
 
 class Engine(NamedTuple):
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -177,6 +177,20 @@
     assert sum(len(engine.runs) for engine in engines) == 1
 
 
+def test_a_request_that_is_no_stream_cannot_be_resumed(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against orders that run twice as their route says `resumable`."""
+    route = gatewayscene.route("u", "/unsafe/", "unsafe", resumable=True)
+    scene.configure(gatewayscene.configuration(routes=[route]))
+    engines = [scene.add_engine(), scene.add_engine()]
+    for engine in engines:
+        engine.faults = [Fault("other")]
+    answer = scene.add_vm().call("POST", "/unsafe/x", b"book")
+    assert answer.status == 502
+    assert sum(len(engine.runs) for engine in engines) == 1
+
+
 @pytest.mark.parametrize("kind", ["other", "unsigned", "error"])
 def test_a_safe_request_is_repeated_elsewhere(
     scene: gatewayscene.Scene, kind: str
