Upstreams: the connection of a run that is given up is reset

What can happen: a run goes on beside the next, where a server or a proxy takes the close of a connection for the end of the request only, and looks at no more until it writes.

Cause: a connection with nothing unread was closed in order, which sends the same as a half-close does.

Change: one that is closed before its answer was read to the end is reset. The test's upstream, which waits for errors and hang-ups only, saw nothing in a second before, and sees it at once now. That an upstream of the users' is like this is not known.

--- a/packages/daemon/bulrushdeald/upstreams.py
+++ b/packages/daemon/bulrushdeald/upstreams.py
@@ -1,10 +1,12 @@
 """HTTP client for upstreams, which sends each request at most once."""
 
 from collections.abc import Callable, Iterator, Mapping
+import contextlib
 import functools
 import http
 import http.client
 import socket
+import struct
 import threading
 from typing import Any, Protocol
 
@@ -23,6 +25,8 @@
 from bulrushdeald import services
 
 _READ_BYTES = 64 * 1024
+# On, with no time to linger: `close` resets the connection.
+_LINGER_RESET = struct.pack("ii", 1, 0)
 # A host that is reached refuses a connection within a round trip. The answer
 # to a caller waits for this.
 _PROBE_TIMEOUT_S = 0.1
@@ -78,6 +82,18 @@
             if not self._is_finished:
                 self._socket.limit_reads(max_bytes, within_s)
 
+    def abort(self) -> None:
+        """Has the close of the connection reset it.
+
+        An upstream, or a proxy before it, may take a close in order for the
+        end of the request only, and go on with a run that nobody waits for.
+        """
+        # One that the upstream has ended may be closed already.
+        with self._lock, contextlib.suppress(OSError):
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+            )
+
     def finish(self) -> None:
         """Ends the exchange; later cancellations have no effect."""
         with self._lock:
@@ -171,6 +187,8 @@
         if self._is_closed:
             return
         self._is_closed = True
+        if not self._is_complete:
+            self._exchange.abort()
         self._raw.close()
         self._exchange.finish()
         if self._return_connection is not None and self._is_reusable():
@@ -270,6 +288,7 @@
             sock.lift_read_limit()
         except Exception as error:  # noqa: BLE001
             # An iterator as the body may raise any exception.
+            exchange.abort()
             exchange.finish()
             connection.close()
             return result.Err(_send_error(exchange, error))
--- a/tests/daemon/test_upstreams.py
+++ b/tests/daemon/test_upstreams.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import json
+import select
 import socket
 import threading
 from typing import Any
@@ -189,6 +190,34 @@
     return not any(item.connection.is_connected for item in idle)
 
 
+def test_a_run_that_is_given_up_is_reset(
+    client: upstreams.HttpUpstreams,
+) -> None:
+    """Guards against runs that go on where a close looks like a half-close."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        host, port = server.getsockname()
+        opened: list[socket.socket] = []
+
+        def serve() -> None:
+            opened.append(server.accept()[0])
+            opened[0].recv(4096)
+            opened[0].sendall(b"HTTP/1.1 200 OK\r\n\r\npart")
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        row = pathfakes.plain_row(f"{host}:{port}")
+        answer = client.send(row, "GET", "/", {}, b"", timeout_s=2.0).unwrap()
+        assert next(answer.chunks()).unwrap() == b"part"
+        thread.join()
+        answer.cancel()
+        answer.close()
+        poll = select.poll()
+        # Without an interest in the end of the input.
+        poll.register(opened[0], 0)
+        assert poll.poll(1000)
+        opened[0].close()
+
+
 def test_cancel_ends_blocked_reads_of_body_and_head() -> None:
     """A cancellation ends the read at once instead of at its timeout.
 
