--- a/tests/support/rawupstream.py
+++ b/tests/support/rawupstream.py
@@ -47,7 +47,10 @@
             while True:
                 request = b""
                 while not request.endswith(b"\r\n\r\n"):
-                    data = connection.recv(4096)
+                    try:
+                        data = connection.recv(4096)
+                    except ConnectionResetError:
+                        return
                     if not data:
                         return
                     request += data
