Soak: a part in which only upstreams fail, judged without excuses

The check of runs that go on beside the next leaves out those whose VM, links or store were disturbed within three seconds; some nearly always are, so that it found little with its guards out.

Two engines and eight VMs with mostly jobs, so that an item meets the engine that rejected it again, over a connection that stays idle afterwards; streams last over a second. Nothing excuses an overlap of 0.4 s there. The other parts of the soak send answers twice as well, and a fault that replaces an engine twice no longer ends its thread.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,8 @@
 soak: setup
 	PYTHONPATH=tests:platform $(BIN)/python -m soak $(SEEDS) --kept \
 	    --fresh $(or $(FRESH),0)
+	PYTHONPATH=tests:platform $(BIN)/python -m soak 101 102 7 831990 \
+	    --upstreams --length-s 16 --fresh $(or $(FRESH),0)
 
 clean:
 	rm -rf $(VENV) .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- a/tests/gateway/test_copiedanswers.py
+++ b/tests/gateway/test_copiedanswers.py
@@ -35,7 +35,7 @@
     engine = scene.add_engine(events=5)
     engine.pause_s = _RUN_S / engine.events
     engine.faults = [gatewayengine.Fault(kind)]
-    engine.copies_every = 1
+    engine.copied = frozenset({500, 503})
     vm = scene.add_vm()
     assert vm.submit("job", [_item("i0")]).status == 202
     row = _result(vm)
@@ -51,7 +51,7 @@
     vm = scene.add_vm()
     listed = vm.kernel.find(names.UPSTREAM_LIST, upstreamlist.UpstreamList)
     engine.instance = "i-anew"
-    engine.copies_every = 1
+    engine.copied = frozenset({421})
     # Started anew at its address, it is listed under both names for a while.
     scene.list_engine(engine, domain="d2")
     gatewayscene.until(lambda: len(listed.usable("llm")) == 2)
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -20,6 +20,13 @@
     assert result.listed
 
 
+def test_no_run_goes_on_beside_the_next_while_only_upstreams_fail() -> None:
+    """Guards against runs that are left open where nothing excuses it."""
+    result = playing.play_upstreams(1, 8.0, vms=4)
+    assert result.problems == []
+    assert result.listed
+
+
 def test_no_request_reaches_an_upstream_long_after_it_left() -> None:
     """Older reports, failed reads and pauses listed leavers again."""
     result = leavers.play(1, 10.0, vms=4)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,6 +1,7 @@
 """`python -m soak`: runs seeds and prints the guarantees that were violated."""
 
 import argparse
+from collections.abc import Callable
 from concurrent import futures
 import multiprocessing
 import secrets
@@ -17,6 +18,8 @@
 # of a fresh seed.
 _MANY_VMS = 16
 _MANY_EVERY = 3
+# Enough that their connections stay idle for a while.
+_UPSTREAMS_VMS = 8
 _DEFAULT_LENGTH_S = 12.0
 _MAX_PROBLEM_LINES = 8
 
@@ -38,6 +41,11 @@
         action="store_true",
         help="play upstreams that leave instead of all faults",
     )
+    parser.add_argument(
+        "--upstreams",
+        action="store_true",
+        help="play faults of upstreams alone, which excuse no overlap",
+    )
     parser.add_argument("--at-once", type=int, default=2)
     parser.add_argument("--length-s", type=float, default=_DEFAULT_LENGTH_S)
     parser.add_argument("--vms", type=int, default=0)
@@ -46,11 +54,12 @@
         *arguments.seeds,
         *(sorted({row.seed for row in kept.SEEDS}) if arguments.kept else ()),
     ]
-    sizes = [arguments.vms or _DEFAULT_VMS] * len(seeds)
+    default_vms = _UPSTREAMS_VMS if arguments.upstreams else _DEFAULT_VMS
+    sizes = [arguments.vms or default_vms] * len(seeds)
     for number in range(arguments.fresh):
         seeds.append(secrets.randbelow(10**6))
-        is_large = number % _MANY_EVERY == 0
-        sizes.append(arguments.vms or (_MANY_VMS if is_large else _DEFAULT_VMS))
+        is_large = number % _MANY_EVERY == 0 and not arguments.upstreams
+        sizes.append(arguments.vms or (_MANY_VMS if is_large else default_vms))
     failed = 0
     with futures.ProcessPoolExecutor(
         arguments.at_once,
@@ -59,7 +68,7 @@
     ) as pool:
         seeds_by_future = {
             pool.submit(
-                leavers.play if arguments.leavers else playing.play,
+                _choose_play(arguments),
                 seed,
                 arguments.length_s,
                 vms,
@@ -82,5 +91,13 @@
     return 1 if failed else 0
 
 
+def _choose_play(
+    arguments: argparse.Namespace,
+) -> Callable[[int, float, int], playing.SeedResult]:
+    if arguments.leavers:
+        return leavers.play
+    return playing.play_upstreams if arguments.upstreams else playing.play
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers that keep sending despite errors and record every response."""
 
 import base64
+from collections.abc import Callable, Iterable
 import http.client
 import json
 import random
@@ -163,9 +164,19 @@
         self._stopping = threading.Event()
         self._threads: list[threading.Thread] = []
 
-    def start(self) -> None:
-        """Starts the threads."""
-        targets = (
+    def start(self, *, mostly_jobs: bool = False) -> None:
+        """Starts the threads.
+
+        Args:
+            mostly_jobs: Whether to send few requests beside jobs, so that
+                connections stay idle for a while.
+        """
+        if mostly_jobs:
+            self._start_threads(
+                [self._send_requests, self._submit_jobs, self._submit_once]
+            )
+            return
+        self._start_threads(
             [self._send_requests] * 5
             + [self._exceed_rate]
             + [self._submit_jobs] * 2
@@ -173,13 +184,6 @@
             + [self._send_poisons] * 2
             + [self._submit_once] * 2
         )
-        for number, target in enumerate(targets):
-            rng = random.Random(f"{self._seed} {number}")
-            thread = threading.Thread(
-                target=target, args=(rng, f"c{number}"), daemon=True
-            )
-            thread.start()
-            self._threads.append(thread)
         for number, run in enumerate(
             (self.take_ups.run, self.take_ups.run, self.parts.run)
         ):
@@ -189,6 +193,17 @@
             thread.start()
             self._threads.append(thread)
 
+    def _start_threads(
+        self, targets: Iterable[Callable[[random.Random, str], None]]
+    ) -> None:
+        for number, target in enumerate(targets):
+            rng = random.Random(f"{self._seed} {number}")
+            thread = threading.Thread(
+                target=target, args=(rng, f"c{number}"), daemon=True
+            )
+            thread.start()
+            self._threads.append(thread)
+
     def stop(self) -> None:
         """Stops sending and waits until open calls have ended."""
         self._stopping.set()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -24,11 +24,15 @@
 _BURST_PAUSE_S = 0.4
 _BURST_EVENT_INTERVAL_S = 0.15
 _ENDLESS_ANSWERS = 30
-# Answers that hang at each engine that is told so.
 # Faults after which no VM need do in time what it has to.
 _STORE_FAULTS = ("store", "forget", "replace", "swallow", "lapse")
+# Answers that hang at each engine that is told so.
 _HUNG_ANSWERS = 4
 _HANG_INTERVAL_S = 2.0
+_COPIES_INTERVAL_S = 1.0
+# The statuses of the answers that come twice.
+_COPIED = frozenset({503, 500, 422})
+_REJECTED_INTERVAL_S = 0.3
 # Longer than a claim lasts, with the time in which others see that it is gone.
 _SLEEP_S = 6.0
 
@@ -40,7 +44,7 @@
         at_s: When it begins, in seconds since the start of the series.
         for_s: How long it lasts, in seconds.
         kind: A key of `GENERAL`, `CAPACITY`, `ANSWERS`, `POISON`, `NEWER`,
-            `LIMITS`, `CLAIMS` or `HANGS`.
+            `LIMITS`, `CLAIMS`, `HANGS` or `COPIES`.
         number: Selects the affected VM, link or upstream, and details of some
             kinds.
         how: The variant of the kind, from `_VARIANTS`; empty without variants.
@@ -112,6 +116,20 @@
     ]
 
 
+def draw_copies(rng: random.Random, length_s: float) -> list[Fault]:
+    """Returns faults of the kind `copy`, one for each few seconds."""
+    return [
+        Fault(
+            round(rng.uniform(0.5, length_s), 2),
+            _MAX_FAULT_S,
+            "copy",
+            rng.randrange(100),
+            "",
+        )
+        for _ in range(round(length_s / _COPIES_INTERVAL_S))
+    ]
+
+
 def draw_claims(rng: random.Random, length_s: float) -> list[Fault]:
     """Returns faults of each of the kinds in `CLAIMS`, each three times.
 
@@ -317,6 +335,8 @@
         if fault.how == "drain":
             self._fleet.list_upstream(upstream, "draining")
             time.sleep(fault.for_s)
+        if upstream not in self._fleet.upstreams:
+            return
         self._fleet.unlist(upstream.name)
         self._fleet.replace(upstream)
 
@@ -339,6 +359,16 @@
             hung = gatewayengine.Fault("hang", 1 + number % 4)
             upstream.engine.faults.append(hung)
 
+    def _send_copies(self, fault: Fault) -> None:
+        """Has an engine reject some requests, and say so twice, once late."""
+        engine = self._target_upstream(fault).engine
+        engine.copied = _COPIED
+        end_s = time.monotonic() + fault.for_s
+        while time.monotonic() < end_s:
+            engine.faults.append(gatewayengine.Fault("busy"))
+            time.sleep(_REJECTED_INTERVAL_S)
+        engine.copied = frozenset()
+
     def _swallow_answers(self, fault: Fault) -> None:
         """Has a VM's changes made in the store, and none of them answered."""
         server = self._target_vm(fault).store_server
@@ -408,7 +438,7 @@
             upstreams[(fault.number + number) % len(upstreams)].engine.crash()
             time.sleep(_BURST_PAUSE_S)
         for upstream in upstreams:
-            upstream.engine.pause_s = fleet_lib.EVENT_INTERVAL_S
+            upstream.engine.pause_s = self._fleet.event_interval_s
 
     def _send_deadly_part(self, fault: Fault) -> None:
         del fault
@@ -553,4 +583,26 @@
 HANGS: dict[str, Callable[[Player, Fault], None]] = {
     "hang": Player._hang,
 }
-_ALL = GENERAL | CAPACITY | ANSWERS | POISON | NEWER | LIMITS | CLAIMS | HANGS
+# Answers that come twice, drawn apart for the same reason.
+COPIES: dict[str, Callable[[Player, Fault], None]] = {
+    "copy": Player._send_copies,
+}
+# Faults of upstreams alone, of which their VMs can end each run in time.
+UPSTREAMS: dict[str, Callable[[Player, Fault], None]] = {
+    "answer": Player._corrupt_answers,
+    "spoil": Player._corrupt_answers,
+    "replace": Player._replace_upstream,
+    "bursts": Player._crash_in_bursts,
+    "endless": Player._send_endless,
+}
+_ALL = (
+    GENERAL
+    | CAPACITY
+    | ANSWERS
+    | POISON
+    | NEWER
+    | LIMITS
+    | CLAIMS
+    | HANGS
+    | COPIES
+)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -92,7 +92,6 @@
         self.engine = gatewayengine.Engine(
             name, EVENTS_PER_STREAM, self.capacity, host
         )
-        self.engine.pause_s = EVENT_INTERVAL_S
         self.engine.poisons = poisons
         self.engine.software_version = software_version
 
@@ -159,6 +158,7 @@
         poisons: The bodies that crash engines, once faults have begun
             to send them.
         statuses: What engines answer at each run, by the bodies of requests.
+        event_interval_s: The pause after each event of a stream.
     """
 
     def __init__(
@@ -166,11 +166,13 @@
         folder: pathlib.Path,
         vms: int,
         crashed_address: CrashedAddress = "refuses",
+        upstreams: int = 4,
     ) -> None:
         self._folder = folder
         self._network = addresses.Network()
         self._crashed_address = crashed_address
         self.statuses: dict[bytes, int] = {}
+        self.event_interval_s = EVENT_INTERVAL_S
         self.store = store_lib.Store()
         self.version = 0
         self.keys = {"school": ["key-0"], "limited": ["key-limited"]}
@@ -182,7 +184,7 @@
             self._make_upstream(
                 f"i-{index}", f"d{index % 3}", _VERSIONS[index % 2]
             )
-            for index in range(4)
+            for index in range(upstreams)
         ]
         self.vms = [
             Vm(
@@ -212,11 +214,18 @@
             self._network.shared_host,
             software_version,
         )
+        upstream.engine.pause_s = self.event_interval_s
         upstream.engine.deadly_parts = self.deadly_parts
         upstream.engine.statuses = self.statuses
         upstream.engine.on_crash = lambda: self._on_crash(upstream)
         return upstream
 
+    def set_event_interval(self, interval_s: float) -> None:
+        """Sets the pause after each event, also of engines added later."""
+        self.event_interval_s = interval_s
+        for upstream in self.upstreams:
+            upstream.engine.pause_s = interval_s
+
     def _on_crash(self, upstream: Upstream) -> None:
         """Has the engine's address do what it does; starts it again later."""
         for link in self.links_to(upstream):
--- a/tests/soak/playing.py
+++ b/tests/soak/playing.py
@@ -23,6 +23,11 @@
 _MIN_VMS_FOR_LIMITS = 4
 _OK = 200
 _REFUSED = 503
+_UPSTREAMS = 4
+# A request that is sent again then often meets the same one.
+_FEW_UPSTREAMS = 2
+# A stream then lasts over a second.
+_LONG_EVENT_INTERVAL_S = 0.15
 # The target latency of the routes in the configuration of `gatewayscene`.
 _MAX_START_S = 0.3
 
@@ -54,7 +59,6 @@
         vms: The number of gateway processes.
 
     """
-    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     rng = random.Random(seed)
     series = sorted(
         faults.draw(rng, length_s, faults.GENERAL)
@@ -68,6 +72,7 @@
         + faults.draw_claims(random.Random(f"{seed} claims"), length_s)
         + faults.draw_hangs(random.Random(f"{seed} hangs"), length_s)
         + faults.draw_newer(random.Random(f"{seed} newer"), length_s)
+        + faults.draw_copies(random.Random(f"{seed} copies"), length_s)
         + (
             faults.draw_limits(random.Random(f"{seed} limits"), length_s)
             if vms >= _MIN_VMS_FOR_LIMITS
@@ -77,12 +82,45 @@
     address = random.Random(f"{seed} address").choice(
         fleet_lib.CRASHED_ADDRESSES
     )
-    fleet = fleet_lib.Fleet(folder, vms, address)
+    return _play(seed, vms, address, series, rng)
+
+
+def play_upstreams(seed: int, length_s: float, vms: int) -> SeedResult:
+    """Runs one seed in which only upstreams fail.
+
+    Nothing disturbs the VMs, their links or the store, so no run that goes on
+    beside the next has an excuse. Streams are long, so that they would.
+    """
+    rng = random.Random(f"{seed} upstreams")
+    series = sorted(
+        faults.draw(rng, length_s, faults.UPSTREAMS)
+        + faults.draw(rng, length_s, faults.CAPACITY.keys() - {"leader"})
+        + faults.draw_hangs(rng, length_s)
+        + faults.draw_copies(rng, length_s)
+    )
+    return _play(seed, vms, "refuses", series, rng, only_upstreams=True)
+
+
+def _play(
+    seed: int,
+    vms: int,
+    address: fleet_lib.CrashedAddress,
+    series: list[faults.Fault],
+    rng: random.Random,
+    *,
+    only_upstreams: bool = False,
+) -> SeedResult:
+    """Runs a fleet through a series of faults, and checks it."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    upstreams = _FEW_UPSTREAMS if only_upstreams else _UPSTREAMS
+    fleet = fleet_lib.Fleet(folder, vms, address, upstreams)
+    if only_upstreams:
+        fleet.set_event_interval(_LONG_EVENT_INTERVAL_S)
     callers = callers_lib.Callers(fleet, rng)
     player = faults.Player(fleet)
     try:
         fleet.start_all()
-        callers.start()
+        callers.start(mostly_jobs=only_upstreams)
         player.play(series)
         for vm in fleet.vms:
             fleet.restart_if_exited(vm)
@@ -92,13 +130,14 @@
         for upstream in fleet.upstreams:
             # What nobody has met yet would go on after the last fault.
             upstream.engine.faults.clear()
+            upstream.engine.copied = frozenset()
         _check_recovery(fleet, callers)
         problems = oracle.check(
             fleet,
             callers,
             player.revoked_s,
             player.disturbances,
-            player.losses,
+            () if only_upstreams else player.losses,
         )
     finally:
         fleet.close()
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -141,8 +141,8 @@
         statuses: What requests are answered with at each run, by their
             bodies.
         on_crash: Called as it crashes, before its answers break off.
-        copies_every: Every so many answers come twice, the second time late,
-            as the next request on their connection arrives; 0 for none.
+        copied: The statuses of the answers that come twice, the second time
+            late, as the next request on their connection arrives.
         software_version: The version of its software.
         has_crashed: Whether it has crashed and not started again.
     """
@@ -170,8 +170,7 @@
         self.poisons: set[bytes] = set()
         self.deadly_parts: set[str] = set()
         self.software_version = ""
-        self.copies_every = 0
-        self._answers = 0
+        self.copied: frozenset[int] = frozenset()
         # The answers that come once more, by their connections.
         self._copies: weakref.WeakKeyDictionary[socket.socket, bytes] = (
             weakref.WeakKeyDictionary()
@@ -253,12 +252,7 @@
             with contextlib.suppress(OSError):
                 connection.sendall(copy)
         response = self._respond(request)
-        self._answers += 1
-        if (
-            connection is not None
-            and self.copies_every
-            and self._answers % self.copies_every == 0
-        ):
+        if connection is not None and response.status in self.copied:
             self._copies[connection] = self._copy(response)
         return response
 
