Jobs: claims have a module of their own; scans without a claim are counted anew

A job that has a claim again starts its count of scans without one anew: the fifth scan of an earlier time would have ended the wait for the VM that runs it.

--- a/packages/gateway/gateway/resultwriter.py
+++ b/packages/gateway/gateway/resultwriter.py
@@ -7,11 +7,11 @@
 
 from bulrushdeal import eventlog
 from gateway import dialect as dialect_lib
+from gateway import jobclaims
 from gateway import jobmessages
 from gateway import jobrecords
 from gateway import jobstate
 from gateway import jobstore
-from gateway import takeover
 from gateway.decisions import resultgroups
 
 _events = eventlog.Events("runner")
@@ -30,7 +30,7 @@
         store: dialect_lib.Store,
         job_store: jobstore.JobStore,
         table: jobstate.JobTable,
-        claims: takeover.Claims,
+        claims: jobclaims.Claims,
     ) -> None:
         self._store = store
         self._job_store = job_store
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -17,6 +17,7 @@
 from gateway import dialect as dialect_lib
 from gateway import heldslots
 from gateway import itemrun
+from gateway import jobclaims
 from gateway import jobdirectory
 from gateway import joblisting
 from gateway import jobmessages
@@ -98,7 +99,7 @@
         )
         vms = self._members = find(services.MEMBERSHIP, members.Members)
         accepted_jobs = find(names.JOBS, jobs.Jobs)
-        claims = takeover.Claims(self._store, self._job_store, vms)
+        claims = jobclaims.Claims(self._store, self._job_store, vms)
         self._writer = resultwriter.ResultWriter(
             self._store, self._job_store, self._table, claims
         )
--- a/packages/gateway/gateway/takeover.py
+++ b/packages/gateway/gateway/takeover.py
@@ -1,7 +1,7 @@
 """Finds open jobs that no VM runs, and claims them for this VM."""
 
 import collections
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 import random
 import threading
 import time
@@ -13,8 +13,8 @@
 from bulrushdeal import eventlog
 from bulrushdeal import threads
 from gateway import dialect as dialect_lib
+from gateway import jobclaims
 from gateway import joblisting
-from gateway import jobmessages
 from gateway import jobrecords
 from gateway import jobstate
 from gateway import jobstore
@@ -41,124 +41,6 @@
 _READ_TIMEOUT_S = 1.0
 
 
-class Claims:
-    """Claims jobs for this VM under its lease."""
-
-    def __init__(
-        self,
-        store: dialect_lib.Store,
-        job_store: jobstore.JobStore,
-        vms: members.Members,
-    ) -> None:
-        self._store = store
-        self._job_store = job_store
-        self._members = vms
-        self._vm = vms.own_vm().vm
-
-    def take(
-        self, job: str
-    ) -> result.Result[jobstate.HeldClaim, jobmessages.JobError]:
-        """Claims an open job that no VM has claimed.
-
-        Returns:
-            The claim, also if this VM holds it already, or an error:
-            `missing` if the job is not open or another VM has claimed it,
-            `unavailable` or `unknown` if the store failed or this VM has no
-            lease.
-        """
-        keys, lease = self._job_store.keys, self._members.lease()
-        if not lease:
-            return result.Err(jobmessages.JobError("unavailable", "no lease"))
-        opened = self._store.get(keys.open_job(job), _READ_TIMEOUT_S)
-        if opened.is_err():
-            message = opened.unwrap_err().message
-            return result.Err(jobmessages.JobError("unavailable", message))
-        entry = opened.unwrap()
-        if entry is None:
-            return result.Err(jobmessages.JobError("missing", "not open"))
-        made = self._job_store.commit(
-            (
-                dialect_lib.RevisionCondition(keys.claim(job), 0),
-                dialect_lib.RevisionCondition(
-                    keys.open_job(job), entry.revision
-                ),
-            ),
-            (self._claim_write(job, lease),),
-            (),
-        )
-        if isinstance(made, result.Err):
-            return made
-        if isinstance(made.ok_value, dialect_lib.Conflict):
-            return self._read_own_claim(job)
-        return result.Ok(jobstate.HeldClaim(made.ok_value, lease))
-
-    def take_again(
-        self, state: jobstate.JobState
-    ) -> result.Result[None, jobmessages.JobError]:
-        """Claims a job that this VM runs, after its claim has ended.
-
-        The caller holds the state's `list_lock`.
-
-        Returns:
-            An error as that of `take`; `missing` too if another VM has run
-            the job meanwhile.
-        """
-        claimed = self.take(state.meta.job)
-        if isinstance(claimed, result.Err):
-            return claimed
-        listed = self._job_store.read_results(state.meta.job)
-        if isinstance(listed, result.Err):
-            return listed
-        if len(listed.ok_value) != state.next_position:
-            # That VM has released its claim. The next scan loads the job with
-            # its results.
-            return result.Err(
-                jobmessages.JobError("missing", "another VM has listed results")
-            )
-        state.claim = claimed.ok_value
-        return result.Ok(None)
-
-    def renew(self, claim: joblisting.ClaimRow) -> jobstate.HeldClaim | None:
-        """Rewrites a claim of this VM under its current lease.
-
-        Returns:
-            The new claim; `None` if the claim has changed or the store failed.
-        """
-        key, lease = (
-            self._job_store.keys.claim(claim.job),
-            self._members.lease(),
-        )
-        made = self._job_store.commit(
-            (dialect_lib.RevisionCondition(key, claim.revision),),
-            (self._claim_write(claim.job, lease),),
-            (),
-        )
-        if isinstance(made, result.Ok) and isinstance(made.ok_value, int):
-            return jobstate.HeldClaim(made.ok_value, lease)
-        return None
-
-    def _claim_write(self, job: str, lease: int) -> dialect_lib.Write:
-        claim = jobrecords.pack(jobrecords.Claim(self._vm))
-        return dialect_lib.Write(self._job_store.keys.claim(job), claim, lease)
-
-    def _read_own_claim(
-        self, job: str
-    ) -> result.Result[jobstate.HeldClaim, jobmessages.JobError]:
-        """Returns this VM's claim if an earlier write of it went unanswered."""
-        got = self._store.get(self._job_store.keys.claim(job), _READ_TIMEOUT_S)
-        if got.is_err():
-            message = got.unwrap_err().message
-            return result.Err(jobmessages.JobError("unavailable", message))
-        entry = got.unwrap()
-        if entry is None or entry.value is None:
-            return result.Err(jobmessages.JobError("missing", "not claimed"))
-        if not jobrecords.is_held_by(entry.value, self._vm):
-            return result.Err(
-                jobmessages.JobError("missing", "claimed elsewhere")
-            )
-        return result.Ok(jobstate.HeldClaim(entry.revision))
-
-
 class _ClaimedJob(NamedTuple):
     """A job that this VM has claimed but does not run yet."""
 
@@ -196,7 +78,7 @@
         vms: members.Members,
         policy: Policy,
         table: jobstate.JobTable,
-        claims: Claims,
+        claims: jobclaims.Claims,
         on_job: Callable[[str], None],
     ) -> None:
         self._store = store
@@ -260,10 +142,7 @@
         holders = rows.holders()
         self._claim_again(open_jobs - holders.keys(), read_s)
         self._resume_forgotten(rows, open_jobs, read_s)
-        known = self._last_holders | holders
-        self._last_holders = {
-            job: known[job] for job in open_jobs & known.keys()
-        }
+        self._record_holders(open_jobs, holders)
         free = {
             job
             for job in open_jobs - holders.keys() - own
@@ -273,7 +152,17 @@
             if not self._stopping.is_set():
                 self._try_take_over(job)
 
-    def _claim_again(self, unclaimed: Iterable[str], read_s: float) -> None:
+    def _record_holders(
+        self, open_jobs: set[str], holders: Mapping[str, str]
+    ) -> None:
+        known = self._last_holders | dict(holders)
+        self._last_holders = {
+            job: known[job] for job in open_jobs & known.keys()
+        }
+        for job in self._unclaimed_scans.keys() & holders.keys():
+            del self._unclaimed_scans[job]
+
+    def _claim_again(self, unclaimed: set[str], read_s: float) -> None:
         """Claims jobs again that this VM runs and whose claims have ended.
 
         They end with the lease, in an outage that outlasts it for instance.
