--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,9 +30,10 @@
 _HUNG_ANSWERS = 4
 _HANG_INTERVAL_S = 2.0
 _COPIES_INTERVAL_S = 1.0
+# For how long an engine answers twice before it leaves.
+_COPIES_S = 1.2
 # The statuses of the answers that come twice.
 _COPIED = frozenset({503, 500, 422})
-_REJECTED_INTERVAL_S = 0.3
 # Longer than a claim lasts, with the time in which others see that it is gone.
 _SLEEP_S = 6.0
 
@@ -333,8 +334,16 @@
     def _replace_upstream(self, fault: Fault) -> None:
         upstream = self._target_upstream(fault)
         if fault.how == "drain":
+            self._leave(upstream, fault.for_s)
+            return
+        self._fleet.unlist(upstream.name)
+        self._fleet.replace(upstream)
+
+    def _leave(self, upstream: fleet_lib.Upstream, for_s: float) -> None:
+        """Has an engine drain for a while, unless it has left meanwhile."""
+        if upstream in self._fleet.upstreams:
             self._fleet.list_upstream(upstream, "draining")
-            time.sleep(fault.for_s)
+            time.sleep(for_s)
         if upstream not in self._fleet.upstreams:
             return
         self._fleet.unlist(upstream.name)
@@ -360,14 +369,17 @@
             upstream.engine.faults.append(hung)
 
     def _send_copies(self, fault: Fault) -> None:
-        """Has an engine reject some requests, and say so twice, once late."""
-        engine = self._target_upstream(fault).engine
-        engine.copied = _COPIED
-        end_s = time.monotonic() + fault.for_s
-        while time.monotonic() < end_s:
-            engine.faults.append(gatewayengine.Fault("busy"))
-            time.sleep(_REJECTED_INTERVAL_S)
-        engine.copied = frozenset()
+        """Has an engine first reject requests, say so twice, and then leave.
+
+        What runs there by mistake goes on as it drains, and what was sent
+        there goes elsewhere.
+        """
+        upstream = self._target_upstream(fault)
+        engine = upstream.engine
+        engine.copied, engine.rejects_first = _COPIED, True
+        time.sleep(_COPIES_S)
+        self._leave(upstream, fault.for_s)
+        engine.copied, engine.rejects_first = frozenset(), False
 
     def _swallow_answers(self, fault: Fault) -> None:
         """Has a VM's changes made in the store, and none of them answered."""
--- a/tests/soak/playing.py
+++ b/tests/soak/playing.py
@@ -131,6 +131,7 @@
             # What nobody has met yet would go on after the last fault.
             upstream.engine.faults.clear()
             upstream.engine.copied = frozenset()
+            upstream.engine.rejects_first = False
         _check_recovery(fleet, callers)
         problems = oracle.check(
             fleet,
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -143,6 +143,7 @@
         on_crash: Called as it crashes, before its answers break off.
         copied: The statuses of the answers that come twice, the second time
             late, as the next request on their connection arrives.
+        rejects_first: Whether it rejects each request when it first comes.
         software_version: The version of its software.
         has_crashed: Whether it has crashed and not started again.
     """
@@ -171,6 +172,8 @@
         self.deadly_parts: set[str] = set()
         self.software_version = ""
         self.copied: frozenset[int] = frozenset()
+        self.rejects_first = False
+        self._rejected: set[str] = set()
         # The answers that come once more, by their connections.
         self._copies: weakref.WeakKeyDictionary[socket.socket, bytes] = (
             weakref.WeakKeyDictionary()
@@ -279,6 +282,10 @@
         if request.headers.get("bulrushdeal-expect-instance") != self.instance:
             return httpd.json_response(421, {}, (echo, *self._load()))
         is_stream = request.path.startswith(("/s/", "/b/"))
+        attempt = request.headers[ATTEMPT]
+        if self.rejects_first and attempt not in self._rejected:
+            self._rejected.add(attempt)
+            fault = Fault("busy")
         ticket = None
         if self.capacity and is_stream and fault.kind != "busy":
             ticket = self.capacity.enter(request.headers)
@@ -286,7 +293,6 @@
         if fault.kind == "busy" or is_full:
             not_run = ("Bulrushdeal-Not-Executed", "1")
             return httpd.json_response(503, {}, (echo, not_run, *self._load()))
-        attempt = request.headers[ATTEMPT]
         last = int(request.headers.get("last-event-id", "0"))
         status = self._status(body, fault)
         self.runs.append(
