--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -344,8 +344,6 @@
         if upstream in self._fleet.upstreams:
             self._fleet.list_upstream(upstream, "draining")
             time.sleep(for_s)
-        if upstream not in self._fleet.upstreams:
-            return
         self._fleet.unlist(upstream.name)
         self._fleet.replace(upstream)
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -356,10 +356,14 @@
         version = upstream.engine.software_version
         new = self._make_upstream(name, upstream.domain, version)
         with self._listing_lock:
-            self.upstreams[self.upstreams.index(upstream)] = new
-            self.replaced_upstreams.append(upstream)
-            self.list_upstream(new)
-        return new
+            # Another fault may have replaced it meanwhile.
+            if upstream in self.upstreams:
+                self.upstreams[self.upstreams.index(upstream)] = new
+                self.replaced_upstreams.append(upstream)
+                self.list_upstream(new)
+                return new
+        new.engine.close()
+        return upstream
 
     def restart_upstream(self, upstream: Upstream) -> None:
         """Restarts an upstream under its name, with an empty cache."""
