Upstreams: a connection that has carried a request's id is closed before it comes again

It was left in the pool: each send of one id left another idle connection, and whatever an earlier send had left on it went on until it was idle for too long. Closed, it ends that, and their number does not grow.

--- a/packages/daemon/bulrushdeald/connections.py
+++ b/packages/daemon/bulrushdeald/connections.py
@@ -181,8 +181,9 @@
 
         Args:
             address: The upstream's address.
-            request_id: The id that the answer will name; empty if none. A
-                connection that has carried it is left out.
+            request_id: The id that the answer will name; empty if none.
+                Connections that have carried it are closed, which ends what
+                an earlier send may have left there.
         """
         while (connection := self._pop(address, request_id)) is not None:
             # `is_connected` is false if the socket is readable, that is if
@@ -225,18 +226,17 @@
         oldest_s = time.monotonic() - _MAX_IDLE_S
         expired: list[_IdleConnection] = []
         with self._lock:
-            idle = self._idle.get(address, collections.deque())
-            for item in reversed(idle):
-                if item.since_s < oldest_s:
-                    # Those below it have been idle even longer.
-                    break
-                if item.connection.may_carry(request_id):
-                    idle.remove(item)
-                    return item.connection
-            while idle and idle[0].since_s < oldest_s:
-                expired.append(idle.popleft())
-            if not idle:
-                self._idle.pop(address, None)
+            idle = self._idle.pop(address, collections.deque())
+            usable = collections.deque[_IdleConnection]()
+            for item in idle:
+                is_usable = item.connection.may_carry(request_id)
+                if is_usable and item.since_s >= oldest_s:
+                    usable.append(item)
+                else:
+                    expired.append(item)
+            found = usable.pop().connection if usable else None
+            if usable:
+                self._idle[address] = usable
         for expired_item in expired:
             expired_item.connection.close()
-        return None
+        return found
