--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -172,7 +172,7 @@
                 connections stay idle for a while.
         """
         if mostly_jobs:
-            self._start_threads([self._send_requests, self._submit_once])
+            self._start_threads([self._send_requests] * 4 + [self._submit_once])
             return
         self._start_threads(
             [self._send_requests] * 5
--- a/tests/soak/playing.py
+++ b/tests/soak/playing.py
@@ -100,7 +100,7 @@
     series = sorted(
         faults.draw(rng, length_s, faults.UPSTREAMS)
         + faults.draw(rng, length_s, faults.CAPACITY.keys() - {"leader"})
-        + faults.draw_hangs(rng, length_s)
+        + [row for _ in range(3) for row in faults.draw_hangs(rng, length_s)]
         + faults.draw_copies(rng, length_s, _MANY_COPIES_INTERVAL_S)
     )
     return _play(seed, vms, "refuses", series, rng, only_upstreams=True)
