Tests: upstreams have numbers for hosts; a claim of another VM is written

Three tests of test_drainbound.py listed upstreams at h:1. Their address is a number now.

The other VM's claim is now written to the store; what is asserted is as before.

--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -15,6 +15,7 @@
 from gateway import jobdirectory
 from gateway import joblisting
 from gateway import jobmessages
+from gateway import jobrecords
 from gateway import jobstore
 from gateway import members
 from gateway import names
@@ -512,6 +513,9 @@
     gatewayscene.until(lambda: engine.runs)
     held = first.kernel.find("membership", members.Members)
     scene.store.end_lease(held.lease())
+    # Of its own accord the other VM would leave the job to the first.
+    claim = jobrecords.Keys("bulrushdeal/").claim("j")
+    scene.store.write(claim, jobrecords.pack(jobrecords.Claim(second.name)))
     gatewayscene.until(lambda: len(engine.runs) > 1)
     gatewayscene.until(lambda: not math.isinf(engine.work[0].end_s), 4.0)
     found = second.kernel.find("runner", runner.Runner)
--- a/tests/support/listfleet.py
+++ b/tests/support/listfleet.py
@@ -74,7 +74,7 @@
     def encode(self) -> bytes:
         fields = {
             "service": SERVICE,
-            "address": "h:1",
+            "address": "10.0.0.9:1",
             "zone": "d1",
             "slots": 8,
             "state": self.state,
