Callers: a thread is taken by a whole head, memory from one account

What callers saw: beside a small crowd of clients that send half a request, dribble, or read slowly, no ordinary request was answered, or the process took many times the memory of its VM.

Cause: each connection took one of 320 threads from its first moment; bodies and answers were held with no account over connections; nothing ended an unfinished head or body; the system's buffers grew as they liked; nothing bounded the connections, whose descriptors upstreams and the store need too.

Change: the accepting thread gathers heads, with `header_timeout_ms` as their end; a thread is taken by a whole head. `exchanges.Room` is the account of what is held for callers. Who finds no thread or memory makes the exchange yield that is the least loss (`yielding`), or is refused at once. A body has until its deadline. Chunks are parsed without copying what came before, one thread at a time. Receive and send buffers are bounded, and so are the connections; the idle ones that are the least loss give way. A refusal before the end of its request is followed by a half-close. Limits come from `memory_mb` and `max_fds`, or from two variables.

--- a/packages/core/bulrushdeal/httpd.py
+++ b/packages/core/bulrushdeal/httpd.py
@@ -8,12 +8,15 @@
 from typing import Any, cast, NamedTuple, Protocol
 
 from bulrushdeal import addresses
+from bulrushdeal import exchanges
+from bulrushdeal import httpconnections
 from bulrushdeal import httpwire
 from bulrushdeal import threads
 
 _CHUNK_BYTES = 64 * 1024
 # Threads wait on upstreams, so there are many more than processors.
 DEFAULT_THREADS = 200
+DEFAULT_LIMITS = httpconnections.Limits()
 _BACKLOG = 1024
 _SOCKET_TIMEOUT_S = 60
 # One connection may wait for a thread per this many threads. A burst of short
@@ -43,6 +46,7 @@
         target: The path and query as they were received, not decoded.
         connection: The socket to the caller, to detect that the caller closed
             the connection.
+        exchange: The account of what is held for the request and its answer.
     """
 
     method: str
@@ -53,6 +57,7 @@
     length_bytes: int
     target: str = ""
     connection: socket.socket | None = None
+    exchange: exchanges.Exchange | None = None
 
 
 class Response(NamedTuple):
@@ -122,6 +127,7 @@
         int(length),
         environ.get("REQUEST_URI", ""),
         environ.get(httpwire.SOCKET_KEY),
+        environ.get(httpwire.EXCHANGE_KEY),
     )
 
 
@@ -158,6 +164,9 @@
         busy: The response to a refused connection; 503 by default.
         listener: A socket that listens on the address already; `None` to bind
             one at the start.
+        room: The exchanges of the process and what they may hold; `None` for
+            a room of this server's own.
+        limits: Limits on its connections.
         refuses_unread: Whether refused connections are closed unread, which
             lets their callers try elsewhere at once, whatever they send.
     """
@@ -170,14 +179,19 @@
         busy: Response | None = None,
         listener: socket.socket | None = None,
         *,
+        room: exchanges.Room | None = None,
+        limits: httpconnections.Limits = DEFAULT_LIMITS,
         refuses_unread: bool = False,
     ) -> None:
         self._handler = handler
+        self._limits = limits
         self._server = httpwire.Server(
             addresses.parse(address),
             self._run_wsgi,
             threads,
             max(threads // _THREADS_PER_WAITING, _MIN_WAITING),
+            room=room or exchanges.Room(),
+            limits=limits,
             refuses_unread=refuses_unread,
             request_queue_size=_BACKLOG,
             timeout=_SOCKET_TIMEOUT_S,
@@ -196,16 +210,34 @@
         self._server.prepare()
         self._thread = threads.start(self._server.serve, "httpd", is_vital=True)
 
-    def set_limits(self, max_header_bytes: int, idle_s: float) -> None:
+    def set_limits(
+        self, max_header_bytes: int, idle_s: float, head_timeout_s: float
+    ) -> None:
         """Sets the limits of all connections, including open ones.
 
         Args:
             max_header_bytes: The maximum size of the request line and headers.
             idle_s: The maximum time, in seconds, that a connection may be idle
                 or a read or write may block.
+            head_timeout_s: The maximum time, in seconds, from the first byte of
+                a request to the end of its headers.
         """
         self._server.max_request_header_size = max_header_bytes
         self._server.timeout = idle_s
+        self._limits = self._limits._replace(head_timeout_s=head_timeout_s)
+        self._server.set_limits(self._limits)
+
+    def open_connections(self) -> int:
+        """Returns the number of open connections."""
+        if not self._server.ready:
+            return 0
+        return self._server.connections.open_count()
+
+    def closed_early(self) -> Mapping[str, int]:
+        """Returns how many connections were closed early, by why."""
+        if not self._server.ready:
+            return {}
+        return self._server.connections.counts()
 
     def stop(self, grace_s: float) -> None:
         """Stops accepting and lets open requests finish within `grace_s` s."""
--- a/packages/core/bulrushdeal/httpwire.py
+++ b/packages/core/bulrushdeal/httpwire.py
@@ -16,22 +16,25 @@
 import cheroot.workers.threadpool
 import cheroot.wsgi
 
+from bulrushdeal import exchanges
+from bulrushdeal import httpconnections
+from bulrushdeal import httpreader
 from bulrushdeal import sockets
 
-# The key of the caller's socket in the WSGI environment.
+# The keys of the caller's socket and of the exchange in the WSGI environment.
 SOCKET_KEY = "bulrushdeal.socket"
+EXCHANGE_KEY = "bulrushdeal.exchange"
 _MAX_HEADER_BYTES = 64 * 1024
 # Threads started with the server, so that the first connections need not wait.
 _INITIAL_THREADS = 4
 _MAX_UNREAD_BYTES = 64 * 1024
-_MAX_READ_BYTES = 64 * 1024
-_MAX_CHUNK_LINE_BYTES = 1024
-_MAX_TRAILER_LINES = 100
+# A long answer is sent in such pieces, each of which shows that its caller
+# still reads.
+_SEND_BYTES = 16 * 1024
 # A connection that waits for longer is of no use to a caller who could try
 # another server; no more are queued behind it for a moment.
 _MAX_WAIT_S = 0.4
 _STOP_QUEUEING_S = 0.2
-_CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,15}")
 _LENGTH = re.compile(rb"[0-9]{1,18}")
 # Headers whose repeated values cheroot itself joins with commas.
 _COMMA_JOINED = frozenset(vars(cheroot.server)["comma_separated_headers"])
@@ -85,51 +88,6 @@
     header_reader = _HeaderReader()
 
 
-class _ChunkedBody(cheroot.server.ChunkedRFile):
-    """Reads a chunked body in pieces of bounded size.
-
-    cheroot reads each chunk into memory whole, without a limit on its size,
-    and accepts malformed sizes such as `-2` and `0x2`.
-    """
-
-    def __init__(self, rfile: Any) -> None:
-        super().__init__(rfile, 0)
-        self._chunk_left_bytes = 0
-
-    def _fetch(self) -> None:
-        if self.closed:
-            return
-        if not self._chunk_left_bytes:
-            self._chunk_left_bytes = self._read_chunk_size()
-        if not self._chunk_left_bytes:
-            self.closed = True
-            self._skip_trailer()
-            return
-        piece = self.rfile.read(min(self._chunk_left_bytes, _MAX_READ_BYTES))
-        if not piece:
-            raise ValueError("The chunked body is cut.")
-        self._chunk_left_bytes -= len(piece)
-        self.buffer += piece
-        if not self._chunk_left_bytes and self.rfile.read(2) != b"\r\n":
-            raise ValueError("A chunk has no end.")
-
-    def _read_chunk_size(self) -> int:
-        line = self.rfile.readline(_MAX_CHUNK_LINE_BYTES)
-        size = line.split(b";", 1)[0].strip()
-        if not line.endswith(b"\r\n") or not _CHUNK_SIZE.fullmatch(size):
-            raise ValueError("A chunk has no size.")
-        return int(size, 16)
-
-    def _skip_trailer(self) -> None:
-        for _ in range(_MAX_TRAILER_LINES):
-            line = self.rfile.readline(_MAX_CHUNK_LINE_BYTES)
-            if line == b"\r\n":
-                return
-            if not line.endswith(b"\r\n"):
-                break
-        raise ValueError("The trailer is cut or too long.")
-
-
 class _Writer:
     """An unbuffered writer to a caller's socket.
 
@@ -139,59 +97,126 @@
 
     def __init__(self, sock: socket.socket) -> None:
         self._socket = sock
+        self.exchange: exchanges.Exchange | None = None
         self.bytes_written = 0
 
     def write(self, data: bytes) -> int:
         """Sends all of `data` and returns its length in bytes."""
-        self._socket.sendall(data)
+        if len(data) <= _SEND_BYTES:
+            self._send(data)
+        else:
+            view = memoryview(data)
+            for start in range(0, len(data), _SEND_BYTES):
+                self._send(view[start : start + _SEND_BYTES])
         self.bytes_written += len(data)
         return len(data)
 
+    def _send(self, piece: bytes | memoryview) -> None:
+        if self.exchange is None:
+            self._socket.sendall(piece)
+            return
+        self.exchange.begin_send()
+        self._socket.sendall(piece)
+        self.exchange.end_send()
+
 
 class _Connection(cheroot.server.HTTPConnection):
     RequestHandlerClass = _Request
 
     def __init__(self, server: Any, sock: Any, *args: Any) -> None:
         timed = sockets.TimedSocket.adopt(sock)
-        super().__init__(server, timed, *args)
+        super().__init__(server, timed, _no_file)
+        self.rfile: httpreader.Reader = httpreader.Reader(timed)
         self.wfile = _Writer(timed)
         # When it was queued last, by the monotonic clock.
         self.queued_s: float | None = None
         # Whether a request was read from it.
         self.has_served = False
+        # Whether a request was answered before all of it was read.
+        self.has_unread_body = False
+        # When the first byte of a head came that is not whole yet.
+        self.head_since_s: float | None = None
+        # Why no thread serves it, while none does.
+        self.idle_state: httpconnections.State = "unfinished"
+        # What was read of the rest of a request, and dropped.
+        self.dropped_bytes = 0
+        self._is_closed = False
 
     def communicate(self) -> bool:
         """Serves one request; returns whether to keep the connection."""
         self.has_served = True
-        return bool(super().communicate())  # type: ignore[no-untyped-call]
+        self.head_since_s = None
+        room = self.server.room
+        exchange = room.begin(self.socket, self.server)
+        self.rfile.exchange = self.wfile.exchange = exchange
+        try:
+            return bool(super().communicate())  # type: ignore[no-untyped-call]
+        finally:
+            self.rfile.exchange = self.wfile.exchange = None
+            room.finish(exchange)
+
+    def close(self) -> None:
+        """Closes the connection, once its caller can have the last answer.
+
+        Closing a socket with unread bytes resets the connection, and the
+        caller might never receive the answer.
+        """
+        if self.has_unread_body and self.server.ready:
+            self.has_unread_body = False
+            self.server.connections.linger(self)
+            return
+        self.close_now()
+
+    def close_now(self) -> None:
+        """Closes the connection."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        super().close()
+        self.server.connections.on_closed()
+
+
+def _no_file(*args: Any) -> None:
+    """Makes no file of a socket; a connection has a reader and a writer."""
 
 
 class _Gateway(cheroot.wsgi.Gateway_10):
     def __init__(self, req: Any) -> None:
         if isinstance(req.rfile, cheroot.server.ChunkedRFile):
-            req.rfile = _ChunkedBody(req.conn.rfile)
+            req.rfile = httpreader.ChunkedBody(req.conn.rfile)
         super().__init__(req)
 
     def get_environ(self) -> Any:
         environ = super().get_environ()  # type: ignore[no-untyped-call]
         environ[SOCKET_KEY] = self.req.conn.socket
+        environ[EXCHANGE_KEY] = self.req.conn.rfile.exchange
         return environ
 
     def start_response(
         self, status: str, headers: Any, exc_info: Any = None
     ) -> Any:
-        if _has_unread_body(self.req.rfile):
+        if _has_unread_body(self.req.rfile, self.req.conn.rfile):
             self.req.close_connection = True
+            self.req.conn.has_unread_body = True
         return super().start_response(status, headers, exc_info)
 
 
-def _has_unread_body(body: Any) -> bool:
-    # cheroot reads the rest of a body with a length into memory whole, and
-    # parses the rest of a chunked body as the next request. Neither may happen
-    # when a request is refused without reading its body.
+def _has_unread_body(body: Any, reader: httpreader.Reader) -> bool:
+    # cheroot waits for the rest of a body with a length, and reads it into
+    # memory whole; it parses the rest of a chunked body as the next request.
+    # Neither may happen when a request is refused without reading its body.
     if isinstance(body, cheroot.server.ChunkedRFile):
         return not body.closed
-    return bool(getattr(body, "remaining", 0) > _MAX_UNREAD_BYTES)
+    left_bytes = getattr(body, "remaining", 0)
+    if left_bytes > _MAX_UNREAD_BYTES:
+        return True
+    while len(reader.buffer) < left_bytes:
+        try:
+            if reader.fill_now() != "data":
+                return True
+        except OSError:
+            return True
+    return False
 
 
 class _Pool(cheroot.workers.threadpool.ThreadPool):
@@ -251,6 +276,7 @@
         if is_conn:
             obj.queued_s = time.monotonic()
             if not obj.has_served and obj.queued_s < self._late_until_s:
+                self._free_thread()
                 raise queue.Full
         with self._lock:
             has_free_thread = self._free_threads > 0
@@ -260,10 +286,18 @@
         except queue.Full:
             with self._lock:
                 self._free_threads += 1
+            self._free_thread()
             raise
+        if not has_free_thread:
+            self._free_thread()
+
+    def _free_thread(self) -> None:
+        """Adds a thread, or ends the exchange that is the least loss."""
         threads = self._untyped()._threads
-        if not has_free_thread and len(threads) < self.max:
+        if len(threads) < self.max:
             threads.append(self._untyped()._spawn_worker())
+            return
+        self.server.room.make_thread_yield(self.server)
 
     def _untyped(self) -> Any:
         """Returns `self` untyped, for attributes missing in the type stubs."""
@@ -278,6 +312,8 @@
         app: The WSGI application.
         threads: The maximum number of connections served at once.
         max_waiting: The maximum number of connections waiting for a thread.
+        room: The exchanges of the process and what they may hold.
+        limits: Limits on its connections.
         refuses_unread: Whether a connection that is refused is closed without
             reading or answering it.
         options: Further arguments of `cheroot.wsgi.Server`.
@@ -286,6 +322,8 @@
         busy_response: The bytes of the whole response to a refused connection.
         listener: A socket that listens on the address already; `None` to bind
             one.
+        room: The exchanges of the process and what they may hold.
+        connections: The connections that no thread serves.
     """
 
     ConnectionClass = _Connection
@@ -305,11 +343,16 @@
         threads: int,
         max_waiting: int,
         *,
+        room: exchanges.Room,
+        limits: httpconnections.Limits,
         refuses_unread: bool = False,
         **options: Any,
     ) -> None:
         super().__init__(address, app, **options)
         self._refuses_unread = refuses_unread
+        self.room = room
+        self.connections: httpconnections.Connections
+        self._limits = limits
         # The constructor of cheroot sets its own gateway and pool.
         self.gateway = _Gateway
         self.requests = _Pool(
@@ -322,35 +365,51 @@
             closes_when_late=refuses_unread,
         )
 
+    def prepare(self) -> None:
+        """Binds the address and starts the first threads."""
+        super().prepare()
+        untyped: Any = self
+        untyped._connections._selector.close()
+        self.connections = httpconnections.Connections(self)
+        self.connections.limits = self._limits
+        untyped._connections = self.connections
+
     def bind(self, family: Any, type: Any, proto: int = 0) -> Any:
         """Uses the given listener, or binds the address."""
         if self.listener is None:
-            return super().bind(family, type, proto)
-        self.socket = self.listener
-        self.bind_addr = self.listener.getsockname()
-        return self.socket
+            super().bind(family, type, proto)
+        else:
+            self.socket = self.listener
+            self.bind_addr = self.listener.getsockname()
+        bound: Any = self.socket
+        sockets.limit_buffers(bound)
+        return bound
+
+    def set_limits(self, limits: httpconnections.Limits) -> None:
+        """Sets the limits on its connections."""
+        self._limits = limits
+        if self.ready:
+            self.connections.limits = limits
 
     def process_conn(self, conn: Any) -> None:
         """Queues a connection, or refuses it if the queue is full."""
         try:
             self.requests.put(conn)
         except queue.Full:
+            self.connections.on_refused()
             if self._refuses_unread and not conn.has_served:
                 conn.close()
                 return
             self._refuse(conn)
 
     def _refuse(self, conn: Any) -> None:
-        # Runs on the accepting thread. The response fits in the socket's send
-        # buffer, so sending does not wait for the caller.
+        # Mostly runs on the accepting thread. The response fits in the
+        # socket's send buffer, so sending does not wait for the caller.
         try:
-            conn.socket.settimeout(0)
-            conn.socket.sendall(self.busy_response)
-            # Closing a socket with unread bytes resets the connection, and the
-            # caller might never receive the response.
-            conn.socket.recv(_MAX_UNREAD_BYTES)
+            conn.socket.send(self.busy_response, socket.MSG_DONTWAIT)
         except OSError:
-            # The caller has closed the connection or sent nothing yet.
-            pass
-        finally:
-            conn.close()
+            # The caller has closed the connection or does not read.
+            conn.close_now()
+            return
+        conn.has_unread_body = True
+        conn.close()
--- a/packages/core/bulrushdeal/sockets.py
+++ b/packages/core/bulrushdeal/sockets.py
@@ -6,6 +6,9 @@
 from typing import Any, NamedTuple
 
 _US_PER_S = 1_000_000
+# The system doubles these for its own records.
+_RECEIVE_BUFFER_BYTES = 32 * 1024
+_SEND_BUFFER_BYTES = 64 * 1024
 
 
 class ReadLimitError(OSError):
@@ -114,6 +117,22 @@
         return error if self._timeout_s == 0 else TimeoutError("timed out")
 
 
+def limit_buffers(sock: socket.socket) -> None:
+    """Bounds what the operating system buffers for a connection.
+
+    Otherwise both buffers grow to megabytes if an end does not read, and what
+    waits there counts as the VM's memory. Connections inherit the bounds of the
+    listening socket that accepts them.
+    """
+    limit_receive_buffer(sock, _RECEIVE_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
+
+
+def limit_receive_buffer(sock: socket.socket, size_bytes: int) -> None:
+    """Bounds what may arrive on a connection before it is read."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
+
+
 def _timeval(duration_s: float | None) -> bytes:
     if duration_s is None:
         return struct.pack("ll", 0, 0)
--- a/packages/daemon/bulrushdeald/bodies.py
+++ b/packages/daemon/bulrushdeald/bodies.py
@@ -1,14 +1,18 @@
 """Reads request bodies with checks of their size, length and content."""
 
 from collections.abc import Iterator
+import math
 
 import result
 
+from bulrushdeal import exchanges
 from bulrushdeal import httpd
 from bulrushdeald import refusals
 from bulrushdeald import services
 
-_CHUNK_BYTES = 64 * 1024
+# Each thread that reads a body has up to so much that is not accounted for.
+_CHUNK_BYTES = 16 * 1024
+_NO_ROOM_RETRY_S = 0.5
 
 
 class BodyError(Exception):
@@ -16,15 +20,28 @@
 
 
 def read_whole(
-    request: httpd.Request, max_bytes: int
+    request: httpd.Request,
+    max_bytes: int,
+    memory_factor: int = 1,
+    due_s: float = math.inf,
 ) -> result.Result[bytes, services.Refusal]:
     """Returns a body of at most `max_bytes` bytes.
 
     A larger body is refused by its `Content-Length` before it is read, or
-    otherwise as soon as it exceeds the limit.
+    otherwise as soon as it exceeds the limit. One for which this VM has no
+    memory is refused before it is held.
+
+    Args:
+        request: The request, whose exchange accounts for the memory.
+        max_bytes: The largest body.
+        memory_factor: How much memory is needed to serve the request, as a
+            multiple of its body.
+        due_s: When the body has to be whole, by the monotonic clock.
     """
     if request.length_bytes > max_bytes:
         return result.Err(_too_large(max_bytes))
+    exchange = request.exchange or exchanges.detached()
+    exchange.due_s = due_s
     parts: list[bytes] = []
     size_bytes = 0
     try:
@@ -32,10 +49,28 @@
             size_bytes += len(chunk)
             if size_bytes > max_bytes:
                 return result.Err(_too_large(max_bytes))
+            if not exchange.grow(len(chunk) * memory_factor):
+                return result.Err(_NO_ROOM)
             parts.append(chunk)
     except BodyError as error:
-        return result.Err(refusals.bad_input(str(error), "body"))
-    return result.Ok(b"".join(parts))
+        refused = refusals.bad_input(str(error), "body")
+        return result.Err(_ENDED.get(exchange.end_reason, refused))
+    return _join(parts, exchange, memory_factor)
+
+
+def _join(
+    parts: list[bytes], exchange: exchanges.Exchange, memory_factor: int
+) -> result.Result[bytes, services.Refusal]:
+    if len(parts) <= 1 or memory_factor > 1:
+        return result.Ok(b"".join(parts))
+    held_bytes = exchange.held_bytes
+    # For a moment there are both the parts and the whole.
+    if not exchange.grow(sum(map(len, parts))):
+        return result.Err(_NO_ROOM)
+    body = b"".join(parts)
+    parts.clear()
+    exchange.shrink_to(held_bytes)
+    return result.Ok(body)
 
 
 def read_exactly(request: httpd.Request) -> Iterator[bytes]:
@@ -79,6 +114,22 @@
         yield chunk
 
 
+_NO_ROOM = services.Refusal(
+    503,
+    "vm_busy",
+    "This VM has no memory for the request now.",
+    retry_after_s=_NO_ROOM_RETRY_S,
+)
+_LATE = services.Refusal(
+    408, "late_body", "The body of the request did not come in time."
+)
+# What is answered if the exchange was ended while the body arrived.
+_ENDED: dict[exchanges.EndReason, services.Refusal] = {
+    "overdue": _LATE,
+    "yielded": _NO_ROOM,
+}
+
+
 def _too_large(max_bytes: int) -> services.Refusal:
     return services.Refusal(
         413,
--- a/packages/daemon/bulrushdeald/plainservices.py
+++ b/packages/daemon/bulrushdeald/plainservices.py
@@ -160,7 +160,8 @@
         is_long = is_chunked or request.length_bytes > max_bytes
         if is_long and not is_keyed:
             return _streamed_body(request, key)
-        body = bodies.read_whole(request, max_bytes)
+        due_s = time.monotonic() + self._deadline_s
+        body = bodies.read_whole(request, max_bytes, due_s=due_s)
         if isinstance(body, result.Err):
             return body
         if key.encode() in body.ok_value:
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -1,6 +1,7 @@
 """Forwards online requests to upstreams and repeats those that may be."""
 
-from collections.abc import Iterator, Mapping
+import collections
+from collections.abc import Iterable, Iterator, Mapping
 import http
 import time
 from typing import Any, NamedTuple
@@ -40,6 +41,8 @@
 # Answers up to this size are read completely before the first byte is relayed,
 # so that a request whose answer breaks can still be repeated or refused.
 _MAX_BUFFERED_BYTES = 1 << 20
+# Answers up to this size are sent to the caller at once.
+_MAX_JOINED_BYTES = 64 * 1024
 _BUSY_RETRY_S = 0.25
 # Requests with a part that may crash upstreams run one at a time.
 _PART_RETRY_S = 0.5
@@ -432,22 +435,25 @@
     ) -> httpd.Response | None:
         """Reads the answer and returns it, or a refusal.
 
-        An answer above `_MAX_BUFFERED_BYTES` is returned before it is read
-        completely.
+        An answer above `_MAX_BUFFERED_BYTES`, or for which there is no memory,
+        is returned before it is read completely.
 
         Returns:
             The response; `None` if the answer broke and the request may be
             repeated.
         """
-        parts: list[bytes] = []
+        parts: collections.deque[bytes] = collections.deque()
         size_bytes = 0
+        exchange = self._call.exchange
         chunks = opened.answer.chunks()
         for piece in chunks:
             if isinstance(piece, result.Err):
                 return self._handle_broken_answer(piece.err_value)
             parts.append(piece.ok_value)
             size_bytes += len(piece.ok_value)
-            if size_bytes > _MAX_BUFFERED_BYTES:
+            # Without room the answer is relayed as it comes.
+            is_held = exchange.grow(len(piece.ok_value), makes_room=False)
+            if size_bytes > _MAX_BUFFERED_BYTES or not is_held:
                 rest = self._remaining_body(parts, chunks)
                 body = caller_calls.Body(rest, self._release)
                 answer = opened.answer
@@ -458,20 +464,26 @@
         self._sender.record_completion(self._request.outgoing)
         if self._slot is not None:
             self._sender.record_whole(self._slot)
-        data = b"".join(parts)
         headers = opened.answer.headers
         opened.answer.close()
         self._release()
+        # A long one is not joined: that would take its memory twice.
+        is_long = size_bytes > _MAX_JOINED_BYTES
+        pieces: Iterable[bytes] = parts if is_long else (b"".join(parts),)
         return httpd.Response(
-            opened.answer.status, _with_length(headers, len(data)), (data,)
+            opened.answer.status, _with_length(headers, size_bytes), pieces
         )
 
     def _remaining_body(
         self,
-        parts: list[bytes],
+        parts: collections.deque[bytes],
         chunks: Iterator[result.Result[bytes, services.UpstreamError]],
     ) -> Iterator[bytes]:
-        yield from parts
+        exchange = self._call.exchange
+        while parts:
+            sent_bytes = len(parts[0])
+            yield parts.popleft()
+            exchange.shrink_to(exchange.held_bytes - sent_bytes)
         for piece in chunks:
             if isinstance(piece, result.Err):
                 self._record_break(piece.err_value)
--- a/packages/gateway/gateway/front.py
+++ b/packages/gateway/gateway/front.py
@@ -9,6 +9,7 @@
 import result
 
 from bulrushdeal import eventlog
+from bulrushdeal import exchanges
 from bulrushdeal import httpd
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import logs
@@ -42,6 +43,9 @@
 # Each open connection takes one thread, and each thread about 40 kB.
 _CALLER_THREADS = 320
 _READY_THREADS = 4
+_READY_LIMITS = httpd.DEFAULT_LIMITS._replace(
+    connections=64, head_timeout_s=5.0
+)
 # How long the server has to close, whatever is left of the grace period.
 _MIN_CLOSE_S = 0.3
 # Retries reach other VMs, so they need not wait.
@@ -76,10 +80,24 @@
         self._settings = settings
         self._listener = listener
         self._open_calls = opencalls.OpenCalls()
+        self._room = exchanges.Room(settings.callers_memory_bytes)
         self._departures = departures.Departures()
         self._deadlines = deadlines.Deadlines()
         self._stop_gate = stopgate.StopGate()
         self._closer: threading.Thread | None = None
+        self._server = httpd.Server(
+            settings.callers_address,
+            self._serve,
+            _CALLER_THREADS,
+            refusals.refusal_response(_BUSY),
+            listener,
+            room=self._room,
+            limits=httpd.DEFAULT_LIMITS._replace(
+                connections=settings.callers_connections
+            ),
+            # Other VMs have room when the balancer sends most callers here.
+            refuses_unread=True,
+        )
         # The idle timeout of callers' connections in the current configuration.
         self._idle_s = 0.0
 
@@ -98,22 +116,16 @@
         self._jobs = jobfront.JobFront(self._kernel)
         self._departures.start()
         self._deadlines.start()
-        self._server = httpd.Server(
-            self._settings.callers_address,
-            self._serve,
-            _CALLER_THREADS,
-            refusals.refusal_response(_BUSY),
-            self._listener,
-            # Other VMs have room when the balancer sends most callers here.
-            refuses_unread=True,
-        )
         if self._listener is not None and not self._settings.is_first_start:
             self._wait_for_configuration()
         self._feed.on_change(self._apply_connection_limits)
         self._apply_connection_limits()
         self._server.start()
         self._ready_server = httpd.Server(
-            self._settings.ready_address, self._serve_ready, _READY_THREADS
+            self._settings.ready_address,
+            self._serve_ready,
+            _READY_THREADS,
+            limits=_READY_LIMITS,
         )
         self._ready_server.start()
 
@@ -150,7 +162,9 @@
         limits = active.configuration.caller_limits
         previous_s, self._idle_s = self._idle_s, limits.idle_timeout_s
         self._server.set_limits(
-            limits.max_header_bytes, max(previous_s, limits.idle_timeout_s)
+            limits.max_header_bytes,
+            max(previous_s, limits.idle_timeout_s),
+            limits.header_timeout_s,
         )
 
     def prepare_stop(self, grace_s: float) -> None:
@@ -197,6 +211,17 @@
         if count:
             _events.warning("cut", requests=count, why="the grace is over")
 
+    def held(self) -> metrics.CallersHeld:
+        """Returns what is held for callers now."""
+        closed_early = self._server.closed_early()
+        return metrics.CallersHeld(
+            self._room.held_bytes(),
+            self._room.limit_bytes,
+            self._server.open_connections(),
+            self._settings.callers_connections,
+            {**closed_early, **self._room.counts()},
+        )
+
     def dump(self) -> Any:
         """Returns the serving state and the number of open requests."""
         return {"state": self._state(), "open": self._open_calls.count()}
@@ -255,7 +280,7 @@
             return refusals.refusal_response(refusals.Refusal(400, str(error)))
         host = request.headers.get("host", "")
         if job_call is not None and active.has_host(host):
-            return self._serve_job_call(active, head, job_call)
+            return self._serve_job_call(request, active, head, job_call)
         route = active.route(host, request.path)
         if route is None:
             _events.warning(
@@ -291,6 +316,7 @@
 
     def _serve_job_call(
         self,
+        request: httpd.Request,
         active: configuration.ActiveConfiguration,
         head: dialect_lib.CallerHeaders,
         job_call: dialect_lib.JobCall,
@@ -304,7 +330,8 @@
         call = opencalls.Call(head.attempt, time.monotonic(), None)
         self._open_calls.add(call)
         try:
-            return self._jobs.call(job_call, name)
+            exchange = request.exchange or exchanges.detached()
+            return self._jobs.call(job_call, name, exchange)
         finally:
             self._open_calls.remove(call)
 
@@ -322,7 +349,9 @@
         if head.deadline_s is not None:
             caller_deadline_s = started_s + head.deadline_s
             due_s = min(due_s, caller_deadline_s)
-        call = opencalls.Call(head.attempt, due_s, caller_deadline_s)
+        call = opencalls.Call(
+            head.attempt, due_s, caller_deadline_s, request.exchange
+        )
         self._open_calls.add(call)
         try:
             response = self._read_body_and_dispatch(
@@ -343,13 +372,22 @@
         call: opencalls.Call,
     ) -> httpd.Response:
         body = bodies.read_whole(
-            request, active.configuration.caller_limits.max_body_bytes
+            request,
+            active.configuration.caller_limits.max_body_bytes,
+            jobfront.MEMORY_FACTOR if route.kind == "batch" else 1,
+            # Nobody waits any longer for an answer to what comes later.
+            call.due_s,
         )
         name = "" if customer is None else customer.name
         if isinstance(body, result.Err):
             refused = body.err_value
+            _events.sampled_info(
+                "body_refused", request=head.attempt, why=refused.message
+            )
             response = refusals.refusal_response(
-                refusals.Refusal(refused.status, refused.message)
+                refusals.Refusal(
+                    refused.status, refused.message, refused.retry_after_s
+                )
             )
         elif not self._has_region(route, customer):
             _events.warning("refused", request=head.attempt, why=_NO_REGION.why)
@@ -400,7 +438,7 @@
                 refusals.Refusal(400, "the request has no attempt id")
             )
         cancel_deadline = self._deadlines.add(
-            call.due_s, lambda: call.end("timeout")
+            call.due_s, lambda: _end_late(call)
         )
         stop_watching_caller: Callable[[], None] = _no_op
         if request.connection is not None:
@@ -527,6 +565,16 @@
     )
 
 
+def _end_late(call: opencalls.Call) -> None:
+    """Ends a request at its deadline, also if its caller does not read."""
+    is_sending = call.exchange.phase == "sending"
+    call.end("timeout")
+    # The rest of the answer will not come, so the caller's connection holds a
+    # thread and a place at the upstream for nothing.
+    if is_sending and call.reason == "timeout":
+        call.exchange.end_blocked_send()
+
+
 def _no_op() -> None:
     """Does nothing; used when there is no connection to watch."""
 
--- a/packages/gateway/gateway/jobfront.py
+++ b/packages/gateway/gateway/jobfront.py
@@ -3,6 +3,7 @@
 import result
 
 from bulrushdeal import eventlog
+from bulrushdeal import exchanges
 from bulrushdeal import httpd
 from bulrushdeal import kernel as kernel_lib
 from gateway import dialect as dialect_lib
@@ -23,6 +24,13 @@
     "no_room": 429,
 }
 _UNAVAILABLE_RETRY_S = 0.4
+# The memory to decode a job, pack its items and send them to the store, as a
+# multiple of the job's body.
+MEMORY_FACTOR = 8
+# The memory to encode a page of results, as a multiple of their outputs.
+_PAGE_FACTOR = 3
+# What an item's input may take until its length is known.
+_INPUT_BYTES = 2_000_000
 
 
 class JobFront:
@@ -54,26 +62,58 @@
             return _refuse(job, accepted.err_value)
         return httpd.json_response(202, {"id": job})
 
-    def call(self, call: dialect_lib.JobCall, customer: str) -> httpd.Response:
-        """Answers a call about a job that was submitted."""
+    def call(
+        self,
+        call: dialect_lib.JobCall,
+        customer: str,
+        exchange: exchanges.Exchange,
+    ) -> httpd.Response:
+        """Answers a call about a job that was submitted.
+
+        Args:
+            call: The call.
+            customer: The customer that calls.
+            exchange: The account of what is held for the answer.
+        """
         if call.kind == "end":
             ended = self._jobs.end(call.job, customer)
             if isinstance(ended, result.Err):
                 return _refuse(call.job, ended.err_value)
             return httpd.json_response(200, {})
         if call.kind == "input":
-            body = self._jobs.input(call.job, customer, call.item)
-            if isinstance(body, result.Err):
-                return _refuse(call.job, body.err_value)
-            return refusals.whole_response(
-                200, "application/octet-stream", body.ok_value
-            )
+            return self._input(call, customer, exchange)
         page = self._jobs.read(call.job, customer, call.after, call.wait_s)
         if isinstance(page, result.Err):
             return _refuse(call.job, page.err_value)
+        size_bytes = sum(len(row.output) for row in page.ok_value.results)
+        if not exchange.grow(size_bytes * _PAGE_FACTOR):
+            return _refuse(call.job, _NO_MEMORY)
         data = self._dialect.encode_job_page(page.ok_value)
+        exchange.shrink_to(len(data))
         return refusals.whole_response(200, "application/json", data)
 
+    def _input(
+        self,
+        call: dialect_lib.JobCall,
+        customer: str,
+        exchange: exchanges.Exchange,
+    ) -> httpd.Response:
+        if not exchange.grow(_INPUT_BYTES):
+            return _refuse(call.job, _NO_MEMORY)
+        body = self._jobs.input(call.job, customer, call.item)
+        if isinstance(body, result.Err):
+            exchange.shrink_to(0)
+            return _refuse(call.job, body.err_value)
+        exchange.shrink_to(len(body.ok_value))
+        return refusals.whole_response(
+            200, "application/octet-stream", body.ok_value
+        )
+
+
+_NO_MEMORY = jobmessages.JobError(
+    "unavailable", "this VM has no memory for the answer now"
+)
+
 
 def _refuse(job: str, error: jobmessages.JobError) -> httpd.Response:
     status = _STATUSES[error.kind]
--- a/packages/gateway/gateway/metrics.py
+++ b/packages/gateway/gateway/metrics.py
@@ -1,7 +1,7 @@
 """Serves counters, gauges and latency histograms to a Prometheus scraper."""
 
-from collections.abc import Callable, Iterable
-from typing import Any
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, NamedTuple, Protocol
 
 import prometheus_client
 from prometheus_client import core as prometheus_core
@@ -24,6 +24,7 @@
 
 PATH = "/metrics"
 _THREADS = 2
+_LIMITS = httpd.DEFAULT_LIMITS._replace(connections=32, head_timeout_s=5.0)
 # Bounds the number of series. Customers that are refused have the fewest
 # tokens left, so they are among those reported.
 _MAX_CUSTOMERS = 20
@@ -58,6 +59,31 @@
 )
 
 
+class CallersHeld(NamedTuple):
+    """What the gateway holds for callers.
+
+    Attributes:
+        held_bytes: The memory that is held for all of them.
+        limit_bytes: The most that may be.
+        connections: Their open connections.
+        connections_limit: The most that may be open.
+        cut_short: How often one was ended or refused, by why.
+    """
+
+    held_bytes: int
+    limit_bytes: int
+    connections: int
+    connections_limit: int
+    cut_short: Mapping[str, int]
+
+
+class ServedCallers(Protocol):
+    """The service that serves callers."""
+
+    def held(self) -> CallersHeld:
+        """Returns what is held for callers now."""
+
+
 class _StateCollector(prometheus_registry.Collector):
     """Collects metrics from other services' state at each scrape."""
 
@@ -138,6 +164,7 @@
         yield tokens
         yield self._crash_records()
         yield from _thread_metrics()
+        yield from self._caller_metrics()
         lost = prometheus_core.CounterMetricFamily(
             "bulrushdeal_log_lines_lost",
             "Lines of the log that found no room.",
@@ -147,6 +174,32 @@
             lost.add_metric([event], count)
         yield lost
 
+    def _caller_metrics(self) -> Iterable[prometheus_core.Metric]:
+        """Yields what is held for callers and how often they were cut short."""
+        served = self._kernel.find(names.FRONT, ServedCallers)
+        held = served.held()
+        for name, text, value in (
+            ("bytes", "Memory that is held for callers.", held.held_bytes),
+            ("bytes_limit", "The most of it.", held.limit_bytes),
+            ("connections", "Open connections of callers.", held.connections),
+            (
+                "connections_limit",
+                "The most of them.",
+                held.connections_limit,
+            ),
+        ):
+            yield prometheus_core.GaugeMetricFamily(
+                f"bulrushdeal_callers_{name}", text, value=value
+            )
+        cut_short = prometheus_core.CounterMetricFamily(
+            "bulrushdeal_callers_cut_short",
+            "Requests and connections ended or refused for want of room.",
+            labels=["why"],
+        )
+        for why, count in held.cut_short.items():
+            cut_short.add_metric([why], count)
+        yield cut_short
+
     def _slots_held(self) -> prometheus_core.Metric:
         held = self._kernel.find(names.PLACEMENT, placement.Placement).held()
         slots = prometheus_core.GaugeMetricFamily(
@@ -259,7 +312,9 @@
         self._registry.register(_StateCollector(self._kernel))
         if not self._address:
             return
-        self._server = httpd.Server(self._address, self._serve, _THREADS)
+        self._server = httpd.Server(
+            self._address, self._serve, _THREADS, limits=_LIMITS
+        )
         self._server.start()
 
     def stop(self, grace_s: float) -> None:
--- a/packages/gateway/gateway/opencalls.py
+++ b/packages/gateway/gateway/opencalls.py
@@ -5,6 +5,8 @@
 import time
 from typing import Literal
 
+from bulrushdeal import exchanges
+
 EndReason = Literal["", "caller_left", "timeout", "stopping"]
 
 
@@ -21,10 +23,15 @@
         caller_deadline_s: When the caller stops waiting; `None` if unknown.
         sends: How many times the request was sent to an upstream.
         runs: How many of these sends may have run.
+        exchange: The account of what is held for the request and its answer.
     """
 
     def __init__(
-        self, attempt: str, due_s: float, caller_deadline_s: float | None
+        self,
+        attempt: str,
+        due_s: float,
+        caller_deadline_s: float | None,
+        exchange: exchanges.Exchange | None = None,
     ) -> None:
         self.attempt = attempt
         self.started_s = time.monotonic()
@@ -32,6 +39,7 @@
         self.caller_deadline_s = caller_deadline_s
         self.sends = 0
         self.runs = 0
+        self.exchange = exchange or exchanges.detached()
         self._lock = threading.Lock()
         self._reason: EndReason = ""
         self._is_answered = False
--- a/packages/gateway/gateway/records.py
+++ b/packages/gateway/gateway/records.py
@@ -5,6 +5,8 @@
 import types
 from typing import Literal, NamedTuple
 
+from bulrushdeal import exchanges
+
 RouteKind = Literal["safe", "unsafe", "streaming", "batch"]
 # What the newest listing shows of an upstream. `kept`: the store does not list
 # it, which an outage of the store may explain. `gone`: the store no longer
@@ -245,6 +247,9 @@
             leader of its service, in the order of rank and fair share.
         drain_timeout_s: How long an upstream that leaves serves after the
             store has accepted it.
+        callers_memory_bytes: What may be held for all callers together: bodies,
+            answers, jobs that are decoded.
+        callers_connections: How many connections of callers may be open.
     """
 
     vm: str
@@ -268,3 +273,5 @@
     limit_overage: float = 0.0
     has_waiting_line: bool = False
     drain_timeout_s: float = 2.0
+    callers_memory_bytes: int = exchanges.DEFAULT_LIMIT_BYTES
+    callers_connections: int = 2000
