--- a/packages/daemon/bulrushdeald/connections.py
+++ b/packages/daemon/bulrushdeald/connections.py
@@ -153,7 +153,10 @@
         return sock
 
     def _new_conn(self) -> socket.socket:
-        return sockets.TimedSocket.adopt(super()._new_conn())
+        connected = super()._new_conn()
+        # An upstream's answer waits there while its caller does not read.
+        sockets.limit_buffers(connected)
+        return sockets.TimedSocket.adopt(connected)
 
     def response_class(  # type: ignore[override]
         self, sock: socket.socket, *args: Any, **kwargs: Any
--- a/packages/daemon/bulrushdeald/upstreams.py
+++ b/packages/daemon/bulrushdeald/upstreams.py
@@ -24,7 +24,7 @@
 from bulrushdeald import headers as headers_lib
 from bulrushdeald import services
 
-_READ_BYTES = 64 * 1024
+_READ_BYTES = 16 * 1024
 # On, with no time to linger: `close` resets the connection.
 _LINGER_RESET = struct.pack("ii", 1, 0)
 # A host that is reached refuses a connection within a round trip. The answer
