Jobs: what VMs keep of jobs and results is bounded in bytes

Results are kept up to 8 MB; a VM whose jobs hold half of the callers' memory leaves further ones unclaimed, for VMs that have room or for later.

--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -221,6 +221,7 @@
         is_writing_expired: Whether a thread is writing the error results of
             a job that is past its retention.
         next_position: The position of the next result.
+        input_bytes: The length of the bodies that are held for its items.
         list_lock: Held while a result is written. The write at a position
             must be confirmed before the next position is used; otherwise a
             write whose answer was lost could leave a gap.
@@ -239,6 +240,7 @@
         self.is_writing_expired = False
         self.list_lock = threading.Lock()
         self.next_position = len(listed)
+        self.input_bytes = sum(len(item.body) for item in items)
         self._lock = threading.Lock()
         done = {row.item for row in listed}
         self._pending = collections.deque(
@@ -481,6 +483,11 @@
         with self._lock:
             return set(self._jobs)
 
+    def input_bytes(self) -> int:
+        """Returns the length of the bodies that are held for all jobs."""
+        with self._lock:
+            return sum(row.input_bytes for row in self._jobs.values())
+
     def by_due_time(self) -> list[JobState]:
         """Returns all jobs, the earliest due time first."""
         with self._lock:
--- a/packages/gateway/gateway/jobstore.py
+++ b/packages/gateway/gateway/jobstore.py
@@ -1,6 +1,7 @@
 """Reads and writes batch jobs in the platform's store, with a cache."""
 
 import collections
+from collections.abc import Iterable
 import threading
 from typing import Any
 
@@ -24,6 +25,8 @@
 # and after a dead connection the next try still accepts a job in time.
 _COMMIT_TIMEOUTS_S = (0.35, 1.2, 1.2)
 _MAX_CACHED_JOBS = 64
+# The jobs that were read last stay within this, unless a single one is larger.
+_MAX_CACHED_BYTES = 8_000_000
 
 
 class JobView:
@@ -32,11 +35,19 @@
     Attributes:
         meta: The job's metadata.
         results: The results from the first position on, without gaps.
+        size_bytes: The length of their outputs.
     """
 
     def __init__(self, meta: jobrecords.JobMeta) -> None:
         self.meta = meta
         self.results: list[dialect_lib.ItemResult] = []
+        self.size_bytes = 0
+
+    def extend(self, rows: Iterable[dialect_lib.ItemResult]) -> None:
+        """Adds the next results."""
+        for row in rows:
+            self.results.append(row)
+            self.size_bytes += len(row.output)
 
     def is_whole(self) -> bool:
         """Returns whether it has the results of all items."""
@@ -104,7 +115,8 @@
         """Caches results from another VM if they start at the next position."""
         with self._lock:
             if len(view.results) == position:
-                view.results.extend(rows)
+                view.extend(rows)
+                self._evict()
 
     def cache_result(
         self, job: str, position: int, row: dialect_lib.ItemResult
@@ -113,7 +125,8 @@
         with self._lock:
             view = self._views.get(job)
             if view is not None and len(view.results) == position:
-                view.results.append(row)
+                view.extend((row,))
+                self._evict()
 
     def read_items(
         self, meta: jobrecords.JobMeta
@@ -184,10 +197,19 @@
         """Adds a job to the cache and returns its view."""
         with self._lock:
             view = self._views.setdefault(meta.job, JobView(meta))
-            while len(self._views) > _MAX_CACHED_JOBS:
-                self._views.popitem(last=False)
+            self._evict()
             return view
 
+    def _evict(self) -> None:
+        """Drops the jobs that were read longest ago, but never the last."""
+        size_bytes = sum(view.size_bytes for view in self._views.values())
+        while len(self._views) > 1 and (
+            len(self._views) > _MAX_CACHED_JOBS
+            or size_bytes > _MAX_CACHED_BYTES
+        ):
+            _, dropped = self._views.popitem(last=False)
+            size_bytes -= dropped.size_bytes
+
     def read_new_results(
         self, view: JobView, known: int
     ) -> result.Result[int, jobmessages.JobError]:
@@ -230,7 +252,8 @@
                         "bad_record", job=view.meta.job, why=str(error)
                     )
                     return
-                view.results.append(row)
+                view.extend((row,))
+            self._evict()
 
 
 def job_error(
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -40,6 +40,9 @@
 # Interval between checks for slots that online requests leave free.
 _SCHEDULE_INTERVAL_S = 0.1
 _MAX_RUNS = 64
+# What the items of the jobs that this VM runs may hold, as a part of what may
+# be held for all callers. It comes on top of that.
+_INPUT_SHARE = 0.5
 # Items per request for slots; few slots become free between two requests.
 _MAX_SLOTS_PER_REQUEST = 16
 # How long an item waits for an upstream of its software version while others
@@ -75,6 +78,9 @@
         self._value_bytes = int(
             settings.max_value_bytes * jobs.VALUE_PAYLOAD_SHARE
         )
+        self._max_input_bytes = int(
+            settings.callers_memory_bytes * _INPUT_SHARE
+        )
         self._lock = threading.Lock()
         self._table = jobstate.JobTable()
         self._wake = threading.Event()
@@ -148,7 +154,24 @@
 
     def is_accepting(self) -> bool:
         """See `jobmessages.JobRunner`."""
-        return not self._stopping.is_set()
+        return not self._stopping.is_set() and self._has_memory()
+
+    def _has_memory(self) -> bool:
+        """Returns whether this VM may hold the items of one more job.
+
+        A job that it leaves unclaimed is taken over by a VM that has memory,
+        or by this one later.
+        """
+        held_bytes = self._table.input_bytes()
+        if held_bytes <= self._max_input_bytes:
+            return True
+        _events.sampled_info(
+            "no_memory",
+            jobs=len(self._table.names()),
+            held_bytes=held_bytes,
+            limit_bytes=self._max_input_bytes,
+        )
+        return False
 
     def start_job(self, accepted: jobmessages.Accepted) -> None:
         """See `jobmessages.JobRunner`."""
@@ -161,6 +184,8 @@
 
     def _may_hold(self, job: str) -> bool:
         """Returns whether this VM may read a job's items from the store."""
+        if not self._has_memory():
+            return False
         active = self._configuration.current()
         if active is None or not active.has_regions:
             return True
