Peers: connections that do not say who they are are bounded

A handshake could dribble for ever, as each byte had the timeout to itself.

At most 256 connections may not have said who they are, the oldest goes; the whole handshake has 4 s; the listener's receive buffers are 32 kB.

--- a/packages/daemon/bulrushdeald/peers.py
+++ b/packages/daemon/bulrushdeald/peers.py
@@ -1,6 +1,7 @@
 """Typed calls between entry VMs, as CBOR messages over websockets."""
 
 from collections.abc import Callable
+import contextlib
 import functools
 import random
 import socket
@@ -16,6 +17,7 @@
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import logs
 from bulrushdeal import records
+from bulrushdeal import sockets
 from bulrushdeal import threads
 from bulrushdeald import handlerpool
 from bulrushdeald import links
@@ -30,6 +32,11 @@
 _CLEANUP_INTERVAL_S = 5.0
 _BACKLOG = 512
 _ACCEPT_RETRY_S = 0.1
+# The accepted connections that may not have said yet who they are; each takes a
+# thread. All VMs that connect at once do so within milliseconds.
+_MAX_OPENING = 256
+# What may arrive on each of them unread. The system doubles it.
+_RECEIVE_BUFFER_BYTES = 32 * 1024
 _FIRST_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 2.0
 
@@ -97,6 +104,9 @@
         self._backoffs: dict[str, _Backoff] = {}
         self._addresses = _Addresses((), {})
         self._accepted: set[websocket.Connection] = set()
+        # Accepted sockets whose other end has not said who it is, oldest first.
+        self._opening: dict[socket.socket, None] = {}
+        self._opening_ended = 0
         self._pool = handlerpool.Pool()
         self._stopping = threading.Event()
         self._threads: list[threading.Thread] = []
@@ -127,6 +137,7 @@
             raise PeerAddressError(
                 f"--peers-address {self._address}: {why}"
             ) from error
+        sockets.limit_receive_buffer(self._listener, _RECEIVE_BUFFER_BYTES)
         for target in (self._run_accept_loop, self._run_cleanup):
             thread = threads.start(target, "peers", is_vital=True)
             self._threads.append(thread)
@@ -159,6 +170,8 @@
             return {
                 "links": sorted(self._links),
                 "accepted": len(self._accepted),
+                "opening": len(self._opening),
+                "opening_ended": self._opening_ended,
                 "backing_off": sorted(self._backoffs),
                 **self._traffic.dump(),
             }
@@ -313,9 +326,33 @@
                     _log.warning("Cannot accept a peer: %r", error)
                     self._stopping.wait(_ACCEPT_RETRY_S)
                 continue
+            self._add_opening(connected)
             threads.start_once(self._run_connection, "peer accepted", connected)
 
+    def _add_opening(self, connected: socket.socket) -> None:
+        """Adds an accepted socket; too many of these end the oldest."""
+        with self._lock:
+            self._opening[connected] = None
+            if len(self._opening) <= _MAX_OPENING:
+                return
+            oldest = next(iter(self._opening))
+            del self._opening[oldest]
+            self._opening_ended += 1
+        # Its thread finds the end of the connection; it may be over already.
+        with contextlib.suppress(OSError):
+            oldest.shutdown(socket.SHUT_RDWR)
+
+    def _end_opening(self, connected: socket.socket) -> None:
+        with self._lock:
+            self._opening.pop(connected, None)
+
     def _run_connection(self, connected: socket.socket) -> None:
+        try:
+            self._serve_connection(connected)
+        finally:
+            self._end_opening(connected)
+
+    def _serve_connection(self, connected: socket.socket) -> None:
         try:
             connection = websocket.accept(connected, wire.MAX_FRAME_BYTES)
         except websocket.BrokenError as error:
@@ -325,7 +362,7 @@
             self._accepted.add(connection)
         try:
             if not self._is_stopped():
-                self._answer_requests(connection)
+                self._answer_requests(connection, connected)
         except (websocket.BrokenError, codec.CodecError) as error:
             _log.debug("An accepted connection broke: %r", error)
         finally:
@@ -333,7 +370,9 @@
                 self._accepted.discard(connection)
             connection.release()
 
-    def _answer_requests(self, connection: websocket.Connection) -> None:
+    def _answer_requests(
+        self, connection: websocket.Connection, connected: socket.socket
+    ) -> None:
         data = connection.receive()
         if data is None:
             return
@@ -341,6 +380,7 @@
         hello = codec.from_plain(wire.Hello, frame.fields)
         connection.send(wire.pack(-frame.request_id, self._hello))
         connection.use_idle_timeout()
+        self._end_opening(connected)
         requests = handlerpool.RequestQueue(self._pool)
         while (data := connection.receive()) is not None:
             self._traffic.received(len(data))
--- a/packages/daemon/bulrushdeald/websocket.py
+++ b/packages/daemon/bulrushdeald/websocket.py
@@ -8,9 +8,11 @@
 import collections
 from collections.abc import Callable, Sequence
 import contextlib
+import math
 import socket
 import struct
 import threading
+import time
 
 from websockets import client
 from websockets import exceptions
@@ -23,6 +25,8 @@
 from bulrushdeal import addresses
 
 OPEN_TIMEOUT_S = 2.0
+# The same over all of its bytes, each of which has the timeout to itself.
+_MAX_OPENING_S = 2 * OPEN_TIMEOUT_S
 PING_INTERVAL_S = 10.0
 PING_TIMEOUT_S = 5.0
 # The accepting end closes a connection on which nothing arrived for this long;
@@ -55,6 +59,8 @@
         self._lock = threading.Lock()
         self._messages: collections.deque[bytes] = collections.deque()
         self._is_awaiting_pong = False
+        # Until when the connecting end has to have said who it is.
+        self._open_until_s = math.inf
 
     def configure_socket(self) -> None:
         """Sets the socket's options and the timeouts of the handshake."""
@@ -96,7 +102,8 @@
         return self._messages.popleft()
 
     def use_idle_timeout(self) -> None:
-        """Replaces the receive timeout of the handshake by the idle timeout."""
+        """Replaces the timeout of the handshake by the idle timeout."""
+        self._open_until_s = math.inf
         self._set_socket_timeout(socket.SO_RCVTIMEO, self._idle_timeout_s)
 
     def close(self) -> None:
@@ -130,6 +137,7 @@
         except BlockingIOError:
             self._send_ping()
             return True
+        self._check_open_time()
         if self._is_awaiting_pong:
             self._is_awaiting_pong = False
             self._set_socket_timeout(socket.SO_RCVTIMEO, self._idle_timeout_s)
@@ -187,8 +195,14 @@
         if protocol.state is not protocol_lib.State.OPEN:
             raise ConnectionError("the connection ended during the handshake")
 
+    def _check_open_time(self) -> None:
+        # The receive timeout starts anew with each byte.
+        if time.monotonic() > self._open_until_s:
+            raise TimeoutError("the other end does not say who it is")
+
     def _read_handshake(self) -> bool:
         data = self._socket.recv(_READ_BYTES)
+        self._check_open_time()
         with self._lock:
             if data:
                 self._protocol.receive_data(data)
@@ -200,6 +214,7 @@
         """Performs the handshake of the accepting end."""
         protocol = self._protocol
         assert isinstance(protocol, server.ServerProtocol)
+        self._open_until_s = time.monotonic() + _MAX_OPENING_S
         requests: Sequence[object] = ()
         while not requests:
             if not self._read_handshake():
