Daemon: its callers share one account, stalled transfers yield

The daemon's own interface uses the same server: 24 threads that wait for bodies held 163 MB where a VM has 150, dribbling callers took all threads or all of the slots for bulk requests.

New settings `--callers-memory-mb` and `--callers-connections`; a body has until the online deadline (408 `late_body`); an answer without room is relayed; a stalled transfer yields its bulk slot; half of the process's descriptors are kept for what is not a caller. The dump shows what is held.

--- a/packages/daemon/bulrushdeald/callers.py
+++ b/packages/daemon/bulrushdeald/callers.py
@@ -1,12 +1,15 @@
 """The callers' HTTP server: authentication, routing and graceful shutdown."""
 
+import collections
 from collections.abc import Iterator
+import resource
 import threading
 import time
 from typing import Any, Literal, NamedTuple
 
 import result
 
+from bulrushdeal import exchanges
 from bulrushdeal import httpd
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import logs
@@ -30,6 +33,9 @@
 # The threads of the listener on the bulk address.
 _BULK_LISTENER_THREADS = 32
 _BULK_RETRY_AFTER_S = 2.0
+# How long a bulk request that yields may take to end.
+_YIELD_WAIT_S = 0.5
+_BYTES_PER_MB = 1_000_000
 _NOT_READY_RETRY_AFTER_S = 1.0
 # How long ended requests may take to close, and how long the HTTP library
 # needs to end its threads once no request is open.
@@ -53,12 +59,29 @@
     is_bulk: bool
 
 
+class Held(NamedTuple):
+    """What is held for callers.
+
+    Attributes:
+        held_bytes: The memory that is held for all of them.
+        limit_bytes: The most that may be.
+        connections: Their open connections.
+        cut_short: How often one was ended or refused, by why.
+    """
+
+    held_bytes: int
+    limit_bytes: int
+    connections: int
+    cut_short: dict[str, int]
+
+
 class State(NamedTuple):
     """The server's part of the state dump."""
 
     state: Literal["waiting", "serving", "stopping"]
     open_calls: tuple[calls.State, ...]
     retries_left: dict[str, float]
+    held: Held
 
 
 class CallersServer:
@@ -78,6 +101,7 @@
         self._routes: list[_Route] = []
         self._servers: list[httpd.Server] = []
         self._state: Literal["waiting", "serving", "stopping"] = "waiting"
+        self._room = exchanges.Room(settings.callers_memory_mb * _BYTES_PER_MB)
         threads = settings.online_threads // _BULK_THREAD_DIVISOR
         self._bulk_slots = threading.BoundedSemaphore(max(threads, 1))
 
@@ -109,13 +133,31 @@
             addresses.append((settings.bulk_address, _BULK_LISTENER_THREADS))
         for address, threads in addresses:
             server = httpd.Server(
-                address, self._serve, threads, refusals.response(_VM_BUSY)
+                address,
+                self._serve,
+                threads,
+                refusals.response(_VM_BUSY),
+                room=self._room,
+                limits=httpd.DEFAULT_LIMITS._replace(
+                    connections=self._max_connections(len(addresses))
+                ),
             )
             server.start()
             self._servers.append(server)
         self._state = "serving"
         _log.info("Listening on port %d.", self.port)
 
+    def _max_connections(self, listeners: int) -> int:
+        """Returns how many connections of callers a listener may have open.
+
+        Upstreams, peers and the platform need descriptors as well.
+        """
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        most = self._settings.callers_connections
+        if soft != resource.RLIM_INFINITY:
+            most = min(most, soft // 2)
+        return max(most // listeners, 1)
+
     def drain(self, grace_s: float) -> None:
         """Stops the server and lets open requests finish.
 
@@ -155,6 +197,18 @@
             self._state,
             tuple(call.state() for call in self._open_calls.all()),
             self._dispatcher.budget.state(),
+            self._held(),
+        )
+
+    def _held(self) -> Held:
+        counts = collections.Counter(self._room.counts())
+        for server in self._servers:
+            counts.update(server.closed_early())
+        return Held(
+            self._room.held_bytes(),
+            self._room.limit_bytes,
+            sum(server.open_connections() for server in self._servers),
+            dict(counts),
         )
 
     def route(
@@ -269,7 +323,7 @@
         # A slow transfer holds a thread. Without a bound, slow transfers could
         # hold all threads, and online requests would wait for one before this
         # server sees them.
-        if not self._bulk_slots.acquire(blocking=False):
+        if not self._take_bulk_slot(request):
             return refusals.response(_BULK_FULL)
         try:
             response = route.handler(request, principal)
@@ -279,6 +333,19 @@
         body = calls.Body(response.body, self._bulk_slots.release)
         return _abort_on_end(call, response._replace(body=body))
 
+    def _take_bulk_slot(self, request: httpd.Request) -> bool:
+        """Takes one of the slots for bulk requests, if one is free.
+
+        A transfer that has stalled yields its slot.
+        """
+        exchange = request.exchange
+        is_taken = self._bulk_slots.acquire(blocking=False)
+        if not is_taken and self._room.make_thread_yield(self._bulk_slots):
+            is_taken = self._bulk_slots.acquire(timeout=_YIELD_WAIT_S)
+        if is_taken and exchange is not None:
+            exchange.group = self._bulk_slots
+        return is_taken
+
     def _end_withdrawn(self) -> None:
         self._open_calls.end_where(
             lambda call: self._config.is_withdrawn(call.key_hash),
--- a/packages/daemon/bulrushdeald/defaults.py
+++ b/packages/daemon/bulrushdeald/defaults.py
@@ -124,6 +124,23 @@
         low=2,
         high=5000,
     ),
+    settings.Setting(
+        "callers_memory_mb",
+        "integer",
+        32,
+        "The memory that may be held for all callers' requests and answers.",
+        low=1,
+        high=100_000,
+    ),
+    settings.Setting(
+        "callers_connections",
+        "integer",
+        2000,
+        "The number of callers' connections that may be open; at most half of"
+        " the descriptors that the process may have.",
+        low=16,
+        high=1_000_000,
+    ),
     settings.Setting(
         "batch_reserve_fraction",
         "number",
@@ -326,6 +343,8 @@
     peer_seeds: str
     max_body_bytes: int
     online_threads: int
+    callers_memory_mb: int
+    callers_connections: int
     batch_reserve_fraction: float
     batch_yields: str
     upstream_policy: str
--- a/packages/daemon/bulrushdeald/modelcalls.py
+++ b/packages/daemon/bulrushdeald/modelcalls.py
@@ -1,11 +1,13 @@
 """Serves calls to models, answered whole or as an event stream."""
 
+import collections
 from collections.abc import Iterator
 import time
 from typing import Any
 
 import result
 
+from bulrushdeal import exchanges
 from bulrushdeal import fingerprints
 from bulrushdeal import httpd
 from bulrushdeal import jsontext
@@ -29,6 +31,8 @@
 # reason, and `[DONE]`.
 _EVENTS_WITHOUT_TOKEN = 2
 _MAX_ANSWER_BYTES = 64_000_000
+# The memory to decode a call and to change it, as a multiple of its body.
+_MEMORY_FACTOR = 4
 
 
 class ModelCalls:
@@ -85,7 +89,12 @@
     def _read_call(
         self, request: httpd.Request
     ) -> result.Result[completions.Call, services.Refusal]:
-        body = bodies.read_whole(request, self._max_body_bytes)
+        body = bodies.read_whole(
+            request,
+            self._max_body_bytes,
+            _MEMORY_FACTOR,
+            time.monotonic() + self._deadline_s,
+        )
         if isinstance(body, result.Err):
             return body
         key = headers_lib.bearer(request.headers)
@@ -144,7 +153,8 @@
             if self._may_retry_refusal(relay, call, guard):
                 relay.refuse()
                 continue
-            builder = _ResponseBuilder(relay, tokens, hides_usage)
+            exchange = request.exchange or exchanges.detached()
+            builder = _ResponseBuilder(relay, tokens, hides_usage, exchange)
             answered = builder.build(model_call.is_stream)
             if isinstance(answered, result.Ok):
                 return answered
@@ -203,11 +213,16 @@
     """Builds the response to a call from one upstream's answer."""
 
     def __init__(
-        self, relay: relays.Relay, tokens: "_TokenCounter", hides_usage: bool
+        self,
+        relay: relays.Relay,
+        tokens: "_TokenCounter",
+        hides_usage: bool,
+        exchange: exchanges.Exchange,
     ) -> None:
         self._relay = relay
         self._tokens = tokens
         self._hides_usage = hides_usage
+        self._exchange = exchange
 
     def build(
         self, is_stream: bool
@@ -218,8 +233,11 @@
         return self._build_whole()
 
     def _build_whole(self) -> result.Result[httpd.Response, dispatch.Failure]:
-        """Returns a whole response once the whole answer was received."""
-        parts: list[bytes] = []
+        """Returns a whole response once the whole answer was received.
+
+        One for which there is no memory is relayed as it comes.
+        """
+        parts: collections.deque[bytes] = collections.deque()
         size_bytes = 0
         for item in self._relay.items:
             if isinstance(item, result.Err):
@@ -228,6 +246,13 @@
             if size_bytes > _MAX_ANSWER_BYTES:
                 return result.Err(self._relay.failure(_ANSWER_TOO_LONG))
             parts.append(item.ok_value)
+            # Its parts are joined, which takes their memory twice.
+            if not self._exchange.grow(2 * len(item.ok_value)):
+                rest = calls.Body(self._rest(parts), self._relay.close)
+                answer = self._relay.answer
+                return result.Ok(
+                    httpd.Response(answer.status, answer.headers, rest)
+                )
         body = b"".join(parts)
         self._tokens.usage_event = body
         answer = self._relay.answer
@@ -235,6 +260,22 @@
         headers = _with_content_length(answer.headers, len(body))
         return result.Ok(httpd.Response(answer.status, headers, (body,)))
 
+    def _rest(self, parts: collections.deque[bytes]) -> Iterator[bytes]:
+        """Yields what has come of an answer, and then the rest.
+
+        The usage that it reports is not found, as it is never whole here.
+
+        Raises:
+            BrokenAnswerError: The answer broke off.
+        """
+        while parts:
+            yield parts.popleft()
+        for item in self._relay.items:
+            if isinstance(item, result.Err):
+                refusal = self._relay.fail(item.err_value)
+                raise calls.BrokenAnswerError(refusal.message)
+            yield item.ok_value
+
     def _build_stream(self) -> result.Result[httpd.Response, dispatch.Failure]:
         """Returns a streamed response once its first event was received."""
         events = streams.whole_events(self._relay.items)
--- a/packages/daemon/bulrushdeald/operators.py
+++ b/packages/daemon/bulrushdeald/operators.py
@@ -14,6 +14,7 @@
 
 _log = logs.Log("operators")
 _THREADS = 16
+_LIMITS = httpd.DEFAULT_LIMITS._replace(connections=128, head_timeout_s=10.0)
 
 
 class OperatorsServer:
@@ -31,7 +32,7 @@
         self._exact_routes: dict[tuple[str, str], httpd.Handler] = {}
         self._prefix_routes: dict[tuple[str, str], httpd.Handler] = {}
         self._server = httpd.Server(
-            settings.operators_address, self._serve, _THREADS
+            settings.operators_address, self._serve, _THREADS, limits=_LIMITS
         )
 
     @property
