--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from soak import budget
+from soak import crowding
 from soak import fleet as fleet_lib
 from soak import links
 from soak import parts
@@ -44,7 +45,7 @@
         at_s: When it begins, in seconds since the start of the series.
         for_s: How long it lasts, in seconds.
         kind: A key of `GENERAL`, `CAPACITY`, `ANSWERS`, `POISON`, `NEWER`,
-            `LIMITS`, `CLAIMS`, `HANGS` or `COPIES`.
+            `LIMITS`, `CLAIMS`, `HANGS`, `COPIES` or `CROWDS`.
         number: Selects the affected VM, link or upstream, and details of some
             kinds.
         how: The variant of the kind, from `_VARIANTS`; empty without variants.
@@ -132,6 +133,20 @@
     ]
 
 
+def draw_crowds(rng: random.Random, length_s: float) -> list[Fault]:
+    """Returns faults of the kind `crowd`; two of them may overlap."""
+    return [
+        Fault(
+            round(rng.uniform(1.0, length_s), 2),
+            round(rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S), 2),
+            "crowd",
+            rng.randrange(100),
+            "",
+        )
+        for _ in range(2)
+    ]
+
+
 def draw_claims(rng: random.Random, length_s: float) -> list[Fault]:
     """Returns faults of each of the kinds in `CLAIMS`, each three times.
 
@@ -231,6 +246,8 @@
             self.disturbances.append(span)
         if vm is None and fault.kind == "cut":
             vm = self._target_vm(fault).name
+        if vm is None and fault.kind == "crowd":
+            vm = self._target_vm(fault).name
         if vm is None and fault.kind in _STORE_FAULTS:
             vm = ""
         if vm is not None:
@@ -476,6 +493,9 @@
         for row in self._fleet.vms:
             row.store_server.fault = ""
 
+    def _press(self, fault: Fault) -> None:
+        crowding.press(self._fleet, self._target_vm(fault), fault.for_s)
+
     def _surge(self, fault: Fault) -> None:
         self._fleet.surged_vm = self._target_vm(fault)
         time.sleep(fault.for_s)
@@ -598,6 +618,10 @@
 COPIES: dict[str, Callable[[Player, Fault], None]] = {
     "copy": Player._send_copies,
 }
+# Clients that do not behave, drawn apart for the same reason.
+CROWDS: dict[str, Callable[[Player, Fault], None]] = {
+    "crowd": Player._press,
+}
 # Faults of upstreams alone, of which their VMs can end each run in time.
 UPSTREAMS: dict[str, Callable[[Player, Fault], None]] = {
     "answer": Player._corrupt_answers,
@@ -616,4 +640,5 @@
     | CLAIMS
     | HANGS
     | COPIES
+    | CROWDS
 )
--- a/tests/soak/playing.py
+++ b/tests/soak/playing.py
@@ -74,6 +74,7 @@
         + faults.draw_poison(random.Random(f"{seed} poison"), length_s)
         + faults.draw_claims(random.Random(f"{seed} claims"), length_s)
         + faults.draw_hangs(random.Random(f"{seed} hangs"), length_s)
+        + faults.draw_crowds(random.Random(f"{seed} crowds"), length_s)
         + faults.draw_newer(random.Random(f"{seed} newer"), length_s)
         + faults.draw_copies(
             random.Random(f"{seed} copies"), length_s, _COPIES_INTERVAL_S
