Jobs: inputs are held for what they take; the crowd tests run their items

The inputs of a finished job are read from the store, whole, to find one: the 2 MB reserved for that were too few. Beside 340 who read inputs slowly the gateway held 166 MB where 128 are allowed. What is read from the store now reserves 8 MB; what the running VM has is counted by its length.

The tests' service had no engine, and items run at engines only, so after 60 s the pages held errors of no length: they checked less than they say.

--- a/packages/gateway/gateway/jobfront.py
+++ b/packages/gateway/gateway/jobfront.py
@@ -29,8 +29,6 @@
 MEMORY_FACTOR = 8
 # The memory to encode a page of results, as a multiple of their outputs.
 _PAGE_FACTOR = 3
-# What an item's input may take until its length is known.
-_INPUT_BYTES = 2_000_000
 
 
 class JobFront:
@@ -87,7 +85,7 @@
             return _refuse(call.job, page.err_value)
         size_bytes = sum(len(row.output) for row in page.ok_value.results)
         if not exchange.grow(size_bytes * _PAGE_FACTOR):
-            return _refuse(call.job, _NO_MEMORY)
+            return _refuse(call.job, jobmessages.NO_MEMORY)
         data = self._dialect.encode_job_page(page.ok_value)
         exchange.shrink_to(len(data))
         return refusals.whole_response(200, "application/json", data)
@@ -98,23 +96,17 @@
         customer: str,
         exchange: exchanges.Exchange,
     ) -> httpd.Response:
-        if not exchange.grow(_INPUT_BYTES):
-            return _refuse(call.job, _NO_MEMORY)
-        body = self._jobs.input(call.job, customer, call.item)
+        body = self._jobs.input(call.job, customer, call.item, exchange)
         if isinstance(body, result.Err):
-            exchange.shrink_to(0)
             return _refuse(call.job, body.err_value)
-        exchange.shrink_to(len(body.ok_value))
+        exchange.shrink_to(0)
+        if not exchange.grow(len(body.ok_value)):
+            return _refuse(call.job, jobmessages.NO_MEMORY)
         return refusals.whole_response(
             200, "application/octet-stream", body.ok_value
         )
 
 
-_NO_MEMORY = jobmessages.JobError(
-    "unavailable", "this VM has no memory for the answer now"
-)
-
-
 def _refuse(job: str, error: jobmessages.JobError) -> httpd.Response:
     status = _STATUSES[error.kind]
     _events.warning("refused", job=job, status=status, why=error.message)
--- a/packages/gateway/gateway/jobmessages.py
+++ b/packages/gateway/gateway/jobmessages.py
@@ -28,6 +28,9 @@
     retry_after_s: float = 0.0
 
 
+NO_MEMORY = JobError("unavailable", "this VM has no memory for the answer now")
+
+
 class Accepted(NamedTuple):
     """A job that this VM has accepted and claimed."""
 
--- a/packages/gateway/gateway/jobs.py
+++ b/packages/gateway/gateway/jobs.py
@@ -7,6 +7,7 @@
 import result
 
 from bulrushdeal import eventlog
+from bulrushdeal import exchanges
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeald import services
 from gateway import backlogs
@@ -30,6 +31,8 @@
 # value.
 VALUE_PAYLOAD_SHARE = 0.6
 _MAX_INPUT_PARTS = 24
+# The memory to read the items of a large job from the store, to find one.
+_STORED_INPUT_BYTES = 8_000_000
 
 
 class Jobs:
@@ -301,9 +304,20 @@
             self._job_store.add_entries(view, changed.unwrap().entries)
 
     def input(
-        self, job: str, customer: str, item: str
+        self,
+        job: str,
+        customer: str,
+        item: str,
+        exchange: exchanges.Exchange,
     ) -> result.Result[bytes, jobmessages.JobError]:
-        """Returns the request body of a job's item."""
+        """Returns the request body of a job's item.
+
+        Args:
+            job: The job's id.
+            customer: The customer that asks; see `read`.
+            item: The item's id.
+            exchange: The account of what is held meanwhile.
+        """
         found = self._view_for_customer(job, customer)
         if isinstance(found, result.Err):
             return found
@@ -312,6 +326,8 @@
         body = self._job_peers.input(job, item)
         if body is not None:
             return result.Ok(body)
+        if not exchange.grow(_STORED_INPUT_BYTES):
+            return result.Err(jobmessages.NO_MEMORY)
         items = self._job_store.read_items(found.ok_value.meta)
         if isinstance(items, result.Err):
             return items
--- a/tests/support/crowdvm.py
+++ b/tests/support/crowdvm.py
@@ -72,6 +72,8 @@
                 "name": "llm",
                 "health_check": "/healthz",
                 "max_connections": 2000,
+                # Batch items run at engines.
+                "engine": {"slots": _SLOTS, "kv_capacity_tokens": 10_000_000},
             }
         ]
     )
