--- a/Makefile
+++ b/Makefile
@@ -23,9 +23,12 @@
 	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p)) platform tests
 
 # A few files at a time, each whole in one process, and those over real
-# processes one after the other: most of the time tests wait.
+# processes one after the other: most of the time tests wait. Then the crowds
+# of clients, one at a time and apart from other load.
 test: check
-	$(BIN)/python -m pytest --numprocesses 4 --dist loadgroup
+	$(BIN)/python -m pytest --numprocesses 4 --dist loadgroup \
+	    --ignore tests/crowds
+	$(BIN)/python -m pytest tests/crowds
 
 format: setup
 	$(BIN)/ruff check --fix --exit-zero $(SOURCES)
--- a/packages/core/bulrushdeal/exchanges.py
+++ b/packages/core/bulrushdeal/exchanges.py
@@ -245,11 +245,12 @@
                 and row.phase == "reading"
                 and not row.end_reason
             ]
+            if not overdue:
+                return
             self._counts["overdue"] += len(overdue)
         for exchange in overdue:
             exchange.end("overdue")
-        if overdue:
-            self._log("overdue", 0, count=len(overdue))
+        self._log("overdue", 0, count=len(overdue))
 
     def _has_room(
         self, exchange: Exchange, size_bytes: int, *, keeps_reserve: bool
--- a/packages/core/bulrushdeal/httpconnections.py
+++ b/packages/core/bulrushdeal/httpconnections.py
@@ -132,6 +132,7 @@
                 next_tick_s = now_s + _TICK_S
                 self._close_overdue(now_s)
                 self.server.room.end_overdue(now_s)
+                self.server.requests.serve_waiting()
 
     def _accept(self) -> None:
         try:
--- a/packages/core/bulrushdeal/httpwire.py
+++ b/packages/core/bulrushdeal/httpwire.py
@@ -299,6 +299,15 @@
             return
         self.server.room.make_thread_yield(self.server)
 
+    def serve_waiting(self) -> None:
+        """Frees threads for the connections that wait for one.
+
+        When they were queued, no exchange may have stalled for long enough.
+        """
+        for _ in range(self._untyped()._queue.qsize()):
+            if not self.server.room.make_thread_yield(self.server):
+                return
+
     def _untyped(self) -> Any:
         """Returns `self` untyped, for attributes missing in the type stubs."""
         return self
--- a/tests/crowds/test_daemoncrowds.py
+++ b/tests/crowds/test_daemoncrowds.py
@@ -140,7 +140,10 @@
         deployment.add_engine(
             "engine-0",
             "north",
-            ["--token-s", "0.00001", "--token-per-stream-s", "0"],
+            [
+                *("--token-s", "0.00001", "--token-per-stream-s", "0"),
+                *("--prefill-per-token-s", "0"),
+            ],
             slots=400,
         )
         key = deployment.create_customer("kisumu", 100_000.0)
--- a/tests/usersplatform/test_settings.py
+++ b/tests/usersplatform/test_settings.py
@@ -1,6 +1,7 @@
 """The settings file of the users' platform."""
 
 import copy
+import json
 import pathlib
 from typing import Any
 
@@ -90,3 +91,46 @@
     assert settings.read({**variables, switch: "yes"}).has_waiting_line
     with pytest.raises(errors.UserError, match=switch):
         settings.read({**variables, switch: "1"})
+
+
+@pytest.mark.parametrize(
+    ("limits", "memory_bytes", "connections"),
+    [
+        ({"memory_mb": 300, "max_fds": 4200}, 75_000_000, 2000),
+        ({"memory_mb": 128, "max_fds": 1200}, 32_000_000, 500),
+        ({"memory_mb": 0, "max_fds": 0}, 32_000_000, 1948),
+        ({"max_fds": 100}, 32_000_000, 16),
+        ({}, 32_000_000, 1948),
+    ],
+)
+def test_what_callers_may_have_follows_from_the_vm(
+    limits: dict[str, int], memory_bytes: int, connections: int
+) -> None:
+    # Guards against limits that are larger than the VM.
+    decoded = settings.decode({**_VALID, "limits": limits})
+    assert decoded.callers_memory_bytes == memory_bytes
+    assert decoded.callers_connections == connections
+
+
+def test_operators_may_set_what_callers_have(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.toml"
+    rows = [
+        f"{name} = {json.dumps(value)}"
+        for name, value in _VALID.items()
+        if not isinstance(value, dict)
+    ]
+    for name, table in _VALID.items():
+        if isinstance(table, dict):
+            rows.append(f"[{name}]")
+            rows += [f"{key} = {json.dumps(row)}" for key, row in table.items()]
+    path.write_text("\n".join(rows))
+    environment = {settings.VARIABLE: str(path)}
+    memory = {settings.CALLERS_MEMORY_VARIABLE: "48"}
+    connections = {settings.CALLERS_CONNECTIONS_VARIABLE: "700"}
+    read = settings.read({**environment, **memory, **connections})
+    assert read.callers_memory_bytes == 48_000_000
+    assert read.callers_connections == 700
+    for wrong in ("0", "-1", "many", "1.5", "1" * 30):
+        given = {settings.CALLERS_MEMORY_VARIABLE: wrong}
+        with pytest.raises(errors.UserError, match="CALLERS_MEMORY"):
+            settings.read({**environment, **given})
