Daemon: a body that breaks off or yields is no failure of the VM

An upload, an order of a job or an operator's body whose connection broke, or whose exchange had to yield, was answered 500 and logged as a failure of the request: a crowd would have raised an alarm for each of its clients.

--- a/packages/daemon/bulrushdeald/bodies.py
+++ b/packages/daemon/bulrushdeald/bodies.py
@@ -53,11 +53,26 @@
                 return result.Err(_NO_ROOM)
             parts.append(chunk)
     except BodyError as error:
-        refused = refusals.bad_input(str(error), "body")
-        return result.Err(_ENDED.get(exchange.end_reason, refused))
+        return result.Err(refusal_of(request, str(error), "body"))
     return _join(parts, exchange, memory_factor)
 
 
+def refusal_of(
+    request: httpd.Request, message: str, field: str = ""
+) -> services.Refusal:
+    """Returns the refusal of a request whose body broke off.
+
+    Args:
+        request: The request.
+        message: What is wrong with the body, if the caller is the cause.
+        field: The field that the message is about.
+    """
+    refused = refusals.bad_input(message, field)
+    if request.exchange is None:
+        return refused
+    return _ENDED.get(request.exchange.end_reason, refused)
+
+
 def _join(
     parts: list[bytes], exchange: exchanges.Exchange, memory_factor: int
 ) -> result.Result[bytes, services.Refusal]:
--- a/packages/daemon/bulrushdeald/files.py
+++ b/packages/daemon/bulrushdeald/files.py
@@ -13,6 +13,7 @@
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import logs
 from bulrushdeald import batchrecords
+from bulrushdeald import bodies
 from bulrushdeald import defaults
 from bulrushdeald import multipart
 from bulrushdeald import refusals
@@ -98,7 +99,7 @@
                 elif part.name == "file" and stored is None:
                     stored = self._store(part, file, customer)
         except multipart.MultipartError as error:
-            return result.Err(refusals.bad_input(str(error)))
+            return result.Err(bodies.refusal_of(request, str(error)))
         except splitter.SplitError as error:
             return result.Err(error.refusal)
         except _StoreFailedError as error:
--- a/packages/daemon/bulrushdeald/jobs.py
+++ b/packages/daemon/bulrushdeald/jobs.py
@@ -11,6 +11,7 @@
 from bulrushdeal import logs
 from bulrushdeald import batchmessages
 from bulrushdeald import batchrecords
+from bulrushdeald import bodies
 from bulrushdeald import cancelling
 from bulrushdeald import coordinators
 from bulrushdeald import defaults
@@ -91,7 +92,12 @@
     def _accept(
         self, request: httpd.Request, customer: str
     ) -> result.Result[dict[str, Any], services.Refusal]:
-        job_request = orders.parse(request.body.read(orders.MAX_BODY_BYTES + 1))
+        try:
+            body = request.body.read(orders.MAX_BODY_BYTES + 1)
+        except (OSError, ValueError) as error:
+            message = f"The body broke off: {error}"
+            return result.Err(bodies.refusal_of(request, message))
+        job_request = orders.parse(body)
         if isinstance(job_request, result.Err):
             return job_request
         taken = self._limits.take(customer)
--- a/packages/daemon/bulrushdeald/multipart.py
+++ b/packages/daemon/bulrushdeald/multipart.py
@@ -7,7 +7,7 @@
 
 from bulrushdeal import httpd
 
-_READ_BYTES = 64 * 1024
+_READ_BYTES = 16 * 1024
 _MAX_HEADERS_BYTES = 8 * 1024
 _MAX_PARTS = 16
 
@@ -62,7 +62,10 @@
         raise MultipartError("The form has too many parts.")
 
     def _read_more(self) -> bool:
-        data = self._body.read(_READ_BYTES)
+        try:
+            data = self._body.read(_READ_BYTES)
+        except (OSError, ValueError) as error:
+            raise MultipartError(f"The form broke off: {error}") from error
         self._buffer += data
         return bool(data)
 
--- a/packages/daemon/bulrushdeald/operatorhttp.py
+++ b/packages/daemon/bulrushdeald/operatorhttp.py
@@ -73,9 +73,12 @@
     """Returns the request's whole body."""
     if request.length_bytes > _MAX_BODY_BYTES:
         raise BadRequestError("The body is too large.")
-    if request.length_bytes >= 0:
-        return request.body.read(request.length_bytes)
-    data = request.body.read(_MAX_BODY_BYTES + 1)
+    try:
+        if request.length_bytes >= 0:
+            return request.body.read(request.length_bytes)
+        data = request.body.read(_MAX_BODY_BYTES + 1)
+    except (OSError, ValueError) as error:
+        raise BadRequestError(f"The body broke off: {error}") from error
     if len(data) > _MAX_BODY_BYTES:
         raise BadRequestError("The body is too large.")
     return data
