Bodies: one that stays silent is refused as late, which promises that it has not run

A body that stalled for the idle timeout was answered 400, after which no request is sent again; 408 says that it has not run. Red before: test_a_body_that_is_silent_for_too_long_has_not_run.

--- a/packages/daemon/bulrushdeald/bodies.py
+++ b/packages/daemon/bulrushdeald/bodies.py
@@ -53,6 +53,8 @@
                 return result.Err(_NO_ROOM)
             parts.append(chunk)
     except BodyError as error:
+        if isinstance(error.__cause__, TimeoutError):
+            return result.Err(_LATE)
         return result.Err(refusal_of(request, str(error), "body"))
     return _join(parts, exchange, memory_factor)
 
--- a/tests/daemon/test_brokenbodies.py
+++ b/tests/daemon/test_brokenbodies.py
@@ -39,6 +39,16 @@
     assert bool(read.unwrap_err().retry_after_s) == (status == 503)
 
 
+def test_a_body_that_is_silent_for_too_long_has_not_run() -> None:
+    # Guards against a refusal after which callers do not try again.
+    class SilentBody:
+        def read(self, size_bytes: int = -1) -> bytes:
+            raise TimeoutError("timed out")
+
+    silent = request("")._replace(body=SilentBody())
+    assert bodies.read_whole(silent, 100).unwrap_err().status == 408
+
+
 def test_an_upload_that_breaks_off_is_no_failure_of_the_vm() -> None:
     # Guards against an alarm for each caller that leaves during an upload.
     with pytest.raises(multipart.MultipartError, match="broke off"):
