Daemon: what is held for callers is in its metrics and in a log line

The events of the account go to the gateway's log; the daemon had its limits in the state dump only. Gauges and counters by statsd, and one WARNING in each interval in which callers were cut short.

--- a/packages/daemon/bulrushdeald/callers.py
+++ b/packages/daemon/bulrushdeald/callers.py
@@ -19,6 +19,7 @@
 from bulrushdeald import departures
 from bulrushdeald import dispatch
 from bulrushdeald import headers as headers_lib
+from bulrushdeald import heldreports
 from bulrushdeald import modelcalls
 from bulrushdeald import plainservices
 from bulrushdeald import refusals
@@ -59,29 +60,13 @@
     is_bulk: bool
 
 
-class Held(NamedTuple):
-    """What is held for callers.
-
-    Attributes:
-        held_bytes: The memory that is held for all of them.
-        limit_bytes: The most that may be.
-        connections: Their open connections.
-        cut_short: How often one was ended or refused, by why.
-    """
-
-    held_bytes: int
-    limit_bytes: int
-    connections: int
-    cut_short: dict[str, int]
-
-
 class State(NamedTuple):
     """The server's part of the state dump."""
 
     state: Literal["waiting", "serving", "stopping"]
     open_calls: tuple[calls.State, ...]
     retries_left: dict[str, float]
-    held: Held
+    held: heldreports.Held
 
 
 class CallersServer:
@@ -124,6 +109,10 @@
         )
         self._config.on_change(self._end_withdrawn)
         self._departures.start()
+        self._reports = heldreports.HeldReports(
+            self._held, settings.statsd_address, settings.usage_flush_s
+        )
+        self._reports.start()
 
     def listen(self) -> None:
         """Starts the listeners, after every service has added its routes."""
@@ -190,6 +179,7 @@
         """See `kernel.Service`."""
         self.drain(grace_s)
         self._departures.stop()
+        self._reports.stop()
 
     def dump(self) -> State:
         """See `kernel.Service`."""
@@ -200,11 +190,11 @@
             self._held(),
         )
 
-    def _held(self) -> Held:
+    def _held(self) -> heldreports.Held:
         counts = collections.Counter(self._room.counts())
         for server in self._servers:
             counts.update(server.closed_early())
-        return Held(
+        return heldreports.Held(
             self._room.held_bytes(),
             self._room.limit_bytes,
             sum(server.open_connections() for server in self._servers),
