Exchanges: an answer that is relayed gives back only what it held

The last piece of an answer for which there was no memory was given back like the others, so that the account of an exchange fell below zero, by 16 kB each, until its end: 320 slow readers made 5 MB more room than there was.

What is given back ends at what the request itself holds, and at zero. test_an_exchange_gives_back_no_more_than_it_holds failed before (-60000).

--- a/packages/core/bulrushdeal/exchanges.py
+++ b/packages/core/bulrushdeal/exchanges.py
@@ -227,7 +227,8 @@
     def shrink_to(self, exchange: Exchange, size_bytes: int) -> None:
         """Gives back what an exchange holds beyond a number of bytes."""
         with self._condition:
-            self._hold(exchange, min(exchange.held_bytes, size_bytes))
+            kept_bytes = min(exchange.held_bytes, max(size_bytes, 0))
+            self._hold(exchange, kept_bytes)
 
     def make_thread_yield(self, group: object) -> bool:
         """Ends the exchange of a group whose thread is the least loss."""
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -445,6 +445,7 @@
         parts: collections.deque[bytes] = collections.deque()
         size_bytes = 0
         exchange = self._call.exchange
+        before_bytes = exchange.held_bytes
         chunks = opened.answer.chunks()
         for piece in chunks:
             if isinstance(piece, result.Err):
@@ -454,7 +455,7 @@
             # Without room the answer is relayed as it comes.
             is_held = exchange.grow(len(piece.ok_value), makes_room=False)
             if size_bytes > _MAX_BUFFERED_BYTES or not is_held:
-                rest = self._remaining_body(parts, chunks)
+                rest = self._remaining_body(parts, chunks, before_bytes)
                 body = caller_calls.Body(rest, self._release)
                 answer = opened.answer
                 return httpd.Response(answer.status, answer.headers, body)
@@ -478,12 +479,21 @@
         self,
         parts: collections.deque[bytes],
         chunks: Iterator[result.Result[bytes, services.UpstreamError]],
+        request_bytes: int,
     ) -> Iterator[bytes]:
+        """Yields what was read of an answer, then the rest as it comes.
+
+        Args:
+            parts: What was read; the last one may not be held in the account.
+            chunks: The rest.
+            request_bytes: What is held for the request itself.
+        """
         exchange = self._call.exchange
         while parts:
             sent_bytes = len(parts[0])
             yield parts.popleft()
-            exchange.shrink_to(exchange.held_bytes - sent_bytes)
+            left_bytes = exchange.held_bytes - sent_bytes
+            exchange.shrink_to(max(left_bytes, request_bytes))
         for piece in chunks:
             if isinstance(piece, result.Err):
                 self._record_break(piece.err_value)
