Jobs: few results are read at once, a page at a time

Callers who read large results of many jobs at once ended a small VM, though they kept to the pages: each read listed all results of its job in the store, and neither these nor what other VMs answered was in an account. 340 readers of 85 jobs of 4 MB each: 572 MB with a stand-in of the store that returned everything at once, where a VM has 128.

- A read for a caller takes one page of the store, from the position asked for.
- Reads of the store take memory from the account and are as many as a quarter of it holds; others wait for up to a second and are then refused, 503.
Eight reads from other VMs may be under way.
- One thread at a time encodes pages and decodes jobs: with hundreds doing so side by side an ordinary request was not answered in nine tries of 10 s.
- What is kept of results that were read is an eighth of what may be held for callers, no longer 8 MB.
- The stand-in of the store returns pages, as the platform's does.

--- a/packages/gateway/gateway/assembly.py
+++ b/packages/gateway/gateway/assembly.py
@@ -75,7 +75,10 @@
     add("store path", store_path)
     add(names.CRASH_RECORDS, crashrecords.CrashRecords(kernel, settings))
     add(names.PINGS, pings.Pings(kernel))
-    add(names.JOB_STORE, jobstore.JobStore(kernel))
+    add(
+        names.JOB_STORE,
+        jobstore.JobStore(kernel, settings.callers_memory_bytes),
+    )
     add(names.JOB_LISTING, joblisting.JobListing(kernel))
     add(names.JOB_DIRECTORY, jobdirectory.JobDirectory(kernel))
     add("reading", storereaders.Reading(kernel, settings))
--- a/packages/gateway/gateway/jobfront.py
+++ b/packages/gateway/gateway/jobfront.py
@@ -1,5 +1,7 @@
 """Answers callers' HTTP requests about batch jobs."""
 
+import threading
+
 import result
 
 from bulrushdeal import eventlog
@@ -37,6 +39,10 @@
     def __init__(self, kernel: kernel_lib.Kernel) -> None:
         self._jobs = kernel.find(names.JOBS, jobs.Jobs)
         self._dialect = kernel.find(names.DIALECT, dialect_lib.Dialect)
+        # Large jobs and pages take the interpreter for milliseconds each. If
+        # many threads did so side by side, all others would wait for it behind
+        # each of them, at every step.
+        self._converting = threading.Lock()
 
     def submit(
         self,
@@ -52,7 +58,8 @@
                 refusals.Refusal(400, "the job has no id")
             )
         try:
-            submission = self._dialect.decode_submission(body)
+            with self._converting:
+                submission = self._dialect.decode_submission(body)
         except dialect_lib.BadInputError as error:
             return refusals.refusal_response(refusals.Refusal(400, str(error)))
         accepted = self._jobs.submit(job, customer, route, path, submission)
@@ -80,14 +87,18 @@
             return httpd.json_response(200, {})
         if call.kind == "input":
             return self._input(call, customer, exchange)
-        page = self._jobs.read(call.job, customer, call.after, call.wait_s)
+        page = self._jobs.read(
+            call.job, customer, call.after, call.wait_s, exchange
+        )
         if isinstance(page, result.Err):
             return _refuse(call.job, page.err_value)
         size_bytes = sum(len(row.output) for row in page.ok_value.results)
+        before_bytes = exchange.held_bytes
         if not exchange.grow(size_bytes * _PAGE_FACTOR):
             return _refuse(call.job, jobmessages.NO_MEMORY)
-        data = self._dialect.encode_job_page(page.ok_value)
-        exchange.shrink_to(len(data))
+        with self._converting:
+            data = self._dialect.encode_job_page(page.ok_value)
+        exchange.shrink_to(before_bytes + len(data))
         return refusals.whole_response(200, "application/json", data)
 
     def _input(
@@ -96,10 +107,11 @@
         customer: str,
         exchange: exchanges.Exchange,
     ) -> httpd.Response:
+        before_bytes = exchange.held_bytes
         body = self._jobs.input(call.job, customer, call.item, exchange)
         if isinstance(body, result.Err):
             return _refuse(call.job, body.err_value)
-        exchange.shrink_to(0)
+        exchange.shrink_to(before_bytes)
         if not exchange.grow(len(body.ok_value)):
             return _refuse(call.job, jobmessages.NO_MEMORY)
         return refusals.whole_response(
--- a/packages/gateway/gateway/jobpeers.py
+++ b/packages/gateway/gateway/jobpeers.py
@@ -1,6 +1,7 @@
 """Reads batch jobs from the VMs that run them instead of the store."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+import contextlib
 import time
 
 from bulrushdeal import kernel as kernel_lib
@@ -18,6 +19,10 @@
 _POLL_INTERVAL_S = 0.4
 
 
+# Makes room for one read while its context is open; false without room.
+BeginRead = Callable[[], contextlib.AbstractContextManager[bool]]
+
+
 class JobPeers:
     """Queries the VMs that run jobs, and answers for the jobs run here."""
 
@@ -82,7 +87,11 @@
         return read if read.is_held else None
 
     def fetch_results(
-        self, view: jobstore.JobView, after: int, wait_s: float
+        self,
+        view: jobstore.JobView,
+        after: int,
+        wait_s: float,
+        begin_read: BeginRead,
     ) -> bool:
         """Caches new results from the VM that runs the job, and may wait.
 
@@ -93,6 +102,7 @@
             view: The job's cached view, which is extended.
             after: The position whose result ends the wait.
             wait_s: How long to wait for that result, in seconds.
+            begin_read: Makes room for each answer.
 
         Returns:
             Whether a VM with up-to-date results answered; if not, the store
@@ -101,10 +111,13 @@
         end_s = time.monotonic() + wait_s
         while True:
             known = len(view.results)
-            read = self._read_from_any(view.meta.job, known)
-            if read is None:
-                return False
-            self._job_store.add_peer_results(view, known, read.rows)
+            with begin_read() as has_room:
+                if not has_room:
+                    return False
+                read = self._read_from_any(view.meta.job, known)
+                if read is None:
+                    return False
+                self._job_store.add_peer_results(view, known, read.rows)
             left_s = end_s - time.monotonic()
             if len(view.results) > after or left_s <= 0 or view.is_whole():
                 return True
@@ -140,7 +153,7 @@
             return jobmessages.JobRead(False, (), None)
         meta = None if message.after else view.meta
         return jobmessages.JobRead(
-            True, results_page(view, message.after), meta
+            True, fit_page(view.results[message.after :]), meta
         )
 
     def running_at(self, vm: str, jobs: Iterable[str]) -> frozenset[str]:
@@ -180,16 +193,16 @@
         return jobmessages.InputRead(body)
 
 
-def results_page(
-    view: jobstore.JobView, after: int
+def fit_page(
+    results: Iterable[dialect_lib.ItemResult],
 ) -> tuple[dialect_lib.ItemResult, ...]:
-    """Returns the results from a position on that fit one answer.
+    """Returns the first results, as many as fit one answer.
 
     Returns at least one result if there is any, however large.
     """
     rows: list[dialect_lib.ItemResult] = []
     size_bytes = 0
-    for row in view.results[after:]:
+    for row in results:
         size_bytes += len(row.output)
         if rows and size_bytes > _MAX_PAGE_BYTES:
             break
--- a/packages/gateway/gateway/jobs.py
+++ b/packages/gateway/gateway/jobs.py
@@ -15,6 +15,7 @@
 from gateway import joblisting
 from gateway import jobmessages
 from gateway import jobpeers
+from gateway import jobreads
 from gateway import jobrecords
 from gateway import jobstate
 from gateway import jobstore
@@ -44,6 +45,8 @@
         self._kernel = kernel
         self._vm = settings.vm
         self._value_bytes = int(settings.max_value_bytes * VALUE_PAYLOAD_SHARE)
+        self._store_reads = jobreads.of_store(settings.callers_memory_bytes)
+        self._peer_reads = jobreads.of_peers()
 
     def start(self) -> None:
         """Looks up the services that it depends on."""
@@ -257,7 +260,12 @@
         return result.Ok(False)
 
     def read(
-        self, job: str, customer: str, after: int, wait_s: float
+        self,
+        job: str,
+        customer: str,
+        after: int,
+        wait_s: float,
+        exchange: exchanges.Exchange,
     ) -> result.Result[dialect_lib.JobPage, jobmessages.JobError]:
         """Returns results from a position on, and may wait for the first.
 
@@ -271,37 +279,56 @@
                 reported as missing.
             after: The position of the first result to return.
             wait_s: How long to wait for a result if there is none, in seconds.
+            exchange: The account of what is held meanwhile.
         """
-        found = self._view_for_customer(job, customer)
+        found = self._view_for_customer(job, customer, exchange)
         if isinstance(found, result.Err):
             return found
         view = found.ok_value
-        if view.is_whole():
-            return result.Ok(_page(view, after))
-        if len(view.results) <= after and not self._job_peers.fetch_results(
-            view, after, wait_s
-        ):
-            read = self._job_store.read_new_results(
-                view, min(after, len(view.results))
+        is_known = (
+            view.is_whole()
+            or len(view.results) > after
+            or self._job_peers.fetch_results(
+                view, after, wait_s, lambda: self._peer_reads.begin(exchange)
             )
-            if isinstance(read, result.Err):
-                return read
-            if len(view.results) <= after < len(view.meta.items):
-                self._wait_for_result(view, read.ok_value, wait_s)
-        return result.Ok(_page(view, after))
+        )
+        if is_known:
+            return result.Ok(_page(view, after, view.results[after:]))
+        return self._read_stored(view, after, wait_s, exchange)
+
+    def _read_stored(
+        self,
+        view: jobstore.JobView,
+        after: int,
+        wait_s: float,
+        exchange: exchanges.Exchange,
+    ) -> result.Result[dialect_lib.JobPage, jobmessages.JobError]:
+        """Returns results as the store has them; see `read`."""
+        with self._store_reads.begin(exchange) as has_room:
+            if not has_room:
+                return result.Err(jobmessages.NO_MEMORY)
+            read = self._job_store.read_page(view, after)
+        if isinstance(read, result.Err):
+            return read
+        rows, revision = read.ok_value
+        if not rows and after < len(view.meta.items):
+            rows = self._wait_for_result(view, after, revision, wait_s)
+        return result.Ok(_page(view, after, rows))
 
     def _wait_for_result(
-        self, view: jobstore.JobView, revision: int, wait_s: float
-    ) -> None:
+        self, view: jobstore.JobView, after: int, revision: int, wait_s: float
+    ) -> tuple[dialect_lib.ItemResult, ...]:
         if wait_s <= 0:
-            return
+            return ()
         prefix = self._job_store.keys.results(view.meta.job)
         changed = self._store.watch(
             prefix, revision, wait_s, wait_s + _READ_TIMEOUT_S
         )
-        # After an error the caller gets the results known so far.
-        if changed.is_ok():
-            self._job_store.add_entries(view, changed.unwrap().entries)
+        if changed.is_err():
+            # The caller gets no results, which is true of its last read.
+            return ()
+        entries = changed.unwrap().entries
+        return self._job_store.add_entries(view, entries, after)
 
     def input(
         self,
@@ -318,12 +345,15 @@
             item: The item's id.
             exchange: The account of what is held meanwhile.
         """
-        found = self._view_for_customer(job, customer)
+        found = self._view_for_customer(job, customer, exchange)
         if isinstance(found, result.Err):
             return found
         if item not in found.ok_value.meta.items:
             return result.Err(jobmessages.JobError("missing", "no such item"))
-        body = self._job_peers.input(job, item)
+        with self._peer_reads.begin(exchange) as has_room:
+            if not has_room:
+                return result.Err(jobmessages.NO_MEMORY)
+            body = self._job_peers.input(job, item)
         if body is not None:
             return result.Ok(body)
         if not exchange.grow(_STORED_INPUT_BYTES):
@@ -340,7 +370,7 @@
         self, job: str, customer: str
     ) -> result.Result[None, jobmessages.JobError]:
         """Ends a job; its items without a result run no more."""
-        found = self._view_for_customer(job, customer)
+        found = self._view_for_customer(job, customer, exchanges.detached())
         if isinstance(found, result.Err):
             return found
         keys = self._job_store.keys
@@ -384,10 +414,13 @@
         return self._job_peers.running_at(vm, jobs)
 
     def _view_for_customer(
-        self, job: str, customer: str
+        self, job: str, customer: str, exchange: exchanges.Exchange
     ) -> result.Result[jobstore.JobView, jobmessages.JobError]:
         if self._job_store.cached(job) is None:
-            self._job_peers.fetch_job(job)
+            # The store has it as well if there is no room to ask others.
+            with self._peer_reads.begin(exchange) as has_room:
+                if has_room:
+                    self._job_peers.fetch_job(job)
         view = self._job_store.view(job)
         if isinstance(view, result.Err):
             return view
@@ -396,6 +429,10 @@
         return view
 
 
-def _page(view: jobstore.JobView, after: int) -> dialect_lib.JobPage:
-    rows = jobpeers.results_page(view, after)
+def _page(
+    view: jobstore.JobView,
+    after: int,
+    results: Iterable[dialect_lib.ItemResult],
+) -> dialect_lib.JobPage:
+    rows = jobpeers.fit_page(results)
     return dialect_lib.JobPage(len(view.meta.items), after + len(rows), rows)
--- a/packages/gateway/gateway/jobstore.py
+++ b/packages/gateway/gateway/jobstore.py
@@ -3,12 +3,13 @@
 import collections
 from collections.abc import Iterable
 import threading
-from typing import Any
+from typing import Any, NamedTuple
 
 import result
 
 from bulrushdeal import codec
 from bulrushdeal import eventlog
+from bulrushdeal import exchanges
 from bulrushdeal import kernel as kernel_lib
 from gateway import dialect as dialect_lib
 from gateway import jobmessages
@@ -25,8 +26,9 @@
 # and after a dead connection the next try still accepts a job in time.
 _COMMIT_TIMEOUTS_S = (0.35, 1.2, 1.2)
 _MAX_CACHED_JOBS = 64
-# The jobs that were read last stay within this, unless a single one is larger.
-_MAX_CACHED_BYTES = 8_000_000
+# The jobs that were read last stay within this part of what may be held for all
+# callers, on top of that, unless a single one is larger.
+_CACHE_SHARE = 0.125
 
 
 class JobView:
@@ -54,11 +56,33 @@
         return len(self.results) >= len(self.meta.items)
 
 
+class StoredPage(NamedTuple):
+    """Results that the store returned at once.
+
+    Attributes:
+        rows: The results from the position asked for on, without gaps.
+        revision: The store's revision that they were read at.
+    """
+
+    rows: tuple[dialect_lib.ItemResult, ...]
+    revision: int
+
+
 class JobStore:
-    """Reads and changes jobs in the store; caches what never changes."""
+    """Reads and changes jobs in the store; caches what never changes.
+
+    Args:
+        kernel: Finds the services that this class depends on.
+        callers_memory_bytes: What may be held for all callers together.
+    """
 
-    def __init__(self, kernel: kernel_lib.Kernel) -> None:
+    def __init__(
+        self,
+        kernel: kernel_lib.Kernel,
+        callers_memory_bytes: int = exchanges.DEFAULT_LIMIT_BYTES,
+    ) -> None:
         self._kernel = kernel
+        self._max_cached_bytes = int(callers_memory_bytes * _CACHE_SHARE)
         self._lock = threading.Lock()
         self._views: collections.OrderedDict[str, JobView] = (
             collections.OrderedDict()
@@ -97,7 +121,7 @@
         view = self.view(job)
         if isinstance(view, result.Err):
             return view
-        read = self.read_new_results(view.ok_value, len(view.ok_value.results))
+        read = self._read_new_results(view.ok_value)
         if isinstance(read, result.Err):
             return read
         return result.Ok(tuple(view.ok_value.results))
@@ -205,20 +229,16 @@
         size_bytes = sum(view.size_bytes for view in self._views.values())
         while len(self._views) > 1 and (
             len(self._views) > _MAX_CACHED_JOBS
-            or size_bytes > _MAX_CACHED_BYTES
+            or size_bytes > self._max_cached_bytes
         ):
             _, dropped = self._views.popitem(last=False)
             size_bytes -= dropped.size_bytes
 
-    def read_new_results(
-        self, view: JobView, known: int
-    ) -> result.Result[int, jobmessages.JobError]:
-        """Reads the results after the first `known` from the store.
-
-        Returns:
-            The revision of the store that the results were read at.
-        """
-        job = view.meta.job
+    def _read_new_results(
+        self, view: JobView
+    ) -> result.Result[None, jobmessages.JobError]:
+        """Reads all results from the store that are not cached."""
+        job, known = view.meta.job, len(view.results)
         after = self.keys.result(job, known - 1) if known else ""
         prefix = self.keys.results(job)
         listed = paging.read_all(
@@ -226,34 +246,72 @@
         )
         if listed.is_err():
             return job_error(listed.unwrap_err())
-        self.add_entries(view, listed.unwrap().entries)
-        return result.Ok(listed.unwrap().revision)
+        self.add_entries(view, listed.unwrap().entries, known)
+        return result.Ok(None)
+
+    def read_page(
+        self, view: JobView, after: int
+    ) -> result.Result[StoredPage, jobmessages.JobError]:
+        """Reads results from the store, as many as it returns at once.
+
+        A job's results may take more memory than this VM has for a caller.
+
+        Args:
+            view: The job's view, which is extended if the results are its
+                next ones.
+            after: The position of the first result to read.
+        """
+        job = view.meta.job
+        previous = self.keys.result(job, after - 1) if after else ""
+        prefix = self.keys.results(job)
+        listed = self._store.list(prefix, previous, _READ_TIMEOUT_S)
+        if listed.is_err():
+            return job_error(listed.unwrap_err())
+        page = listed.unwrap()
+        rows = self.add_entries(view, page.entries, after)
+        return result.Ok(StoredPage(rows, page.revision))
 
     def add_entries(
-        self, view: JobView, entries: tuple[dialect_lib.Entry, ...]
-    ) -> None:
-        """Caches the results in a listing of the store."""
-        prefix = self.keys.results(view.meta.job)
-        rows = sorted(
+        self, view: JobView, entries: tuple[dialect_lib.Entry, ...], after: int
+    ) -> tuple[dialect_lib.ItemResult, ...]:
+        """Returns the results in a listing of the store, and caches them.
+
+        Args:
+            view: The job's view, which is extended if the results are its
+                next ones.
+            entries: The entries of the listing.
+            after: The position of the first result to return.
+        """
+        rows = self._decode_results(view.meta.job, entries, after)
+        with self._lock:
+            known = len(view.results)
+            if after <= known:
+                view.extend(rows[known - after :])
+                self._evict()
+        return rows
+
+    def _decode_results(
+        self, job: str, entries: tuple[dialect_lib.Entry, ...], after: int
+    ) -> tuple[dialect_lib.ItemResult, ...]:
+        """Returns the results from a position on, up to the first gap."""
+        prefix = self.keys.results(job)
+        found = sorted(
             (int(digits), entry.value)
             for entry in entries
             if entry.value is not None
             and (digits := entry.key.removeprefix(prefix)).isascii()
             and digits.isdigit()
         )
-        with self._lock:
-            for position, value in rows:
-                if position != len(view.results):
-                    continue
-                try:
-                    row = jobrecords.unpack(dialect_lib.ItemResult, value)
-                except codec.CodecError as error:
-                    _events.warning(
-                        "bad_record", job=view.meta.job, why=str(error)
-                    )
-                    return
-                view.extend((row,))
-            self._evict()
+        rows: list[dialect_lib.ItemResult] = []
+        for position, value in found:
+            if position != after + len(rows):
+                continue
+            try:
+                rows.append(jobrecords.unpack(dialect_lib.ItemResult, value))
+            except codec.CodecError as error:
+                _events.warning("bad_record", job=job, why=str(error))
+                break
+        return tuple(rows)
 
 
 def job_error(
--- a/tests/gateway/test_callersroom.py
+++ b/tests/gateway/test_callersroom.py
@@ -1,5 +1,6 @@
 """Tests what gateways hold for callers, and what they refuse for want of it."""
 
+import contextlib
 import socket
 import time
 
@@ -11,6 +12,7 @@
 from gateway import dialect
 from gateway import front as front_lib
 from gateway import jobmessages
+from gateway import jobreads
 from gateway import jobrecords
 from gateway import jobstore
 from gateway import metrics
@@ -137,7 +139,7 @@
         row = dialect.ItemResult("i", True, output)
         store.add_peer_results(view, 0, (row,))
     kept = [n for n in range(20) if store.cached(f"j{n}") is not None]
-    assert kept == list(range(12, 20))
+    assert kept == list(range(16, 20))
 
 
 def test_a_vm_without_memory_leaves_jobs_to_others(
@@ -163,6 +165,45 @@
     )
 
 
+def test_reads_beyond_those_that_fit_wait_and_are_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against results that many callers read at once, each whole.
+    monkeypatch.setattr(jobreads, "_WAIT_S", 0.05)
+    room = exchanges.Room(24_000_000)
+    reads = jobreads.of_store(room.limit_bytes)
+    with contextlib.ExitStack() as stack:
+        begun = [
+            stack.enter_context(reads.begin(room.begin())) for _ in range(4)
+        ]
+        assert begun == [True, True, True, False]
+        assert room.held_bytes() == 6_000_000
+    assert room.held_bytes() == 0
+    with reads.begin(room.begin()) as has_room:
+        assert has_room
+
+
+def test_a_page_of_stored_results_is_read_from_where_it_begins(
+    scene: gatewayscene.Scene,
+) -> None:
+    # Guards against all results of a job that are read for each of its pages.
+    vm = scene.add_vm()
+    store = vm.kernel.find(names.JOB_STORE, jobstore.JobStore)
+    meta = jobrecords.JobMeta(
+        "j1", "school", "h", "/b/", 0, ("a", "b", "c"), 1, 1, 1.0, 1.0
+    )
+    rows = [dialect.ItemResult(item, True, item * 10) for item in meta.items]
+    for position, row in enumerate(rows):
+        key = store.keys.result("j1", position)
+        scene.store.write(key, jobrecords.pack(row))
+    view = store.cache(meta)
+    assert store.read_page(view, 1).unwrap().rows == tuple(rows[1:])
+    # Results with a gap before them are not kept.
+    assert not view.results
+    assert store.read_page(view, 0).unwrap().rows == tuple(rows)
+    assert view.results == rows
+
+
 def test_a_page_without_room_is_refused(scene: gatewayscene.Scene) -> None:
     # Guards against pages that are built beyond the memory.
     scene.add_engine()
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -20,6 +20,9 @@
 _TURN_S = 1.0
 _MEMBERS_PREFIX = "bulrushdeal/members/"
 _UPSTREAMS_PREFIX = "servers/"
+# The most that the platform's store returns at once.
+_MAX_PAGE_ENTRIES = 500
+_MAX_PAGE_BYTES = 1_000_000
 
 
 class Store:
@@ -42,9 +45,17 @@
         return self.rows.rows.get(key)
 
     def list(self, prefix: str, after: str) -> dialect.Page:
-        """Returns the entries whose keys have a prefix and follow `after`."""
+        """Returns one page of entries that have a prefix and follow `after`."""
         page: dialect.Page = self._client.list(prefix, after, 1.0).unwrap()
-        return page
+        count = 0
+        size_bytes = 0
+        for entry in page.entries[:_MAX_PAGE_ENTRIES]:
+            size_bytes += len(entry.value or b"")
+            if count and size_bytes > _MAX_PAGE_BYTES:
+                break
+            count += 1
+        has_more = count < len(page.entries)
+        return page._replace(entries=page.entries[:count], has_more=has_more)
 
     def watch(self, prefix: str, after: int, wait_s: float) -> Any:
         """Waits for changes after a revision.
@@ -196,7 +207,7 @@
                 rows = [self._to_json(row) for row in page.entries]
                 return 200, {
                     "items": rows,
-                    "has_more": False,
+                    "has_more": page.has_more,
                     "as_of": page.revision,
                 }
             case "kv-watch":
