Server: heads are held in the account of all callers

Clients that send 15 kB of a head and stop held 16 kB each, up to 1,950 of them at a VM with 4,100 descriptors, and whole heads are held three times (bytes, headers, text) by each thread; neither was in the account of what is held for callers.

Unfinished heads have an eighth of the account; beyond it the oldest one is closed (closed_early, why long_heads). A whole head is taken from the account before it is parsed; without room the request is refused as by a busy VM, which promises that it has not run. Ordinary heads of some hundred bytes fit 1,950 times.

test_the_oldest_of_many_long_heads_gives_way and test_a_request_whose_head_has_no_room_is_refused failed before.

--- a/packages/core/bulrushdeal/exchanges.py
+++ b/packages/core/bulrushdeal/exchanges.py
@@ -25,7 +25,11 @@
 # An exchange that holds more is a large one. These have a part of the account
 # of their own, so that they leave room for ordinary requests.
 _SMALL_BYTES = 64 * 1024
-_LARGE_SHARE = 0.75
+_LARGE_SHARE = 0.625
+# What small exchanges have.
+_SMALL_SHARE = 0.25
+# What heads have that are not whole yet. No exchange has begun for them.
+_HEADS_SHARE = 0.125
 # The part of what small exchanges may hold that is kept for those that cannot
 # be served without it.
 _RESERVED_SHARE = 0.25
@@ -133,6 +137,8 @@
         self._held_bytes = 0
         # The part of it that large exchanges hold.
         self._large_bytes = 0
+        # What is held for heads that are not whole yet.
+        self._heads_bytes = 0
         self._counts: collections.Counter[str] = collections.Counter()
 
     @property
@@ -142,7 +148,16 @@
 
     def held_bytes(self) -> int:
         """Returns the memory that is held for callers now."""
-        return self._held_bytes
+        return self._held_bytes + self._heads_bytes
+
+    def hold_heads(self, change_bytes: int) -> None:
+        """Takes memory for heads that are not whole, or gives it back."""
+        with self._condition:
+            self._heads_bytes += change_bytes
+
+    def has_too_many_heads(self) -> bool:
+        """Returns whether heads that are not whole hold more than they may."""
+        return self._heads_bytes > self._limit_bytes * _HEADS_SHARE
 
     def counts(self) -> Mapping[str, int]:
         """Returns how often callers were cut short, by why."""
@@ -265,7 +280,7 @@
             others_bytes = self._large_bytes - _large_bytes(exchange.held_bytes)
             limit_bytes = self._limit_bytes * _LARGE_SHARE
             return not others_bytes or others_bytes + own_bytes <= limit_bytes
-        limit_bytes = self._limit_bytes * (1 - _LARGE_SHARE)
+        limit_bytes = self._limit_bytes * _SMALL_SHARE
         if keeps_reserve:
             limit_bytes *= 1 - _RESERVED_SHARE
         small_bytes = self._held_bytes - self._large_bytes
--- a/packages/core/bulrushdeal/httpconnections.py
+++ b/packages/core/bulrushdeal/httpconnections.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 import errno
 import selectors
 import socket
@@ -114,6 +115,7 @@
             rows = [conn for group in self._idle.values() for conn in group]
             for group in self._idle.values():
                 group.clear()
+            self.server.room.hold_heads(-sum(row.idle_bytes for row in rows))
         for conn in rows:
             conn.close_now()
         self._untyped()._selector.close()
@@ -143,7 +145,7 @@
             # The connection stays in the listener's queue, which would wake
             # this thread again and again.
             self._count("no_descriptor")
-            self._close_one("no_descriptor")
+            self._close_one("no_descriptor", _CLOSING_ORDER)
             time.sleep(_NO_DESCRIPTOR_PAUSE_S)
             return
         if conn is None:
@@ -151,7 +153,7 @@
         with self._lock:
             self._open += 1
             is_full = self._open > self.limits.connections
-        if is_full and not self._close_one("too_many"):
+        if is_full and not self._close_one("too_many", _CLOSING_ORDER):
             self._count("refused")
             conn.close()
             return
@@ -185,6 +187,9 @@
             conn.head_since_s = time.monotonic()
         is_kept = conn.has_served and not reader.has_data()
         self._watch(conn, "kept" if is_kept else "unfinished")
+        while self.server.room.has_too_many_heads():
+            if not self._close_one("long_heads", ("unfinished",)):
+                return
 
     def _drop_unread(self, conn: Any) -> None:
         try:
@@ -203,6 +208,8 @@
         with self._lock:
             self._idle[state][conn] = None
             conn.idle_state = state
+            conn.idle_bytes = len(conn.rfile.buffer)
+            self.server.room.hold_heads(conn.idle_bytes)
             try:
                 self._untyped()._selector.register(
                     conn.socket.fileno(), selectors.EVENT_READ, data=conn
@@ -211,6 +218,7 @@
             except (OSError, ValueError, KeyError):
                 # The server has closed its connections meanwhile.
                 self._idle[state].pop(conn, None)
+                self.server.room.hold_heads(-conn.idle_bytes)
         conn.close_now()
 
     def _claim(self, conn: Any) -> bool:
@@ -226,15 +234,21 @@
 
     def _remove(self, conn: Any) -> None:
         del self._idle[conn.idle_state][conn]
+        self.server.room.hold_heads(-conn.idle_bytes)
         self._untyped()._selector.unregister(conn.socket.fileno())
 
-    def _close_one(self, why: str) -> bool:
-        """Closes the connection that is the least loss, if any may go."""
+    def _close_one(self, why: str, states: Iterable[State]) -> bool:
+        """Closes the connection that is the least loss, if any may go.
+
+        Args:
+            why: Why it is closed.
+            states: The states of those that may go, the least loss first.
+        """
         with self._lock:
             found = next(
                 (
                     next(iter(self._idle[state]))
-                    for state in _CLOSING_ORDER
+                    for state in states
                     if self._idle[state]
                 ),
                 None,
--- a/packages/core/bulrushdeal/httpwire.py
+++ b/packages/core/bulrushdeal/httpwire.py
@@ -28,6 +28,8 @@
 # Threads started with the server, so that the first connections need not wait.
 _INITIAL_THREADS = 4
 _MAX_UNREAD_BYTES = 64 * 1024
+# A head is held as it came, by its headers, and as text.
+_HEAD_COPIES = 3
 # A long answer is sent in such pieces, each of which shows that its caller
 # still reads.
 _SEND_BYTES = 16 * 1024
@@ -138,6 +140,8 @@
         self.head_since_s: float | None = None
         # Why no thread serves it, while none does.
         self.idle_state: httpconnections.State = "unfinished"
+        # The bytes of a head that it holds, while no thread serves it.
+        self.idle_bytes = 0
         # What was read of the rest of a request, and dropped.
         self.dropped_bytes = 0
         self._is_closed = False
@@ -150,6 +154,10 @@
         exchange = room.begin(self.socket, self.server)
         self.rfile.exchange = self.wfile.exchange = exchange
         try:
+            if not exchange.grow(len(self.rfile.buffer) * _HEAD_COPIES):
+                self.has_unread_body = True
+                self.server.send_busy(self)
+                return False
             return bool(super().communicate())  # type: ignore[no-untyped-call]
         finally:
             self.rfile.exchange = self.wfile.exchange = None
@@ -411,13 +419,22 @@
                 return
             self._refuse(conn)
 
-    def _refuse(self, conn: Any) -> None:
-        # Mostly runs on the accepting thread. The response fits in the
-        # socket's send buffer, so sending does not wait for the caller.
+    def send_busy(self, conn: Any) -> bool:
+        """Refuses a request; returns whether its caller can read that.
+
+        The response fits in the socket's send buffer, so sending does not wait
+        for the caller.
+        """
         try:
             conn.socket.send(self.busy_response, socket.MSG_DONTWAIT)
         except OSError:
             # The caller has closed the connection or does not read.
+            return False
+        return True
+
+    def _refuse(self, conn: Any) -> None:
+        # Mostly runs on the accepting thread.
+        if not self.send_busy(conn):
             conn.close_now()
             return
         conn.has_unread_body = True
--- a/tests/core/test_crowdedserver.py
+++ b/tests/core/test_crowdedserver.py
@@ -36,8 +36,8 @@
 class Scene:
     """A server with one thread, and connections to it."""
 
-    def __init__(self, **limits: Any) -> None:
-        self.room = exchanges.Room()
+    def __init__(self, memory_bytes: int, **limits: Any) -> None:
+        self.room = exchanges.Room(memory_bytes)
         self.server = httpd.Server(
             "127.0.0.1:0",
             answer,
@@ -67,8 +67,10 @@
 def make() -> Iterator[Callable[..., Scene]]:
     scenes: list[Scene] = []
 
-    def start(**limits: Any) -> Scene:
-        scenes.append(Scene(**limits))
+    def start(
+        memory_bytes: int = exchanges.DEFAULT_LIMIT_BYTES, **limits: Any
+    ) -> Scene:
+        scenes.append(Scene(memory_bytes, **limits))
         return scenes[-1]
 
     yield start
@@ -125,6 +127,35 @@
     assert answer_to(silent).startswith(b"HTTP/1.1 200")
 
 
+def test_the_oldest_of_many_long_heads_gives_way(
+    make: Callable[..., Scene],
+) -> None:
+    # Guards against unfinished heads that hold more than the process has.
+    memory_bytes = 400_000
+    scene = make(memory_bytes)
+    long_head = HALF_HEAD + b"X-Filler: " + b"f" * 15_000
+    opened = [scene.send(long_head) for _ in range(10)]
+    assert opened[0].recv(1) == b""
+    assert scene.is_answered()
+    assert scene.server.closed_early()["long_heads"] >= 1
+    assert scene.room.held_bytes() < memory_bytes / 4
+    for sock in opened:
+        sock.close()
+    until(lambda: scene.room.held_bytes() == 0)
+
+
+def test_a_request_whose_head_has_no_room_is_refused(
+    make: Callable[..., Scene],
+) -> None:
+    # Guards against whole heads that are held beyond the account.
+    scene = make(100_000)
+    long_head = HALF_HEAD + b"X-Filler: " + b"f" * 15_000 + b"\r\n\r\n"
+    refused = answer_to(scene.send(long_head))
+    assert refused.startswith(b"HTTP/1.1 503")
+    assert scene.is_answered()
+    assert scene.room.counts() == {"no_memory": 1}
+
+
 def test_the_oldest_unfinished_connection_gives_way(
     make: Callable[..., Scene],
 ) -> None:
--- a/tests/core/test_exchanges.py
+++ b/tests/core/test_exchanges.py
@@ -74,6 +74,29 @@
     assert room.held_bytes() == 0
 
 
+def test_an_exchange_gives_back_no_more_than_it_holds(
+    room: exchanges.Room,
+) -> None:
+    # Guards against an account that shows less than what is held.
+    exchange = room.begin()
+    assert exchange.grow(SMALL_BYTES)
+    exchange.shrink_to(-SMALL_BYTES)
+    assert (exchange.held_bytes, room.held_bytes()) == (0, 0)
+
+
+def test_unfinished_heads_have_a_part_of_the_account(
+    room: exchanges.Room,
+) -> None:
+    # Guards against heads that are held before any account is asked.
+    room.hold_heads(LIMIT_BYTES // 2)
+    assert room.has_too_many_heads()
+    assert room.held_bytes() == LIMIT_BYTES // 2
+    assert room.begin().grow(SMALL_BYTES)
+    room.hold_heads(-LIMIT_BYTES // 2)
+    assert not room.has_too_many_heads()
+    assert room.held_bytes() == SMALL_BYTES
+
+
 def test_a_stalled_request_yields_its_memory(
     room: exchanges.Room, ends: tuple[socket.socket, socket.socket]
 ) -> None:
