Sockets: receive buffers are bounded before the connection is made

What has arrived and was not read counts as the VM's memory: 34 MB of 145 beside a crowd of half bodies, slow readers and jobs.

A buffer of an open connection must not be made that small: on loopback the sender then pauses again and again, 23 to 38 s for 4 MB, and with 24 kB 26 s where it sends 1,460 bytes at a time; none of that with 32 kB, or with 16 kB set before the connection is made. So buffers towards upstreams are set as socket options of the connection to be, those of callers at the listening socket. With 16 kB set afterwards, an answer of 2 MB took over 4 s (test_a_crash_in_the_middle_of_a_long_answer_counts).

--- a/packages/core/bulrushdeal/sockets.py
+++ b/packages/core/bulrushdeal/sockets.py
@@ -7,8 +7,13 @@
 
 _US_PER_S = 1_000_000
 # The system doubles these for its own records.
-_RECEIVE_BUFFER_BYTES = 32 * 1024
+_RECEIVE_BUFFER_BYTES = 16 * 1024
 _SEND_BUFFER_BYTES = 64 * 1024
+# What `limit_buffers` sets, as arguments of `setsockopt`.
+BUFFER_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES),
+    (socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES),
+)
 
 
 class ReadLimitError(OSError):
@@ -121,11 +126,15 @@
     """Bounds what the operating system buffers for a connection.
 
     Otherwise both buffers grow to megabytes if an end does not read, and what
-    waits there counts as the VM's memory. Connections inherit the bounds of the
-    listening socket that accepts them.
+    waits there counts as the VM's memory.
+
+    Args:
+        sock: A socket that is not connected yet: a sender whose receiver
+            shrinks its buffer pauses again and again. Connections inherit the
+            bounds of the listening socket that accepts them.
     """
-    limit_receive_buffer(sock, _RECEIVE_BUFFER_BYTES)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
+    for option in BUFFER_OPTIONS:
+        sock.setsockopt(*option)
 
 
 def limit_receive_buffer(sock: socket.socket, size_bytes: int) -> None:
--- a/packages/daemon/bulrushdeald/connections.py
+++ b/packages/daemon/bulrushdeald/connections.py
@@ -127,6 +127,11 @@
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
+        # An upstream's answer waits there while its caller does not read.
+        self.socket_options = [
+            *(self.socket_options or ()),
+            *sockets.BUFFER_OPTIONS,
+        ]
         self.requests = 0
         self._request_ids: set[str] = set()
 
@@ -153,10 +158,7 @@
         return sock
 
     def _new_conn(self) -> socket.socket:
-        connected = super()._new_conn()
-        # An upstream's answer waits there while its caller does not read.
-        sockets.limit_buffers(connected)
-        return sockets.TimedSocket.adopt(connected)
+        return sockets.TimedSocket.adopt(super()._new_conn())
 
     def response_class(  # type: ignore[override]
         self, sock: socket.socket, *args: Any, **kwargs: Any
