Settings: the bounds on what is held fit a small VM together

Each bound held, but together they were more than a VM of 128 MB has: 32 MB for callers, 16 for items of jobs, 8 for results, beside 46 MB at rest, 10 for 320 threads, 12 for 1,950 connections and what waits in receive buffers.

The largest job, which takes 33 MB, is served alone as before.

--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -42,7 +42,7 @@
 _MAX_RUNS = 64
 # What the items of the jobs that this VM runs may hold, as a part of what may
 # be held for all callers. It comes on top of that.
-_INPUT_SHARE = 0.5
+_INPUT_SHARE = 0.35
 # Items per request for slots; few slots become free between two requests.
 _MAX_SLOTS_PER_REQUEST = 16
 # How long an item waits for an upstream of its software version while others
