Server: only a head is counted three times, not what follows it

The bytes of a body that came with its head were counted as copies of the head too, so a body of 15 kB took 45 kB of the small part before it was read, and counted as a large one from some 21 kB on, beside a crowd of large ones.

test_a_request_whose_head_has_no_room_is_refused failed before in its last part.

--- a/packages/core/bulrushdeal/httpreader.py
+++ b/packages/core/bulrushdeal/httpreader.py
@@ -66,6 +66,11 @@
         self._searched_bytes = len(self.buffer)
         return found >= 0 or len(self.buffer) > max_bytes
 
+    def head_bytes(self) -> int:
+        """Returns the size of the head that has arrived, whole or not."""
+        end = self.buffer.find(_END_OF_HEAD)
+        return len(self.buffer) if end < 0 else end + len(_END_OF_HEAD)
+
     def has_data(self) -> bool:
         """Returns whether bytes were received that were not read."""
         return bool(self.buffer)
--- a/packages/core/bulrushdeal/httpwire.py
+++ b/packages/core/bulrushdeal/httpwire.py
@@ -154,7 +154,7 @@
         exchange = room.begin(self.socket, self.server)
         self.rfile.exchange = self.wfile.exchange = exchange
         try:
-            if not exchange.grow(len(self.rfile.buffer) * _HEAD_COPIES):
+            if not exchange.grow(self.rfile.head_bytes() * _HEAD_COPIES):
                 self.has_unread_body = True
                 self.server.send_busy(self)
                 return False
--- a/tests/core/test_crowdedserver.py
+++ b/tests/core/test_crowdedserver.py
@@ -154,6 +154,10 @@
     assert refused.startswith(b"HTTP/1.1 503")
     assert scene.is_answered()
     assert scene.room.counts() == {"no_memory": 1}
+    # What follows a head is accounted for as it is read.
+    body = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 15000\r\n\r\n"
+    answered = answer_to(scene.send(body + b"x" * 15_000))
+    assert answered.startswith(b"HTTP/1.1 200")
 
 
 def test_the_oldest_unfinished_connection_gives_way(
