Jobs: a read goes on as long as the holder's answers are full

A caller that asked for a late position of a job with large results, at a VM that had not read them and without a wait, got an empty page though the VM that runs the job had the result: the first page from there did not reach the position, and no time was left for the second.

A page with results is followed by the next one, whatever the wait; only a VM that has no more is waited for. test_a_late_position_of_large_results_is_read _from_the_vm_that_has_them failed before with an empty page.

--- a/packages/gateway/gateway/jobpeers.py
+++ b/packages/gateway/gateway/jobpeers.py
@@ -118,11 +118,15 @@
                 if read is None:
                     return False
                 self._job_store.add_peer_results(view, known, read.rows)
+            if len(view.results) > after or view.is_whole():
+                return True
+            if read.rows:
+                # They fill an answer, and there may be more behind them.
+                continue
             left_s = end_s - time.monotonic()
-            if len(view.results) > after or left_s <= 0 or view.is_whole():
+            if left_s <= 0:
                 return True
-            if not read.rows:
-                time.sleep(min(_POLL_INTERVAL_S, left_s))
+            time.sleep(min(_POLL_INTERVAL_S, left_s))
 
     def _read_from_any(
         self, job: str, after: int
--- a/tests/gateway/test_callersroom.py
+++ b/tests/gateway/test_callersroom.py
@@ -14,6 +14,7 @@
 from gateway import jobmessages
 from gateway import jobreads
 from gateway import jobrecords
+from gateway import jobs
 from gateway import jobstore
 from gateway import metrics
 from gateway import names
@@ -204,6 +205,29 @@
     assert view.results == rows
 
 
+def test_a_late_position_of_large_results_is_read_from_the_vm_that_has_them(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against an empty page because results before it fill the first.
+    holder, asked = scene.add_vms(2, 2)
+    meta = jobrecords.JobMeta(
+        "j1", "school", "h", "/b/", 0, ("a", "b", "c"), 1, 1, 1.0, 1.0
+    )
+    rows = tuple(
+        dialect.ItemResult(item, True, item * 500_000) for item in meta.items
+    )
+    held = holder.kernel.find(names.JOB_STORE, jobstore.JobStore)
+    held.add_peer_results(held.cache(meta), 0, rows)
+    found = asked.kernel.find(names.JOBS, jobs.Jobs)
+    vms = ["vm0"]
+    monkeypatch.setattr(
+        found._job_peers, "_candidate_vms", lambda job: iter(vms)
+    )
+    room = exchanges.Room()
+    page = found.read("j1", "school", 2, 0.0, room.begin())
+    assert page.unwrap().results == rows[2:]
+
+
 def test_a_page_without_room_is_refused(scene: gatewayscene.Scene) -> None:
     # Guards against pages that are built beyond the memory.
     scene.add_engine()
