Jobs: reads that find no room are counted and logged

A read of results that waited for a second in vain was refused with a line of its own, but no metric showed that reads were the scarce thing: cut_short, why reads_full, and a sampled line.

--- a/packages/core/bulrushdeal/exchanges.py
+++ b/packages/core/bulrushdeal/exchanges.py
@@ -116,6 +116,10 @@
         with contextlib.suppress(OSError):
             self._socket.shutdown(how)
 
+    def count(self, why: str) -> None:
+        """Counts that the caller was cut short. See `Room.counts`."""
+        self._room.count(why)
+
     def end_blocked_send(self) -> None:
         """Ends the exchange if its caller does not read."""
         if self.phase == "sending":
--- a/packages/gateway/gateway/jobreads.py
+++ b/packages/gateway/gateway/jobreads.py
@@ -9,8 +9,11 @@
 import contextlib
 import threading
 
+from bulrushdeal import eventlog
 from bulrushdeal import exchanges
 
+_events = eventlog.Events("jobs")
+
 # A page of results of the store while it is received and decoded.
 _STORED_PAGE_BYTES = 2_000_000
 # The part of what may be held for all callers that reads of the store may take.
@@ -46,6 +49,7 @@
     """
 
     def __init__(self, count: int, read_bytes: int) -> None:
+        self._count = count
         self._read_bytes = read_bytes
         self._permits = threading.BoundedSemaphore(count)
 
@@ -60,6 +64,8 @@
             Whether there is room.
         """
         if not self._permits.acquire(timeout=_WAIT_S):
+            exchange.count("reads_full")
+            _events.sampled_info("reads_full", limit=self._count)
             yield False
             return
         held_bytes = exchange.held_bytes
--- a/tests/gateway/test_callersroom.py
+++ b/tests/gateway/test_callersroom.py
@@ -179,6 +179,7 @@
         ]
         assert begun == [True, True, True, False]
         assert room.held_bytes() == 6_000_000
+        assert room.counts() == {"reads_full": 1}
     assert room.held_bytes() == 0
     with reads.begin(room.begin()) as has_room:
         assert has_room
