Server: a connection that is queued for a free thread makes nobody yield

Callers saw: a slow reader of a long answer was cut off after a second or two, beside ordinary requests, though most threads were free. The log said `caller_left`, as the shutdown of its socket looks like that.

Cause: twice a second the server lets one stalled exchange yield for each connection in its queue. A request stands there for a moment also when threads are free, or one is just being started.

Change: only connections beyond the free threads count, and only once all threads have been started.

Found as the crowd test of requests that ended did not show its fault: its one slow stream was cut.

--- a/packages/core/bulrushdeal/httpwire.py
+++ b/packages/core/bulrushdeal/httpwire.py
@@ -311,8 +311,13 @@
         """Frees threads for the connections that wait for one.
 
         When they were queued, no exchange may have stalled for long enough.
+        A connection that is queued for a free thread takes it in a moment.
         """
-        for _ in range(self._untyped()._queue.qsize()):
+        if len(self._untyped()._threads) < self.max:
+            return
+        with self._lock:
+            waiting = -self._free_threads
+        for _ in range(waiting):
             if not self.server.room.make_thread_yield(self.server):
                 return
 
--- a/tests/core/test_crowdedserver.py
+++ b/tests/core/test_crowdedserver.py
@@ -18,6 +18,7 @@
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 HALF_HEAD = b"GET / HTTP/1.1\r\nHost: a\r\n"
 LONG_ANSWER_BYTES = 4_000_000
+BESIDE_REQUESTS = 5000
 
 
 def answer(request: httpd.Request) -> httpd.Response:
@@ -34,14 +35,16 @@
 
 
 class Scene:
-    """A server with one thread, and connections to it."""
+    """A server, with one thread by default, and connections to it."""
 
-    def __init__(self, memory_bytes: int, **limits: Any) -> None:
+    def __init__(
+        self, memory_bytes: int, threads: int = 1, **limits: Any
+    ) -> None:
         self.room = exchanges.Room(memory_bytes)
         self.server = httpd.Server(
             "127.0.0.1:0",
             answer,
-            threads=1,
+            threads=threads,
             room=self.room,
             limits=httpd.DEFAULT_LIMITS._replace(**limits),
         )
@@ -253,6 +256,28 @@
     assert not scene.room.counts()
 
 
+def test_a_slow_reader_is_served_beside_requests_that_find_threads(
+    make: Callable[..., Scene],
+) -> None:
+    # Guards against a caller that is cut off for a connection that is queued
+    # only until a free thread takes it.
+    scene = make(threads=8)
+    slow = scene.send(b"GET /long HTTP/1.1\r\nHost: a\r\n\r\n")
+    ordinary = [scene.send() for _ in range(4)]
+    # Some of the server's regular looks at its queue meet a request there.
+    for _ in range(BESIDE_REQUESTS):
+        for sock in ordinary:
+            sock.sendall(REQUEST)
+        for sock in ordinary:
+            assert answer_to(sock).startswith(b"HTTP/1.1 200")
+    received = 0
+    while received < LONG_ANSWER_BYTES:
+        piece = slow.recv(1 << 20)
+        assert piece
+        received += len(piece)
+    assert not scene.room.counts()
+
+
 def test_a_refusal_reaches_a_caller_that_is_still_sending(
     make: Callable[..., Scene],
 ) -> None:
