Server: all connections that wait are accepted before others are looked at

Callers saw: beside the mixed crowd an ordinary request got no answer in 90 s (nine tries of 10 s each) once the crowd had stood for some seconds; 206 connections waited to be accepted. The test had asked once, in its first moment.

Cause: the accepting thread took one connection for each look at all open ones, which bring dozens of events each time, each with several waits for the interpreter beside hundreds of threads; and it waited for the lock of the account behind all exchanges. A crowd that is turned away and comes again after half a second outruns that, so the queue of the system never empties.

Change: it accepts until none waits, 64 at most, before it looks at open ones; what heads hold has a lock of its own.

--- a/packages/core/bulrushdeal/exchanges.py
+++ b/packages/core/bulrushdeal/exchanges.py
@@ -141,7 +141,9 @@
         self._held_bytes = 0
         # The part of it that large exchanges hold.
         self._large_bytes = 0
-        # What is held for heads that are not whole yet.
+        # What is held for heads that are not whole yet. It has a lock of its
+        # own, so that accepting threads never wait behind all exchanges.
+        self._heads_lock = threading.Lock()
         self._heads_bytes = 0
         self._counts: collections.Counter[str] = collections.Counter()
 
@@ -156,7 +158,7 @@
 
     def hold_heads(self, change_bytes: int) -> None:
         """Takes memory for heads that are not whole, or gives it back."""
-        with self._condition:
+        with self._heads_lock:
             self._heads_bytes += change_bytes
 
     def has_too_many_heads(self) -> bool:
--- a/packages/core/bulrushdeal/httpconnections.py
+++ b/packages/core/bulrushdeal/httpconnections.py
@@ -30,6 +30,8 @@
 # so that its caller gets the answer and no reset.
 _MAX_DROPPED_BYTES = 256 * 1024
 _DROPPING_S = 2.0
+# How many connections are accepted before open ones are looked at again.
+_MAX_ACCEPTED = 64
 # The accepting thread pauses so long when the process has no descriptor left.
 _NO_DESCRIPTOR_PAUSE_S = 0.05
 _NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -126,7 +128,7 @@
         while not self._untyped()._stop_requested:
             for _, conn in self._untyped()._selector.select(timeout=_TICK_S):
                 if conn is self.server:
-                    self._accept()
+                    self._accept_waiting()
                 else:
                     self._on_readable(conn)
             now_s = time.monotonic()
@@ -136,7 +138,19 @@
                 self.server.room.end_overdue(now_s)
                 self.server.requests.serve_waiting()
 
-    def _accept(self) -> None:
+    def _accept_waiting(self) -> None:
+        """Accepts the connections that wait, up to a number.
+
+        One at a time, between what all open connections send, a crowd's
+        connections would come faster than they are accepted, and ordinary
+        callers would wait behind them.
+        """
+        for _ in range(_MAX_ACCEPTED):
+            if not self._accept():
+                return
+
+    def _accept(self) -> bool:
+        """Accepts a connection; returns whether another one may wait."""
         try:
             conn = self._untyped()._from_server_socket(self.server.socket)
         except OSError as error:
@@ -147,18 +161,19 @@
             self._count("no_descriptor")
             self._close_one("no_descriptor", _CLOSING_ORDER)
             time.sleep(_NO_DESCRIPTOR_PAUSE_S)
-            return
+            return False
         if conn is None:
-            return
+            return False
         with self._lock:
             self._open += 1
             is_full = self._open > self.limits.connections
         if is_full and not self._close_one("too_many", _CLOSING_ORDER):
             self._count("refused")
             conn.close()
-            return
+            return True
         conn.last_used = time.monotonic()
         self._gather(conn)
+        return True
 
     def _on_readable(self, conn: Any) -> None:
         if not self._claim(conn):
--- a/packages/core/bulrushdeal/httpwire.py
+++ b/packages/core/bulrushdeal/httpwire.py
@@ -392,6 +392,8 @@
         super().prepare()
         untyped: Any = self
         untyped._connections._selector.close()
+        # Connections are accepted until none waits.
+        self.socket.settimeout(0)
         self.connections = httpconnections.Connections(self)
         self.connections.limits = self._limits
         untyped._connections = self.connections
--- a/tests/crowds/test_gatewaycrowds.py
+++ b/tests/crowds/test_gatewaycrowds.py
@@ -180,6 +180,23 @@
         vm.check_held()
 
 
+def test_callers_are_answered_beside_a_crowd_that_stands(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Guards against connections that come again faster than they are accepted,
+    # so that ordinary callers wait behind them for ever.
+    behaviours = _all_at_once()
+    with crowdvm.running(tmp_path) as vm:
+        address = (vm.host, crowdvm.CALLERS_PORT)
+        with crowds.Crowd(address, behaviours) as present:
+            present.wait_sent(len(behaviours) // 2)
+            for _ in range(ROUNDS):
+                vm.check_answers()
+                time.sleep(ROUND_PAUSE_S)
+        vm.check_answers()
+        vm.check_held()
+
+
 def _steady_bodies() -> list[crowds.Behaviour]:
     head = crowdvm.head("POST", "/safe/steady", LENGTH)
     return [crowds.Behaviour(head, b"x" * STEADY_PIECE_BYTES)] * CROWD
