Deadlines: a request that ended is not held until its deadline

Callers saw: the memory of a VM beside the mixed crowd grew with the time that the crowd stood: 76 MB after six seconds, 113 after 55, 121 after 83.

Cause: a cancelled timer left the heap only once it was at its head or due. As long as one older request was open, a slow reader for example, each request that had ended since was held with its id, its account and its connection to the upstream: 16,600 of them after 60 s by a count of objects, 2.5 kB each and 14 kB with a long id. Collecting so many objects also stopped all threads.

Change: the callback is released as it is cancelled; cancelled timers are removed once they are more than the others.

--- a/packages/gateway/gateway/deadlines.py
+++ b/packages/gateway/gateway/deadlines.py
@@ -5,13 +5,19 @@
 import itertools
 import threading
 import time
+from typing import NamedTuple
 
 from bulrushdeal import logs
 from bulrushdeal import threads
 
 _log = logs.Log("deadlines")
-# The due time, the id and the callback.
-_Timer = tuple[float, int, Callable[[], None]]
+# Cancelled timers are removed once they are more than the others and than this.
+_MIN_CANCELLED = 64
+
+
+class _Timer(NamedTuple):
+    due_s: float
+    id: int
 
 
 class Deadlines:
@@ -20,13 +26,17 @@
     The timeout of a read from an upstream limits only the silence between
     bytes. An answer that keeps arriving slowly never reaches it, so the total
     time needs a limit of its own.
+
+    Most requests end long before their deadline. A cancelled callback is
+    released at once, as it holds its request; its timer stays for a while.
     """
 
     def __init__(self) -> None:
         self._condition = threading.Condition()
         self._ids = itertools.count()
+        # A heap. Those without a callback are cancelled.
         self._timers: list[_Timer] = []
-        self._cancelled: set[int] = set()
+        self._callbacks: dict[int, Callable[[], None]] = {}
         self._is_stopping = False
         self._thread: threading.Thread | None = None
 
@@ -53,20 +63,30 @@
             A function that cancels the callback.
         """
         with self._condition:
-            timer_id = next(self._ids)
-            is_next = not self._timers or due_s < self._timers[0][0]
-            heapq.heappush(self._timers, (due_s, timer_id, callback))
+            timer = _Timer(due_s, next(self._ids))
+            is_next = not self._timers or timer < self._timers[0]
+            heapq.heappush(self._timers, timer)
+            self._callbacks[timer.id] = callback
             if is_next:
                 self._condition.notify()
-        return lambda: self._cancel(timer_id)
+        return lambda: self._cancel(timer.id)
+
+    def timer_count(self) -> int:
+        """Returns how many timers are kept, with those that are cancelled."""
+        with self._condition:
+            return len(self._timers)
 
     def _cancel(self, timer_id: int) -> None:
         with self._condition:
-            self._cancelled.add(timer_id)
-            # Most requests end long before their deadline. Cancelled timers
-            # at the head of the heap are removed now, not when they are due.
-            while self._timers and self._timers[0][1] in self._cancelled:
-                self._cancelled.discard(heapq.heappop(self._timers)[1])
+            if self._callbacks.pop(timer_id, None) is None:
+                return
+            cancelled = len(self._timers) - len(self._callbacks)
+            if cancelled <= max(len(self._callbacks), _MIN_CANCELLED):
+                return
+            self._timers = [
+                timer for timer in self._timers if timer.id in self._callbacks
+            ]
+            heapq.heapify(self._timers)
 
     def _run(self) -> None:
         while True:
@@ -82,12 +102,12 @@
         with self._condition:
             while not self._is_stopping:
                 now_s = time.monotonic()
-                if self._timers and self._timers[0][0] <= now_s:
-                    _, timer_id, callback = heapq.heappop(self._timers)
-                    if timer_id not in self._cancelled:
+                if self._timers and self._timers[0].due_s <= now_s:
+                    timer = heapq.heappop(self._timers)
+                    callback = self._callbacks.pop(timer.id, None)
+                    if callback is not None:
                         return callback
-                    self._cancelled.discard(timer_id)
                     continue
-                wait_s = self._timers[0][0] - now_s if self._timers else None
+                wait_s = self._timers[0].due_s - now_s if self._timers else None
                 self._condition.wait(wait_s)
         return lambda: None
--- a/tests/crowds/test_gatewaycrowds.py
+++ b/tests/crowds/test_gatewaycrowds.py
@@ -33,6 +33,10 @@
 LONG_TIMEOUT_MS = 600_000
 # The rest of the 16 kB of a head that the configuration allows.
 FILLER = "X-Filler: " + "f" * 14_000
+# An id of nearly that length, and so many requests that their ids alone take
+# three quarters of the VM's memory.
+LONG_ID = "i" * 14_000
+ENDED = 6900
 # Jobs whose results take more than the VM's memory together.
 JOBS = 85
 ITEMS = 20
@@ -197,6 +201,23 @@
         vm.check_held()
 
 
+def test_requests_that_ended_leave_nothing_behind(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Guards against requests that are held until their deadline after they were
+    # answered, as long as one older request is open.
+    behaviours = _slow_streams()[:1]
+    limits = crowdvm.Limits(route_timeout_ms=LONG_TIMEOUT_MS)
+    with crowdvm.running(tmp_path, limits) as vm:
+        address = (vm.host, crowdvm.CALLERS_PORT)
+        with crowds.Crowd(address, behaviours) as present:
+            present.wait_sent(len(behaviours))
+            for number in range(ENDED):
+                vm.check_answers(attempt=f"{number}{LONG_ID}")
+        vm.check_answers()
+        vm.check_held()
+
+
 def _steady_bodies() -> list[crowds.Behaviour]:
     head = crowdvm.head("POST", "/safe/steady", LENGTH)
     return [crowds.Behaviour(head, b"x" * STEADY_PIECE_BYTES)] * CROWD
--- a/tests/support/crowdvm.py
+++ b/tests/support/crowdvm.py
@@ -173,15 +173,23 @@
         """Returns whether the readiness check succeeds."""
         return self._try("GET", "/ready", b"", READY_PORT)[0] == 200
 
-    def check_answers(self, body: bytes = b"hi", chunks: int = 0) -> None:
+    def check_answers(
+        self, body: bytes = b"hi", chunks: int = 0, attempt: str = ""
+    ) -> None:
         """Fails unless an ordinary request is answered, after some tries.
 
         Args:
             body: The body of the request.
             chunks: In how many chunks to send it; 0 for none, with a length.
+            attempt: The id of the request; empty for a new one.
         """
         self._check(
-            "/safe/ordinary", body, 200, b"answer to /safe/ordinary", chunks
+            "/safe/ordinary",
+            body,
+            200,
+            b"answer to /safe/ordinary",
+            chunks,
+            attempt,
         )
 
     def check_job(self, job: str, body: bytes) -> None:
