Bodies: received into a thread's own block, and kept in one that grows

Cause: each receive took a block of 16 kB before it waited and gave most of it back; bodies were kept as hundreds of such pieces. Threads by the hundred that do so leave holes.

Change: a thread receives into a block of its own; a body is one block, which the C library moves out of the heap and gives back once it is large.

--- a/packages/core/bulrushdeal/httpreader.py
+++ b/packages/core/bulrushdeal/httpreader.py
@@ -22,6 +22,20 @@
 _parsing = threading.Lock()
 
 
+class _Received(threading.local):
+    """What a thread receives into.
+
+    A new block for each call, most of which is given back at once, leaves the
+    heap full of holes if hundreds of threads receive.
+    """
+
+    def __init__(self) -> None:
+        self.view = memoryview(bytearray(_READ_BYTES))
+
+
+_received = _Received()
+
+
 class EndedError(OSError):
     """The exchange was ended while its request arrived."""
 
@@ -53,11 +67,13 @@
             OSError: The connection broke.
         """
         try:
-            data = self._socket.recv(_READ_BYTES, socket.MSG_DONTWAIT)
+            size_bytes = self._socket.recv_into(
+                _received.view, 0, socket.MSG_DONTWAIT
+            )
         except (TimeoutError, BlockingIOError):
             return "none"
-        self.buffer += data
-        return "data" if data else "end"
+        self.buffer += _received.view[:size_bytes]
+        return "data" if size_bytes else "end"
 
     def has_head(self, max_bytes: int) -> bool:
         """Returns whether the buffer has a whole head, or one too long."""
@@ -97,7 +113,8 @@
 
     def take(self, size: int) -> bytes:
         """Removes at most `size` bytes from the buffer and returns them."""
-        data = bytes(self.buffer[:size])
+        with memoryview(self.buffer) as view:
+            data = bytes(view[:size])
         del self.buffer[:size]
         self._searched_bytes = 0
         return data
@@ -111,15 +128,15 @@
         """
         exchange = self.exchange
         if exchange is None:
-            data = self._socket.recv(_READ_BYTES)
+            size_bytes = self._socket.recv_into(_received.view)
         else:
             exchange.begin_read()
-            data = self._socket.recv(_READ_BYTES)
-            exchange.end_read(len(data))
+            size_bytes = self._socket.recv_into(_received.view)
+            exchange.end_read(size_bytes)
             if exchange.end_reason:
                 raise EndedError(exchange.end_reason)
-        self.buffer += data
-        return bool(data)
+        self.buffer += _received.view[:size_bytes]
+        return size_bytes > 0
 
     def close(self) -> None:
         """Drops what was not read; the socket is closed by its connection."""
--- a/packages/daemon/bulrushdeald/bodies.py
+++ b/packages/daemon/bulrushdeald/bodies.py
@@ -42,21 +42,21 @@
         return result.Err(_too_large(max_bytes))
     exchange = request.exchange or exchanges.detached()
     exchange.due_s = due_s
-    parts: list[bytes] = []
-    size_bytes = 0
+    # One block that grows: many small ones of bodies that come and go would
+    # leave the heap full of holes.
+    body = bytearray()
     try:
         for chunk in read_exactly(request):
-            size_bytes += len(chunk)
-            if size_bytes > max_bytes:
+            if len(body) + len(chunk) > max_bytes:
                 return result.Err(_too_large(max_bytes))
             if not exchange.grow(len(chunk) * memory_factor):
                 return result.Err(_NO_ROOM)
-            parts.append(chunk)
+            body += chunk
     except BodyError as error:
         if isinstance(error.__cause__, TimeoutError):
             return result.Err(_LATE)
         return result.Err(refusal_of(request, str(error), "body"))
-    return _join(parts, exchange, memory_factor)
+    return _as_bytes(body, exchange, memory_factor)
 
 
 def refusal_of(
@@ -75,19 +75,19 @@
     return _ENDED.get(request.exchange.end_reason, refused)
 
 
-def _join(
-    parts: list[bytes], exchange: exchanges.Exchange, memory_factor: int
+def _as_bytes(
+    body: bytearray, exchange: exchanges.Exchange, memory_factor: int
 ) -> result.Result[bytes, services.Refusal]:
-    if len(parts) <= 1 or memory_factor > 1:
-        return result.Ok(b"".join(parts))
+    if memory_factor > 1 or len(body) <= _CHUNK_BYTES:
+        return result.Ok(bytes(body))
     held_bytes = exchange.held_bytes
-    # For a moment there are both the parts and the whole.
-    if not exchange.grow(sum(map(len, parts))):
+    # For a moment the body is there twice.
+    if not exchange.grow(len(body)):
         return result.Err(_NO_ROOM)
-    body = b"".join(parts)
-    parts.clear()
+    copy = bytes(body)
+    body.clear()
     exchange.shrink_to(held_bytes)
-    return result.Ok(body)
+    return result.Ok(copy)
 
 
 def read_exactly(request: httpd.Request) -> Iterator[bytes]:
--- a/tests/core/test_httpreader.py
+++ b/tests/core/test_httpreader.py
@@ -18,14 +18,20 @@
     def __init__(self, pieces: list[bytes]) -> None:
         self._pieces = pieces
 
-    def recv(self, size: int, flags: int = 0) -> bytes:
+    def recv_into(self, view: memoryview, size: int = 0, flags: int = 0) -> int:
         del flags
+        size = size or len(view)
         if not self._pieces:
-            return b""
+            return 0
         piece = self._pieces.pop(0)
         if len(piece) > size:
             self._pieces.insert(0, piece[size:])
-        return piece[:size]
+        received = piece[:size]
+        view[: len(received)] = received
+        return len(received)
+
+    def setsockopt(self, *option: int) -> None:
+        """Ignores the option."""
 
 
 def reader_of(pieces: list[bytes]) -> httpreader.Reader:
