Sockets: little is buffered for connections that no thread reads

Cause: each connection could have 32 kB unread, also the 1,024 that wait to be accepted, which the bound on connections does not count.

Change: a connection begins with a buffer of half that size, which is widened once a thread reads from it; half as many may wait to be accepted.

The new test of the buffer's sizes fails without the change.

--- a/packages/core/bulrushdeal/httpd.py
+++ b/packages/core/bulrushdeal/httpd.py
@@ -17,7 +17,7 @@
 # Threads wait on upstreams, so there are many more than processors.
 DEFAULT_THREADS = 200
 DEFAULT_LIMITS = httpconnections.Limits()
-_BACKLOG = 1024
+_BACKLOG = 512
 _SOCKET_TIMEOUT_S = 60
 # One connection may wait for a thread per this many threads. A burst of short
 # requests fits in the queue; the bound keeps connections from waiting unnoticed
--- a/packages/core/bulrushdeal/httpreader.py
+++ b/packages/core/bulrushdeal/httpreader.py
@@ -8,6 +8,7 @@
 import cheroot.server
 
 from bulrushdeal import exchanges
+from bulrushdeal import sockets
 
 _READ_BYTES = 16 * 1024
 _MAX_CHUNK_LINE_BYTES = 1024
@@ -59,6 +60,7 @@
         self.closed = False
         # Up to where the buffer has been searched for the end of a head.
         self._searched_bytes = 0
+        self._is_wide = False
 
     def fill_now(self) -> Literal["data", "none", "end"]:
         """Receives what has arrived, without waiting.
@@ -130,6 +132,9 @@
         if exchange is None:
             size_bytes = self._socket.recv_into(_received.view)
         else:
+            if not self._is_wide:
+                self._is_wide = True
+                sockets.widen_receive_buffer(self._socket)
             exchange.begin_read()
             size_bytes = self._socket.recv_into(_received.view)
             exchange.end_read(size_bytes)
--- a/packages/core/bulrushdeal/httpwire.py
+++ b/packages/core/bulrushdeal/httpwire.py
@@ -406,7 +406,7 @@
             self.socket = self.listener
             self.bind_addr = self.listener.getsockname()
         bound: Any = self.socket
-        sockets.limit_buffers(bound)
+        sockets.limit_accepted_buffers(bound)
         return bound
 
     def set_limits(self, limits: httpconnections.Limits) -> None:
--- a/packages/core/bulrushdeal/sockets.py
+++ b/packages/core/bulrushdeal/sockets.py
@@ -8,6 +8,8 @@
 _US_PER_S = 1_000_000
 # The system doubles these for its own records.
 _RECEIVE_BUFFER_BYTES = 16 * 1024
+# For a caller's connection until a thread reads from it.
+_WAITING_BUFFER_BYTES = 8 * 1024
 _SEND_BUFFER_BYTES = 64 * 1024
 # The most that may wait on a connection before it is read.
 MAX_UNREAD_BYTES = 2 * _RECEIVE_BUFFER_BYTES
@@ -139,6 +141,23 @@
         sock.setsockopt(*option)
 
 
+def limit_accepted_buffers(listener: socket.socket) -> None:
+    """Bounds what is buffered for the connections that a socket accepts.
+
+    Also before they are accepted: those that wait may be many.
+
+    Args:
+        listener: A socket that listens, or is about to.
+    """
+    limit_buffers(listener)
+    limit_receive_buffer(listener, _WAITING_BUFFER_BYTES)
+
+
+def widen_receive_buffer(sock: socket.socket) -> None:
+    """Lets as much arrive on an accepted connection as on any other."""
+    limit_receive_buffer(sock, _RECEIVE_BUFFER_BYTES)
+
+
 def limit_receive_buffer(sock: socket.socket, size_bytes: int) -> None:
     """Bounds what may arrive on a connection before it is read."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
--- a/tests/core/test_httpreader.py
+++ b/tests/core/test_httpreader.py
@@ -10,6 +10,7 @@
 
 from bulrushdeal import exchanges
 from bulrushdeal import httpreader
+from bulrushdeal import sockets
 
 
 class Pieces:
@@ -161,3 +162,26 @@
     exchange.end("overdue")
     with pytest.raises(httpreader.EndedError):
         reader.read(1)
+
+
+def test_more_may_arrive_once_a_thread_reads() -> None:
+    # Guards against hundreds of connections that wait for a thread, or to be
+    # accepted, whose unread bytes are more than the VM's memory.
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        sockets.limit_accepted_buffers(listener)
+        caller = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+    with caller, accepted:
+        reader = httpreader.Reader(accepted)
+        caller.sendall(b"GET / HTTP/1.1")
+        while reader.fill_now() != "data":
+            pass
+        assert _receive_buffer_bytes(accepted) == sockets.MAX_UNREAD_BYTES // 2
+        reader.exchange = exchanges.detached()
+        caller.sendall(b"body")
+        assert reader.fill()
+        assert _receive_buffer_bytes(accepted) == sockets.MAX_UNREAD_BYTES
+
+
+def _receive_buffer_bytes(sock: socket.socket) -> int:
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
