--- a/packages/gateway/gateway/front.py
+++ b/packages/gateway/gateway/front.py
@@ -40,12 +40,12 @@
 _log = logs.Log("front")
 _events = eventlog.Events("front")
 
-# Each open connection takes one thread, and each thread about 40 kB.
-_CALLER_THREADS = 320
 _READY_THREADS = 4
 _READY_LIMITS = httpd.DEFAULT_LIMITS._replace(
     connections=64, head_timeout_s=5.0
 )
+# However much memory the VM has.
+_CALLER_THREADS = 320
 # How long the server has to close, whatever is left of the grace period.
 _MIN_CLOSE_S = 0.3
 # Retries reach other VMs, so they need not wait.
@@ -88,7 +88,7 @@
         self._server = httpd.Server(
             settings.callers_address,
             self._serve,
-            _CALLER_THREADS,
+            min(settings.callers_threads, _CALLER_THREADS),
             refusals.refusal_response(_BUSY),
             listener,
             room=self._room,
--- a/packages/gateway/gateway/records.py
+++ b/packages/gateway/gateway/records.py
@@ -250,6 +250,7 @@
         callers_memory_bytes: What may be held for all callers together: bodies,
             answers, jobs that are decoded.
         callers_connections: How many connections of callers may be open.
+        callers_threads: How many requests of callers may be served at once.
     """
 
     vm: str
@@ -275,3 +276,4 @@
     drain_timeout_s: float = 2.0
     callers_memory_bytes: int = exchanges.DEFAULT_LIMIT_BYTES
     callers_connections: int = 2000
+    callers_threads: int = 320
