--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,7 @@
-"""Releases of two services use up a VM's descriptors; it serves nobody then."""
+"""Items that no replica can do keep the items of other jobs from ever running."""
 
-import collections
-import os
+import base64
+import json
 import pathlib
 import sys
 import threading
@@ -11,109 +11,131 @@
 
 import standins  # noqa: E402
 
-_SERVICES = ("app-a", "app-b")
-_REPLICAS = 4
-_PER_REPLICA = 30
-_WORK_S = 0.25
-_BEFORE_S = 4.0
-_RELEASES_S = 80.0
-# The bound recovery_s, and how long is watched after it.
-_RECOVERY_S = 12.0
-_CHECK_S = 6.0
-_MAX_FDS = 4100
+_MEMORY_TOKENS = 72000
+_TOO_LARGE_TOKENS = 80000
+_LARGE_ITEMS = 20
+# Jobs of the same moment, so that one item in 13 is too large.
+_OTHER_JOBS = 21
+_ITEMS = 10
+_HELD_ITEMS = 20
+_EVENTS = 20
+_FINISH_S = 18.0
 
 
-class App(standins.Replica):
+class Engine(standins.Replica):
+    """Runs items; rejects those that are larger than its memory."""
+
+    guard = threading.Lock()
+    runs: dict[str, int] = {}
+    last_s: dict[str, float] = {}
+    finished_s: list[float] = []
+
     def answer(self, sock, method, target, headers, body, attempt):
-        time.sleep(_WORK_S)
-        sock.sendall(self.head(attempt, "Content-Length: 5\r\nKeep-Alive: timeout=5\r\n") + b"hello")
+        read, made = headers.get("bulrushdeal-token-usage", "0,0").split(",")
+        with Engine.guard:
+            Engine.runs[attempt] = Engine.runs.get(attempt, 0) + 1
+        self.record.add(f"{self.instance} gets {attempt} of {read} + {made} tokens")
+        if int(read) + int(made) > _MEMORY_TOKENS:
+            head = (
+                f"HTTP/1.1 503 Full\r\nBulrushdeal-Not-Executed: 1\r\nBulrushdeal-Request-Attempt-Id: {attempt}\r\n"
+                f"Bulrushdeal-Server-Load: {self.load()}\r\nContent-Length: 0\r\n\r\n"
+            )
+            sock.sendall(head.encode())
+            return True
+        sock.sendall(self.head(attempt, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
+        for number in range(int(headers.get("last-event-id", "0")) + 1, _EVENTS + 1):
+            time.sleep(0.02)
+            sock.sendall(standins.chunk(f"id: {number}\ndata: {attempt} word {number}\n\n".encode()))
+            Engine.last_s[attempt] = time.monotonic()
+        sock.sendall(b"0\r\n\r\n")
+        Engine.finished_s.append(time.monotonic())
         return True
 
 
-def _half_closed(ip):
-    """Counts connections to the replicas' address in the state CLOSE_WAIT."""
-    number = "".join(f"{int(part):02X}" for part in reversed(ip.split(".")))
-    rows = pathlib.Path("/proc/net/tcp").read_text("ascii").splitlines()[1:]
-    return sum(row.split()[2].startswith(number) and row.split()[3] == "08" for row in rows)
+def submit(vm, record, job, count, tokens):
+    items = [
+        {
+            "id": f"{job}-{index}",
+            "path": "/b/1",
+            "headers": {"Bulrushdeal-Model": "m", "Bulrushdeal-Token-Usage": f"{tokens},400"},
+            "body": base64.b64encode(b"x").decode(),
+            "tokens": tokens + 400,
+        }
+        for index in range(count)
+    ]
+    body = json.dumps({"items": items}).encode()
+    status, _, _ = vm.call("POST", f"/b/{job}", body, Bulrushdeal_Request_Attempt_Id=job)
+    record.add(f"submit {job} at {vm.name}, {count} items of {tokens} + 400 tokens: {status}")
+    if status != 202:
+        raise standins.CannotRun(f"submission answered {status}")
 
 
 def main(record, folder, vms, has_trouble):
     ip = standins.free_ip()
     store = standins.Store(ip)
-    routes = [standins.route(name, f"/{name}/", "safe", name, timeout_ms=3000) for name in _SERVICES]
-    services = [{"name": name, "health_check": "/healthz", "max_connections": 96} for name in _SERVICES]
-    store.put("op/config", standins.configuration(routes, services))
-    numbers = iter(range(10**6))
-
-    def add(service):
-        return App(store, ip, f"{service}-{next(numbers)}", service, "z1", 6, record)
-
-    live = {name: collections.deque(add(name) for _ in range(_REPLICAS)) for name in _SERVICES}
-    vm = standins.Vm("front-z1-1", "z1", store, folder, max_fds=_MAX_FDS)
-    vms.append(vm)
-    vm.start()
-    vm.wait_ready()
-    time.sleep(2.0)
-    counts = collections.Counter()
-    ready = collections.Counter()
-    ids = iter(range(10**9))
-
-    def send(service, phase):
-        status, _, _ = vm.call("GET", f"/{service}/x", timeout_s=4.0, Bulrushdeal_Request_Attempt_Id=f"a{next(ids)}")
-        counts[phase, status] += 1
-
-    def burst(phase):
-        rows = [
-            threading.Thread(target=send, args=(name, phase))
-            for name in _SERVICES
-            for _ in range(_REPLICAS * _PER_REPLICA)
-        ]
-        for row in rows:
-            row.start()
-        return rows
-
-    def retire(replica):
-        # It serves on for drain_timeout_ms and a little longer, and then exits.
-        replica.drain()
-        time.sleep(2.3)
-        replica.leave()
-
-    started_s = time.monotonic()
-    releases_s = _RELEASES_S if has_trouble else 15.0
-    replaced = 0
-    while True:
-        next_s = time.monotonic() + 1.0
-        age_s = time.monotonic() - started_s
-        if age_s >= releases_s + _RECOVERY_S + _CHECK_S:
-            break
-        releases = age_s < releases_s
-        phase = "before" if age_s < _BEFORE_S else "during"
-        if age_s >= releases_s + _RECOVERY_S:
-            phase = "after"
-        burst(phase)
-        if has_trouble and releases and age_s >= _BEFORE_S:
-            for name in _SERVICES:
-                live[name].append(add(name))
-                threading.Thread(target=retire, args=(live[name].popleft(),)).start()
-                replaced += 1
-        time.sleep(max(next_s - time.monotonic(), 0.0))
-        fds = len(os.listdir(f"/proc/{vm.pid}/fd")) if vm.is_running() else -1
-        ready[phase, vm.is_ready(0.9)] += 1
-        record.add(f"replaced {replaced}, descriptors of the VM {fds}, answers {dict(counts)}")
-    time.sleep(4.5)
-    rates = {}
-    for phase in ("before", "after"):
-        sent = sum(count for (name, _), count in counts.items() if name == phase)
-        rates[phase] = counts[phase, 200] / max(sent, 1)
-        statuses = {status: count for (name, status), count in counts.items() if name == phase}
-        record.say(f"{phase}: /ready answered 200 {ready[phase, True]} times, not {ready[phase, False]} times")
-        record.say(f"{phase}: {sent} requests sent, {rates[phase]:.0%} served; answers by status (0: none) {statuses}")
-    listed = store.keys("servers/")
-    record.say(f"connections that replicas have closed and the VM has not: {_half_closed(ip)}")
-    record.say(f"{replaced} replicas replaced, {len(listed)} sound ones listed; the VM runs: {vm.is_running()}")
-    if rates["before"] < 0.25:
-        raise standins.CannotRun("too little was served before")
-    return 1 if rates["after"] < 0.25 else 0
+    store.put(
+        "op/config",
+        standins.configuration(
+            [
+                standins.route(
+                    "batch", "/b/", "batch", "llm", retention_s=60, completion_target_ms=18000, max_attempts=3
+                )
+            ],
+            [
+                {
+                    "name": "llm",
+                    "health_check": "/healthz",
+                    "max_connections": 160,
+                    "engine": {"slots": 8, "kv_capacity_tokens": _MEMORY_TOKENS},
+                }
+            ],
+        ),
+    )
+    for number, zone in enumerate(("z1", "z2", "z1")):
+        Engine(store, ip, f"i-{number}", "llm", zone, 8, record)
+    for name, zone in (("front-z1-1", "z1"), ("front-z2-1", "z2")):
+        vms.append(standins.Vm(name, zone, store, folder))
+        vms[-1].start()
+    for vm in vms:
+        vm.wait_ready()
+    time.sleep(3.0)
+    jobs = [f"k{number}" for number in range(_OTHER_JOBS)]
+    for job in jobs:
+        submit(vms[1], record, job, _ITEMS, 350)
+    if has_trouble:
+        submit(vms[0], record, "large", _LARGE_ITEMS, _TOO_LARGE_TOKENS)
+    for job in ("j0", "j1"):
+        submit(vms[0], record, job, _HELD_ITEMS, 350)
+        jobs.append(job)
+    # The traffic has ended; the jobs have finish_s more.
+    end_s = time.monotonic() + _FINISH_S
+    while time.monotonic() < end_s + 0.5:
+        time.sleep(0.5)
+    now_s = time.monotonic()
+    missing = 0
+    for job in jobs:
+        listed, after = {}, 0
+        for vm in (*vms, *vms):
+            status, _, data = vm.call("GET", f"/lots/{job}?after={after}")
+            if status == 200:
+                page = json.loads(data)
+                listed |= {row["id"]: row["state"] for row in page["results"]}
+                after = page["next"]
+        count = _HELD_ITEMS if job[0] == "j" else _ITEMS
+        lost = [f"{job}-{index}" for index in range(count) if f"{job}-{index}" not in listed]
+        states = sorted(listed.values())
+        say = record.say if lost or job[0] == "j" else record.add
+        say(
+            f"read {job}: {len(listed)} of {count} listed, {states.count('completed')} completed; not listed: {lost}"
+        )
+        for item in lost:
+            idle_s = now_s - Engine.last_s.get(item, 0.0)
+            record.add(f"{item}: {Engine.runs.get(item, 0)} runs")
+            missing += idle_s > 5.0
+    last_s = now_s - max(Engine.finished_s, default=0.0)
+    busy = sum(row > now_s - 5.0 for row in Engine.last_s.values())
+    record.say(f"finish_s is over; the last run finished {last_s:.1f} s ago, {busy} items had by replicas in the last 5 s")
+    return 1 if missing and last_s > 3.0 and not busy else 0
 
 
 standins.run_case(main)
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -490,12 +490,16 @@
                 "version": "1",
                 "slots": self.slots,
                 "state": self._state,
-                "cold_remaining_ms": 0,
+                "cold_remaining_ms": self.cold_ms(),
                 "sequence": self._sequence,
                 "born": self._born_ms,
             },
         )
 
+    def cold_ms(self) -> int:
+        """How much longer the replica stays cold."""
+        return 0
+
     def drain(self) -> None:
         self._state = "draining"
         self.report()
@@ -535,7 +539,10 @@
                 },
             )
         if target == "/healthz":
-            head = f"HTTP/1.1 200 OK\r\nBulrushdeal-Instance-Id: {self.instance}\r\nContent-Length: 0\r\n\r\n"
+            head = (
+                f"HTTP/1.1 200 OK\r\nBulrushdeal-Instance-Id: {self.instance}\r\n"
+                f"Bulrushdeal-Cold-Ms: {self.cold_ms()}\r\nContent-Length: 0\r\n\r\n"
+            )
             sock.sendall(head.encode())
             return True
         if headers.get("bulrushdeal-expect-instance", self.instance) != self.instance:
