--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -74,6 +74,8 @@
         is_answering: Whether the current run has sent an event.
         origin: Where the output began; `None` without output. Only there may
             it go on.
+        is_too_large: Whether it needed more memory than any engine has when it
+            was last to run.
         stranded_since_s: Since when no upstream can continue the output, by
             the monotonic clock; `None` if one can.
     """
@@ -93,6 +95,7 @@
         self.fingerprint = ""
         self.is_answering = False
         self.origin: records.StreamOrigin | None = None
+        self.is_too_large = False
         self.stranded_since_s: float | None = None
 
     def elapsed_s(self, now_s: float) -> float:
@@ -341,6 +344,10 @@
         """Returns how many items wait to run."""
         return len(self._pending)
 
+    def count_too_large(self) -> int:
+        """Returns how many items no engine has memory for."""
+        return sum(item.is_too_large for item in self.without_result())
+
     def count_running(self) -> int:
         """Returns how many items run or have a result still to be written."""
         return len(self._running)
--- a/packages/gateway/gateway/placement.py
+++ b/packages/gateway/gateway/placement.py
@@ -58,6 +58,9 @@
 # Grants tried before this VM chooses by itself; the leader may grant an engine
 # that this VM no longer lists.
 _MAX_GRANTS = 2
+# How long a VM asks for no more batch slots on an engine that the leader
+# granted and this VM may not use. Their lists agree again soon.
+_STALE_GRANT_S = 1.0
 
 
 class Scope(NamedTuple):
@@ -114,6 +117,8 @@
         self._slots = heldslots.HeldSlots(self._on_release)
         self._waits = grantwaits.GrantWaits(self._is_held, self._give_back)
         self._last_trial_s: dict[str, float] = {}
+        # When an engine was last granted that this VM may not use.
+        self._stale_grants_s: dict[str, float] = {}
         # By service, for those whose upstreams have reported their load.
         self._choices: dict[str, localchoice.LocalChoice] = {}
 
@@ -256,8 +261,9 @@
             costs: What the items cost, in the same order; empty if unknown.
 
         Returns:
-            Slots for the first items, in order; `None` for an item whose
-            engine is no longer usable.
+            Slots for the first items, in order; `None` for an item that no
+            engine has memory for, or whose engine is no longer usable. Items
+            that find no slot now are left out.
         """
         if not self._has_engine(service):
             return []
@@ -271,6 +277,7 @@
                 return []
             skipped, priorities = barred, priorities[:1]
         skipped |= self._waits_s(service, scope).keys()
+        skipped |= self._stale_grants()
         runs = tuple(
             slotrecords.BatchRun(self._new_run_name(), priority, cost)
             for priority, cost in zip(
@@ -287,9 +294,16 @@
             self._hold_granted(
                 service, row.run, instance, scope, row.cost, row.priority
             )
+            if instance
+            else None
             for row, instance in zip(runs, answer.instances, strict=False)
         ]
 
+    def memory_tokens(self, service: str) -> int:
+        """Returns the memory of each engine of a service; 0 if unknown."""
+        engine = self._engine(service)
+        return 0 if engine is None else engine.memory_tokens
+
     def _hold_granted(
         self,
         service: str,
@@ -309,11 +323,13 @@
         # A request may have waited for the grant while this VM stood still.
         self._upstreams.await_current()
         upstream = self._upstreams.find_usable(service, instance)
-        if (
-            upstream is None
-            or not scope.admits(upstream)
-            or not self._cold.try_send(upstream)
-        ):
+        if upstream is None or not scope.admits(upstream):
+            # The leader would grant it again and again.
+            with self._lock:
+                self._stale_grants_s[instance] = time.monotonic()
+            self._give_back(service, run)
+            return None
+        if not self._cold.try_send(upstream):
             self._give_back(service, run)
             return None
         slot = self._hold(service, run, upstream, cost, priority)
@@ -493,6 +509,17 @@
                 waits_s[row.instance] = math.inf
         return waits_s
 
+    def _stale_grants(self) -> frozenset[str]:
+        """Returns the engines that this VM lately was granted in vain."""
+        oldest_s = time.monotonic() - _STALE_GRANT_S
+        with self._lock:
+            self._stale_grants_s = {
+                name: at_s
+                for name, at_s in self._stale_grants_s.items()
+                if at_s >= oldest_s
+            }
+            return frozenset(self._stale_grants_s)
+
     def _claim_trial(self, service: str) -> bool:
         """Returns whether a request may now go to avoided upstreams.
 
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -147,6 +147,7 @@
             state.meta.job: {
                 "pending": state.count_pending(),
                 "running": state.count_running(),
+                "too_large": state.count_too_large(),
                 "listed": state.next_position,
             }
             for state in self._table.by_due_time()
@@ -300,11 +301,33 @@
         if service is None:
             return []
         regions = self._regions(state)
-        return [
+        rows = [
             self._ready_item(state, item, service, regions, moment)
             for item in items
             if not self._item_run.is_held_back(state, item)
         ]
+        return [row for row in rows if self._fits_an_engine(row)]
+
+    def _fits_an_engine(self, row: "_ReadyItem") -> bool:
+        """Returns whether an engine without runs has memory for an item.
+
+        One that fits nowhere is not given up before its retention: a later
+        configuration may bring larger engines.
+        """
+        item, needed_tokens = row.item, row.cost.peak_tokens
+        memory_tokens = self._placement.memory_tokens(row.service)
+        is_too_large = 0 < memory_tokens < needed_tokens
+        if is_too_large and not item.is_too_large:
+            _events.warning(
+                "too_large",
+                job=row.state.meta.job,
+                item=item.item.item,
+                service=row.service,
+                needed_tokens=needed_tokens,
+                memory_tokens=memory_tokens,
+            )
+        item.is_too_large = is_too_large
+        return not is_too_large
 
     def _ready_item(
         self,
@@ -386,47 +409,56 @@
     def _start_items(self, rows: list["_ReadyItem"]) -> None:
         """Starts items of one service and scope in rank order.
 
-        Ends when no slot is free.
+        Ends when no slot is free. An item that gets none for another reason
+        holds up no other: that may last until it is given up.
         """
         service, scope = rows[0].service, rows[0].scope
         rows.sort(key=lambda row: batchorder.rank(row.priority))
-        rows = self._separate_suspects(rows)
         while rows:
             with self._lock:
                 count = min(_MAX_SLOTS_PER_REQUEST, _MAX_RUNS - self._run_count)
             if count <= 0:
                 return
-            batch, rows = rows[:count], rows[count:]
+            asked, rows = self._choose_next(rows, count)
+            if not asked:
+                return
             slots = self._placement.take_batch(
                 service,
-                [row.priority for row in batch],
+                [row.priority for row in asked],
                 scope,
-                [row.cost for row in batch],
+                [row.cost for row in asked],
             )
-            for row, slot in zip(batch, slots, strict=False):
+            for row, slot in zip(asked, slots, strict=False):
                 if slot is not None:
                     self._submit_run(row, slot)
-            if None in slots or len(slots) < _MAX_SLOTS_PER_REQUEST:
+            if len(slots) < len(asked):
                 return
+            rows = _smaller_than_unplaced(rows, asked, slots)
 
-    def _separate_suspects(
-        self, rows: list["_ReadyItem"]
-    ) -> list["_ReadyItem"]:
-        """Returns the items that may start, at most one suspect among them.
+    def _choose_next(
+        self, rows: list["_ReadyItem"], count: int
+    ) -> tuple[list["_ReadyItem"], list["_ReadyItem"]]:
+        """Returns the next items to ask slots for, and those left after them.
 
-        The next suspect starts once the one before it answers or has ended.
-        If they started together and their engine crashed again, they could not
-        be told apart.
+        At most one suspect is among them, and none is left while one runs
+        that has not answered. If two ran together and their engine crashed
+        again, they could not be told apart.
         """
         trial = self._trial
         may_try = trial is None or trial.is_answering
-        kept: list[_ReadyItem] = []
+        asked: list[_ReadyItem] = []
+        left: list[_ReadyItem] = []
+        has_suspect = False
         for row in rows:
             is_suspect = self._item_run.is_suspect(row.state, row.item)
-            if not is_suspect or may_try:
-                kept.append(row)
-            may_try = may_try and not is_suspect
-        return kept
+            if is_suspect and not may_try:
+                continue
+            if len(asked) >= count or (is_suspect and has_suspect):
+                left.append(row)
+                continue
+            asked.append(row)
+            has_suspect = has_suspect or is_suspect
+        return asked, left
 
     def _submit_run(self, row: "_ReadyItem", slot: heldslots.Slot) -> None:
         if not row.state.take(row.item):
@@ -503,3 +535,23 @@
             with self._lock:
                 self._run_count -= 1
             self._wake.set()
+
+
+def _smaller_than_unplaced(
+    rows: list[_ReadyItem],
+    asked: list[_ReadyItem],
+    slots: list[heldslots.Slot | None],
+) -> list[_ReadyItem]:
+    """Returns the items that need less memory than any that got no slot.
+
+    Others would find none either, and each request takes time.
+    """
+    unplaced = [
+        row.cost.peak_tokens
+        for row, slot in zip(asked, slots, strict=True)
+        if slot is None
+    ]
+    if not unplaced:
+        return rows
+    least_tokens = min(unplaced)
+    return [row for row in rows if row.cost.peak_tokens < least_tokens]
--- a/packages/gateway/gateway/slotmessages.py
+++ b/packages/gateway/gateway/slotmessages.py
@@ -90,7 +90,8 @@
 
     Attributes:
         instances: The engines for the first of the requested runs, in order;
-            the other runs get no slot.
+            empty for a run that no engine has memory for. The other runs find
+            no slot.
     """
 
     instances: tuple[str, ...]
