Batch: an engine makes room for a large item for a limited time

Cause: an engine lets go of batch items until the first one that finds a slot and no memory there has it. If online requests hold that memory at all times, it never comes, and where the service has one engine no smaller item of any VM runs until the large one is late.

Change: an engine makes room for ten seconds at the most; by then the batch runs that it had have ended. Then others may go there for two seconds.

Result: test_an_engine_makes_room_for_a_limited_time, no small item placed in 12 s before, placed now; test_batchturns.py passes.

--- a/packages/gateway/gateway/decisions/batchturns.py
+++ b/packages/gateway/gateway/decisions/batchturns.py
@@ -11,6 +11,11 @@
 
 # Longer than the pause between two requests of a VM for slots.
 _LIFETIME_S = 0.3
+# How long an engine makes room for items. By then the batch runs that it had
+# have ended, and online requests hold its memory, perhaps for good.
+_MAX_TURN_S = 10.0
+# How long other items may go there before it makes room again.
+_PAUSE_S = 2.0
 
 
 class _Turn(NamedTuple):
@@ -22,6 +27,7 @@
         tokens: The memory that it needs.
         instance: The engine.
         asked_s: When its VM last asked for a slot, by the monotonic clock.
+        since_s: Since when the engine makes room, by the monotonic clock.
     """
 
     vm: str
@@ -29,6 +35,7 @@
     tokens: int
     instance: str
     asked_s: float
+    since_s: float
 
 
 class BatchTurns:
@@ -36,6 +43,7 @@
 
     def __init__(self) -> None:
         self._turn: _Turn | None = None
+        self._paused_until_s = 0.0
 
     def wait(
         self,
@@ -55,8 +63,13 @@
             now_s: The current time by the monotonic clock.
         """
         turn = self._current(now_s)
+        if now_s < self._paused_until_s:
+            return
         if turn is None or rank < turn.rank:
-            self._turn = _Turn(vm, rank, tokens, instance, now_s)
+            since_s = now_s
+            if turn is not None and turn.instance == instance:
+                since_s = turn.since_s
+            self._turn = _Turn(vm, rank, tokens, instance, now_s, since_s)
         elif (vm, rank, tokens) == (turn.vm, turn.rank, turn.tokens):
             self._turn = turn._replace(asked_s=now_s)
 
@@ -89,4 +102,8 @@
         turn = self._turn
         if turn is None or now_s - turn.asked_s > _LIFETIME_S:
             return None
+        if now_s - turn.since_s > _MAX_TURN_S:
+            self._turn = None
+            self._paused_until_s = now_s + _PAUSE_S
+            return None
         return turn
--- a/tests/gateway/test_itemswithoutplace.py
+++ b/tests/gateway/test_itemswithoutplace.py
@@ -24,6 +24,8 @@
 _MANY = 20
 _SMALL = 10
 _UPDATE_S = 0.08
+_STEPS = 120
+_STEP_S = 0.1
 _ENGINE = records.Engine(8, ledgerreplay.MEMORY_TOKENS)
 _SOON = batchorder.ItemPriority(30.0)
 _LATER = batchorder.ItemPriority(60.0)
@@ -121,6 +123,25 @@
     assert len(placed) == 7
 
 
+def test_an_engine_makes_room_for_a_limited_time() -> None:
+    """Guards against small items kept out for memory that never comes free."""
+    states = enginestates.EngineStates(ledgerreplay.KnownTimes())
+    ledger = slotledger.Ledger(random.Random(1), states)
+    ledger.set_engines(ledgerreplay.engines(1), None, _ENGINE)
+    cost = ledgerreplay.cost("o", 20_000)
+    ledger.take_online("o", "vm3", 0.0, target_s=1.0, cost=cost)
+    online = slotrecords.ReportRow("o", "i-0", cost=cost)
+    large = _batch_runs("large", 60_000, _SOON)[:1]
+    placed: list[str] = []
+    for step in range(_STEPS):
+        now_s = step * _STEP_S
+        ledger.report("vm3", [online], now_s)
+        small = _batch_runs(f"small.{step}", 350, _LATER)[:2]
+        ledger.take_batch("vm1", large, now_s)
+        placed += filter(None, ledger.take_batch("vm2", small, now_s))
+    assert placed
+
+
 def test_an_engine_gone_here_that_the_leader_grants_is_left_out(
     scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
 ) -> None:
