Upstreams: an answer cut while its request is sent is not whole

What callers saw: a replica answers a long upload at once with a 200 without a length, sends part of its body and resets the connection while the upload goes on. The caller got that part as a whole answer, with a length of its own; an item of a job was listed as completed with one of five events.

Cause: the write of the request meets the reset, which is rightly taken for an early answer. The kernel reports the reset once, so the reads after it end like those of a connection that was closed in order, and a body without a length or chunks has no other mark of its end.

Change: such a body counts as cut if its request was not fully sent. Answers with a length or in chunks are passed on if they are whole, as before.

--- a/packages/daemon/bulrushdeald/upstreams.py
+++ b/packages/daemon/bulrushdeald/upstreams.py
@@ -111,7 +111,10 @@
         response: urllib3.BaseHTTPResponse,
         method: str,
         return_connection: Callable[[], None] | None,
+        *,
+        is_fully_sent: bool,
     ) -> None:
+        self._is_fully_sent = is_fully_sent
         self._request_number = connection.requests
         self._connection = connection
         self._exchange = exchange
@@ -164,7 +167,8 @@
             yield result.Ok(data)
         # A body without a length ends with its connection, so a cancelled
         # one would otherwise look complete.
-        if self._exchange.is_cancelled or self._remaining_bytes:
+        is_cut = self.ends_with_connection and not self._is_fully_sent
+        if self._exchange.is_cancelled or self._remaining_bytes or is_cut:
             truncated = EOFError("The body ended early.")
             yield result.Err(_upstream_error(self._exchange, truncated, "ran"))
             return
@@ -304,7 +308,14 @@
                 self._pool.put, address, connection
             )
         return result.Ok(
-            Answer(connection, exchange, response, method, return_connection)
+            Answer(
+                connection,
+                exchange,
+                response,
+                method,
+                return_connection,
+                is_fully_sent=is_fully_sent,
+            )
         )
 
     def probe_address(
@@ -372,7 +383,9 @@
             enforce_content_length=False,
         )
     except (BrokenPipeError, ConnectionResetError):
-        # The upstream may have responded before it read the whole body.
+        # The upstream may have responded before it read the whole body. The
+        # system reports a reset once: the end of what is read next looks like
+        # that of a connection which was closed in order.
         return False
     return True
 
--- a/tests/daemon/test_upstreams.py
+++ b/tests/daemon/test_upstreams.py
@@ -4,7 +4,9 @@
 import json
 import select
 import socket
+import struct
 import threading
+import time
 from typing import Any
 
 from hypothesis import stateful
@@ -25,6 +27,7 @@
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"
 INDEXES = st.integers(0, 5)
 CLOSE = rawupstream.RawUpstream.CLOSE
+_RESET = struct.pack("ii", 1, 0)
 
 
 @pytest.fixture
@@ -218,6 +221,50 @@
         opened[0].close()
 
 
+_LONG_BODY = b"x" * 3_000_000
+
+
+def _answer_and_reset(server: socket.socket, answer: bytes) -> None:
+    """Answers a request without reading its body, then resets."""
+    connection, _ = server.accept()
+    connection.sendall(answer)
+    time.sleep(0.1)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    connection.close()
+
+
+@pytest.mark.parametrize(
+    ("answer", "is_whole"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\none", False),
+        (b"HTTP/1.0 200 OK\r\n\r\none", False),
+        (HEAD + b"on", False),
+        (HEAD + b"one", True),
+    ],
+)
+def test_an_answer_that_is_reset_while_its_request_is_sent(
+    client: upstreams.HttpUpstreams, answer: bytes, is_whole: bool
+) -> None:
+    """Guards against a cut body that is taken for a whole one."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        host, port = server.getsockname()
+        threading.Thread(
+            target=_answer_and_reset, args=(server, answer)
+        ).start()
+        row = pathfakes.plain_row(f"{host}:{port}")
+        sent = client.send(row, "POST", "/", {}, _LONG_BODY, timeout_s=5.0)
+        pieces = list(sent.unwrap().chunks())
+        sent.unwrap().close()
+    if is_whole:
+        assert pieces == [result.Ok(b"one")]
+        return
+    assert isinstance(pieces[-1], result.Err)
+    assert (pieces[-1].err_value.kind, pieces[-1].err_value.ran) == (
+        "crashed",
+        "ran",
+    )
+
+
 def test_cancel_ends_blocked_reads_of_body_and_head() -> None:
     """A cancellation ends the read at once instead of at its timeout.
 
