Upstreams: a status beyond the protocol is no answer

What callers saw: an answer of a replica with status 600 or 999 was passed on as it came; 000, 099 and 101 ended as 502.

Cause: http.client reads all numbers from 100 to 999, and only those below 200 were refused.

Change: above 599 the answer is broken, as below 200.

--- a/packages/daemon/bulrushdeald/upstreams.py
+++ b/packages/daemon/bulrushdeald/upstreams.py
@@ -32,6 +32,8 @@
 _PROBE_TIMEOUT_S = 0.1
 # Of a head, interim ones among them. What is read with it of the body counts.
 _MAX_HEAD_BYTES = 128 * 1024
+# Statuses beyond it are none of the protocol, though `http.client` reads them.
+_MAX_STATUS = 599
 _BODILESS_STATUSES = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 _READ_ERRORS = (
     OSError,
@@ -296,8 +298,8 @@
             exchange.finish()
             connection.close()
             return result.Err(_send_error(exchange, error))
-        if response.status < http.HTTPStatus.OK:
-            # 101, a protocol switch that was not requested.
+        if not http.HTTPStatus.OK <= response.status <= _MAX_STATUS:
+            # 101, a protocol switch that was not requested, or no status.
             exchange.finish()
             connection.close()
             unexpected = ValueError(f"Unexpected status {response.status}.")
--- a/tests/daemon/test_upstreams.py
+++ b/tests/daemon/test_upstreams.py
@@ -101,6 +101,30 @@
     server.close()
 
 
+@pytest.mark.parametrize(
+    "status", ["000", "099", "101", "199", "600", "999", "1000", "20", "-20"]
+)
+def test_a_status_beyond_the_protocol_is_no_answer(
+    client: upstreams.HttpUpstreams, status: str
+) -> None:
+    """Guards against callers that get what no client can read."""
+    script = HEAD.replace(b"200", status.encode()) + b"one" + CLOSE
+    server = rawupstream.RawUpstream(script)
+    got = get(client, server.address)
+    server.close()
+    assert not isinstance(got, bytes)
+    assert got[0] == "crashed"
+
+
+def test_the_last_status_of_the_protocol_is_an_answer(
+    client: upstreams.HttpUpstreams,
+) -> None:
+    """Guards against answers that are dropped for a status without a name."""
+    server = rawupstream.RawUpstream(HEAD.replace(b"200", b"599") + b"one")
+    assert get(client, server.address) == b"one"
+    server.close()
+
+
 _CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 _WHOLE_ANSWERS = [
     HEAD + b"one",
