Upstreams: an answer needs a length that is certain, or chunks

Cause: two headers read as one text are no number, and without a number the body ended in order with its connection. So did one of length -3 or 3x, and a body in another coding than chunked, which was relayed with its chunk sizes.

Change: a length counts if all that is stated is one number; otherwise, and with an unknown coding, the answer is broken.

--- a/packages/daemon/bulrushdeald/upstreams.py
+++ b/packages/daemon/bulrushdeald/upstreams.py
@@ -5,6 +5,7 @@
 import functools
 import http
 import http.client
+import re
 import socket
 import struct
 import threading
@@ -34,6 +35,7 @@
 _MAX_HEAD_BYTES = 128 * 1024
 # Statuses beyond it are none of the protocol, though `http.client` reads them.
 _MAX_STATUS = 599
+_LENGTH = re.compile(r"[0-9]{1,18}")
 _BODILESS_STATUSES = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 _READ_ERRORS = (
     OSError,
@@ -216,10 +218,9 @@
     def _expected_bytes(self, method: str) -> int | None:
         if method == "HEAD" or self._status in _BODILESS_STATUSES:
             return 0
-        text = self._headers.get("Content-Length", "")
-        if self._is_chunked or not text.isdecimal():
+        if self._is_chunked:
             return None
-        return int(text)
+        return _stated_bytes(self._headers)
 
 
 class UpstreamSettings(Protocol):
@@ -298,11 +299,11 @@
             exchange.finish()
             connection.close()
             return result.Err(_send_error(exchange, error))
-        if not http.HTTPStatus.OK <= response.status <= _MAX_STATUS:
-            # 101, a protocol switch that was not requested, or no status.
+        fault = _head_fault(response)
+        if fault:
             exchange.finish()
             connection.close()
-            unexpected = ValueError(f"Unexpected status {response.status}.")
+            unexpected = ValueError(fault)
             return result.Err(_upstream_error(exchange, unexpected, "ran"))
         return_connection: Callable[[], None] | None = None
         if is_fully_sent and not use.is_new:
@@ -392,6 +393,36 @@
     return True
 
 
+def _head_fault(response: urllib3.BaseHTTPResponse) -> str:
+    """Returns why a head begins no answer to a request; empty if it does.
+
+    Where two readers may see different ends of a body, a cut one may look
+    whole to one of them.
+    """
+    if not http.HTTPStatus.OK <= response.status <= _MAX_STATUS:
+        # 101, a protocol switch that was not requested, or no status.
+        return f"Unexpected status {response.status}."
+    coding = response.headers.get("Transfer-Encoding")
+    if coding is not None:
+        is_chunked = coding.strip().lower() == "chunked"
+        return "" if is_chunked else f"Unexpected coding {coding!r}."
+    length = response.headers.get("Content-Length")
+    if length is not None and _stated_bytes(response.headers) is None:
+        return f"Unexpected length {length!r}."
+    return ""
+
+
+def _stated_bytes(headers: Mapping[str, str]) -> int | None:
+    """Returns the length that headers state, once or several times alike."""
+    texts = {
+        text.strip() for text in headers.get("Content-Length", "").split(",")
+    }
+    text = texts.pop()
+    if texts or not _LENGTH.fullmatch(text):
+        return None
+    return int(text)
+
+
 def _send_error(
     exchange: _Exchange, error: Exception
 ) -> services.UpstreamError:
--- a/tests/daemon/test_upstreams.py
+++ b/tests/daemon/test_upstreams.py
@@ -125,6 +125,55 @@
     server.close()
 
 
+@pytest.mark.parametrize(
+    ("more", "body"),
+    [
+        (b"Content-Length: 3\r\nContent-Length: 3", b"on"),
+        (b"Content-Length: 3, 3", b"on"),
+        (b"Content-Length: 2\r\nContent-Length: 3", b"one"),
+        (b"Content-Length: 3\r\nContent-Length: 2", b"one"),
+        (b"Content-Length: -3", b"one"),
+        (b"Content-Length: +3", b"one"),
+        (b"Content-Length: 3x", b"one"),
+        (b"Content-Length:", b"one"),
+        (b"Transfer-Encoding: gzip, chunked", b"3\r\none\r\n0\r\n\r\n"),
+        (b"Transfer-Encoding: identity", b"one"),
+        (
+            b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            b"3\r\none\r\n0\r\n\r\n",
+        ),
+    ],
+)
+def test_an_answer_whose_end_is_not_certain_is_not_taken_as_whole(
+    client: upstreams.HttpUpstreams, more: bytes, body: bytes
+) -> None:
+    """Guards against a body that is cut, or that two readers end apart."""
+    script = b"HTTP/1.1 200 OK\r\n" + more + b"\r\n\r\n" + body
+    server = rawupstream.RawUpstream(script + CLOSE)
+    got = get(client, server.address)
+    server.close()
+    assert got in (("crashed", "ran"), ("crashed", "unknown"))
+
+
+@pytest.mark.parametrize(
+    "more",
+    [
+        b"Content-Length: 3\r\nContent-Length: 3",
+        b"Content-Length: 03 , 03",
+        b"Transfer-Encoding: Chunked",
+    ],
+)
+def test_an_answer_that_states_its_end_oddly_is_whole(
+    client: upstreams.HttpUpstreams, more: bytes
+) -> None:
+    """Guards against answers that are dropped though their end is certain."""
+    body = b"3\r\none\r\n0\r\n\r\n" if b"hunked" in more else b"one"
+    script = b"HTTP/1.1 200 OK\r\n" + more + b"\r\n\r\n" + body
+    server = rawupstream.RawUpstream(script)
+    assert get(client, server.address) == b"one"
+    server.close()
+
+
 _CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 _WHOLE_ANSWERS = [
     HEAD + b"one",
