Answers: held in blocks, not in the pieces that came

Cause: an answer that is not whole yet was held as it came. A piece of two bytes takes 50, but the account of what is held for callers counts two, so an answer in tiny chunks took up to thirty times what it was allowed.

Change: pieces are copied into blocks of 64 kB, which go back to the system when they are sent, at the gateway and the daemon.

--- a/packages/daemon/bulrushdeald/modelcalls.py
+++ b/packages/daemon/bulrushdeald/modelcalls.py
@@ -1,6 +1,5 @@
 """Serves calls to models, answered whole or as an event stream."""
 
-import collections
 from collections.abc import Iterator
 import time
 from typing import Any
@@ -9,6 +8,7 @@
 
 from bulrushdeal import exchanges
 from bulrushdeal import fingerprints
+from bulrushdeal import heldbytes
 from bulrushdeal import httpd
 from bulrushdeal import jsontext
 from bulrushdeal import kernel as kernel_lib
@@ -237,30 +237,28 @@
 
         One for which there is no memory is relayed as it comes.
         """
-        parts: collections.deque[bytes] = collections.deque()
-        size_bytes = 0
+        held = heldbytes.HeldBytes()
         for item in self._relay.items:
             if isinstance(item, result.Err):
                 return result.Err(self._relay.failure(item.err_value))
-            size_bytes += len(item.ok_value)
-            if size_bytes > _MAX_ANSWER_BYTES:
+            held.add(item.ok_value)
+            if held.size_bytes > _MAX_ANSWER_BYTES:
                 return result.Err(self._relay.failure(_ANSWER_TOO_LONG))
-            parts.append(item.ok_value)
-            # Its parts are joined, which takes their memory twice.
+            # Its blocks are joined, which takes their memory twice.
             if not self._exchange.grow(2 * len(item.ok_value)):
-                rest = calls.Body(self._rest(parts), self._relay.close)
+                rest = calls.Body(self._rest(held), self._relay.close)
                 answer = self._relay.answer
                 return result.Ok(
                     httpd.Response(answer.status, answer.headers, rest)
                 )
-        body = b"".join(parts)
+        body = held.take_all()
         self._tokens.usage_event = body
         answer = self._relay.answer
         self._relay.close()
         headers = _with_content_length(answer.headers, len(body))
         return result.Ok(httpd.Response(answer.status, headers, (body,)))
 
-    def _rest(self, parts: collections.deque[bytes]) -> Iterator[bytes]:
+    def _rest(self, held: heldbytes.HeldBytes) -> Iterator[bytes]:
         """Yields what has come of an answer, and then the rest.
 
         The usage that it reports is not found, as it is never whole here.
@@ -268,8 +266,8 @@
         Raises:
             BrokenAnswerError: The answer broke off.
         """
-        while parts:
-            yield parts.popleft()
+        while held:
+            yield held.take_block()
         for item in self._relay.items:
             if isinstance(item, result.Err):
                 refusal = self._relay.fail(item.err_value)
--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -1,7 +1,6 @@
 """Forwards online requests to upstreams and repeats those that may be."""
 
-import collections
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 import http
 import time
 from typing import Any, NamedTuple
@@ -9,6 +8,7 @@
 import result
 
 from bulrushdeal import eventlog
+from bulrushdeal import heldbytes
 from bulrushdeal import httpd
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeald import calls as caller_calls
@@ -442,20 +442,18 @@
             The response; `None` if the answer broke and the request may be
             repeated.
         """
-        parts: collections.deque[bytes] = collections.deque()
-        size_bytes = 0
+        held = heldbytes.HeldBytes()
         exchange = self._call.exchange
         before_bytes = exchange.held_bytes
         chunks = opened.answer.chunks()
         for piece in chunks:
             if isinstance(piece, result.Err):
                 return self._handle_broken_answer(piece.err_value)
-            parts.append(piece.ok_value)
-            size_bytes += len(piece.ok_value)
+            held.add(piece.ok_value)
             # Without room the answer is relayed as it comes.
-            is_held = exchange.grow(len(piece.ok_value), makes_room=False)
-            if size_bytes > _MAX_BUFFERED_BYTES or not is_held:
-                rest = self._remaining_body(parts, chunks, before_bytes)
+            has_room = exchange.grow(len(piece.ok_value), makes_room=False)
+            if held.size_bytes > _MAX_BUFFERED_BYTES or not has_room:
+                rest = self._remaining_body(held, chunks, before_bytes)
                 body = caller_calls.Body(rest, self._release)
                 answer = opened.answer
                 return httpd.Response(answer.status, answer.headers, body)
@@ -469,30 +467,29 @@
         opened.answer.close()
         self._release()
         # A long one is not joined: that would take its memory twice.
-        is_long = size_bytes > _MAX_JOINED_BYTES
-        pieces: Iterable[bytes] = parts if is_long else (b"".join(parts),)
+        is_long = held.size_bytes > _MAX_JOINED_BYTES
+        pieces = _blocks(held) if is_long else (held.take_all(),)
         return httpd.Response(
-            opened.answer.status, _with_length(headers, size_bytes), pieces
+            opened.answer.status, _with_length(headers, held.size_bytes), pieces
         )
 
     def _remaining_body(
         self,
-        parts: collections.deque[bytes],
+        held: heldbytes.HeldBytes,
         chunks: Iterator[result.Result[bytes, services.UpstreamError]],
         request_bytes: int,
     ) -> Iterator[bytes]:
         """Yields what was read of an answer, then the rest as it comes.
 
         Args:
-            parts: What was read; the last one may not be held in the account.
+            held: What was read; its end may not be held in the account.
             chunks: The rest.
             request_bytes: What is held for the request itself.
         """
         exchange = self._call.exchange
-        while parts:
-            sent_bytes = len(parts[0])
-            yield parts.popleft()
-            left_bytes = exchange.held_bytes - sent_bytes
+        for block in _blocks(held):
+            yield block
+            left_bytes = exchange.held_bytes - len(block)
             exchange.shrink_to(max(left_bytes, request_bytes))
         for piece in chunks:
             if isinstance(piece, result.Err):
@@ -748,6 +745,11 @@
 )
 
 
+def _blocks(held: heldbytes.HeldBytes) -> Iterator[bytes]:
+    while held:
+        yield held.take_block()
+
+
 def _with_length(
     headers: tuple[tuple[str, str], ...], length: int
 ) -> tuple[tuple[str, str], ...]:
