Batch: the outputs of unfinished items have a bound together

What callers saw: the process of a VM ends, with all requests on it, as the engines of a job's items send events without end: 415 MB after 16 s of 64 items, and more each second, of a VM of 128 MB (trial on the code before).

Cause: each item may hold 1 MB of output and a VM runs 64 items, in no account; and each event was a text of its own, thirty times its size if it has two characters.

Change: short texts are kept as one.

--- a/packages/gateway/gateway/itemrun.py
+++ b/packages/gateway/gateway/itemrun.py
@@ -1,6 +1,6 @@
 """Runs one batch item on an upstream, from its last event on."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 import time
 
 import result
@@ -13,6 +13,7 @@
 from gateway import grantlog
 from gateway import heldslots
 from gateway import jobstate
+from gateway import outputroom
 from gateway import placement
 from gateway import resultwriter
 from gateway import upstreamsender
@@ -29,6 +30,7 @@
 _MAX_OUTPUT_BYTES = 1 << 20
 _CUT = "cut in an event, or before the first"
 _ENDLESS = "bytes without end"
+_NO_ROOM = "this VM has no memory for its output"
 _HTTP_OK = 200
 _HTTP_UNPROCESSABLE = 422
 _HTTP_SERVER_ERROR = 500
@@ -39,6 +41,7 @@
 
     Args:
         on_failure: Called after each run that counts as failed.
+        room: What the outputs of items may hold.
 
     Attributes:
         times: How long items take.
@@ -52,7 +55,9 @@
         writer: resultwriter.ResultWriter,
         crashes: crashrecords.CrashRecords,
         on_failure: Callable[[], None],
+        room: outputroom.OutputRoom,
     ) -> None:
+        self._room = room
         self._dialect = dialect
         self._crashes = crashes
         self._sender = sender
@@ -154,7 +159,6 @@
     ) -> None:
         splitter = eventstream.Splitter()
         error: services.UpstreamError | None = None
-        output_bytes = sum(map(len, item.output))
         answer.limit_reads(eventstream.MAX_UNFINISHED_BYTES, _MAX_SILENCE_S)
         for chunk in answer.chunks():
             if isinstance(chunk, result.Err):
@@ -165,25 +169,18 @@
             except eventstream.EventTooLongError:
                 error = services.UpstreamError("endless", "ran", _ENDLESS)
                 break
-            output_bytes += sum(len(event.data or "") for event in events)
-            if output_bytes > _MAX_OUTPUT_BYTES:
+            event_bytes = sum(len(event.data or "") for event in events)
+            if item.output_bytes + event_bytes > _MAX_OUTPUT_BYTES:
                 error = services.UpstreamError("endless", "ran", _ENDLESS)
                 item.discard_output()
                 break
             if events:
-                answer.limit_reads(
-                    eventstream.MAX_UNFINISHED_BYTES, _MAX_SILENCE_S
-                )
-                if not slot.first_event_s:
-                    self._sender.record_written(slot.cost)
-                item.is_answering = True
-                item.origin = item.origin or slot.upstream.origin
-                self._placement.record_first_event(slot)
-            for event in events:
-                if event.event_id is not None:
-                    item.last_event = event.event_id
-                if event.data is not None:
-                    item.output.append(event.data)
+                self._record_events(item, slot, answer, events)
+            if not self._room.has_room(item):
+                item.discard_output()
+                failure = upstreamsender.Failure("ended", True, _NO_ROOM)
+                self._record_interruption(state, item, slot, outgoing, failure)
+                return
             answer.set_read_timeout(_MAX_CHUNK_GAP_S)
             item.consecutive_pauses = 0
             self._placement.health.record_data(slot.upstream.instance)
@@ -205,6 +202,25 @@
         self.times.record(item.elapsed_s(now_s), item.span_s(now_s))
         self._writer.write(state, item, item.completed(), "")
 
+    def _record_events(
+        self,
+        item: jobstate.ItemState,
+        slot: heldslots.Slot,
+        answer: services.UpstreamAnswer,
+        events: Sequence[eventstream.Event],
+    ) -> None:
+        answer.limit_reads(eventstream.MAX_UNFINISHED_BYTES, _MAX_SILENCE_S)
+        if not slot.first_event_s:
+            self._sender.record_written(slot.cost)
+        item.is_answering = True
+        item.origin = item.origin or slot.upstream.origin
+        self._placement.record_first_event(slot)
+        for event in events:
+            if event.event_id is not None:
+                item.last_event = event.event_id
+            if event.data is not None:
+                item.add_output(event.data)
+
     def _handle_error_status(
         self,
         state: jobstate.JobState,
--- a/packages/gateway/gateway/jobrecords.py
+++ b/packages/gateway/gateway/jobrecords.py
@@ -80,7 +80,7 @@
 
     Attributes:
         item: The item's id.
-        output: The output so far, one text per event.
+        output: The output so far, in texts that are joined by line feeds.
         last_event: The last event's id; -1 if there is none.
         failures: The number of failed attempts so far.
         ran_s: How long the output so far took, in seconds.
--- a/packages/gateway/gateway/jobstate.py
+++ b/packages/gateway/gateway/jobstate.py
@@ -20,6 +20,9 @@
 # An item whose failures are not certain is neither given up nor run often.
 _FIRST_HOLD_S = 15.0
 _HOLD_GROWTH = 4
+# Texts of an output up to this length together are kept as one. A text of two
+# characters takes thirty times its size.
+_OUTPUT_BLOCK_CHARACTERS = 1024
 
 
 # How many removed jobs keep their time of removal.
@@ -52,7 +55,11 @@
 
     Attributes:
         item: The request to run.
-        output: The data of the events received so far.
+        output: The data of the events received so far, which is joined by
+            line feeds.
+        output_bytes: About what it holds.
+        checked_bytes: What it held when it was last compared with what all
+            outputs may hold.
         last_event: The id of the last event; `None` before the first.
         failures: The number of failed attempts; `JobMeta.max_attempts` bounds
             it.
@@ -83,6 +90,8 @@
     def __init__(self, item: dialect.JobItem) -> None:
         self.item = item
         self.output: list[str] = []
+        self.output_bytes = 0
+        self.checked_bytes = 0
         self.last_event: int | None = None
         self.failures = 0
         self.unsigned_failures = 0
@@ -137,9 +146,20 @@
             and self.last_event is not None
         )
 
+    def add_output(self, data: str) -> None:
+        """Adds the data of one more event."""
+        self.output_bytes += _size_bytes(data)
+        joined = f"{self.output[-1]}\n{data}" if self.output else data
+        if self.output and len(joined) <= _OUTPUT_BLOCK_CHARACTERS:
+            self.output[-1] = joined
+            return
+        self.output.append(data)
+
     def discard_output(self) -> None:
         """Makes the next run begin anew."""
         self.output = []
+        self.output_bytes = 0
+        self.checked_bytes = 0
         self.last_event = None
         self.origin = None
         self.stranded_since_s = None
@@ -176,6 +196,7 @@
     def restore_progress(self, row: jobrecords.Progress) -> None:
         """Restores the progress that the item made on another VM."""
         self.output = list(row.output)
+        self.output_bytes = sum(map(_size_bytes, self.output))
         self.last_event = None if row.last_event < 0 else row.last_event
         self.failures = row.failures
         self.ran_s = row.ran_s
@@ -193,6 +214,22 @@
         return dialect.ItemResult(self.item.item, False, "\n".join(self.output))
 
 
+def _size_bytes(text: str) -> int:
+    return len(text) if text.isascii() else len(text.encode())
+
+
+class Outputs(NamedTuple):
+    """The outputs of unfinished items.
+
+    Attributes:
+        items: How many items have any.
+        size_bytes: About what they hold together.
+    """
+
+    items: int
+    size_bytes: int
+
+
 class FinishedItem(NamedTuple):
     """An item that has ended, and its result, which is still to be written."""
 
@@ -495,6 +532,18 @@
         with self._lock:
             return sum(row.input_bytes for row in self._jobs.values())
 
+    def outputs(self) -> Outputs:
+        """Returns what the outputs of all unfinished items hold."""
+        with self._lock:
+            states = list(self._jobs.values())
+        sizes = [
+            item.output_bytes
+            for state in states
+            for item in state.without_result()
+            if item.output_bytes
+        ]
+        return Outputs(len(sizes), sum(sizes))
+
     def by_due_time(self) -> list[JobState]:
         """Returns all jobs, the earliest due time first."""
         with self._lock:
--- a/packages/gateway/gateway/progresswriter.py
+++ b/packages/gateway/gateway/progresswriter.py
@@ -28,11 +28,11 @@
     """What the last progress written for a job had of its items.
 
     Attributes:
-        events: The number of their events.
+        output_bytes: What their outputs hold.
         failures: The items with failed runs, and how many each had.
     """
 
-    events: int = 0
+    output_bytes: int = 0
     failures: frozenset[tuple[str, int]] = frozenset()
 
 
@@ -111,12 +111,12 @@
         """Writes new progress; returns what was last written."""
         before = self._written.get(state.meta.job, _Written())
         now = _Written(
-            sum(len(item.output) for item in state.without_result()),
+            sum(item.output_bytes for item in state.without_result()),
             frozenset(state.failures().items()),
         )
-        has_events = now.events not in (0, before.events)
+        has_output = now.output_bytes not in (0, before.output_bytes)
         has_failures = not now.failures <= before.failures
-        is_due = has_failures or (has_events and not only_failures)
+        is_due = has_failures or (has_output and not only_failures)
         if not is_due or state.is_dropped:
             return before
         try:
--- a/packages/gateway/gateway/runner.py
+++ b/packages/gateway/gateway/runner.py
@@ -26,6 +26,7 @@
 from gateway import jobstore
 from gateway import members
 from gateway import names
+from gateway import outputroom
 from gateway import placement
 from gateway import progresswriter
 from gateway import records
@@ -43,6 +44,8 @@
 # What the items of the jobs that this VM runs may hold, as a part of what may
 # be held for all callers. It comes on top of that.
 _INPUT_SHARE = 0.35
+# What the outputs of unfinished items may hold, alike.
+_OUTPUT_SHARE = 0.25
 # Items per request for slots; few slots become free between two requests.
 _MAX_SLOTS_PER_REQUEST = 16
 # How long an item waits for an upstream of its software version while others
@@ -81,6 +84,9 @@
         self._max_input_bytes = int(
             settings.callers_memory_bytes * _INPUT_SHARE
         )
+        self._max_output_bytes = int(
+            settings.callers_memory_bytes * _OUTPUT_SHARE
+        )
         self._lock = threading.Lock()
         self._table = jobstate.JobTable()
         self._wake = threading.Event()
@@ -117,6 +123,7 @@
             self._writer,
             find(names.CRASH_RECORDS, crashrecords.CrashRecords),
             self._progress.write_failures,
+            outputroom.OutputRoom(self._table, self._max_output_bytes),
         )
         self._takeover = takeover.Takeover(
             self._store,
--- a/tests/crowds/test_endlessanswers.py
+++ b/tests/crowds/test_endlessanswers.py
@@ -1,5 +1,6 @@
 """Tests a gateway process with many answers that have no end at once."""
 
+import json
 import pathlib
 import time
 
@@ -8,6 +9,7 @@
 from support import crowds
 from support import crowdvm
 from support import endlessupstream
+from support import gatewayscene
 
 # Sent at once by callers who read all that comes.
 REQUESTS = 160
@@ -17,6 +19,9 @@
 # Longer than that.
 TIMEOUT_MS = 30_000
 SMALL_BYTES = 200
+# As many as a VM runs at once.
+ITEMS = 64
+ITEM_ROUNDS = 30
 LARGE_BYTES = 200_000
 
 
@@ -33,7 +38,7 @@
 
 @pytest.mark.parametrize(
     ("shape", "body_bytes"),
-    [(shape, SMALL_BYTES) for shape in endlessupstream.SHAPES]
+    [(shape, SMALL_BYTES) for shape in endlessupstream.BODIES]
     + [("chunks", LARGE_BYTES)],
 )
 def test_many_answers_without_end_stay_within_memory(
@@ -53,3 +58,18 @@
                 time.sleep(ROUND_PAUSE_S)
         vm.check_answers()
         vm.check_held()
+
+
+def test_items_without_end_stay_within_memory(tmp_path: pathlib.Path) -> None:
+    # Guards against outputs that each are allowed, and fill a VM together.
+    items = [
+        gatewayscene.item(f"i{number}") | {"path": "/b/events"}
+        for number in range(ITEMS)
+    ]
+    with crowdvm.running(tmp_path) as vm:
+        vm.make_engines_endless()
+        vm.check_job("endless", json.dumps({"items": items}).encode())
+        for _ in range(ITEM_ROUNDS):
+            vm.check_ready()
+            time.sleep(ROUND_PAUSE_S)
+        vm.check_held()
--- a/tests/support/crowdvm.py
+++ b/tests/support/crowdvm.py
@@ -136,6 +136,7 @@
             self._store, lambda field, name: "", shared_host
         )
         self._endless: endlessupstream.EndlessUpstream | None = None
+        self._more: list[endlessupstream.EndlessUpstream] = []
         self._write_records()
         store_host, store_port = self._store_server.address
         settings = folder / "vm0.toml"
@@ -194,6 +195,14 @@
             self._has_endless_answer, _START_TIMEOUT_S, "it is not listed"
         )
 
+    def make_engines_endless(self) -> None:
+        """Has all engines' answers under `/b/` end no more."""
+        for number, row in enumerate(self._upstreams):
+            self._store.rows.write(f"servers/{row.instance}", None)
+            endless = endlessupstream.EndlessUpstream(self._network.shared_host)
+            self._more.append(endless)
+            self._list(f"i-endless{number}", "llm", endless.address)
+
     def _has_endless_answer(self) -> bool:
         """Returns whether an answer without end begins, and drops it."""
         connection = http.client.HTTPConnection(
@@ -219,6 +228,10 @@
         """Returns whether the readiness check succeeds."""
         return self._try("GET", "/ready", b"", READY_PORT)[0] == 200
 
+    def check_ready(self) -> None:
+        """Fails unless the readiness check succeeds within some seconds."""
+        crowdmeter.wait_until(self.is_ready, _ATTEMPT_TIMEOUT_S, self.tail())
+
     def check_answers(self, body: bytes = b"hi", chunks: int = 0) -> None:
         """Fails unless an ordinary request is answered, after some tries.
 
@@ -341,6 +354,8 @@
         self._store_server.close()
         for upstream in self._upstreams:
             upstream.close()
+        for endless in self._more:
+            endless.close()
         if self._endless is not None:
             self._endless.close()
         self._store.close()
--- a/tests/support/endlessupstream.py
+++ b/tests/support/endlessupstream.py
@@ -16,6 +16,7 @@
 _HUGE_BYTES = 1 << 40
 # What follows a head, by the last part of a request's path: how the body is
 # framed, what is sent first, and what is sent again and again.
+_EVENTS = b"id: 1\ndata: xx\n\n" * 100
 SHAPES: dict[str, tuple[bytes, bytes, bytes]] = {
     "chunks": (
         b"Transfer-Encoding: chunked",
@@ -32,6 +33,11 @@
         b"%x\r\n" % _HUGE_BYTES,
         b"x" * _BLOCK_BYTES,
     ),
+    "events": (
+        b"Transfer-Encoding: chunked",
+        b"",
+        b"%x\r\n" % len(_EVENTS) + _EVENTS + b"\r\n",
+    ),
     "no-length": (b"X-Framing: none", b"", b"x" * _BLOCK_BYTES),
     "length": (
         b"Content-Length: %d" % _HUGE_BYTES,
@@ -40,6 +46,9 @@
     ),
 }
 
+# Those that are bodies of any kind, not events.
+BODIES = tuple(name for name in SHAPES if name != "events")
+
 
 class _Connection:
     """Reads a request, then sends without end."""
