Stops: what may run once is not taken on a guess, and nothing late

What callers saw: a VM that stops takes a request whose time lies beyond the end of the grace, as its route's answers were short so far. The upstream has become slow, and the request is cut with 502 though it ran and may not be repeated; an answer that is relayed as it comes breaks off.

Cause: the guess asked whether an answer is a stream, not what a cut costs, and for plain requests held to the end of the grace.

Change: only a request that may be repeated is taken on the guess, and only while the balancer still sends callers. Others get 503 with a short Retry-After at once.

The old test's last line, that a plain request is taken on a guess late, is replaced by its opposite: what it allowed is what is reported as a fault.

--- a/packages/gateway/gateway/decisions/stopping.py
+++ b/packages/gateway/gateway/decisions/stopping.py
@@ -53,15 +53,16 @@
     due_s: float,
     longest_s: float | None,
     *,
-    is_stream: bool,
+    is_repeatable: bool,
 ) -> bool:
     """Returns whether a request may be sent to an upstream during a stop.
 
     One that outlasts the grace period would be cut, while its caller could be
     served by another VM. So it is taken only if its time is over before the
-    cut, or if it is likely to end before. While the balancer sends callers here
-    that is good enough. Later, a stream is not taken on a guess: half of its
-    answer cannot be taken back.
+    cut, or if it is likely to end before. That is good enough while the
+    balancer sends callers here, for a request that its caller may repeat.
+    Later nothing is taken on a guess: an answer that is relayed as it comes
+    cannot be taken back.
 
     Args:
         times: The moments of the stop.
@@ -69,10 +70,10 @@
         due_s: When the request's deadline or its route's timeout ends it.
         longest_s: How long the longest of the route's last answers took;
             `None` if there was none.
-        is_stream: Whether its answer is relayed as it arrives.
+        is_repeatable: Whether it may run once more elsewhere.
     """
     if due_s <= times.cut_s:
         return True
-    if longest_s is None or (is_stream and now_s >= times.unbalanced_s):
+    if longest_s is None or not is_repeatable or now_s >= times.unbalanced_s:
         return False
     return now_s + _LIKELY_FACTOR * longest_s <= times.cut_s
--- a/packages/gateway/gateway/stopgate.py
+++ b/packages/gateway/gateway/stopgate.py
@@ -58,7 +58,7 @@
             time.monotonic(),
             due_s,
             longest_s,
-            is_stream=route.kind == "streaming",
+            is_repeatable=route.is_repeatable,
         )
 
     def may_begin_job_call(self, wait_s: float) -> bool:
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -100,6 +100,48 @@
     stopped.join()
 
 
+@pytest.mark.parametrize("path", ["/unsafe/x", "/s/once/x"])
+def test_what_may_run_once_is_not_taken_on_a_guess(
+    scene: gatewayscene.Scene, path: str
+) -> None:
+    """Guards against a run that is cut and may not be repeated."""
+    engine = scene.add_engine()
+    vm = scene.add_vm()
+    connection = _keep_open(vm)
+    assert _ask(connection, path, "quick", 4.0).status == 200
+    stopped = _Stopped(scene, vm)
+    stopped.wait_until(1.0)
+    answer = _ask(connection, path, "slow", 4.5)
+    stopped.join()
+    assert (answer.status, answer.is_whole) == (503, True)
+    assert float(answer.headers["retry-after"]) < 0.2
+    assert [run.attempt for run in engine.runs] == ["warm", "quick"]
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x", "/s/x"])
+def test_a_request_that_is_whole_late_is_not_taken_on_a_guess(
+    scene: gatewayscene.Scene, path: str
+) -> None:
+    """Guards against an answer that breaks off at the end of the grace."""
+    engine = scene.add_engine()
+    vm = scene.add_vm()
+    _ask(vm.connect(), path, "quick", 4.0)
+    connection = vm.connect()
+    connection.putrequest("POST", path, skip_host=True)
+    for name, text in gatewayscene.HEADERS.items():
+        connection.putheader(name, text)
+    connection.putheader("Content-Length", "4")
+    connection.endheaders()
+    connection.send(b"ha")
+    stopped = _Stopped(scene, vm)
+    # The balancer sends nobody any longer.
+    stopped.wait_until(2.7)
+    connection.send(b"lf")
+    assert connection.getresponse().status == 503
+    stopped.join()
+    assert [run.attempt for run in engine.runs] == ["quick"]
+
+
 def test_a_stop_is_announced_before_jobs_are_handed_over(
     scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -142,18 +184,22 @@
 def test_what_ends_by_its_deadline_may_begin_at_any_time() -> None:
     """Guards against refusals of requests with little time left."""
     times = stopping.plan(100.0, 7.4)
-    assert stopping.may_begin(times, 106.0, 107.0, None, is_stream=True)
-    assert not stopping.may_begin(times, 103.1, 108.1, None, is_stream=True)
+    begin = stopping.may_begin
+    for is_repeatable in (False, True):
+        assert begin(times, 106.0, 107.0, None, is_repeatable=is_repeatable)
+        assert not begin(times, 103.1, 108.1, None, is_repeatable=is_repeatable)
 
 
-def test_a_guess_admits_streams_only_while_callers_are_sent_here() -> None:
-    """Guards against streams cut because one took longer than all before."""
+def test_a_guess_admits_what_may_be_repeated_while_callers_are_sent_here() -> (
+    None
+):
+    """Guards against requests cut as one takes longer than all before."""
     times = stopping.plan(100.0, 7.4)
     begin = stopping.may_begin
-    assert begin(times, 102.9, 107.9, 1.5, is_stream=True)
-    assert not begin(times, 102.9, 107.9, 2.2, is_stream=True)
-    assert not begin(times, 103.1, 108.1, 0.5, is_stream=True)
-    assert begin(times, 103.1, 108.1, 0.5, is_stream=False)
+    assert begin(times, 102.9, 107.9, 1.5, is_repeatable=True)
+    assert not begin(times, 102.9, 107.9, 2.2, is_repeatable=True)
+    assert not begin(times, 103.1, 108.1, 0.5, is_repeatable=True)
+    assert not begin(times, 100.1, 108.1, 0.5, is_repeatable=False)
 
 
 def test_a_short_grace_leaves_time_for_open_requests() -> None:
