Streams: a VM that is cut off concludes nothing from an old list

What callers saw: in a release, a stream that began at an upstream of the new version broke, was taken up at a VM that was cut off from the others and the store, and went on at the old version.

Cause: a VM that does not know where a stream began asks three others and then concludes from the versions listed lately. A VM that knew of several versions was counted as having no opinion. And the list's age was taken by a clock that stands still in suspend.

A VM that has seen several versions says so, and nothing is concluded. The list uses the clock that runs on in suspend; listfleet sets it as it did the other one, so its tests are as they were.

--- a/packages/gateway/gateway/decisions/versionhistory.py
+++ b/packages/gateway/gateway/decisions/versionhistory.py
@@ -14,7 +14,7 @@
 class VersionHistory:
     """Knows for how long all upstreams of a service have run one version.
 
-    All times are seconds of the monotonic clock. Not thread-safe.
+    All times are seconds of one clock. Not thread-safe.
     """
 
     def __init__(self) -> None:
@@ -58,14 +58,24 @@
         Args:
             service: The service.
             span_s: For how long, in seconds.
-            now_s: The monotonic clock.
+            now_s: The current time.
         """
         if now_s - self._read_s > _MAX_GAP_S or self._since_s > now_s - span_s:
             return ""
-        versions = set(self._listed.get(service, ()))
-        versions |= {
-            version
-            for version, seen_s in self._seen_s.get(service, {}).items()
-            if seen_s >= now_s - span_s
-        }
+        versions = self._versions(service, now_s - span_s)
         return versions.pop() if len(versions) == 1 else ""
+
+    def has_several(self, service: str, span_s: float, now_s: float) -> bool:
+        """Returns whether several versions of a service were listed.
+
+        Args:
+            service: The service.
+            span_s: For how long, in seconds.
+            now_s: The current time.
+        """
+        return len(self._versions(service, now_s - span_s)) > 1
+
+    def _versions(self, service: str, since_s: float) -> set[str]:
+        seen_s = self._seen_s.get(service, {})
+        lately = {name for name, at_s in seen_s.items() if at_s >= since_s}
+        return lately.union(self._listed.get(service, ()))
--- a/packages/gateway/gateway/storereaders.py
+++ b/packages/gateway/gateway/storereaders.py
@@ -8,6 +8,7 @@
 import time
 from typing import Any, NamedTuple
 
+from bulrushdeal import clock
 from bulrushdeal import eventlog
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import records as core_records
@@ -292,7 +293,7 @@
             self._vm_replica.state,
             self._job_replica.state,
         )
-        asked_s = time.monotonic()
+        asked_s = clock.boottime_s()
         called = self._peers.call(vm, request, self._steps.follow_timeout_s)
         if called.is_err():
             self._members.suspect(vm, called.unwrap_err())
@@ -311,7 +312,7 @@
         if active is None or followed.configuration > active.version:
             self._pings.fetch_from(vm)
         self._follow_rest(followed)
-        update = followed.upstreams_update.aged(time.monotonic() - asked_s)
+        update = followed.upstreams_update.aged(clock.boottime_s() - asked_s)
         if update.age_s < 0:
             return False
         by_instance = {row.instance: row for row in followed.upstreams}
--- a/packages/gateway/gateway/streamorigins.py
+++ b/packages/gateway/gateway/streamorigins.py
@@ -88,10 +88,13 @@
         origin: Where it began; without a version if that is not known.
         only_version: The version that all upstreams of the service have run
             for the whole span, as far as the answering VM knows; or empty.
+        has_several: Whether the answering VM knows of several versions that
+            upstreams of the service have run in that time.
     """
 
     origin: records.StreamOrigin
     only_version: str
+    has_several: bool = False
 
 
 class _Untold(NamedTuple):
@@ -204,17 +207,49 @@
         if known is not None:
             return known
         question = FindOrigin(short_id, service, span_s)
-        only = {self._only_version(service, span_s)} - {""}
-        for answer in self._ask(question):
+        asked = self._keepers(short_id, _ASKED)
+        answers = self._ask(asked, question)
+        for answer in answers:
             if answer.origin.software_version:
                 return answer.origin
-            only |= {answer.only_version} - {""}
-        if len(only) != 1 or not is_only_service:
-            _events.warning("unknown", request=attempt, versions=sorted(only))
-            return records.StreamOrigin(service, "")
-        return records.StreamOrigin(service, only.pop())
+        only = {answer.only_version for answer in answers}
+        only.add(self._only_version(service, span_s))
+        only.discard("")
+        is_certain = (
+            is_only_service
+            and len(only) == 1
+            and not any(answer.has_several for answer in answers)
+            and self._would_be_known(asked, answers)
+        )
+        if is_certain:
+            return records.StreamOrigin(service, only.pop())
+        _events.warning(
+            "unknown",
+            request=attempt,
+            versions=sorted(only),
+            asked=asked,
+            answers=len(answers),
+            list_age_s=round(self._list.age_s(), 3),
+        )
+        return records.StreamOrigin(service, "")
+
+    def _would_be_known(
+        self, asked: list[str], answers: list[OriginFound]
+    ) -> bool:
+        """Returns whether what began at another version would be known here.
+
+        The VM that began a stream tells two others, if there may be several
+        versions. It may be lost itself, and be one of those asked. A VM that
+        fewer answer may be cut off: only a list that is read now shows that no
+        other version has joined.
+        """
+        if len(self._members.entry_vms()) <= 1:
+            return True
+        if answers and len(answers) >= len(asked) - 1:
+            return True
+        return self._list.await_read()
 
-    def _ask(self, question: FindOrigin) -> list[OriginFound]:
+    def _ask(self, vms: list[str], question: FindOrigin) -> list[OriginFound]:
         """Returns the answers of the VMs that may know.
 
         Ends with the first that knows.
@@ -223,7 +258,7 @@
             self._finding.submit(
                 self._peers.call, vm, question, _FIND_TIMEOUT_S
             ): vm
-            for vm in self._keepers(question.attempt, _ASKED)
+            for vm in vms
         }
         answers: list[OriginFound] = []
         for done in futures.as_completed(asked):
@@ -317,6 +352,7 @@
         return OriginFound(
             known or records.StreamOrigin(message.service, ""),
             self._only_version(message.service, message.span_s),
+            self._list.has_several_versions(message.service, message.span_s),
         )
 
 
--- a/packages/gateway/gateway/upstreamlist.py
+++ b/packages/gateway/gateway/upstreamlist.py
@@ -5,9 +5,9 @@
 import itertools
 import math
 import threading
-import time
 from typing import Any, NamedTuple
 
+from bulrushdeal import clock
 from bulrushdeal import eventlog
 from bulrushdeal import kernel as kernel_lib
 from bulrushdeal import threads
@@ -55,6 +55,8 @@
     """Holds the last known list, also while the store is unavailable.
 
     Upstreams in failure domains that are evacuated are listed but not usable.
+    All times are seconds since the boot: a list grows old while the VM is
+    suspended.
 
     Only one thread may call `read` and `apply_received`.
     """
@@ -114,7 +116,7 @@
         """Returns the age of the list in seconds; -1 if it was never read."""
         if self._read_s is None:
             return -1.0
-        return time.monotonic() - self._read_s
+        return clock.boottime_s() - self._read_s
 
     def is_known(self) -> bool:
         """Returns whether the list was ever read."""
@@ -170,9 +172,32 @@
         """See `versionhistory.VersionHistory`."""
         with self._lock:
             return self._software_versions.only_version(
-                service, span_s, time.monotonic()
+                service, span_s, clock.boottime_s()
             )
 
+    def has_several_versions(self, service: str, span_s: float) -> bool:
+        """See `versionhistory.VersionHistory.has_several`."""
+        with self._lock:
+            return self._software_versions.has_several(
+                service, span_s, clock.boottime_s()
+            )
+
+    def await_read(self) -> bool:
+        """Waits for a list that is read from now on; returns whether one came.
+
+        Does not wait if the store is known to be away or slow.
+        """
+        asked_s = clock.boottime_s()
+        with self._renewed:
+            self._renewed.wait_for(
+                lambda: self._is_store_late or self._is_read_since(asked_s),
+                _MAX_WAIT_S,
+            )
+            return self._is_read_since(asked_s)
+
+    def _is_read_since(self, at_s: float) -> bool:
+        return self._read_s is not None and self._read_s >= at_s
+
     def listed(self) -> tuple[records.Upstream, ...]:
         """Returns all listed upstreams, draining ones too."""
         return tuple(self._by_instance.values())
@@ -182,7 +207,7 @@
         with self._lock:
             rows = tuple(self._lives.rows.values())
             ends_s = self._listing.kept().until_s.values()
-            kept_for_s = max(0.0, min(ends_s, default=0.0) - time.monotonic())
+            kept_for_s = max(0.0, min(ends_s, default=0.0) - clock.boottime_s())
             return Snapshot(rows, self._version, self.age_s(), kept_for_s)
 
     def read(self, budget_s: float = math.inf) -> bool:
@@ -195,7 +220,7 @@
             budget_s: How long the read may take, in seconds. A read that takes
                 longer is no sign of an outage.
         """
-        started_s = time.monotonic()
+        started_s = clock.boottime_s()
         rows = self._read(budget_s)
         if rows is None:
             self._record_failure(is_outage=budget_s == math.inf)
@@ -204,7 +229,7 @@
             found = self._listing.update(rows, started_s)
             kept = self._listing.kept().until_s
             self._last_read_failed = False
-            took_s = time.monotonic() - started_s
+            took_s = clock.boottime_s() - started_s
             self._is_store_late = took_s > self._steps.read_budget_s
         self._apply(
             lambda: self._lives.apply_listing(found, kept, started_s),
@@ -229,7 +254,7 @@
             kept_for_s: For how long those among them that are kept over an
                 outage stay, in seconds.
         """
-        now_s = time.monotonic()
+        now_s = clock.boottime_s()
         read_s = now_s - age_s
         if self._read_s is not None and read_s <= self._read_s:
             self._apply(lambda: self._lives.join(rows, now_s), self._read_s)
@@ -266,7 +291,7 @@
     def _is_current(self) -> bool:
         if self._read_s is None or self._is_store_late:
             return True
-        return time.monotonic() - self._read_s <= self._steps.bound_s
+        return clock.boottime_s() - self._read_s <= self._steps.bound_s
 
     def _record_failure(self, *, is_outage: bool) -> None:
         with self._renewed:
@@ -308,7 +333,7 @@
 
         Args:
             merge: Merges the list; returns reports that are too old to count.
-            read_s: When the list was read, on the monotonic clock.
+            read_s: When the list was read, in seconds since the boot.
         """
         before = self._by_instance
         self._log_kept()
@@ -360,7 +385,7 @@
             upstreams=sorted(added)[:_MAX_LOGGED],
             count=len(added),
             outage_s=round(kept.outage_s, 3),
-            for_s=round(until_s - time.monotonic(), 3),
+            for_s=round(until_s - clock.boottime_s(), 3),
         )
 
     def _log_returned(
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -6,11 +6,14 @@
 
 import pytest
 
+from bulrushdeal import clock
+from bulrushdeald import peers
 from bulrushplatform import operators
 from gateway import configuration
 from gateway import names
 from gateway import records
 from gateway import streamorigins
+from gateway import upstreamlist
 from gateway.decisions import routehistory
 from support import gatewayengine
 from support import gatewayscene
@@ -19,6 +22,9 @@
 _STREAMS = 8
 # In place of ten seconds.
 _TAKE_UP_S = 1.5
+# How long ago a stream may have begun.
+_SPAN_S = 1.0
+_SUSPENDED_S = 20.0
 
 
 def _add_engines(
@@ -187,6 +193,82 @@
         assert origin.software_version == version
 
 
+def _cut_off(vm: gatewayscene.Vm) -> None:
+    """Cuts a VM off from the others and the store; callers reach it."""
+    vm.client.is_down = True
+    vm.kernel.find("peers", peers.WebsocketPeers).stop(0.1)
+
+
+def _find_version(vm: gatewayscene.Vm, attempt: str) -> str:
+    found = _origins(vm).find(attempt, "llm", _SPAN_S, is_only_service=True)
+    return found.software_version
+
+
+def test_a_vm_that_is_cut_off_joins_no_stream_of_a_new_version(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against a list from before a release that decides alone."""
+    _add_engines(scene, "v1", "v1")
+    vms = scene.add_vms(3)
+    gatewayscene.until(lambda: _find_version(vms[2], "nobody") == "v1")
+    _cut_off(vms[2])
+    (joined,) = _add_engines(scene, "v2")
+    gatewayscene.until(lambda: joined.instance in _listed(vms[0]))
+    _origins(vms[0]).record(
+        "a", records.StreamOrigin("llm", "v2"), _SPAN_S, is_only_service=True
+    )
+    # For as long as its list counts, and just after it.
+    for _ in range(6):
+        assert _find_version(vms[2], "a") == ""
+        time.sleep(1.0)
+
+
+def test_a_vm_that_others_know_better_than_joins_no_stream(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a late list, as the VM that began a stream is lost."""
+    _add_engines(scene, "v1", "v1")
+    vms = scene.add_vms(3)
+    gatewayscene.until(lambda: _find_version(vms[2], "nobody") == "v1")
+    late = vms[2].kernel.find(names.UPSTREAM_LIST, upstreamlist.UpstreamList)
+    monkeypatch.setattr(late, "apply_received", lambda *row: None)
+    monkeypatch.setattr(late, "read", lambda *row: False)
+    (joined,) = _add_engines(scene, "v2")
+    gatewayscene.until(lambda: joined.instance in _listed(vms[1]))
+    vms[0].lose_power()
+    assert _find_version(vms[2], "a") == ""
+
+
+def test_a_vm_that_loses_its_others_concludes_from_a_list_read_now(
+    scene: gatewayscene.Scene,
+) -> None:
+    """Guards against refusals at the only VM that is left."""
+    _add_engines(scene, "v1", "v1")
+    vms = scene.add_vms(3)
+    gatewayscene.until(lambda: _find_version(vms[2], "nobody") == "v1")
+    for vm in vms[:2]:
+        vm.lose_power()
+    gatewayscene.until(lambda: _find_version(vms[2], "nobody") == "v1")
+
+
+def test_a_list_grows_old_while_its_vm_is_suspended(
+    scene: gatewayscene.Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a list that looks new, as the usual clock stood still."""
+    _add_engines(scene, "v1", "v1")
+    vm = scene.add_vm()
+    gatewayscene.until(lambda: _find_version(vm, "nobody") == "v1")
+    now_s = clock.boottime_s
+    monkeypatch.setattr(clock, "boottime_s", lambda: now_s() + _SUSPENDED_S)
+    assert _find_version(vm, "nobody") == ""
+    gatewayscene.until(lambda: _find_version(vm, "nobody") == "v1")
+
+
+def _listed(vm: gatewayscene.Vm) -> frozenset[str]:
+    found = vm.kernel.find(names.UPSTREAM_LIST, upstreamlist.UpstreamList)
+    return found.instances()
+
+
 def test_a_stream_is_found_while_one_of_the_asked_is_silent(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/support/listfleet.py
+++ b/tests/support/listfleet.py
@@ -52,6 +52,10 @@
     def __init__(self) -> None:
         self.now_s = 1000.0
 
+    def boottime_s(self) -> float:
+        """See `bulrushdeal.clock`."""
+        return self.now_s
+
     def monotonic(self) -> float:
         return self.now_s
 
@@ -287,7 +291,8 @@
         self.clock = Clock()
         self._rng = random.Random(seed)
         for module in (upstreamlist, storereaders, paging):
-            monkeypatch.setattr(module, "time", self.clock)
+            monkeypatch.setattr(module, "time", self.clock, raising=False)
+            monkeypatch.setattr(module, "clock", self.clock, raising=False)
         self.store = Store(self.clock)
         self.settings = settings
         self.vms: dict[str, _Vm] = {}
