--- a/packages/gateway/gateway/eventstream.py
+++ b/packages/gateway/gateway/eventstream.py
@@ -1,7 +1,10 @@
 """Splits and parses streams of server-sent events."""
 
+import re
 from typing import NamedTuple
 
+# Longer numbers count no events.
+_EVENT_ID = re.compile(rb"[0-9]{1,18}")
 _EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 _MAX_PARTIAL_BYTES = 256 * 1024
 # What may be read until the next event has come. Framing counts, and so does
@@ -25,6 +28,10 @@
     """An event exceeds the size limit before its end."""
 
 
+class EventEncodingError(Exception):
+    """An event is not UTF-8."""
+
+
 class Splitter:
     """Buffers an incomplete event until the rest of it arrives.
 
@@ -62,7 +69,11 @@
 
 
 def parse(whole: bytes) -> list[Event]:
-    """Parses a sequence of complete events."""
+    """Parses a sequence of complete events.
+
+    Raises:
+        EventEncodingError: One of them is not UTF-8.
+    """
     text = whole.replace(b"\r\n", b"\n")
     return [_parse_event(part) for part in text.split(b"\n\n") if part.strip()]
 
@@ -74,7 +85,7 @@
     if line_start == 0 and not whole.startswith(b"id:"):
         return None
     line = whole[line_start + 3 :].split(b"\n", 1)[0].strip()
-    return int(line) if line.isdigit() else None
+    return _event_id(line)
 
 
 def _parse_event(part: bytes) -> Event:
@@ -83,8 +94,19 @@
     for line in part.split(b"\n"):
         name, _, value = line.partition(b":")
         value = value.removeprefix(b" ")
-        if name == b"id" and value.strip().isdigit():
-            event_id = int(value)
+        if name == b"id":
+            event_id = _event_id(value.strip())
         if name == b"data":
-            data.append(value.decode("utf-8", "surrogateescape"))
+            data.append(_decode(value))
     return Event(event_id, "\n".join(data) if data else None)
+
+
+def _event_id(text: bytes) -> int | None:
+    return int(text) if _EVENT_ID.fullmatch(text) else None
+
+
+def _decode(value: bytes) -> str:
+    try:
+        return value.decode()
+    except UnicodeDecodeError as error:
+        raise EventEncodingError(str(error)) from error
--- a/packages/gateway/gateway/itemrun.py
+++ b/packages/gateway/gateway/itemrun.py
@@ -169,6 +169,9 @@
             except eventstream.EventTooLongError:
                 error = services.UpstreamError("endless", "ran", _ENDLESS)
                 break
+            except eventstream.EventEncodingError as bad:
+                error = services.UpstreamError("crashed", "ran", str(bad))
+                break
             event_bytes = sum(len(event.data or "") for event in events)
             if item.output_bytes + event_bytes > _MAX_OUTPUT_BYTES:
                 error = services.UpstreamError("endless", "ran", _ENDLESS)
--- a/packages/gateway/gateway/streamorigins.py
+++ b/packages/gateway/gateway/streamorigins.py
@@ -239,9 +239,9 @@
         """Returns whether what began at another version would be known here.
 
         The VM that began a stream tells two others, if there may be several
-        versions. It may be lost itself, and be one of those asked. A VM that
-        fewer answer may be cut off: only a list that is read now shows that no
-        other version has joined.
+        versions. It may be lost itself, and be one of those asked. With fewer
+        answers this VM may be cut off: only a list that is read now shows that
+        no other version has joined.
         """
         if len(self._members.entry_vms()) <= 1:
             return True
--- a/tests/gateway/test_endlessbytes.py
+++ b/tests/gateway/test_endlessbytes.py
@@ -165,6 +165,12 @@
     connection.sendall(head + b"0")
 
 
+def _spoilt(connection: socket.socket, request: bytes) -> None:
+    connection.sendall(
+        _head(request) + _EVENTS.replace(b"data 3", b"data \xff")
+    )
+
+
 _CUT_BEFORE_ITS_FIRST_EVENT = [_head_alone, _cut_in_a_chunk_size]
 
 
@@ -314,3 +320,21 @@
     gatewayscene.until(lambda: _count_listed(vm) == 4, 30)
     for row in vm.results("job").json()["results"]:
         assert row["output"] == "\n".join(f"data {n}" for n in range(1, 6))
+
+
+def test_a_spoilt_byte_keeps_no_item_of_a_job_from_being_listed(
+    scene: gatewayscene.Scene, engines: list[_RawEngine]
+) -> None:
+    """Guards against a result that no record can hold, and blocks all."""
+    raw = _add(scene, engines, _spoilt)
+    vm = scene.add_vm()
+    rows = [gatewayscene.item(f"i{n}") for n in range(4)]
+    assert vm.submit("job", rows).status == 202
+    gatewayscene.until(lambda: raw.requests >= 4)
+    scene.store.write("servers/i-raw0", None)
+    engine = scene.add_engine()
+    gatewayscene.until(lambda: _count_listed(vm) == 4, 30)
+    for row in vm.results("job").json()["results"]:
+        assert row["output"] == "\n".join(f"data {n}" for n in range(1, 6))
+    # No event of a run that broke off is asked for again.
+    assert {run.last_event for run in engine.runs} <= {0, 2}
--- a/tests/gateway/test_eventstream.py
+++ b/tests/gateway/test_eventstream.py
@@ -55,3 +55,17 @@
     (event,) = eventstream.parse(b"versions: 2\nid: 7\ndata: a\ndata: b\n\n")
     assert event == eventstream.Event(7, "a\nb")
     assert eventstream.last_event_id(b"data: x\n\n") is None
+
+
+def test_an_event_that_is_not_utf8_is_an_error() -> None:
+    """Guards against a text that no record of a result can hold."""
+    with pytest.raises(eventstream.EventEncodingError):
+        eventstream.parse(b"id: 1\ndata: a\n\nid: 2\ndata: b\xff\n\n")
+
+
+@pytest.mark.parametrize("text", [b"9" * 5000, b"-1", b"1x", b""])
+def test_an_id_that_counts_no_events_is_missing(text: bytes) -> None:
+    """Guards against a number that takes too long to read, or fails to."""
+    whole = b"id: " + text + b"\ndata: a\n\n"
+    assert eventstream.parse(whole) == [eventstream.Event(None, "a")]
+    assert eventstream.last_event_id(whole) is None
