--- a/packages/daemon/bulrushdeald/connections.py
+++ b/packages/daemon/bulrushdeald/connections.py
@@ -20,6 +20,8 @@
 # whether the request ran remains unknown.
 _MAX_IDLE_S = 4.0
 _MAX_IDLE_CONNECTIONS = 64
+# How often the connections of all addresses are looked at.
+_SWEEP_INTERVAL_S = 1.0
 # Bounds the ids that a connection remembers.
 _MAX_REQUESTS = 1000
 # No more than a reader's own buffer: it would wait for more than it has.
@@ -209,10 +211,15 @@
 
 
 class Pool:
-    """Idle connections by address; the last one used is reused first."""
+    """Idle connections by address; the last one used is reused first.
+
+    Each is closed after some seconds. Those of upstreams that are gone, to
+    which nothing is sent any more, would otherwise stay open for ever.
+    """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
+        self._swept_s = time.monotonic()
         self._idle: dict[str, collections.deque[_IdleConnection]] = {}
         self._is_closed = False
 
@@ -238,16 +245,32 @@
         """Keeps a connection whose last response was read to its end."""
         now_s = time.monotonic()
         evicted: Connection | None = None
+        expired: list[Connection] = []
         with self._lock:
+            if now_s - self._swept_s >= _SWEEP_INTERVAL_S:
+                self._swept_s = now_s
+                expired = self._take_expired(now_s - _MAX_IDLE_S)
             idle = self._idle.setdefault(address, collections.deque())
             idle.append(_IdleConnection(connection, now_s))
             if connection.requests >= _MAX_REQUESTS:
                 evicted = idle.pop().connection
             elif self._is_closed or len(idle) > _MAX_IDLE_CONNECTIONS:
                 evicted = idle.popleft().connection
+        for old in expired:
+            old.close()
         if evicted is not None:
             evicted.close()
 
+    def _take_expired(self, oldest_s: float) -> list[Connection]:
+        """Removes all that are idle for longer than allowed."""
+        expired: list[Connection] = []
+        for address, idle in list(self._idle.items()):
+            while idle and idle[0].since_s < oldest_s:
+                expired.append(idle.popleft().connection)
+            if not idle:
+                del self._idle[address]
+        return expired
+
     def close(self) -> None:
         """Closes all idle connections; those put back later are closed too."""
         with self._lock:
--- a/tests/daemon/test_upstreams.py
+++ b/tests/daemon/test_upstreams.py
@@ -240,6 +240,23 @@
         assert server.connections == count
 
 
+def test_connections_to_upstreams_that_are_gone_are_closed(
+    client: upstreams.HttpUpstreams, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a VM that has no descriptor left after many releases."""
+    monkeypatch.setattr(connections, "_MAX_IDLE_S", 0.2)
+    monkeypatch.setattr(connections, "_SWEEP_INTERVAL_S", 0.1, raising=False)
+    servers = [rawupstream.RawUpstream(HEAD + b"one") for _ in range(20)]
+    for server in servers:
+        assert get(client, server.address) == b"one"
+        server.close()
+    time.sleep(0.3)
+    last = rawupstream.RawUpstream(HEAD + b"one")
+    assert get(client, last.address) == b"one"
+    assert client.dump()["idle_connections"] == {last.address: 1}
+    last.close()
+
+
 def test_a_connection_ends_after_many_requests(
     client: upstreams.HttpUpstreams, monkeypatch: pytest.MonkeyPatch
 ) -> None:
