--- a/packages/gateway/gateway/decisions/batchturns.py
+++ b/packages/gateway/gateway/decisions/batchturns.py
@@ -89,11 +89,6 @@
             return False
         return rank >= turn.rank and tokens < turn.tokens
 
-    def are_paused(self, now_s: float) -> bool:
-        """Returns whether engines make room for nothing at the moment."""
-        self._current(now_s)
-        return now_s < self._paused_until_s
-
     def end(self, tokens: int, instance: str) -> None:
         """Records that an item got a slot, perhaps the one that waited."""
         turn = self._turn
--- a/packages/gateway/gateway/decisions/slotledger.py
+++ b/packages/gateway/gateway/decisions/slotledger.py
@@ -209,20 +209,16 @@
         Returns:
             The engines for the first items of `runs`, in order; empty for an
             item that is too large for any engine, or has to wait for memory.
-            If fewer than `runs`, those left out find no slot now.
+            Items behind one that finds no slot are left out.
         """
         # Batch items get nothing that a waiting request fits.
         self._drain(now_s)
         left_out = frozenset(excluded)
         engines: list[str] = []
-        # How many were placed or are too large for any engine, and the items
-        # before them that wait for memory: those after these need not.
-        settled, waiting = 0, []
         for row in runs:
             need = self._states.need(row.cost)
             if not self._states.memory.can_fit(need.memory):
                 engines.append("")
-                settled = len(engines)
                 continue
             choice = self._batch_choice(vm, row, need, left_out, now_s)
             if choice is not None:
@@ -231,22 +227,17 @@
                 )
                 engines.append(self._grant(row.run, held, choice).instance)
                 self._turns.end(need.memory.tokens, choice.row.instance)
-                settled = len(engines)
                 continue
             if not self._wait_for_memory(vm, row, need, left_out, now_s):
                 break
             engines.append("")
-            waiting.append(batchorder.rank(row.priority))
+        # An item that waits for memory needs none of the slots that are free;
+        # an engine makes room for the first of them.
         unplaced = [
             batchorder.rank(row.priority) for row in runs[len(engines) :]
         ]
-        if self._turns.are_paused(now_s):
-            # What waits for memory may do so for good. For a moment it keeps
-            # no slots free, and the items behind it may be asked for.
-            self._waiting.replace(vm, unplaced, left_out, now_s)
-            return tuple(engines)
-        self._waiting.replace(vm, waiting + unplaced, left_out, now_s)
-        return tuple(engines[:settled])
+        self._waiting.replace(vm, unplaced, left_out, now_s)
+        return tuple(engines)
 
     def _wait_for_memory(
         self,
