--- a/tests/gateway/test_endlessbytes.py
+++ b/tests/gateway/test_endlessbytes.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from support import gatewayengine
 from support import gatewayscene
 
 _EVENTS = b"".join(b"id: %d\ndata: data %d\n\n" % (n, n) for n in range(1, 6))
@@ -305,36 +306,42 @@
         assert (answer.is_whole, answer.body) == (True, b"answer to /safe/x")
 
 
-@pytest.mark.parametrize("serve", _CUT_BEFORE_ITS_FIRST_EVENT)
-def test_an_item_whose_answer_ends_after_its_head_runs_again(
-    scene: gatewayscene.Scene, engines: list[_RawEngine], serve: Serve
-) -> None:
-    """Guards against a result with an empty text."""
-    raw = _add(scene, engines, serve)
+def _done_elsewhere(
+    scene: gatewayscene.Scene, raw: _RawEngine
+) -> tuple[list[str], gatewayengine.Engine]:
+    """Has items meet a raw engine, then another one.
+
+    Returns:
+        The items' texts, and the engine that they are done at.
+    """
     vm = scene.add_vm()
     rows = [gatewayscene.item(f"i{n}") for n in range(4)]
     assert vm.submit("job", rows).status == 202
     gatewayscene.until(lambda: raw.requests >= 4)
     scene.store.write("servers/i-raw0", None)
-    scene.add_engine()
+    engine = scene.add_engine()
     gatewayscene.until(lambda: _count_listed(vm) == 4, 30)
-    for row in vm.results("job").json()["results"]:
-        assert row["output"] == "\n".join(f"data {n}" for n in range(1, 6))
+    results = vm.results("job").json()["results"]
+    return [row["output"] for row in results], engine
+
+
+_WHOLE = "\n".join(f"data {n}" for n in range(1, 6))
+
+
+@pytest.mark.parametrize("serve", _CUT_BEFORE_ITS_FIRST_EVENT)
+def test_an_item_whose_answer_ends_after_its_head_runs_again(
+    scene: gatewayscene.Scene, engines: list[_RawEngine], serve: Serve
+) -> None:
+    """Guards against a result with an empty text."""
+    texts, _ = _done_elsewhere(scene, _add(scene, engines, serve))
+    assert texts == [_WHOLE] * 4
 
 
 def test_a_spoilt_byte_keeps_no_item_of_a_job_from_being_listed(
     scene: gatewayscene.Scene, engines: list[_RawEngine]
 ) -> None:
     """Guards against a result that no record can hold, and blocks all."""
-    raw = _add(scene, engines, _spoilt)
-    vm = scene.add_vm()
-    rows = [gatewayscene.item(f"i{n}") for n in range(4)]
-    assert vm.submit("job", rows).status == 202
-    gatewayscene.until(lambda: raw.requests >= 4)
-    scene.store.write("servers/i-raw0", None)
-    engine = scene.add_engine()
-    gatewayscene.until(lambda: _count_listed(vm) == 4, 30)
-    for row in vm.results("job").json()["results"]:
-        assert row["output"] == "\n".join(f"data {n}" for n in range(1, 6))
+    texts, engine = _done_elsewhere(scene, _add(scene, engines, _spoilt))
+    assert texts == [_WHOLE] * 4
     # No event of a run that broke off is asked for again.
     assert {run.last_event for run in engine.runs} <= {0, 2}
