--- a/packages/daemon/bulrushdeald/upstreams.py
+++ b/packages/daemon/bulrushdeald/upstreams.py
@@ -33,7 +33,7 @@
 _PROBE_TIMEOUT_S = 0.1
 # Of a head, interim ones among them. What is read with it of the body counts.
 _MAX_HEAD_BYTES = 128 * 1024
-# Statuses beyond it are none of the protocol, though `http.client` reads them.
+# The greatest status of HTTP; `http.client` accepts greater ones.
 _MAX_STATUS = 599
 _LENGTH = re.compile(r"[0-9]{1,18}")
 _BODILESS_STATUSES = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
--- a/packages/gateway/gateway/eventstream.py
+++ b/packages/gateway/gateway/eventstream.py
@@ -3,7 +3,7 @@
 import re
 from typing import NamedTuple
 
-# Longer numbers count no events.
+# A longer number is not taken for the id of an event.
 _EVENT_ID = re.compile(rb"[0-9]{1,18}")
 _EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 _MAX_PARTIAL_BYTES = 256 * 1024
--- a/packages/gateway/gateway/outputroom.py
+++ b/packages/gateway/gateway/outputroom.py
@@ -21,7 +21,7 @@
     def has_room(self, item: jobstate.ItemState) -> bool:
         """Returns whether a running item may keep its output.
 
-        Without room those go first that hold at least the mean. An output
+        Without room, outputs of the mean size or more are given up. One
         without end is soon among them.
         """
         if item.output_bytes - item.checked_bytes < _CHECK_BYTES:
