Server: only connections that hold a head are closed for heads

Cause: a request refused for want of memory left its head in the connection's buffer and in the account of heads until its caller closed; and to make room for heads the oldest unfinished connection was closed, also one that had sent nothing.

Change: what nobody reads of a request is dropped when its connection is put aside; only a connection that holds bytes is closed for heads.

--- a/packages/core/bulrushdeal/httpconnections.py
+++ b/packages/core/bulrushdeal/httpconnections.py
@@ -104,6 +104,9 @@
     def linger(self, conn: Any) -> None:
         """Closes a connection after what still arrives was dropped."""
         conn.last_used = time.monotonic()
+        # Nobody reads the rest of its request. Held on, it would count as a
+        # head, and others would be closed to make room for it.
+        _drop_buffered(conn)
         try:
             conn.socket.shutdown(socket.SHUT_WR)
         except OSError:
@@ -203,7 +206,7 @@
         is_kept = conn.has_served and not reader.has_data()
         self._watch(conn, "kept" if is_kept else "unfinished")
         while self.server.room.has_too_many_heads():
-            if not self._close_one("long_heads", ("unfinished",)):
+            if not self._close_one("long_heads", ("unfinished",), min_bytes=1):
                 return
 
     def _drop_unread(self, conn: Any) -> None:
@@ -211,8 +214,7 @@
             outcome = conn.rfile.fill_now()
         except OSError:
             outcome = "end"
-        conn.dropped_bytes += len(conn.rfile.buffer)
-        conn.rfile.buffer.clear()
+        _drop_buffered(conn)
         if outcome == "end" or conn.dropped_bytes > _MAX_DROPPED_BYTES:
             conn.close_now()
             return
@@ -252,19 +254,24 @@
         self.server.room.hold_heads(-conn.idle_bytes)
         self._untyped()._selector.unregister(conn.socket.fileno())
 
-    def _close_one(self, why: str, states: Iterable[State]) -> bool:
+    def _close_one(
+        self, why: str, states: Iterable[State], *, min_bytes: int = 0
+    ) -> bool:
         """Closes the connection that is the least loss, if any may go.
 
         Args:
             why: Why it is closed.
             states: The states of those that may go, the least loss first.
+            min_bytes: What it has to hold of a head; closing one that holds
+                nothing makes no room for heads.
         """
         with self._lock:
             found = next(
                 (
-                    next(iter(self._idle[state]))
+                    conn
                     for state in states
-                    if self._idle[state]
+                    for conn in self._idle[state]
+                    if conn.idle_bytes >= min_bytes
                 ),
                 None,
             )
@@ -323,6 +330,12 @@
         return self
 
 
+def _drop_buffered(conn: Any) -> None:
+    """Drops what was received and will not be read."""
+    conn.dropped_bytes += len(conn.rfile.buffer)
+    conn.rfile.buffer.clear()
+
+
 def _send_late_head(conn: Any) -> None:
     """Says that a request has not run, if that can be sent at once."""
     try:
--- a/tests/core/test_crowdedserver.py
+++ b/tests/core/test_crowdedserver.py
@@ -147,6 +147,35 @@
     until(lambda: scene.room.held_bytes() == 0)
 
 
+def test_a_silent_connection_makes_no_room_for_heads(
+    make: Callable[..., Scene],
+) -> None:
+    # Guards against callers that are closed for the long heads of others.
+    scene = make(100_000)
+    silent = [scene.send() for _ in range(3)]
+    until(lambda: scene.server.open_connections() == 3)
+    long_head = HALF_HEAD + b"X-Filler: " + b"f" * 15_000
+    assert scene.send(long_head).recv(1) == b""
+    for sock in silent:
+        sock.sendall(REQUEST)
+        assert answer_to(sock).startswith(b"HTTP/1.1 200")
+    assert scene.server.closed_early() == {"long_heads": 1}
+
+
+def test_the_head_of_a_refused_request_is_held_no_longer(
+    make: Callable[..., Scene],
+) -> None:
+    # Guards against callers that find no room for heads nobody reads.
+    scene = make(100_000)
+    long_head = HALF_HEAD + b"X-Filler: " + b"f" * 15_000 + b"\r\n\r\n"
+    refused = scene.send(long_head)
+    assert answer_to(refused).startswith(b"HTTP/1.1 503")
+    # The connection stays open until its caller closes it, too.
+    assert refused.recv(1) == b""
+    assert scene.server.open_connections() == 1
+    assert scene.room.held_bytes() == 0
+
+
 def test_a_request_whose_head_has_no_room_is_refused(
     make: Callable[..., Scene],
 ) -> None:
