Front: a caller that closes after a refusal has not left

Cause: a request that its caller leaves is ended, unless it was marked as answered, and refusals were not. A caller that reads a 503 and closes at once was so logged, and counted in the metrics, as caller_left with the refusal's status.

Change: refusals mark the request as answered.

--- a/packages/gateway/gateway/forwarding.py
+++ b/packages/gateway/gateway/forwarding.py
@@ -692,6 +692,9 @@
         refusal = self._refusal()
         self._release()
         self._wait_for_crash_notices()
+        # Else a caller that reads the refusal and closes counts as one that
+        # left before it had an answer.
+        self._call.mark_answered()
         _events.warning(
             "refused",
             request=self._call.attempt,
--- a/packages/gateway/gateway/front.py
+++ b/packages/gateway/gateway/front.py
@@ -472,6 +472,7 @@
         path: str,
     ) -> httpd.Response:
         if not self._stop_gate.may_begin(route, call.due_s):
+            call.mark_answered()
             return self._refuse_late(call.attempt)
         service = route.choose_service() or route.services[0].service
         if not self._placement.has_upstreams(service):
@@ -483,8 +484,8 @@
                 why=why,
                 list_age_s=round(self._upstream_list.age_s(), 3),
             )
-            return refusals.refusal_response(
-                refusals.Refusal(503, why, _NO_UPSTREAM_RETRY_S)
+            return _refuse(
+                call, refusals.Refusal(503, why, _NO_UPSTREAM_RETRY_S)
             )
         if customer is not None:
             allowed = self._rates.take(customer)
@@ -496,10 +497,11 @@
                     customer=customer.name,
                     retry_after_s=round(denied.retry_after_s, 3),
                 )
-                return refusals.refusal_response(
+                return _refuse(
+                    call,
                     refusals.Refusal(
                         429, "over the customer's rate", denied.retry_after_s
-                    )
+                    ),
                 )
         request = forwarding.OnlineRequest(
             outgoing,
@@ -554,6 +556,12 @@
         _events.sampled_info("answered", **fields)
 
 
+def _refuse(call: opencalls.Call, refusal: refusals.Refusal) -> httpd.Response:
+    """Refuses a request; a caller that leaves from now on was answered."""
+    call.mark_answered()
+    return refusals.refusal_response(refusal)
+
+
 def _requester(
     route: records.Route, customer: records.Customer | None
 ) -> requesters.Requester:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -8,8 +8,13 @@
 import result
 
 from gateway import configuration
+from gateway import front
+from gateway import metrics
 from gateway import names
+from gateway import opencalls
 from gateway import placement
+from gateway import rates
+from gateway import records
 from support import gatewayengine
 from support import gatewayscene
 
@@ -451,6 +456,52 @@
     assert refused["occupancy"]["taken"] >= 8
 
 
+@pytest.fixture
+def closes_at_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Callers close as the end of their answer is recorded."""
+    record_end = front.Front._record_end
+
+    def close_first(self: Any, call: opencalls.Call, *args: Any) -> None:
+        call.end("caller_left")
+        record_end(self, call, *args)
+
+    monkeypatch.setattr(front.Front, "_record_end", close_first)
+
+
+@pytest.mark.usefixtures("closes_at_the_end")
+@pytest.mark.parametrize(
+    ("reason", "status"), [("slot", 503), ("rate", 429), ("upstream", 503)]
+)
+def test_a_caller_that_closes_after_a_refusal_has_not_left(
+    scene: gatewayscene.Scene,
+    caplog: pytest.LogCaptureFixture,
+    reason: str,
+    status: int,
+) -> None:
+    # Guards against refused requests that are logged as left by their callers.
+    customer = {"name": "school", "api_keys": [gatewayscene.KEY]}
+    limits = {"rate_per_s": 0.01, "burst": 1} if reason == "rate" else {}
+    scene.configure(gatewayscene.configuration(2, tenants=[customer | limits]))
+    if reason != "upstream":
+        scene.add_engine()
+    vm = scene.add_vm()
+    if reason == "rate":
+        limiter = vm.kernel.find(names.RATES, rates.RateLimiter)
+        while limiter.take(records.Customer("school", (), 0, 0.01, 1)).is_ok():
+            continue
+    if reason == "slot":
+        placer = vm.kernel.find(names.PLACEMENT, placement.Placement)
+        while placer.take("llm", 0.3, ()).is_ok():
+            continue
+    with caplog.at_level("INFO", "bulrushdeal.events"):
+        assert vm.call("POST", "/s/once/x", b"p", "a2").status == status
+    found = vm.kernel.find(names.METRICS, metrics.Metrics)
+    count = "bulrushdeal_request_seconds_count"
+    line = f'{count}{{kind="streaming",outcome="refused"}} 1.0'
+    gatewayscene.until(lambda: line in found.text().decode())
+    assert _line(caplog, "ended") == {}
+
+
 def _line(caplog: pytest.LogCaptureFixture, event: str) -> Any:
     found: list[Any] = [
         vars(row)["fields"]
