Daemon: a keyed answer without end is given up after its caller left

Cause: the rest of an answer to a request with an idempotency key is read once its caller has left, since a repeat may ask for it. Nothing bounded that, so an answer without end kept its thread and its slot. What is kept of it was held in pieces as they came.

--- a/packages/daemon/bulrushdeald/idempotency.py
+++ b/packages/daemon/bulrushdeald/idempotency.py
@@ -2,6 +2,7 @@
 
 import result
 
+from bulrushdeal import heldbytes
 from bulrushdeal import httpd
 from bulrushdeald import calls
 from bulrushdeald import intents
@@ -32,7 +33,7 @@
         self._name = name
         self._fingerprint = fingerprint
         self._claim: intents.Claim | None = None
-        self._chunks: list[bytes] = []
+        self._body = heldbytes.HeldBytes()
         self._size_bytes = 0
 
     @property
@@ -56,7 +57,7 @@
             return
         self._size_bytes += len(data)
         if self._size_bytes <= _MAX_STORED_BYTES:
-            self._chunks.append(data)
+            self._body.add(data)
 
     def answered(
         self, status: int, headers: tuple[tuple[str, str], ...]
@@ -66,7 +67,7 @@
         if store is None or claim is None:
             return
         is_small = self._size_bytes <= _MAX_STORED_BYTES
-        body = b"".join(self._chunks) if is_small else None
+        body = self._body.take_all() if is_small else None
         store.record_answer(claim, intents.make_reply(status, headers, body))
 
     def failed(self, ran: services.ExecutionStatus) -> None:
--- a/packages/daemon/bulrushdeald/relays.py
+++ b/packages/daemon/bulrushdeald/relays.py
@@ -14,6 +14,12 @@
 # other error may be the fault of one caller's request and must not take the
 # upstream out of service for other callers.
 _UNAVAILABLE = 503
+# What is read of an answer after its caller has left: far more than is kept,
+# so that an upstream can finish what it would do only once.
+_MAX_REST_BYTES = 16_000_000
+# How long that may take; an answer without an end would keep its thread and
+# its slot.
+_MAX_REST_S = 600.0
 
 
 class Relay:
@@ -75,6 +81,7 @@
         if self._guard.is_keyed and not self._call.reason:
             # The caller may have left and will repeat the request with its
             # key, so the rest of the response is read and kept.
+            self.answer.limit_reads(_MAX_REST_BYTES, _MAX_REST_S)
             for _ in self.items:
                 pass
         self.answer.close()
