--- a/packages/daemon/bulrushdeald/crashnotifier.py
+++ b/packages/daemon/bulrushdeald/crashnotifier.py
@@ -1,6 +1,6 @@
 """Notifies peers of requests that were running when an upstream crashed."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 import hashlib
 import itertools
 import random
@@ -76,8 +76,22 @@
         """See `SoundParts`."""
 
 
+def _ignore_crash(crash: quarantine.Crash) -> None:
+    """Does nothing with a crash."""
+
+
 class CrashNotices:
-    """Sends and handles `quarantine.CrashNotice` messages."""
+    """Sends and handles `quarantine.CrashNotice` messages.
+
+    Args:
+        peers: The other VMs.
+        membership: Which VMs there are.
+        crashes: The crashes known here.
+        lock: Guards `crashes`.
+        sound_parts: The parts that crashes do not count against, if any.
+        on_crash: Called with each crash that is new here, seen here or told by
+            another VM, without the lock.
+    """
 
     def __init__(
         self,
@@ -86,7 +100,9 @@
         crashes: quarantine.Quarantine,
         lock: threading.Lock,
         sound_parts: SoundParts | None = None,
+        on_crash: Callable[[quarantine.Crash], None] = _ignore_crash,
     ) -> None:
+        self._on_crash = on_crash
         self._sound_parts = sound_parts or _NoParts()
         self._peers = peers
         self._membership = membership
@@ -156,7 +172,9 @@
             self._quarantine.add(crash)
         self._sound_parts.refresh()
         _log.warning("A request was running when an upstream crashed.")
-        return self._notify_peers(quarantine.CrashNotice((crash,)))
+        delivery = self._notify_peers(quarantine.CrashNotice((crash,)))
+        self._on_crash(crash)
+        return delivery
 
     def completed(self, fingerprint: str) -> None:
         """Clears a request that ran to its end, here and at the peers."""
@@ -188,6 +206,8 @@
             )
         if crashes or cleared:
             self._sound_parts.refresh()
+        for crash in crashes:
+            self._on_crash(crash)
         return quarantine.CrashNotice(
             crashes,
             cleared=cleared,
--- a/packages/gateway/gateway/crashrecords.py
+++ b/packages/gateway/gateway/crashrecords.py
@@ -20,6 +20,7 @@
 from gateway import crashstore
 from gateway import dialect as dialect_lib
 from gateway import evacuations
+from gateway import givenupruns
 from gateway import heldslots
 from gateway import members
 from gateway import names
@@ -54,6 +55,7 @@
             settings.vm,
             upstreamfates.watch_s(settings.heartbeat_s),
         )
+        self._given_up_runs = givenupruns.GivenUpRuns()
         self._logged: frozenset[str] = frozenset()
         self.parts = partrecords.PartRecords(
             kernel,
@@ -72,6 +74,7 @@
             self._quarantine,
             self._lock,
             self.parts,
+            self._accuse_given_up,
         )
         self.parts.start()
         self._notices.start()
@@ -200,6 +203,43 @@
             )
         )
 
+    def record_given_up(self, fingerprint: str, slot: heldslots.Slot) -> None:
+        """Records that a run was given up at an upstream that sends to others.
+
+        It counts as one that crashed its upstream if this crashes soon. A run
+        that has written is sound: an upstream crashes as it begins to write.
+        """
+        if slot.first_event_s:
+            return
+        self._given_up_runs.add(
+            givenupruns.GivenUpRun(
+                fingerprint,
+                slot.upstream,
+                slot.held_since_s,
+                time.monotonic(),
+                _accused_parts(slot),
+            )
+        )
+
+    def _accuse_given_up(self, crash: quarantine.Crash) -> None:
+        """Counts a crash against the runs that were given up before it.
+
+        Upstreams that do not look at their connections go on with such runs.
+        """
+        crashed_s = time.monotonic() - crash.age_s
+        for run in self._given_up_runs.take(crash):
+            self._notices.crashed(
+                run.fingerprint,
+                crash.upstream,
+                crashed_s - run.began_s,
+                crash.age_s,
+                run.upstream.started_ms,
+                parts=run.parts,
+            )
+            if self.is_refused(run.fingerprint):
+                self._store.update(run.fingerprint)
+            self.parts.keep(run.parts)
+
     def record_answer(self, slot: heldslots.Slot) -> None:
         """Records that an upstream has answered a request."""
         self._broken_runs.record_answer(
--- a/packages/gateway/gateway/upstreamsender.py
+++ b/packages/gateway/gateway/upstreamsender.py
@@ -223,6 +223,7 @@
         """Has the upstream of a run that broke off watched."""
         was_silent = self._placement.health.is_silent(slot.upstream.instance)
         if was_given_up and not was_silent:
+            self._crashes.record_given_up(outgoing.fingerprint(), slot)
             return
         self._crashes.record_break(
             outgoing.fingerprint(),
--- a/tests/gateway/test_repeatedcrashes.py
+++ b/tests/gateway/test_repeatedcrashes.py
@@ -2,6 +2,7 @@
 
 import base64
 from concurrent import futures
+import contextlib
 import functools
 import itertools
 import threading
@@ -86,6 +87,60 @@
     assert _count_crashed(engines) == quarantine.CRASHES_TO_REFUSE
 
 
+def _add_streams(vms: list[gatewayscene.Vm], count: int) -> None:
+    """Starts long streams, which upstreams send to while others crash them."""
+    for number in range(count):
+        call = functools.partial(
+            vms[number % len(vms)].call,
+            "POST",
+            "/s/once/x",
+            b"long",
+            f"l{number}",
+        )
+        threading.Thread(target=call, daemon=True).start()
+        time.sleep(0.03)
+
+
+def _send_and_leave(vm: gatewayscene.Vm, attempt: str) -> None:
+    """Sends a request and closes the connection soon after."""
+    headers = {
+        **gatewayscene.HEADERS,
+        "Bulrushdeal-Request-Attempt-Id": attempt,
+        "Bulrushdeal-Deadline-Ms": "4000",
+    }
+    with contextlib.closing(vm.connect()) as caller:
+        caller.timeout = 0.15
+        caller.request("POST", "/s/once/x", _POISON, headers)
+        with contextlib.suppress(TimeoutError):
+            caller.getresponse().read()
+
+
+@pytest.mark.parametrize("vm_count", [1, 2])
+def test_a_request_that_its_caller_leaves_is_stopped(
+    scene: gatewayscene.Scene, vm_count: int
+) -> None:
+    """Guards against crashes that are seen by other requests only.
+
+    The upstreams go on with a request whose caller has left, and send to
+    others meanwhile, so no run of the request breaks off.
+    """
+    engines = _add_engines(scene, 5)
+    for engine in engines:
+        engine.events, engine.pause_s = 200, 0.05
+        engine.watches, engine.poison_delay_s = False, 0.3
+    vms = scene.add_vms(vm_count, 2)
+    for number in range(4):
+        _add_streams(vms, 20)
+        before = _count_crashed(engines)
+        _send_and_leave(vms[number % vm_count], f"p{number}")
+        end_s = time.monotonic() + 2.0
+        while _count_crashed(engines) == before and time.monotonic() < end_s:
+            time.sleep(0.05)
+        time.sleep(0.5)
+    assert _count_crashed(engines) == quarantine.CRASHES_TO_REFUSE
+    assert _send(vms[0], "/s/once/x", "last") == 503
+
+
 def test_a_crash_in_the_middle_of_a_long_answer_counts(
     scene: gatewayscene.Scene,
 ) -> None:
--- a/tests/support/gatewayengine.py
+++ b/tests/support/gatewayengine.py
@@ -136,6 +136,7 @@
             short ones.
         poisons: The bodies of requests that crash it; with long answers in
             the middle of one.
+        poison_delay_s: How long after they came these crash it.
         deadly_parts: The parts of prompts that crash it before the answer's
             first event.
         statuses: What requests are answered with at each run, by their
@@ -169,6 +170,7 @@
         self.load = ""
         self.long_answer_bytes = 0
         self.poisons: set[bytes] = set()
+        self.poison_delay_s = 0.0
         self.deadly_parts: set[str] = set()
         self.software_version = ""
         self.copied: frozenset[int] = frozenset()
@@ -353,6 +355,7 @@
         self._wait_if_late(fault, work)
         is_poison = body in self.poisons or self._has_deadly_part(request)
         if is_poison and not self.long_answer_bytes:
+            time.sleep(self.poison_delay_s)
             self.crash()
         if fault.kind == "other":
             attempt = "another"
