Tests: cancelled deadlines are cancelled before any is due

Change: a callback due first holds the thread until all that the test cancels are cancelled. The check is the same.

Measured: with 0.5 ms more for each that is added (a trial) the test failed before and passes after.

--- a/tests/gateway/test_deadlines.py
+++ b/tests/gateway/test_deadlines.py
@@ -64,8 +64,14 @@
 ) -> None:
     # Guards against a deadline that is lost when cancelled ones are removed.
     seen: list[int] = []
-    done = threading.Event()
+    may_go, done = threading.Event(), threading.Event()
     now_s = time.monotonic()
+
+    def hold() -> None:
+        # Else those that are cancelled late have been called already.
+        may_go.wait(30)
+
+    timers.add(now_s, hold)
     cancels = [
         timers.add(now_s + 0.2 + row / 1e6, functools.partial(seen.append, row))
         for row in range(REQUESTS)
@@ -74,6 +80,7 @@
     for row, cancel in enumerate(cancels):
         if row % 10:
             cancel()
+    may_go.set()
     assert done.wait(30)
     assert seen == list(range(0, REQUESTS, 10))
     for cancel in cancels:
