--- a/tests/gateway/test_endlessbytes.py
+++ b/tests/gateway/test_endlessbytes.py
@@ -1,12 +1,9 @@
 """Upstreams whose answers have no length, or no end."""
 
 import base64
-from collections.abc import Callable, Iterator
-import contextlib
-import re
+from collections.abc import Iterator
 import socket
 import struct
-import threading
 import time
 from typing import Any
 
@@ -14,79 +11,13 @@
 
 from support import gatewayengine
 from support import gatewayscene
+from support import rawengine
 
 _EVENTS = b"".join(b"id: %d\ndata: data %d\n\n" % (n, n) for n in range(1, 6))
 # A stream or item that meets such an upstream is served elsewhere in time.
 _MAX_S = 8.0
 _RESET = struct.pack("ii", 1, 0)
 
-Serve = Callable[[socket.socket, bytes], None]
-
-
-class _RawEngine:
-    """Reads each request's head and lets a function answer it."""
-
-    def __init__(self, instance: str, serve: Serve) -> None:
-        self.instance = instance
-        self.requests = 0
-        self._serve = serve
-        self._socket = socket.create_server(("127.0.0.1", 0))
-        port = self._socket.getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self) -> None:
-        self._socket.close()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                connection, _ = self._socket.accept()
-            except OSError:
-                return
-            threading.Thread(
-                target=self._answer, args=(connection,), daemon=True
-            ).start()
-
-    def _answer(self, connection: socket.socket) -> None:
-        with connection, contextlib.suppress(OSError):
-            request = b""
-            while not _is_whole(request):
-                data = connection.recv(65536)
-                if not data:
-                    return
-                request += data
-            self.requests += 1
-            self._serve(connection, request)
-
-
-def _is_whole(request: bytes) -> bool:
-    """Returns whether all of a request has come.
-
-    A connection that is closed with unread bytes is reset.
-    """
-    head, end, body = request.partition(b"\r\n\r\n")
-    lengths = re.findall(rb"(?im)^content-length: *(\d+)", head)
-    return bool(end) and len(body) >= int(lengths[0] if lengths else 0)
-
-
-def _head(request: bytes, *more: str) -> bytes:
-    (attempt,) = [
-        line.partition(":")[2].strip()
-        for line in request.decode().split("\r\n")
-        if line.lower().startswith("bulrushdeal-request-attempt-id:")
-    ]
-    rows = [
-        "HTTP/1.1 200 OK",
-        f"Bulrushdeal-Request-Attempt-Id: {attempt}",
-        "Bulrushdeal-Server-Stamp: signed",
-        "Connection: close",
-        *more,
-        "",
-        "",
-    ]
-    return "\r\n".join(rows).encode()
-
 
 def _endless_interim_heads(connection: socket.socket, request: bytes) -> None:
     del request
@@ -111,20 +42,20 @@
 
 
 def _endless_body(connection: socket.socket, request: bytes) -> None:
-    connection.sendall(_head(request))
+    connection.sendall(rawengine.head(request))
     while True:
         connection.sendall(b"x" * 65536)
 
 
 def _dribbling_body(connection: socket.socket, request: bytes) -> None:
-    connection.sendall(_head(request))
+    connection.sendall(rawengine.head(request))
     while True:
         connection.sendall(b"x")
         time.sleep(0.05)
 
 
 def _endless_refusal(connection: socket.socket, request: bytes) -> None:
-    head = _head(request, "Bulrushdeal-Not-Executed: 1")
+    head = rawengine.head(request, "Bulrushdeal-Not-Executed: 1")
     connection.sendall(head.replace(b"200 OK", b"503 Busy"))
     while True:
         connection.sendall(b"x" * 65536)
@@ -141,34 +72,34 @@
 
 
 def _unframed(connection: socket.socket, request: bytes) -> None:
-    connection.sendall(_head(request) + _EVENTS)
+    connection.sendall(rawengine.head(request) + _EVENTS)
 
 
 def _unframed_and_cut_in_an_event(
     connection: socket.socket, request: bytes
 ) -> None:
-    connection.sendall(_head(request) + _EVENTS[:30])
+    connection.sendall(rawengine.head(request) + _EVENTS[:30])
 
 
 def _unframed_and_reset(connection: socket.socket, request: bytes) -> None:
-    connection.sendall(_head(request) + _EVENTS[:40])
+    connection.sendall(rawengine.head(request) + _EVENTS[:40])
     time.sleep(0.1)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
 
 
 def _head_alone(connection: socket.socket, request: bytes) -> None:
-    connection.sendall(_head(request))
+    connection.sendall(rawengine.head(request))
 
 
 def _cut_in_a_chunk_size(connection: socket.socket, request: bytes) -> None:
     # The size of a chunk of 15 bytes in two digits, cut after the first.
-    head = _head(request, "Transfer-Encoding: chunked")
+    head = rawengine.head(request, "Transfer-Encoding: chunked")
     connection.sendall(head + b"0")
 
 
 def _spoilt(connection: socket.socket, request: bytes) -> None:
     connection.sendall(
-        _head(request) + _EVENTS.replace(b"data 3", b"data \xff")
+        rawengine.head(request) + _EVENTS.replace(b"data 3", b"data \xff")
     )
 
 
@@ -176,24 +107,26 @@
 
 
 @pytest.fixture
-def engines() -> Iterator[list[_RawEngine]]:
-    made: list[_RawEngine] = []
+def engines() -> Iterator[list[rawengine.RawEngine]]:
+    made: list[rawengine.RawEngine] = []
     yield made
     for engine in made:
         engine.close()
 
 
 def _add(
-    scene: gatewayscene.Scene, engines: list[_RawEngine], serve: Serve
-) -> _RawEngine:
-    engine: Any = _RawEngine(f"i-raw{len(engines)}", serve)
+    scene: gatewayscene.Scene,
+    engines: list[rawengine.RawEngine],
+    serve: rawengine.Serve,
+) -> rawengine.RawEngine:
+    engine: Any = rawengine.RawEngine(f"i-raw{len(engines)}", serve)
     engines.append(engine)
     scene.list_engine(engine)
     return engines[-1]
 
 
 def _until_met(
-    vm: gatewayscene.Vm, engine: _RawEngine, path: str = "/s/x"
+    vm: gatewayscene.Vm, engine: rawengine.RawEngine, path: str = "/s/x"
 ) -> list[gatewayscene.Answer]:
     """Sends requests until one has met the raw engine."""
     answers = []
@@ -206,7 +139,9 @@
 
 @pytest.mark.parametrize("serve", _ENDLESS)
 def test_a_stream_is_served_elsewhere_than_where_bytes_have_no_end(
-    scene: gatewayscene.Scene, engines: list[_RawEngine], serve: Serve
+    scene: gatewayscene.Scene,
+    engines: list[rawengine.RawEngine],
+    serve: rawengine.Serve,
 ) -> None:
     """Guards against callers that wait for bytes that are no answer."""
     raw = _add(scene, engines, serve)
@@ -219,7 +154,9 @@
 
 @pytest.mark.parametrize("serve", _ENDLESS)
 def test_an_item_is_done_though_an_upstream_sends_bytes_without_end(
-    scene: gatewayscene.Scene, engines: list[_RawEngine], serve: Serve
+    scene: gatewayscene.Scene,
+    engines: list[rawengine.RawEngine],
+    serve: rawengine.Serve,
 ) -> None:
     """Guards against items that hold a slot, and memory, for ever."""
     raw = _add(scene, engines, serve)
@@ -244,7 +181,7 @@
 
 
 def test_a_stream_without_length_or_chunks_ends_with_its_connection(
-    scene: gatewayscene.Scene, engines: list[_RawEngine]
+    scene: gatewayscene.Scene, engines: list[rawengine.RawEngine]
 ) -> None:
     """Guards against taking a whole stream for one that was cut."""
     _add(scene, engines, _unframed)
@@ -256,7 +193,9 @@
     "serve", [_unframed_and_cut_in_an_event, _unframed_and_reset]
 )
 def test_a_stream_without_length_or_chunks_that_breaks_off_goes_on(
-    scene: gatewayscene.Scene, engines: list[_RawEngine], serve: Serve
+    scene: gatewayscene.Scene,
+    engines: list[rawengine.RawEngine],
+    serve: rawengine.Serve,
 ) -> None:
     """Guards against taking a cut stream for a whole one."""
     raw = _add(scene, engines, serve)
@@ -266,7 +205,7 @@
 
 
 def test_an_answer_without_length_or_chunks_that_is_reset_is_repeated(
-    scene: gatewayscene.Scene, engines: list[_RawEngine]
+    scene: gatewayscene.Scene, engines: list[rawengine.RawEngine]
 ) -> None:
     """Guards against a part of an answer that looks whole."""
     raw = _add(scene, engines, _unframed_and_reset)
@@ -277,7 +216,9 @@
 
 @pytest.mark.parametrize("serve", _CUT_BEFORE_ITS_FIRST_EVENT)
 def test_a_stream_that_ends_after_its_head_is_no_empty_one(
-    scene: gatewayscene.Scene, engines: list[_RawEngine], serve: Serve
+    scene: gatewayscene.Scene,
+    engines: list[rawengine.RawEngine],
+    serve: rawengine.Serve,
 ) -> None:
     """Guards against 200 with an empty body, framed as whole."""
     _add(scene, engines, serve)
@@ -287,7 +228,9 @@
 
 @pytest.mark.parametrize("serve", _CUT_BEFORE_ITS_FIRST_EVENT)
 def test_a_stream_that_ends_after_its_head_is_begun_elsewhere(
-    scene: gatewayscene.Scene, engines: list[_RawEngine], serve: Serve
+    scene: gatewayscene.Scene,
+    engines: list[rawengine.RawEngine],
+    serve: rawengine.Serve,
 ) -> None:
     """Guards against a caller that gets nothing though others can serve."""
     raw = _add(scene, engines, serve)
@@ -297,7 +240,7 @@
 
 
 def test_an_answer_that_is_cut_in_a_chunk_size_is_repeated(
-    scene: gatewayscene.Scene, engines: list[_RawEngine]
+    scene: gatewayscene.Scene, engines: list[rawengine.RawEngine]
 ) -> None:
     """Guards against a short body with a length of its own."""
     raw = _add(scene, engines, _cut_in_a_chunk_size)
@@ -307,7 +250,7 @@
 
 
 def _done_elsewhere(
-    scene: gatewayscene.Scene, raw: _RawEngine
+    scene: gatewayscene.Scene, raw: rawengine.RawEngine
 ) -> tuple[list[str], gatewayengine.Engine]:
     """Has items meet a raw engine, then another one.
 
@@ -330,7 +273,9 @@
 
 @pytest.mark.parametrize("serve", _CUT_BEFORE_ITS_FIRST_EVENT)
 def test_an_item_whose_answer_ends_after_its_head_runs_again(
-    scene: gatewayscene.Scene, engines: list[_RawEngine], serve: Serve
+    scene: gatewayscene.Scene,
+    engines: list[rawengine.RawEngine],
+    serve: rawengine.Serve,
 ) -> None:
     """Guards against a result with an empty text."""
     texts, _ = _done_elsewhere(scene, _add(scene, engines, serve))
@@ -338,7 +283,7 @@
 
 
 def test_a_spoilt_byte_keeps_no_item_of_a_job_from_being_listed(
-    scene: gatewayscene.Scene, engines: list[_RawEngine]
+    scene: gatewayscene.Scene, engines: list[rawengine.RawEngine]
 ) -> None:
     """Guards against a result that no record can hold, and blocks all."""
     texts, engine = _done_elsewhere(scene, _add(scene, engines, _spoilt))
