--- a/packages/daemon/bulrushdeald/connections.py
+++ b/packages/daemon/bulrushdeald/connections.py
@@ -13,6 +13,7 @@
 import urllib3.connection
 
 from bulrushdeal import fingerprints
+from bulrushdeal import responseheads
 from bulrushdeal import sockets
 
 # Less than the five seconds after which common servers close an idle
@@ -27,6 +28,11 @@
 # No more than a reader's own buffer: it would wait for more than it has.
 _PIECE_BYTES = io.DEFAULT_BUFFER_SIZE
 _MAX_CHUNK_LINE_BYTES = 1024
+_BODILESS = (
+    http.HTTPStatus.SWITCHING_PROTOCOLS,
+    http.HTTPStatus.NO_CONTENT,
+    http.HTTPStatus.NOT_MODIFIED,
+)
 _CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,15}")
 
 
@@ -63,10 +69,8 @@
 class _LineReader:
     """Raises an error if the connection ends inside a line.
 
-    `http.client` treats the end of the connection as the end of a head, so a
-    response that is cut off there would look complete, with an empty body. It
-    takes what has come of a chunk's size for the size, so one of `06` that is
-    cut after its first digit would look like the end of the body.
+    `http.client` takes what has come of a chunk's size for the size, so one of
+    `06` that is cut after its first digit would look like the end of the body.
     """
 
     def __init__(self, reader: Any) -> None:
@@ -83,17 +87,27 @@
 
 
 class WholeResponse(http.client.HTTPResponse):
-    """A response that does not look complete if it ends early."""
+    """A response that does not look complete if it is cut or malformed."""
 
     def begin(self) -> None:
-        """Reads the status line and the headers."""
-        reader = self.fp
-        self.fp = _LineReader(reader)  # type: ignore[assignment]
-        try:
-            super().begin()
-        finally:
-            if self.fp is not None:
-                self.fp = reader
+        """Reads the head.
+
+        Raises:
+            http.client.HTTPException: It is cut, or is no head of a response.
+        """
+        if self.headers is not None:
+            return
+        head = responseheads.read(_LineReader(self.fp))
+        self.version = head.version
+        self.code = self.status = head.status
+        self.reason = head.reason
+        self.headers = self.msg = head.fields
+        self.chunked = head.is_chunked
+        self.chunk_left = None
+        has_body = self._method != "HEAD" and self.status not in _BODILESS
+        self.length = head.length_bytes if has_body else 0
+        ends_with_connection = not self.chunked and self.length is None
+        self.will_close = ends_with_connection or self._check_close()
 
     def _read_next_chunk_size(self) -> int:
         # The parent's accepts signs, `0x` and `_`, and what has come of a line.
@@ -103,15 +117,9 @@
             raise http.client.IncompleteRead(line)
         return int(size, 16)
 
-    def _read_status(self) -> tuple[str, int, str]:
-        # `http.client` skips only status 100. It would treat any other interim
-        # response as the final one, and the final one as the response to the
-        # next request.
-        while True:
-            status = super()._read_status()  # type: ignore[misc]
-            if not http.HTTPStatus.PROCESSING <= status[1] < http.HTTPStatus.OK:
-                return status  # type: ignore[no-any-return]
-            http.client.parse_headers(self.fp)
+    def _read_and_discard_trailer(self) -> None:
+        assert self.fp is not None
+        responseheads.skip_trailers(self.fp)
 
 
 class WholeConnection(urllib3.connection.HTTPConnection):
--- a/packages/daemon/bulrushdeald/upstreams.py
+++ b/packages/daemon/bulrushdeald/upstreams.py
@@ -5,7 +5,6 @@
 import functools
 import http
 import http.client
-import re
 import socket
 import struct
 import threading
@@ -33,10 +32,6 @@
 _PROBE_TIMEOUT_S = 0.1
 # Of a head, interim ones among them. What is read with it of the body counts.
 _MAX_HEAD_BYTES = 128 * 1024
-# The greatest status of HTTP; `http.client` accepts greater ones.
-_MAX_STATUS = 599
-_LENGTH = re.compile(r"[0-9]{1,18}")
-_BODILESS_STATUSES = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 _READ_ERRORS = (
     OSError,
     ValueError,
@@ -113,7 +108,6 @@
         connection: connections.Connection,
         exchange: _Exchange,
         response: urllib3.BaseHTTPResponse,
-        method: str,
         return_connection: Callable[[], None] | None,
         *,
         is_fully_sent: bool,
@@ -132,7 +126,7 @@
         self._is_closed = False
         self._headers = response.headers
         self._is_chunked = bool(self._raw.chunked)
-        self._remaining_bytes = self._expected_bytes(method)
+        self._remaining_bytes = self._raw.length
 
     @property
     def status(self) -> int:
@@ -215,13 +209,6 @@
             and not self._raw.has_extra_bytes
         )
 
-    def _expected_bytes(self, method: str) -> int | None:
-        if method == "HEAD" or self._status in _BODILESS_STATUSES:
-            return 0
-        if self._is_chunked:
-            return None
-        return _stated_bytes(self._headers)
-
 
 class UpstreamSettings(Protocol):
     """The settings of the HTTP client for upstreams."""
@@ -299,11 +286,11 @@
             exchange.finish()
             connection.close()
             return result.Err(_send_error(exchange, error))
-        fault = _head_fault(response)
-        if fault:
+        if response.status < http.HTTPStatus.OK:
+            # A protocol switch that was not requested.
             exchange.finish()
             connection.close()
-            unexpected = ValueError(fault)
+            unexpected = ValueError(f"Unexpected status {response.status}.")
             return result.Err(_upstream_error(exchange, unexpected, "ran"))
         return_connection: Callable[[], None] | None = None
         if is_fully_sent and not use.is_new:
@@ -315,7 +302,6 @@
                 connection,
                 exchange,
                 response,
-                method,
                 return_connection,
                 is_fully_sent=is_fully_sent,
             )
@@ -393,36 +379,6 @@
     return True
 
 
-def _head_fault(response: urllib3.BaseHTTPResponse) -> str:
-    """Returns why a head begins no answer to a request; empty if it does.
-
-    Where two readers may see different ends of a body, a cut one may look
-    whole to one of them.
-    """
-    if not http.HTTPStatus.OK <= response.status <= _MAX_STATUS:
-        # 101, a protocol switch that was not requested, or no status.
-        return f"Unexpected status {response.status}."
-    coding = response.headers.get("Transfer-Encoding")
-    if coding is not None:
-        is_chunked = coding.strip().lower() == "chunked"
-        return "" if is_chunked else f"Unexpected coding {coding!r}."
-    length = response.headers.get("Content-Length")
-    if length is not None and _stated_bytes(response.headers) is None:
-        return f"Unexpected length {length!r}."
-    return ""
-
-
-def _stated_bytes(headers: Mapping[str, str]) -> int | None:
-    """Returns the length that headers state, once or several times alike."""
-    texts = {
-        text.strip() for text in headers.get("Content-Length", "").split(",")
-    }
-    text = texts.pop()
-    if texts or not _LENGTH.fullmatch(text):
-        return None
-    return int(text)
-
-
 def _send_error(
     exchange: _Exchange, error: Exception
 ) -> services.UpstreamError:
--- a/tests/daemon/test_upstreams.py
+++ b/tests/daemon/test_upstreams.py
@@ -174,6 +174,31 @@
     server.close()
 
 
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        HEAD.replace(b"Content", b"X-Bad Name: x\r\nContent") + b"one",
+        HEAD.replace(b"\r\n\r\n", b"\r\nX-Bad : x\r\n\r\n") + b"one",
+        HEAD.replace(b"200", b"0200") + b"one",
+        HEAD.replace(b"Content", b"X: a\rSet-Cookie: b\r\nContent") + b"one",
+        b"HTTP/1.1 103 Early\r\nX-B\x01ad: x\r\n\r\n" + HEAD + b"one",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\none\r\n0\r\nX-Bad Name: x\r\n\r\n",
+    ],
+)
+def test_a_connection_with_a_spoilt_answer_carries_no_other_request(
+    client: upstreams.HttpUpstreams, spoilt: bytes
+) -> None:
+    """Guards against the rest of an answer that is taken for the next one."""
+    server = rawupstream.RawUpstream(spoilt, HEAD + b"two", HEAD + b"too")
+    got = get(client, server.address)
+    assert got in (("crashed", "unknown"), ("crashed", "ran"))
+    assert get(client, server.address) == b"two"
+    assert get(client, server.address) == b"too"
+    server.close()
+    assert server.connections == 2
+
+
 _CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 _WHOLE_ANSWERS = [
     HEAD + b"one",
