--- a/tests/gateway/test_brokenheads.py
+++ b/tests/gateway/test_brokenheads.py
@@ -230,7 +230,13 @@
     scene: gatewayscene.Scene, add: Any, serve: rawengine.Serve
 ) -> None:
     """Guards against a result whose text is not the item's."""
-    raw = add(serve)
+    _check_runs_again(scene, add(serve))
+
+
+def _check_runs_again(
+    scene: gatewayscene.Scene, raw: rawengine.RawEngine
+) -> None:
+    """Checks that an item that meets an engine is done whole at another."""
     vm = scene.add_vm()
     assert vm.submit("job", [gatewayscene.item()]).status == 202
     gatewayscene.until(lambda: raw.requests)
@@ -239,3 +245,25 @@
     gatewayscene.until(lambda: bool(vm.results("job").json()["results"]))
     (row,) = vm.results("job").json()["results"]
     assert (row["state"], row["output"]) == ("completed", _WHOLE_TEXT)
+
+
+_NO_STATUSES = [b"000", b"099", b"101", b"199", b"600", b"20", b"2000", b"abc"]
+
+
+@pytest.mark.parametrize("status", _NO_STATUSES)
+def test_an_answer_whose_status_is_none_reaches_no_caller(
+    scene: gatewayscene.Scene, add: Any, status: bytes
+) -> None:
+    """Guards against callers that get what no client can read."""
+    add(_with_status_line(b"HTTP/1.1 " + status + b" OK"))
+    vm = scene.add_vm()
+    for attempt, path in enumerate(["/safe/x", "/s/once/x", "/unsafe/x"]):
+        answer = vm.call("POST", path, b"p", attempt=f"a{attempt}")
+        _check_refused(answer)
+
+
+def test_an_item_whose_answer_has_no_status_runs_again(
+    scene: gatewayscene.Scene, add: Any
+) -> None:
+    """Guards against a result whose text is not the item's."""
+    _check_runs_again(scene, add(_with_status_line(b"HTTP/1.1 000 OK")))
