--- a/tests/daemon/test_loadpoll.py
+++ b/tests/daemon/test_loadpoll.py
@@ -2,6 +2,7 @@
 
 from http import server
 import threading
+import time
 from typing import Any
 
 from hypothesis import given
@@ -12,6 +13,7 @@
 from bulrushdeal import records
 from bulrushdeald import loadpoll
 from bulrushdeald import topology
+from support import rawupstream
 
 
 @given(st.lists(st.tuples(st.integers(0, 20), st.floats(0, 3)), min_size=1))
@@ -121,3 +123,43 @@
         polls.poll()
         polls.poll()
         assert not router.loads
+
+
+_REPORT = b'{"running": 3, "queued": 0}'
+_LENGTH = b"Content-Length: %d\r\n" % len(_REPORT)
+_CODING = b"Transfer-Encoding: chunked\r\n"
+
+
+@pytest.mark.parametrize(
+    "line", [b"X-Bad Name: x", b"X-B\x01ad: x", b"X-Bad : x", b"no colon"]
+)
+@pytest.mark.parametrize(
+    ("before", "after", "body"),
+    [
+        (b"", _LENGTH, _REPORT),
+        (_LENGTH, b"", _REPORT),
+        (b"", _LENGTH, _REPORT[:5]),
+        (b"", _CODING, b"1b\r\n" + _REPORT + b"\r\n0\r\n\r\n"),
+        (b"", b"", _REPORT),
+    ],
+)
+def test_a_report_with_a_malformed_head_changes_nothing(
+    line: bytes, before: bytes, after: bytes, body: bytes
+) -> None:
+    """Guards against polls that wait, and a load that no engine stated."""
+    head = b"HTTP/1.1 200 OK\r\n"
+    malformed = head + before + line + b"\r\n" + after + b"\r\n" + body
+    good = head + _LENGTH + b"\r\n" + _REPORT
+    close = rawupstream.RawUpstream.CLOSE
+    engine = rawupstream.RawUpstream(good, malformed, malformed + close, good)
+    router = Router(engine.address)
+    polls = loadpoll.LoadPolls(router)
+    begun_s = time.monotonic()
+    for _ in range(3):
+        polls.poll()
+    polls.close()
+    engine.close()
+    assert time.monotonic() - begun_s < loadpoll.POLL_S
+    assert router.loads == [3, 3]
+    # No connection with a malformed answer carries another poll.
+    assert engine.connections == 3
