--- a/packages/daemon/bulrushdeald/connections.py
+++ b/packages/daemon/bulrushdeald/connections.py
@@ -33,6 +33,7 @@
     http.HTTPStatus.NO_CONTENT,
     http.HTTPStatus.NOT_MODIFIED,
 )
+_CHUNK_END = b"\r\n"
 _CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,15}")
 
 
@@ -109,6 +110,26 @@
         ends_with_connection = not self.chunked and self.length is None
         self.will_close = ends_with_connection or self._check_close()
 
+    def _get_chunk_left(self) -> int | None:
+        """Returns what is left of a chunk, in bytes; `None` after the last.
+
+        It replaces that of the parent, which passes over any two bytes after
+        a chunk and does not look at trailers.
+        """
+        if self.chunk_left:
+            return self.chunk_left
+        assert self.fp is not None
+        if self.chunk_left == 0:
+            end = self.fp.read(len(_CHUNK_END))
+            if end != _CHUNK_END:
+                raise http.client.IncompleteRead(end)
+        size = self._read_next_chunk_size()
+        if not size:
+            responseheads.skip_trailers(self.fp)
+            self._close_conn()  # type: ignore[attr-defined]
+        self.chunk_left = size or None
+        return self.chunk_left
+
     def _read_next_chunk_size(self) -> int:
         # The parent's accepts signs, `0x` and `_`, and what has come of a line.
         line = _LineReader(self.fp).readline(_MAX_CHUNK_LINE_BYTES)
@@ -117,10 +138,6 @@
             raise http.client.IncompleteRead(line)
         return int(size, 16)
 
-    def _read_and_discard_trailer(self) -> None:
-        assert self.fp is not None
-        responseheads.skip_trailers(self.fp)
-
 
 class WholeConnection(urllib3.connection.HTTPConnection):
     """A connection of urllib3's pools whose responses end as they should."""
--- a/tests/daemon/test_upstreams.py
+++ b/tests/daemon/test_upstreams.py
@@ -231,6 +231,19 @@
     server.close()
 
 
+@pytest.mark.parametrize("end", [b"XY", b"\n\n", b"\r0", b"\nX"])
+def test_a_chunk_that_goes_on_beyond_its_size_ends_the_answer(
+    client: upstreams.HttpUpstreams, end: bytes
+) -> None:
+    """Guards against a body that lacks bytes of a chunk, as if whole."""
+    script = _CHUNKED + b"3\r\none" + end + b"0\r\n\r\n"
+    server = rawupstream.RawUpstream(script, HEAD + b"two")
+    assert get(client, server.address) == ("crashed", "ran")
+    assert get(client, server.address) == b"two"
+    server.close()
+    assert server.connections == 2
+
+
 def test_extra_bytes_do_not_reach_the_next_request(
     client: upstreams.HttpUpstreams,
 ) -> None:
